Add the table service in memory with a fault plan

Cause: claims, leases, configuration and usage need a table service to be built and tested against. Ruled out: a mock per test (each would get the conditional commit slightly wrong). Change: MemoryTableService, linearizable, with refused calls and answers lost after their effect. Conclusion: one model serves the unit tests and the stand-in.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -14,3 +14,5 @@
 } from "./table/tableService.js";
 export type { CustomerUsage, UsageReport, UsageReportService } from "./usageReports/usageReportService.js";
 export type { WeightEntry, WeightStore } from "./weights/weightStore.js";
+export { MemoryTableService } from "./memory/memoryTableService.js";
+export type { CallFault, FaultPlan, TableCallCounts } from "./memory/memoryTableService.js";
--- /dev/null
+++ b/packages/platform/src/memory/memoryTableService.ts
@@ -0,0 +1,119 @@
+/**
+ * The table service in memory: the model that clients are tested against, and the core of its stand-in.
+ *
+ * @packageDocumentation
+ */
+import { PlatformError, PlatformErrorKind } from "../platformError.js";
+import type {
+    CommitResult,
+    JsonValue,
+    Row,
+    RowCondition,
+    ScanOptions,
+    TableService,
+    Transaction,
+} from "../table/tableService.js";
+
+const defaultScanLimit = 1_000;
+
+/** What happens to one call: it works, it has no effect, or its answer is lost after its effect. */
+export type CallFault = "none" | "unavailable" | "lostReply";
+
+/** Chooses the fault of the next call. */
+export type FaultPlan = (call: "read" | "scan" | "commit") => CallFault;
+
+/** Counts of calls, for store budgets. */
+export interface TableCallCounts {
+    readonly reads: number;
+    readonly writes: number;
+}
+
+/** A linearizable table service in memory with a fault plan. */
+export class MemoryTableService implements TableService {
+    private readonly tables = new Map<string, Map<string, Row>>();
+    private lastVersion = 0;
+    private reads = 0;
+    private writes = 0;
+    private planFault: FaultPlan = () => "none";
+
+    /**
+     * Replaces the fault plan.
+     *
+     * @param plan - Chooses the fault of each call.
+     */
+    setFaultPlan(plan: FaultPlan): void {
+        this.planFault = plan;
+    }
+
+    /** @returns How often the service was called. */
+    readCounts(): TableCallCounts {
+        return { reads: this.reads, writes: this.writes };
+    }
+
+    async readRow(table: string, key: string): Promise<Row | undefined> {
+        this.reads += 1;
+        return this.runCall("read", () => this.findRow(table, key));
+    }
+
+    async scanRows(table: string, options: ScanOptions = {}): Promise<readonly Row[]> {
+        this.reads += 1;
+        return this.runCall("scan", () => this.selectRows(table, options));
+    }
+
+    async commitTransaction(transaction: Transaction): Promise<CommitResult> {
+        this.writes += 1;
+        return this.runCall("commit", () => this.applyTransaction(transaction));
+    }
+
+    private runCall<Result>(call: "read" | "scan" | "commit", action: () => Result): Result {
+        const fault = this.planFault(call);
+        if (fault === "unavailable") {
+            throw new PlatformError(PlatformErrorKind.Unavailable, `table service: ${call} not possible`);
+        }
+        const result = action();
+        if (fault === "lostReply") {
+            throw new PlatformError(PlatformErrorKind.Ambiguous, `table service: answer to ${call} lost`);
+        }
+        return result;
+    }
+
+    private findRow(table: string, key: string): Row | undefined {
+        return this.tables.get(table)?.get(key);
+    }
+
+    private selectRows(table: string, options: ScanOptions): readonly Row[] {
+        const prefix = options.prefix ?? "";
+        const rows = [...(this.tables.get(table)?.values() ?? [])];
+        return rows
+            .filter((row) => row.key.startsWith(prefix))
+            .filter((row) => options.after === undefined || row.key > options.after)
+            .sort((left, right) => (left.key < right.key ? -1 : 1))
+            .slice(0, options.limit ?? defaultScanLimit);
+    }
+
+    private applyTransaction(transaction: Transaction): CommitResult {
+        const failed = transaction.conditions.filter((condition) => !this.isMet(condition));
+        if (failed.length > 0) {
+            return { outcome: "conflict", failed };
+        }
+        this.lastVersion += 1;
+        for (const write of transaction.writes) {
+            this.writeRow(write.table, write.key, write.value);
+        }
+        return { outcome: "committed", version: this.lastVersion };
+    }
+
+    private isMet(condition: RowCondition): boolean {
+        return (this.findRow(condition.table, condition.key)?.version ?? 0) === condition.version;
+    }
+
+    private writeRow(table: string, key: string, value: JsonValue | undefined): void {
+        const rows = this.tables.get(table) ?? new Map<string, Row>();
+        this.tables.set(table, rows);
+        if (value === undefined) {
+            rows.delete(key);
+            return;
+        }
+        rows.set(key, { key, value: structuredClone(value), version: this.lastVersion });
+    }
+}
