Add membership and the calls between peers

Cause: nodes must find each other while the platform's host list lags or is out, and share soft state at a cost that does not grow with their number. Ruled out: every node polling every other (cost grows with the count); records in the table service (its write budget is a few hundred a second and it has outages); a clustering library (not allowed). Change: pure MemberTable (random-order probes, suspicion with refutation, tombstones), RumorQueue (bounded piggybacking, logarithmic retransmissions), RecordTable (soft state by owner and version); PeerNetwork over connect-es with keyed digests on each call and answer, relayed probes, configuration read-back, withdrawals pushed at once, usage copies.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./peers/index.js";
--- /dev/null
+++ b/packages/node/src/peers/peerClient.ts
@@ -0,0 +1,58 @@
+/**
+ * Calls to peers over connect-es.
+ *
+ * @packageDocumentation
+ */
+import { createClient, type Client } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { PeerService } from "@pimentocleat/schema";
+import { createCallSigner, type PeerAuthenticationOptions } from "./peerAuthentication.js";
+
+/** Idle connections are closed after this time, so that random probes do not keep one to every node. */
+const idleConnectionTimeoutMs = 30_000;
+
+/** A typed client of one peer. */
+export type PeerConnection = Client<typeof PeerService>;
+
+/** Keeps one client an address. */
+export class PeerClients {
+    private readonly clients = new Map<string, PeerConnection>();
+
+    /** @param authentication - Secret and clock. */
+    constructor(private readonly authentication: PeerAuthenticationOptions) {}
+
+    /**
+     * Returns the client of a peer.
+     *
+     * @param address - IP address and port of the peer.
+     * @returns The client; it connects with its first call.
+     */
+    getClient(address: string): PeerConnection {
+        const known = this.clients.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const transport = createConnectTransport({
+            httpVersion: "2",
+            baseUrl: `http://${address}`,
+            idleConnectionTimeoutMs,
+            interceptors: [createCallSigner(this.authentication)],
+        });
+        const client = createClient(PeerService, transport);
+        this.clients.set(address, client);
+        return client;
+    }
+
+    /**
+     * Forgets the clients of addresses that are no longer used.
+     *
+     * @param addresses - Addresses to keep.
+     */
+    retainClients(addresses: ReadonlySet<string>): void {
+        for (const address of this.clients.keys()) {
+            if (!addresses.has(address)) {
+                this.clients.delete(address);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/node/src/peers/peerServer.ts
@@ -0,0 +1,68 @@
+/**
+ * The listener for peers' calls.
+ *
+ * @packageDocumentation
+ */
+import type { ConnectRouter, ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { PeerService } from "@pimentocleat/schema";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { createCallVerifier, type PeerAuthenticationOptions } from "./peerAuthentication.js";
+
+/** Largest message of a peer, in bytes; bounds what an unauthenticated sender can make the node read. */
+const maximumMessageBytes = 4 * 1024 * 1024;
+
+/** Options of a {@link PeerServer}. */
+export interface PeerServerOptions {
+    readonly authentication: PeerAuthenticationOptions;
+    readonly service: ServiceImpl<typeof PeerService>;
+}
+
+/** Serves peers' calls over HTTP/2 without TLS. */
+export class PeerServer {
+    private readonly server: Http2Server;
+    private readonly sessions = new Set<ServerHttp2Session>();
+
+    /** @param options - Authentication and the implementation of the calls. */
+    constructor(options: PeerServerOptions) {
+        const adapter = connectNodeAdapter({
+            routes: (router: ConnectRouter) => void router.service(PeerService, options.service),
+            interceptors: [createCallVerifier(options.authentication)],
+            readMaxBytes: maximumMessageBytes,
+        });
+        this.server = createServer(adapter);
+        this.server.on("session", (session) => {
+            this.sessions.add(session);
+            session.on("close", () => this.sessions.delete(session));
+            session.on("error", () => session.destroy());
+        });
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host - IP address.
+     * @param port - Port; 0 lets the system choose.
+     * @returns The address in use, as IP address and port.
+     */
+    open(host: string, port: number): Promise<string> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, () => {
+                this.server.off("error", reject);
+                resolve(`${host}:${(this.server.address() as AddressInfo).port}`);
+            });
+        });
+    }
+
+    /** Stops listening and closes all connections. */
+    close(): Promise<void> {
+        for (const session of this.sessions) {
+            session.destroy();
+        }
+        return new Promise((resolve) => {
+            this.server.close(() => resolve());
+        });
+    }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,3 +14,4 @@
     QueuedRequest,
     ServerStatus,
 } from "./scheduling/poolScheduler.js";
+export * from "./membership/index.js";
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,3 +20,4 @@
 } from "./configuration/configurationSchema.js";
 export { NodeIdentitySchema, file_pimentocleat_v1_common } from "./generated/pimentocleat/v1/common_pb.js";
 export type { NodeIdentity } from "./generated/pimentocleat/v1/common_pb.js";
+export * from "./generated/pimentocleat/v1/peers_pb.js";
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -31,6 +31,9 @@
     requestRefused: defineEvent(2001, "info", "request refused"),
     requestRetried: defineEvent(2002, "info", "request retried"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
+    hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
+    peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
+    peerGone: defineEvent(6002, "warn", "peer declared gone"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
