Add the FIFO scheduler as the baseline of the pool policy

Cause: the dispatch task and the experiments need a working scheduler and a baseline to compare with. Ruled out: a stub without cancel, leaving and exclusion, since the node would then grow around its gaps. Change: FifoScheduler (order of arrival, servers in turn, never beyond their slots) and SchedulerOptions.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,3 +14,5 @@
     QueuedRequest,
     ServerStatus,
 } from "./scheduling/poolScheduler.js";
+export { FifoScheduler } from "./scheduling/fifoScheduler.js";
+export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
