--- a/packages/node/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/node/src/peers/__tests__/peerNetwork.test.ts
@@ -84,9 +84,8 @@
 
 async function startNodes(count: number): Promise<readonly TestNode[]> {
     const first = await startNode("node-0", []);
-    const others = Array.from({ length: count - 1 }, (entry, index) =>
-        startNode(`node-${index + 1}`, [first.address]),
-    );
+    const indices = [...Array(count - 1).keys()];
+    const others = indices.map((index) => startNode(`node-${index + 1}`, [first.address]));
     const nodes = [first, ...(await Promise.all(others))];
     await advanceUntil(() => nodes.every((node) => node.network.listMembers().length === count - 1));
     return nodes;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,3 +15,5 @@
     ServerStatus,
 } from "./scheduling/poolScheduler.js";
 export * from "./membership/index.js";
+export { FifoScheduler } from "./scheduling/fifoScheduler.js";
+export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
