Add the platform stand-in program and the HTTP clients of its services

Cause: nothing answered the platform's interfaces outside of a test's own process. Ruled out: undici's request() with error codes, since a code does not tell whether a byte had left; the dispatch handler's start event does, and a call that is cancelled before it is never sent. Change: one program serves tables, objects, hosts, orders, usage reports and weights with rate limits and fault switches (POST /faults), and records what it received (GET /record). Six clients sort failures into PlatformErrorKind. All messages have zod schemas that both sides share.

--- /dev/null
+++ b/packages/platform/src/http/httpOrderingService.ts
@@ -0,0 +1,23 @@
+/**
+ * Client of the ordering interface over HTTP; see docs/interfaces/ordering.md.
+ *
+ * @packageDocumentation
+ */
+import type { OrderingService, OrderResult, ServerOrder } from "../ordering/orderingService.js";
+import type { PlatformHttpOptions } from "./platformHttpClient.js";
+import { PlatformHttpService } from "./platformHttpService.js";
+import { orderResultSchema } from "./wireSchemas.js";
+
+/** The ordering interface over HTTP. */
+export class HttpOrderingService extends PlatformHttpService implements OrderingService {
+    /**
+     * @param options - Where the service is.
+     */
+    constructor(options: PlatformHttpOptions) {
+        super("ordering interface", options);
+    }
+
+    async orderServers(order: ServerOrder, timeoutMs: number): Promise<OrderResult> {
+        return this.client.sendJson("/orders", order, orderResultSchema, timeoutMs);
+    }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -16,3 +16,12 @@
 export type { WeightEntry, WeightStore } from "./weights/weightStore.js";
 export { MemoryTableService } from "./memory/memoryTableService.js";
 export type { CallFault, FaultPlan, TableCallCounts } from "./memory/memoryTableService.js";
+export { HttpHostList } from "./http/httpHostList.js";
+export { HttpObjectStore } from "./http/httpObjectStore.js";
+export { HttpOrderingService } from "./http/httpOrderingService.js";
+export { HttpTableService } from "./http/httpTableService.js";
+export { HttpUsageReportService } from "./http/httpUsageReportService.js";
+export { HttpWeightStore } from "./http/httpWeightStore.js";
+export { PlatformHttpClient } from "./http/platformHttpClient.js";
+export type { PlatformCall, PlatformHttpOptions } from "./http/platformHttpClient.js";
+export * from "./http/wireSchemas.js";
--- /dev/null
+++ b/packages/standins/bin/platform.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runPlatformProgram } from "../lib/index.js";
+
+await runPlatformProgram();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export { faultPlanSchema, faultSchema } from "./faults/faultSchema.js";
+export type { Fault, FaultInput, FaultKind, FaultPlanInput } from "./faults/faultSchema.js";
+export { FaultSwitches } from "./faults/faultSwitches.js";
+export type { FaultTarget } from "./faults/faultSwitches.js";
+export type { CallCounts } from "./faults/callCounter.js";
+export { SeededRandom } from "./faults/seededRandom.js";
+export type { ListenOptions, RunningStandIn } from "./program/standInServer.js";
+export { startPlatform } from "./platform/platformStandIn.js";
+export type { PlatformRecord, RunningPlatform } from "./platform/platformStandIn.js";
+export type { PlatformOptions } from "./platform/platformOptions.js";
+export type { ReceivedOrder } from "./platform/orderBook.js";
+export type { ReceivedUsageReport } from "./platform/usageReportBook.js";
+export { runPlatformProgram } from "./platform/platformProgram.js";
--- /dev/null
+++ b/packages/standins/src/platform/objectRoutes.ts
@@ -0,0 +1,55 @@
+/**
+ * Routes of the object store; see docs/interfaces/object-store.md.
+ *
+ * @packageDocumentation
+ */
+import type { FastifyInstance } from "fastify";
+import type { TokenBucket } from "../faults/tokenBucket.js";
+
+/** What the routes need. */
+export interface ObjectRouteOptions {
+    readonly objects: Map<string, Buffer>;
+    readonly reads: TokenBucket;
+    readonly writes: TokenBucket;
+}
+
+interface NameParameter {
+    readonly name: string;
+}
+
+/**
+ * Adds the routes.
+ *
+ * @param server - The server.
+ * @param options - Objects and rate limits.
+ */
+export function registerObjectRoutes(server: FastifyInstance, options: ObjectRouteOptions): void {
+    const putConfig = {
+        target: { service: "objects", call: "put" },
+        takeWaitMs: (): number => options.writes.takeWaitMs(),
+    };
+    const getConfig = {
+        target: { service: "objects", call: "get" },
+        takeWaitMs: (): number => options.reads.takeWaitMs(),
+    };
+    server.addContentTypeParser(
+        "application/octet-stream",
+        { parseAs: "buffer" },
+        async (...[, body]: [unknown, Buffer]) => body,
+    );
+    server.put<{ Params: NameParameter; Body: Buffer }>(
+        "/objects/:name",
+        { config: putConfig },
+        async (request) => {
+            options.objects.set(request.params.name, Buffer.from(request.body));
+            return { stored: true };
+        },
+    );
+    server.get<{ Params: NameParameter }>("/objects/:name", { config: getConfig }, async (request, reply) => {
+        const content = options.objects.get(request.params.name);
+        if (content === undefined) {
+            return reply.code(404).send({ message: "no such object", executed: "no" });
+        }
+        return reply.type("application/octet-stream").send(content);
+    });
+}
--- /dev/null
+++ b/packages/standins/src/platform/platformStandIn.ts
@@ -0,0 +1,139 @@
+/**
+ * The platform stand-in: all services of the platform in one HTTP server.
+ *
+ * @packageDocumentation
+ */
+import type { FastifyInstance } from "fastify";
+import {
+    MemoryTableService,
+    hostListAnswerSchema,
+    serverOrderSchema,
+    usageReportSchema,
+    weightListAnswerSchema,
+    type ListedHost,
+    type OrderResult,
+    type WeightEntry,
+} from "@pimentocleat/platform";
+import { SystemClock, type Clock } from "@pimentocleat/types";
+import type { CallCounts } from "../faults/callCounter.js";
+import { findFault } from "../faults/faultSwitches.js";
+import type { Fault } from "../faults/faultSchema.js";
+import { TokenBucket } from "../faults/tokenBucket.js";
+import { buildStandInServer, startListening, type RunningStandIn } from "../program/standInServer.js";
+import { LaggingHosts } from "./laggingHosts.js";
+import { registerObjectRoutes } from "./objectRoutes.js";
+import { OrderBook, type ReceivedOrder } from "./orderBook.js";
+import { platformOptionsSchema, type PlatformOptions } from "./platformOptions.js";
+import { registerTableRoutes } from "./tableRoutes.js";
+import { UsageReportBook, type ReceivedUsageReport } from "./usageReportBook.js";
+
+/** What the platform received. */
+export interface PlatformRecord {
+    readonly orders: readonly ReceivedOrder[];
+    readonly usageReports: readonly ReceivedUsageReport[];
+    readonly callCounts: CallCounts;
+}
+
+/** A platform stand-in that runs in this process. */
+export interface RunningPlatform extends RunningStandIn {
+    /** The tables, for direct reads in tests. */
+    readonly table: MemoryTableService;
+    /** Changes the host list; it shows after the lag. */
+    setHosts(hosts: readonly ListedHost[]): void;
+    /** Changes the weights that engines can load. */
+    setWeights(weights: readonly WeightEntry[]): void;
+    /** What the platform received so far. */
+    readRecord(): PlatformRecord;
+}
+
+interface PlatformParts {
+    readonly hosts: LaggingHosts;
+    readonly orders: OrderBook;
+    readonly usageReports: UsageReportBook;
+    readonly weightReads: TokenBucket;
+    readonly readRecord: () => PlatformRecord;
+    weights: readonly WeightEntry[];
+}
+
+/**
+ * Starts the platform stand-in.
+ *
+ * @param options - Settings.
+ * @param clock - Source of time.
+ * @returns The running stand-in.
+ */
+export async function startPlatform(
+    options: PlatformOptions = {},
+    clock: Clock = new SystemClock(),
+): Promise<RunningPlatform> {
+    const settings = platformOptionsSchema.parse(options);
+    const standIn = buildStandInServer();
+    const table = new MemoryTableService();
+    const reads = new TokenBucket(settings.readsPerSecond, clock);
+    const writes = new TokenBucket(settings.writesPerSecond, clock);
+    let lastArrival = 0;
+    const nextArrival = (): number => (lastArrival += 1);
+    const parts: PlatformParts = {
+        hosts: new LaggingHosts(settings.hostListLagMs, clock),
+        orders: new OrderBook({ checksFencing: settings.checksFencing, clock, nextArrival }),
+        usageReports: new UsageReportBook(clock, nextArrival),
+        weightReads: new TokenBucket(settings.weightReadsPerSecond, clock),
+        weights: [],
+        readRecord: () => ({
+            orders: parts.orders.listReceived(),
+            usageReports: parts.usageReports.listReceived(),
+            callCounts: standIn.counter.readCounts(),
+        }),
+    };
+    registerTableRoutes(standIn.server, { table, reads, writes });
+    registerObjectRoutes(standIn.server, { objects: new Map(), reads, writes });
+    registerServiceRoutes(standIn.server, parts);
+    registerControlRoutes(standIn.server, parts);
+    const running = await startListening(standIn, settings);
+    return {
+        ...running,
+        table,
+        setHosts: (hosts) => parts.hosts.setHosts(hosts),
+        setWeights: (weights) => {
+            parts.weights = weights;
+        },
+        readRecord: parts.readRecord,
+    };
+}
+
+function registerServiceRoutes(server: FastifyInstance, parts: PlatformParts): void {
+    const hostsConfig = { target: { service: "hosts", call: "list" } };
+    const orderConfig = { target: { service: "ordering", call: "order" } };
+    const reportConfig = { target: { service: "usageReports", call: "report" } };
+    const weightsConfig = {
+        target: { service: "weights", call: "list" },
+        takeWaitMs: (): number => parts.weightReads.takeWaitMs(),
+    };
+    server.get("/hosts", { config: hostsConfig }, async () => ({ hosts: parts.hosts.listHosts() }));
+    server.post("/orders", { config: orderConfig }, async (request) => {
+        const order = serverOrderSchema.parse(request.body);
+        return parts.orders.handleOrder(order, findOrderRefusal(request.faults));
+    });
+    server.post("/usage-reports", { config: reportConfig }, async (request) => {
+        parts.usageReports.handleReport(usageReportSchema.parse(request.body));
+        return { accepted: true };
+    });
+    server.get("/weights", { config: weightsConfig }, async () => ({ weights: parts.weights }));
+}
+
+function registerControlRoutes(server: FastifyInstance, parts: PlatformParts): void {
+    server.put("/hosts", async (request) => {
+        parts.hosts.setHosts(hostListAnswerSchema.parse(request.body).hosts);
+        return { accepted: true };
+    });
+    server.put("/weights", async (request) => {
+        parts.weights = weightListAnswerSchema.parse(request.body).weights;
+        return { accepted: true };
+    });
+    server.get("/record", async () => parts.readRecord());
+}
+
+function findOrderRefusal(faults: readonly Fault[]): OrderResult | undefined {
+    const fault = findFault(faults, "noneAvailable");
+    return fault && { outcome: "noneAvailable", retryAfterMs: fault.retryAfterMs };
+}
--- /dev/null
+++ b/packages/standins/src/platform/tableRoutes.ts
@@ -0,0 +1,46 @@
+/**
+ * Routes of the table service; see docs/interfaces/table-service.md.
+ *
+ * @packageDocumentation
+ */
+import type { FastifyInstance } from "fastify";
+import {
+    readRequestSchema,
+    scanRequestSchema,
+    transactionSchema,
+    type TableService,
+} from "@pimentocleat/platform";
+import type { TokenBucket } from "../faults/tokenBucket.js";
+
+/** What the routes need. */
+export interface TableRouteOptions {
+    readonly table: TableService;
+    readonly reads: TokenBucket;
+    readonly writes: TokenBucket;
+}
+
+/**
+ * Adds the routes.
+ *
+ * @param server - The server.
+ * @param options - Tables and rate limits.
+ */
+export function registerTableRoutes(server: FastifyInstance, options: TableRouteOptions): void {
+    const takeReadWaitMs = (): number => options.reads.takeWaitMs();
+    const takeWriteWaitMs = (): number => options.writes.takeWaitMs();
+    const readConfig = { target: { service: "table", call: "read" }, takeWaitMs: takeReadWaitMs };
+    const scanConfig = { target: { service: "table", call: "scan" }, takeWaitMs: takeReadWaitMs };
+    const commitConfig = { target: { service: "table", call: "commit" }, takeWaitMs: takeWriteWaitMs };
+
+    server.post("/table/read", { config: readConfig }, async (request) => {
+        const { table, key } = readRequestSchema.parse(request.body);
+        return { row: await options.table.readRow(table, key) };
+    });
+    server.post("/table/scan", { config: scanConfig }, async (request) => {
+        const { table, ...scan } = scanRequestSchema.parse(request.body);
+        return { rows: await options.table.scanRows(table, scan) };
+    });
+    server.post("/table/commit", { config: commitConfig }, async (request) =>
+        options.table.commitTransaction(transactionSchema.parse(request.body)),
+    );
+}
--- /dev/null
+++ b/packages/standins/src/program/standInServer.ts
@@ -0,0 +1,83 @@
+/**
+ * The HTTP server that all stand-ins share: JSON errors, fault switches and an orderly stop.
+ *
+ * @packageDocumentation
+ */
+import { fastify, type FastifyError, type FastifyInstance } from "fastify";
+import type { AddressInfo } from "node:net";
+import { ZodError } from "zod";
+import { CallCounter } from "../faults/callCounter.js";
+import { registerFaultHooks } from "../faults/faultHooks.js";
+import { FaultSwitches } from "../faults/faultSwitches.js";
+
+const maximumBodyBytes = 256 * 1024 * 1024;
+const maximumObjectNameLength = 1_024;
+const loopbackHost = "127.0.0.1";
+
+/** Where a stand-in listens. */
+export interface ListenOptions {
+    /** IP address; 127.0.0.1 when absent. */
+    readonly host?: string;
+    /** Port; chosen by the system when absent or 0. */
+    readonly port?: number;
+}
+
+/** A stand-in that runs in this process. */
+export interface RunningStandIn {
+    /** IP address and port. */
+    readonly address: string;
+    /** The fault switches, also reachable at `POST /faults`. */
+    readonly switches: FaultSwitches;
+    /** Stops listening and closes all connections. */
+    close(): Promise<void>;
+}
+
+/** The parts of a server that is not listening yet. */
+export interface StandInServer {
+    readonly server: FastifyInstance;
+    readonly switches: FaultSwitches;
+    readonly counter: CallCounter;
+}
+
+/**
+ * Builds a server with `POST /faults` and the fault hooks.
+ *
+ * @returns The server, not listening yet.
+ */
+export function buildStandInServer(): StandInServer {
+    const server = fastify({
+        bodyLimit: maximumBodyBytes,
+        forceCloseConnections: true,
+        routerOptions: { maxParamLength: maximumObjectNameLength },
+    });
+    const switches = new FaultSwitches();
+    const counter = new CallCounter();
+    server.setErrorHandler<FastifyError>((...[error, , reply]) => {
+        const status = error instanceof ZodError ? 400 : (error.statusCode ?? 500);
+        return reply.code(status).send({ message: error.message, executed: "no" });
+    });
+    registerFaultHooks(server, { switches, counter });
+    server.post("/faults", async (request) => {
+        switches.setPlan(request.body as never);
+        return { accepted: true };
+    });
+    return { server, switches, counter };
+}
+
+/**
+ * Starts listening.
+ *
+ * @param parts - The server and its switches.
+ * @param options - Where to listen.
+ * @returns The running stand-in.
+ */
+export async function startListening(parts: StandInServer, options: ListenOptions): Promise<RunningStandIn> {
+    const { server, switches } = parts;
+    await server.listen({ host: options.host ?? loopbackHost, port: options.port ?? 0 });
+    const { address, port } = server.server.address() as AddressInfo;
+    return {
+        address: `${address}:${port}`,
+        switches,
+        close: () => server.close(),
+    };
+}
