Read the daemon's settings from one schema

Cause: the daemon needs flags, environment variables, help, reference page and checks that agree. Ruled out: cac for the daemon's flags, since it turns digits into numbers (a secret 0123 would become 123); node:util's parseArgs keeps texts as they are. Change: settings schema with metadata in a registry, readSettings with flag over variable, secrets from files, one line for each wrong setting without the secret; docs/SETTINGS.md and docs/CONFIGURATION.md are generated. Conclusion: a setting enters in one place.

--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,3 +20,9 @@
 } from "./configuration/configurationSchema.js";
 export { NodeIdentitySchema, file_pimentocleat_v1_common } from "./generated/pimentocleat/v1/common_pb.js";
 export type { NodeIdentity } from "./generated/pimentocleat/v1/common_pb.js";
+export { formatSettingsHelp, formatSettingsPage, listSettings } from "./settings/settingDescriptions.js";
+export type { SettingDescription } from "./settings/settingDescriptions.js";
+export { readSettings, SettingsError } from "./settings/readSettings.js";
+export type { SettingsInput, SettingsRequest } from "./settings/readSettings.js";
+export { settingsSchema } from "./settings/settingsSchema.js";
+export type { SettingName, Settings } from "./settings/settingsSchema.js";
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -14,6 +14,7 @@
 }
 
 runCommand("npx", ["buf", "generate"]);
+runCommand("npx", ["tsx", "scripts/writeReferencePages.mjs"]);
 
 if (process.argv.includes("--check")) {
     const status = spawnSync("git", ["status", "--porcelain", "--", ...outputs], { encoding: "utf8" });
