Parse the configuration folder and report all problems with file and line

Cause: operators edit many small files; a mistake must be named with its place and mend, all at once. Ruled out: letting a later file override an earlier one's entry: two operators who both define a customer would change each other's work in silence, so the same name twice is an error that names both places. Change: parseConfiguration merges files by name, validates entries by the schema, then names, references, routes, pools and classes across files; a text in place of a digest is never shown, since it may be the secret itself.

--- /dev/null
+++ b/packages/schema/src/configuration/configurationDocument.ts
@@ -0,0 +1,112 @@
+/**
+ * One parsed YAML file that knows the line of each value.
+ *
+ * @packageDocumentation
+ */
+import { isCollection, isNode, isPair, LineCounter, parseDocument, type Document } from "yaml";
+import type { ConfigurationFile, ConfigurationProblem } from "./configurationProblem.js";
+
+/** Steps from the root of a file to a value. */
+export type ValuePath = readonly (string | number)[];
+
+/** A file of the configuration as a tree with places. */
+export class ConfigurationDocument {
+    private readonly lines = new LineCounter();
+    private readonly document: Document;
+
+    /** @param file - The file. */
+    constructor(readonly file: ConfigurationFile) {
+        this.document = parseDocument(file.content, {
+            lineCounter: this.lines,
+            prettyErrors: false,
+            uniqueKeys: true,
+        });
+    }
+
+    /** @returns The mistakes in the YAML text itself. */
+    listSyntaxProblems(): readonly ConfigurationProblem[] {
+        return this.document.errors.map((error) => ({
+            file: this.file.name,
+            line: this.lines.linePos(error.pos[0]).line,
+            path: "",
+            message: `the YAML text is wrong: ${error.message.split("\n")[0] ?? ""}`,
+            mend: "correct the line",
+        }));
+    }
+
+    /** @returns The content as plain values; an empty file is an empty mapping. */
+    readValue(): unknown {
+        try {
+            return this.document.toJS({ maxAliasCount: 100 }) ?? {};
+        } catch {
+            // Too many aliases; the syntax check cannot see them.
+            return undefined;
+        }
+    }
+
+    /**
+     * Finds the line of a value, or of its closest ancestor that exists.
+     *
+     * @param path - The steps to the value.
+     * @returns The line, from 1.
+     */
+    findLine(path: ValuePath): number {
+        for (let length = path.length; length > 0; length -= 1) {
+            const offset = this.findOffset(path.slice(0, length));
+            if (offset !== undefined) {
+                return this.lines.linePos(offset).line;
+            }
+        }
+        return 1;
+    }
+
+    private findOffset(path: ValuePath): number | undefined {
+        const parent =
+            path.length === 1 ? this.document.contents : this.document.getIn(path.slice(0, -1), true);
+        if (!isCollection(parent)) {
+            return undefined;
+        }
+        const last = path.at(-1);
+        for (const [index, item] of parent.items.entries()) {
+            if (isPair(item) && isNode(item.key) && String(item.key) === String(last)) {
+                return item.key.range?.[0];
+            }
+            if (!isPair(item) && index === last && isNode(item)) {
+                return item.range?.[0];
+            }
+        }
+        return undefined;
+    }
+}
+
+/**
+ * Formats the path of a value for people.
+ *
+ * @param path - The steps to the value.
+ * @returns Such as `pools[0].servers[1].address`.
+ */
+export function formatPath(path: ValuePath): string {
+    return path
+        .map((step, index) =>
+            typeof step === "number" ? `[${String(step)}]` : `${index === 0 ? "" : "."}${step}`,
+        )
+        .join("");
+}
+
+/**
+ * Reads the value at a path.
+ *
+ * @param root - The root value.
+ * @param path - The steps to the value.
+ * @returns The value, or undefined when a step is missing.
+ */
+export function readValueAt(root: unknown, path: ValuePath): unknown {
+    let value = root;
+    for (const step of path) {
+        if (typeof value !== "object" || value === undefined) {
+            return undefined;
+        }
+        value = (value as Record<string | number, unknown> | undefined)?.[step];
+    }
+    return value;
+}
--- /dev/null
+++ b/packages/schema/src/configuration/configurationProblem.ts
@@ -0,0 +1,54 @@
+/**
+ * Problems of configuration files and the places that they name.
+ *
+ * @packageDocumentation
+ */
+
+/** One file of the configuration folder. */
+export interface ConfigurationFile {
+    readonly name: string;
+    /** YAML text. */
+    readonly content: string;
+}
+
+/** Where something stands in the configuration. */
+export interface ConfigurationPlace {
+    readonly file: string;
+    /** Line, from 1. */
+    readonly line: number;
+}
+
+/** One mistake in the configuration. */
+export interface ConfigurationProblem extends ConfigurationPlace {
+    /** Path within the file, such as `pools[0].servers[1].address`; empty for the whole file. */
+    readonly path: string;
+    /** What is wrong, with the wrong value. */
+    readonly message: string;
+    /** What to do about it. */
+    readonly mend: string;
+}
+
+/**
+ * Formats a problem as one line.
+ *
+ * @param problem - The problem.
+ * @returns Such as `30-pools.yaml:12: pools[0].kind: "modle" is not allowed; use model or plain`.
+ */
+export function formatProblem(problem: ConfigurationProblem): string {
+    const path = problem.path === "" ? "" : `${problem.path}: `;
+    return `${problem.file}:${String(problem.line)}: ${path}${problem.message}; ${problem.mend}`;
+}
+
+/**
+ * Compares problems by file, line and path.
+ *
+ * @param left - One problem.
+ * @param right - Another problem.
+ * @returns Negative, zero or positive.
+ */
+export function compareProblems(left: ConfigurationProblem, right: ConfigurationProblem): number {
+    if (left.file !== right.file) {
+        return left.file < right.file ? -1 : 1;
+    }
+    return left.line - right.line || (left.path < right.path ? -1 : Number(left.path > right.path));
+}
--- /dev/null
+++ b/packages/schema/src/configuration/parseConfiguration.ts
@@ -0,0 +1,150 @@
+/**
+ * Merges configuration files and validates the whole.
+ *
+ * @packageDocumentation
+ */
+import type { z } from "zod";
+import { configurationSchema, type Configuration } from "./configurationSchema.js";
+import { ConfigurationDocument, formatPath, readValueAt, type ValuePath } from "./configurationDocument.js";
+import {
+    compareProblems,
+    type ConfigurationFile,
+    type ConfigurationProblem,
+} from "./configurationProblem.js";
+import { checkConfiguration } from "./checkConfiguration.js";
+import type { ConfigurationEntry, EntryList } from "./configurationEntry.js";
+
+/** The result of parsing a folder. */
+export interface ParsedConfiguration {
+    /** Absent when there is any problem. */
+    readonly configuration: Configuration | undefined;
+    /** All problems, in the order of files and lines. */
+    readonly problems: readonly ConfigurationProblem[];
+}
+
+interface ParsedDocument {
+    readonly problems: readonly ConfigurationProblem[];
+    readonly entries: readonly ConfigurationEntry[];
+}
+
+const largestShownLength = 60;
+const secretFields: ReadonlySet<string> = new Set(["digest"]);
+
+function formatValue(value: unknown, path: ValuePath): string {
+    if (value === undefined) {
+        return "nothing";
+    }
+    if (secretFields.has(String(path.at(-1)))) {
+        // An operator may have pasted the secret in place of its digest.
+        return "the given text";
+    }
+    const text = JSON.stringify(value) ?? String(value);
+    return text.length > largestShownLength ? `${text.slice(0, largestShownLength)}...` : text;
+}
+
+function describeIssue(issue: z.core.$ZodIssue, value: unknown): { message: string; mend: string } {
+    if (issue.code === "unrecognized_keys") {
+        return { message: `unknown field ${issue.keys.join(", ")}`, mend: "remove it or correct its name" };
+    }
+    const shown = formatValue(value, issue.path as ValuePath);
+    const message = value === undefined ? "the field is missing" : `${shown} is not allowed`;
+    switch (issue.code) {
+        case "invalid_value":
+            return { message, mend: `use one of ${issue.values.map(String).join(", ")}` };
+        case "invalid_type":
+            return { message, mend: `use a value of type ${issue.expected}` };
+        case "too_small":
+            return {
+                message,
+                mend: `use ${issue.inclusive ? "at least" : "more than"} ${String(issue.minimum)}`,
+            };
+        case "too_big":
+            return {
+                message,
+                mend: `use ${issue.inclusive ? "at most" : "less than"} ${String(issue.maximum)}`,
+            };
+        default:
+            return { message, mend: issue.message };
+    }
+}
+
+function buildIssueProblems(
+    document: ConfigurationDocument,
+    root: unknown,
+    issue: z.core.$ZodIssue,
+): ConfigurationProblem[] {
+    const path = issue.path as ValuePath;
+    const paths = issue.code === "unrecognized_keys" ? issue.keys.map((key) => [...path, key]) : [path];
+    return paths.map((place) => ({
+        file: document.file.name,
+        line: document.findLine(place),
+        path: formatPath(path),
+        ...describeIssue(
+            issue.code === "unrecognized_keys" ? { ...issue, keys: [String(place.at(-1))] } : issue,
+            readValueAt(root, path),
+        ),
+    }));
+}
+
+function parseFile(file: ConfigurationFile): ParsedDocument {
+    const document = new ConfigurationDocument(file);
+    const syntaxProblems = document.listSyntaxProblems();
+    if (syntaxProblems.length > 0) {
+        return { problems: syntaxProblems, entries: [] };
+    }
+    const root = document.readValue();
+    const result = configurationSchema.safeParse(root);
+    const issues = result.success ? [] : result.error.issues;
+    const problems = issues.flatMap((issue) => buildIssueProblems(document, root, issue));
+    return { problems, entries: listEntries(document, root) };
+}
+
+/** Lists the valid entries of a file, also of one with mistakes. */
+function listEntries(document: ConfigurationDocument, root: unknown): ConfigurationEntry[] {
+    const lists = Object.keys(configurationSchema.shape) as EntryList[];
+    return lists.flatMap((list) => {
+        const values = readValueAt(root, [list]);
+        return (Array.isArray(values) ? values : []).flatMap((value: unknown, index) => {
+            const result = configurationSchema.shape[list].unwrap().element.safeParse(value);
+            if (!result.success) {
+                return [];
+            }
+            const findLine = (...steps: ValuePath): number => document.findLine([list, index, ...steps]);
+            const path = formatPath([list, index]);
+            return [
+                { list, value: result.data, file: document.file.name, path, findLine } as ConfigurationEntry,
+            ];
+        });
+    });
+}
+
+function mergeEntries(entries: readonly ConfigurationEntry[]): Configuration {
+    const merged: Record<EntryList, unknown[]> = {
+        customers: [],
+        keys: [],
+        classes: [],
+        pools: [],
+        routes: [],
+    };
+    for (const entry of entries) {
+        merged[entry.list].push(entry.value);
+    }
+    return merged as Configuration;
+}
+
+/**
+ * Parses, merges and validates the files of a configuration folder.
+ *
+ * @param files - The files, in any order; they are merged in the order of their names.
+ * @returns The configuration, or all problems.
+ */
+export function parseConfiguration(files: readonly ConfigurationFile[]): ParsedConfiguration {
+    const sorted = [...files].sort((left, right) => (left.name < right.name ? -1 : 1));
+    const documents = sorted.map(parseFile);
+    const entries = documents.flatMap((document) => document.entries);
+    const problems = documents.flatMap((document) => document.problems);
+    const hasBrokenFile = problems.length > 0;
+    const checked = checkConfiguration(entries, { skipReferences: hasBrokenFile });
+    const all = [...problems, ...checked].sort(compareProblems);
+    return { configuration: all.length === 0 ? mergeEntries(entries) : undefined, problems: all };
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -26,3 +26,11 @@
 export type { SettingsInput, SettingsRequest } from "./settings/readSettings.js";
 export { settingsSchema } from "./settings/settingsSchema.js";
 export type { SettingName, Settings } from "./settings/settingsSchema.js";
+export { formatProblem } from "./configuration/configurationProblem.js";
+export type {
+    ConfigurationFile,
+    ConfigurationPlace,
+    ConfigurationProblem,
+} from "./configuration/configurationProblem.js";
+export { parseConfiguration } from "./configuration/parseConfiguration.js";
+export type { ParsedConfiguration } from "./configuration/parseConfiguration.js";
