Serve a caller's request through one node

Cause: no process took a request from a caller to a backend server yet. Ruled out: undici's own pool and agent, because they send a request again when an idle connection resets under it; a parser of our own for event streams, because eventsource-parser does it. Change: caller server on fastify, routing with key and class, one dispatch task a pool around the scheduler, connections that carry one request at a time and never reconnect, streams relayed by whole events, error answers from the table, claims before requests that may not be repeated, decision traces, graceful stop.

--- /dev/null
+++ b/packages/node/src/dispatch/attempt.ts
@@ -0,0 +1,138 @@
+/**
+ * One try of a request on one backend server.
+ *
+ * @packageDocumentation
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { CancelReason } from "@pimentocleat/policy";
+import { AnswerCollector } from "../upstream/answerCollector.js";
+import type { AttemptFailure } from "../upstream/attemptFailure.js";
+import type { ConnectionPool } from "../upstream/connectionPool.js";
+import { Exchange, type ExchangeReceiver, type ExchangeRequest } from "../upstream/exchange.js";
+import type { CallerStream } from "../streams/callerStream.js";
+import type { StreamRelay } from "../streams/streamRelay.js";
+import type { RunningListener } from "./poolTask.js";
+import type { WholeAnswer } from "./routedRequest.js";
+
+/** How a try ended. */
+export type AttemptResult =
+    | { readonly type: "answered"; readonly answer: WholeAnswer; readonly parsedBody: unknown }
+    | { readonly type: "streamed" }
+    | {
+          readonly type: "failed";
+          readonly failure: AttemptFailure;
+          /** Set when this node ended the try. */
+          readonly cancelReason?: CancelReason;
+          /** Whether the request should continue on another server. */
+          readonly moved: boolean;
+      };
+
+/** The stream that an attempt relays to. */
+export interface AttemptStream {
+    readonly relay: StreamRelay;
+    readonly caller: CallerStream;
+}
+
+/** Options of an {@link Attempt}. */
+export interface AttemptOptions {
+    readonly request: ExchangeRequest;
+    readonly connections: ConnectionPool;
+    readonly maximumAnswerBytes: number;
+    /** Undefined when the caller wants a whole answer. */
+    readonly stream: AttemptStream | undefined;
+    /** Whether to go on when the caller is gone, because the request can't be repeated. */
+    readonly uncancellable: boolean;
+}
+
+/** Runs one try. */
+export class Attempt implements ExchangeReceiver, RunningListener {
+    private readonly collector: AnswerCollector;
+    private readonly exchange: Exchange;
+    private streaming = false;
+    private cancelReason: CancelReason | undefined;
+    private moved = false;
+    private resolve: (result: AttemptResult) => void = () => {};
+
+    /** @param options - What to send and where the answer goes. */
+    constructor(private readonly options: AttemptOptions) {
+        this.collector = new AnswerCollector(options.maximumAnswerBytes);
+        this.exchange = new Exchange(options.request, this, options.connections);
+    }
+
+    /** @returns Resolves with the result; never rejects. */
+    run(): Promise<AttemptResult> {
+        return new Promise((resolve) => {
+            this.resolve = resolve;
+            this.options.stream?.relay.startAttempt();
+            this.options.stream?.caller.setListener({ onDrain: () => this.exchange.resume() });
+            this.exchange.start();
+        });
+    }
+
+    onCancel(reason: CancelReason): void {
+        if (this.options.uncancellable) {
+            return;
+        }
+        this.cancelReason = reason;
+        this.exchange.cancel(reason);
+    }
+
+    onMove(): void {
+        if (this.options.uncancellable) {
+            return;
+        }
+        this.moved = true;
+        this.exchange.cancel("moved to another server");
+    }
+
+    onHead(status: number, headers: IncomingHttpHeaders): string | undefined {
+        const eventStream = headers["content-type"]?.startsWith("text/event-stream") ?? false;
+        this.streaming = this.options.stream !== undefined && status === 200 && eventStream;
+        return this.streaming ? undefined : this.collector.setHead(status, headers);
+    }
+
+    onData(chunk: Buffer): string | undefined {
+        const { stream } = this.options;
+        if (!this.streaming || stream === undefined) {
+            return this.collector.addChunk(chunk);
+        }
+        if (!stream.relay.addChunk(chunk)) {
+            this.exchange.pause();
+        }
+        return stream.relay.findFault();
+    }
+
+    onEnd(): string | undefined {
+        const { stream } = this.options;
+        if (this.streaming && stream !== undefined) {
+            return this.finishStream(stream);
+        }
+        if (stream?.caller.started) {
+            return "the engine answered a resumed stream without a stream";
+        }
+        const invalid = this.collector.checkBody();
+        if (invalid === undefined) {
+            const { parsedBody } = this.collector;
+            this.resolve({ type: "answered", answer: this.collector.buildAnswer(), parsedBody });
+        }
+        return invalid;
+    }
+
+    onFailure(failure: AttemptFailure): void {
+        const { stream } = this.options;
+        stream?.caller.setListener(undefined);
+        const ownEnd = this.cancelReason !== undefined || this.moved;
+        if (!ownEnd && this.streaming && stream !== undefined && this.finishStream(stream) === undefined) {
+            return;
+        }
+        this.resolve({ type: "failed", failure, cancelReason: this.cancelReason, moved: this.moved });
+    }
+
+    private finishStream(stream: AttemptStream): string | undefined {
+        const missing = stream.relay.finishAttempt();
+        if (missing === undefined) {
+            this.resolve({ type: "streamed" });
+        }
+        return missing;
+    }
+}
--- /dev/null
+++ b/packages/node/src/dispatch/onceRunner.ts
@@ -0,0 +1,131 @@
+/**
+ * Runs requests that may not be repeated: the idempotency key is claimed before the first byte is
+ * sent, and the outcome is recorded for repeats through any node.
+ *
+ * @packageDocumentation
+ */
+import { createHash } from "node:crypto";
+import type { Claim, ClaimOutcome, ClaimResult, ClaimStore } from "@pimentocleat/state";
+import { ErrorKind, RouterError, type WaitingClock } from "@pimentocleat/types";
+import type { RequestRunner, RunContext } from "./requestRunner.js";
+import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
+
+type RefusedClaim = Exclude<ClaimResult["type"], "claimed" | "answered">;
+
+const claimKinds: Readonly<Record<RefusedClaim, ErrorKind>> = {
+    inProgress: ErrorKind.IdempotencyInProgress,
+    outcomeUnknown: ErrorKind.IdempotencyOutcomeUnknown,
+    conflict: ErrorKind.IdempotencyConflict,
+    unavailable: ErrorKind.ClaimUnavailable,
+};
+
+/** Options of a {@link OnceRunner}. */
+export interface OnceRunnerOptions {
+    readonly runner: RequestRunner;
+    readonly claims: ClaimStore;
+    readonly clock: WaitingClock;
+    /** Name of this node. */
+    readonly node: string;
+    /** How long an answer waits for its record, in milliseconds. */
+    readonly outcomeRecordWaitMs: number;
+    /** Receives a failure to record an outcome. */
+    readonly onError: (error: unknown) => void;
+}
+
+/** Runs each request at most once. */
+export class OnceRunner {
+    private readonly pendingRecords = new Set<Promise<void>>();
+
+    /** @param options - Runner, claim store and bounds. */
+    constructor(private readonly options: OnceRunnerOptions) {}
+
+    /**
+     * Runs a request that may not be repeated.
+     *
+     * @param context - The request and its caller.
+     * @returns The answer, possibly the stored answer of an earlier request with the same key.
+     * @throws RouterError when there is no answer; its `executed` tells whether it may have run.
+     */
+    async runRequest(context: RunContext): Promise<WholeAnswer> {
+        const { idempotencyKey } = context.request;
+        if (idempotencyKey === undefined) {
+            return (await this.options.runner.runRequest(context)) as WholeAnswer;
+        }
+        const result = await this.claimKey(context.request, idempotencyKey);
+        context.trace.addStep("claimed", result.type);
+        if (result.type === "answered") {
+            const { status, headers, body } = result.answer;
+            return { status, headers, body: Buffer.from(body, "base64"), replayed: true };
+        }
+        if (result.type === "claimed") {
+            return this.runClaimed(context, result.claim);
+        }
+        const retryAfterMs = result.type === "unavailable" ? result.retryAfterMs : undefined;
+        throw new RouterError(claimKinds[result.type], undefined, { retryAfterMs });
+    }
+
+    /** @returns Resolves when every outcome so far was recorded or given up. */
+    async waitForRecords(): Promise<void> {
+        await Promise.all(this.pendingRecords);
+    }
+
+    private async claimKey(request: RoutedRequest, idempotencyKey: string): Promise<ClaimResult> {
+        const { customer, route, requestId } = request;
+        const requestDigest = computeRequestDigest(request);
+        const { node } = this.options;
+        try {
+            return await this.options.claims.claimKey({
+                customer,
+                route,
+                idempotencyKey,
+                requestDigest,
+                requestId,
+                node,
+            });
+        } catch (error) {
+            throw new RouterError(ErrorKind.ClaimUnavailable, undefined, { cause: error });
+        }
+    }
+
+    private async runClaimed(context: RunContext, claim: Claim): Promise<WholeAnswer> {
+        try {
+            const answer = (await this.options.runner.runRequest({
+                ...context,
+                claimed: true,
+            })) as WholeAnswer;
+            const { status, headers, body } = answer;
+            const stored = { status, headers, body: body.toString("base64") };
+            await this.recordOutcome(claim, { type: "answered", answer: stored });
+            return answer;
+        } catch (error) {
+            const notRun = error instanceof RouterError && error.executed === "no";
+            await this.recordOutcome(claim, { type: notRun ? "notRun" : "unknown" });
+            throw error;
+        }
+    }
+
+    private async recordOutcome(claim: Claim, outcome: ClaimOutcome): Promise<void> {
+        const record = this.options.claims
+            .recordOutcome(claim, outcome)
+            .catch((error: unknown) => this.options.onError(error));
+        this.pendingRecords.add(record);
+        void record.then(() => this.pendingRecords.delete(record));
+        const abort = new AbortController();
+        const wait = this.options.clock.wait(this.options.outcomeRecordWaitMs, abort.signal);
+        await Promise.race([record, wait]);
+        abort.abort();
+    }
+}
+
+/**
+ * Computes the digest by which a repeat is told from another request with the same key.
+ *
+ * @param request - The request.
+ * @returns SHA-256 of method, path, query and body, in hexadecimal.
+ */
+function computeRequestDigest(request: RoutedRequest): string {
+    return createHash("sha256")
+        .update(`${request.method} ${request.path}\n`)
+        .update(request.body ?? "")
+        .digest("hex");
+}
--- /dev/null
+++ b/packages/node/src/dispatch/poolTask.ts
@@ -0,0 +1,288 @@
+/**
+ * The dispatch task of one pool. It alone owns the pool's scheduler: it passes events in, takes
+ * decisions and wakes when the scheduler asks for it.
+ *
+ * @packageDocumentation
+ */
+import type {
+    AttemptOutcome,
+    CacheEvent,
+    CancelReason,
+    Decision,
+    LeavingNotice,
+    LoadReport,
+    PoolConfiguration,
+    PoolScheduler,
+    PoolStatus,
+    PoolSummary,
+    QueuedRequest,
+} from "@pimentocleat/policy";
+import type { BackendServer, Pool } from "@pimentocleat/schema";
+import { ErrorKind, RouterError, type WaitingClock } from "@pimentocleat/types";
+import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
+
+/** Permission to send a request to a server. */
+export interface StartGrant {
+    readonly server: BackendServer;
+    readonly priority: number;
+}
+
+/** Receives what happens to a running request. */
+export interface RunningListener {
+    /** The request has to stop on its server. */
+    onCancel(reason: CancelReason): void;
+    /** The request should continue on another server. */
+    onMove(): void;
+}
+
+interface WaitingRequest {
+    readonly resolve: (grant: StartGrant) => void;
+    readonly reject: (error: RouterError) => void;
+}
+
+/** Options of a {@link PoolTask}. */
+export interface PoolTaskOptions {
+    readonly configuration: PoolConfiguration;
+    readonly scheduler: PoolScheduler;
+    readonly clock: WaitingClock;
+    /** Receives anything that the scheduler throws. */
+    readonly onError: (error: unknown) => void;
+}
+
+/** Dispatches the requests of one pool. */
+export class PoolTask {
+    private readonly scheduler: PoolScheduler;
+    private readonly waiting = new Map<string, WaitingRequest>();
+    private readonly running = new Map<string, RunningListener>();
+    private servers = new Map<string, BackendServer>();
+    private poolConfiguration: PoolConfiguration;
+    private decisionsDue = false;
+    private wakeAtMs = Number.POSITIVE_INFINITY;
+    private wakeAbort = new AbortController();
+    private stopped = false;
+
+    /** @param options - Configuration, scheduler and clock. */
+    constructor(private readonly options: PoolTaskOptions) {
+        this.scheduler = options.scheduler;
+        this.poolConfiguration = options.configuration;
+        this.setServers(options.configuration.pool.servers);
+    }
+
+    /** The pool as configured. */
+    get pool(): Pool {
+        return this.poolConfiguration.pool;
+    }
+
+    /** @param configuration - The new configuration of the pool. */
+    updateConfiguration(configuration: PoolConfiguration): void {
+        this.poolConfiguration = configuration;
+        this.setServers(configuration.pool.servers);
+        this.scheduler.updateConfiguration(configuration);
+        this.requestDecisions();
+    }
+
+    /**
+     * Waits until the request may be sent.
+     *
+     * @param request - The request.
+     * @param active - Ends the wait when it is cancelled.
+     * @returns The server to send it to.
+     * @throws RouterError when the request is refused or cancelled.
+     */
+    waitForStart(request: QueuedRequest, active: ActiveRequest): Promise<StartGrant> {
+        if (active.cancelReason !== undefined) {
+            return Promise.reject(buildCancelError(active.cancelReason, false));
+        }
+        const result = this.scheduler.offerRequest(request);
+        if (result.type === "refused") {
+            return Promise.reject(
+                new RouterError(result.kind, undefined, {
+                    executed: "no",
+                    retryAfterMs: result.retryAfterMs,
+                }),
+            );
+        }
+        active.setCancelListener((reason) => this.cancelWaiting(request.requestId, reason));
+        return new Promise((resolve, reject) => {
+            this.waiting.set(request.requestId, { resolve, reject });
+            this.requestDecisions();
+        });
+    }
+
+    /**
+     * Registers the receiver of a running request's cancellation.
+     *
+     * @param requestId - The request.
+     * @param listener - The receiver.
+     */
+    setRunningListener(requestId: string, listener: RunningListener): void {
+        this.running.set(requestId, listener);
+    }
+
+    /** @param requestId - A running request whose first token arrived. */
+    recordFirstToken(requestId: string): void {
+        this.scheduler.recordFirstToken(requestId);
+    }
+
+    /**
+     * Notes generated tokens.
+     *
+     * @param requestId - The running request.
+     * @param tokens - How many.
+     */
+    recordTokens(requestId: string, tokens: number): void {
+        this.scheduler.recordTokens(requestId, tokens);
+    }
+
+    /**
+     * Notes how a try ended and frees its slot.
+     *
+     * @param requestId - The request.
+     * @param server - The server's name.
+     * @param outcome - How it ended.
+     */
+    recordOutcome(requestId: string, server: string, outcome: AttemptOutcome): void {
+        this.running.delete(requestId);
+        this.scheduler.recordOutcome(requestId, server, outcome);
+        this.requestDecisions();
+    }
+
+    /** @param report - A load report of a server. */
+    recordLoadReport(report: LoadReport): void {
+        this.scheduler.recordLoadReport(report);
+        this.requestDecisions();
+    }
+
+    /** @param event - A cache event of a server. */
+    recordCacheEvent(event: CacheEvent): void {
+        this.scheduler.recordCacheEvent(event);
+    }
+
+    /** @param notice - A server that leaves. */
+    recordLeaving(notice: LeavingNotice): void {
+        this.scheduler.recordLeaving(notice);
+        this.requestDecisions();
+    }
+
+    /** @param summary - The soft state of another node. */
+    recordPeerSummary(summary: PoolSummary): void {
+        this.scheduler.recordPeerSummary(summary);
+        this.requestDecisions();
+    }
+
+    /** @param node - A node that is gone. */
+    removePeer(node: string): void {
+        this.scheduler.removePeer(node);
+        this.requestDecisions();
+    }
+
+    /** @returns The soft state of this node about the pool. */
+    summarizePool(): PoolSummary {
+        return this.scheduler.summarizePool();
+    }
+
+    /** @returns A snapshot for operators. */
+    readStatus(): PoolStatus {
+        return this.scheduler.readStatus();
+    }
+
+    /** Ends the task; waiting requests are refused. */
+    stop(): void {
+        this.stopped = true;
+        this.wakeAbort.abort();
+        for (const requestId of [...this.waiting.keys()]) {
+            this.refuseWaiting(requestId, new RouterError(ErrorKind.NoBackendServer));
+        }
+    }
+
+    private setServers(servers: readonly BackendServer[]): void {
+        this.servers = new Map(servers.map((server) => [server.name, server]));
+    }
+
+    private cancelWaiting(requestId: string, reason: CancelReason): void {
+        this.scheduler.cancelRequest(requestId, reason);
+        this.refuseWaiting(requestId, buildCancelError(reason, false));
+        this.requestDecisions();
+    }
+
+    private refuseWaiting(requestId: string, error: RouterError): void {
+        const request = this.waiting.get(requestId);
+        this.waiting.delete(requestId);
+        request?.reject(error);
+    }
+
+    private requestDecisions(): void {
+        if (this.decisionsDue || this.stopped) {
+            return;
+        }
+        this.decisionsDue = true;
+        queueMicrotask(() => this.runDecisions());
+    }
+
+    private runDecisions(): void {
+        this.decisionsDue = false;
+        if (this.stopped) {
+            return;
+        }
+        try {
+            this.scheduler.takeDecisions().forEach((decision) => this.applyDecision(decision));
+            this.scheduleWake();
+        } catch (error) {
+            this.options.onError(error);
+        }
+    }
+
+    private applyDecision(decision: Decision): void {
+        switch (decision.type) {
+            case "start":
+                this.startRequest(decision.requestId, decision.server, decision.priority);
+                break;
+            case "refuse":
+                this.refuseWaiting(
+                    decision.requestId,
+                    new RouterError(decision.kind, undefined, {
+                        executed: "no",
+                        retryAfterMs: decision.retryAfterMs,
+                    }),
+                );
+                break;
+            case "cancel":
+                this.running.get(decision.requestId)?.onCancel(decision.reason);
+                break;
+            case "move":
+                this.running.get(decision.requestId)?.onMove();
+                break;
+        }
+    }
+
+    private startRequest(requestId: string, serverName: string, priority: number): void {
+        const request = this.waiting.get(requestId);
+        this.waiting.delete(requestId);
+        const server = this.servers.get(serverName);
+        if (request !== undefined && server !== undefined) {
+            request.resolve({ server, priority });
+            return;
+        }
+        this.recordOutcome(requestId, serverName, "cancelled");
+        request?.reject(new RouterError(ErrorKind.NoBackendServer));
+    }
+
+    /** Keeps one timer; one that fires early only takes decisions once more. */
+    private scheduleWake(): void {
+        const nextMs = this.scheduler.readNextWakeMs();
+        if (nextMs === undefined || nextMs >= this.wakeAtMs) {
+            return;
+        }
+        this.wakeAbort.abort();
+        this.wakeAbort = new AbortController();
+        this.wakeAtMs = nextMs;
+        const { signal } = this.wakeAbort;
+        const durationMs = Math.max(1, nextMs - this.options.clock.monotonicMs());
+        void this.options.clock.wait(durationMs, signal).then(() => {
+            if (!signal.aborted) {
+                this.wakeAtMs = Number.POSITIVE_INFINITY;
+                this.requestDecisions();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -0,0 +1,265 @@
+/**
+ * Runs a routed request: waits for a slot, tries a backend server, and tries again where that is
+ * allowed.
+ *
+ * @packageDocumentation
+ */
+import type { QueuedRequest } from "@pimentocleat/policy";
+import type { Pool } from "@pimentocleat/schema";
+import type { UsageRecorder } from "@pimentocleat/state";
+import type { Logger, Metrics } from "@pimentocleat/telemetry";
+import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { TraceRecorder } from "../explain/explainBuffer.js";
+import type { NodeLimits } from "../limits/nodeLimits.js";
+import type { CallerStream } from "../streams/callerStream.js";
+import { readTokenUsage } from "../streams/streamEvent.js";
+import { StreamRelay } from "../streams/streamRelay.js";
+import type { ConnectionPool } from "../upstream/connectionPool.js";
+import type { ExchangeRequest } from "../upstream/exchange.js";
+import { UsageMeter } from "../usage/usageMeter.js";
+import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
+import { Attempt, type AttemptResult } from "./attempt.js";
+import { buildExchangeBody } from "./buildExchangeBody.js";
+import { chooseFailureAction, convertFailureToOutcome } from "./chooseFailureAction.js";
+import type { PoolTask, StartGrant } from "./poolTask.js";
+import type { PoolTasks } from "./poolTasks.js";
+import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
+
+/** Options of a {@link RequestRunner}. */
+export interface RequestRunnerOptions {
+    readonly tasks: PoolTasks;
+    readonly connections: ConnectionPool;
+    readonly usage: UsageRecorder;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly clock: Clock;
+    readonly limits: NodeLimits;
+    /** Reads the credential from an environment variable by its name. */
+    readonly readCredential: (variable: string) => string | undefined;
+}
+
+/** A request that runs. */
+export interface RunContext {
+    readonly request: RoutedRequest;
+    readonly active: ActiveRequest;
+    readonly trace: TraceRecorder;
+    /** Undefined when the caller wants a whole answer. */
+    readonly caller: CallerStream | undefined;
+    /** Whether the request holds a claim on its idempotency key. */
+    readonly claimed: boolean;
+}
+
+/** The end of a request that got its answer: a whole answer, or `streamed` when the caller has it already. */
+export type RunResult = WholeAnswer | "streamed";
+
+type FailedResult = Extract<AttemptResult, { type: "failed" }>;
+
+interface RunState {
+    readonly context: RunContext;
+    readonly task: PoolTask;
+    readonly relay: StreamRelay | undefined;
+    readonly meter: UsageMeter;
+    readonly excludedServers: string[];
+    attempt: number;
+    sent: boolean;
+}
+
+/** Runs requests. */
+export class RequestRunner {
+    /** @param options - Pool tasks, connections and recorders. */
+    constructor(private readonly options: RequestRunnerOptions) {}
+
+    /**
+     * Runs a request to its end.
+     *
+     * @param context - The request and its caller.
+     * @returns The answer.
+     * @throws RouterError when the caller gets no whole answer.
+     */
+    async runRequest(context: RunContext): Promise<RunResult> {
+        const task = this.options.tasks.findTask(context.request.pool);
+        if (task === undefined) {
+            throw new RouterError(ErrorKind.NoBackendServer);
+        }
+        const state = this.createState(context, task);
+        try {
+            return await this.runAttempts(state);
+        } finally {
+            context.active.setCancelListener(undefined);
+            state.meter.finish();
+        }
+    }
+
+    private createState(context: RunContext, task: PoolTask): RunState {
+        const { request, caller } = context;
+        const meter = new UsageMeter(this.options.usage, request);
+        const progress = {
+            onTokens: (tokens: number): void => this.recordStreamTokens(context, task, meter, tokens),
+        };
+        const resumable = request.modelCall?.resumable ?? false;
+        const relay = caller === undefined ? undefined : new StreamRelay({ caller, resumable, progress });
+        return { context, task, relay, meter, excludedServers: [], attempt: 1, sent: false };
+    }
+
+    private recordStreamTokens(context: RunContext, task: PoolTask, meter: UsageMeter, tokens: number): void {
+        const { request, trace } = context;
+        if (meter.completionTokens === 0) {
+            const elapsedMs = this.options.clock.monotonicMs() - request.arrivedMs;
+            trace.addStep("firstToken", "");
+            task.recordFirstToken(request.requestId);
+            this.options.metrics.recordTime("request.firstToken", elapsedMs, { class: request.requestClass });
+        }
+        meter.addCompletionTokens(tokens);
+        task.recordTokens(request.requestId, tokens);
+    }
+
+    private async runAttempts(state: RunState): Promise<RunResult> {
+        for (;;) {
+            const grant = await this.waitForGrant(state);
+            const result = await this.runAttempt(state, grant);
+            if (result.type !== "failed") {
+                return this.finishAttempt(state, grant, result);
+            }
+            this.handleFailure(state, grant, result);
+        }
+    }
+
+    private async waitForGrant(state: RunState): Promise<StartGrant> {
+        const { context, task } = state;
+        context.trace.addStep("queued", `attempt ${state.attempt}`);
+        try {
+            return await task.waitForStart(buildQueuedRequest(state), context.active);
+        } catch (error) {
+            throw state.sent ? markAsSent(error) : error;
+        }
+    }
+
+    private async runAttempt(state: RunState, grant: StartGrant): Promise<AttemptResult> {
+        const { context, task, relay } = state;
+        const { request, active, caller } = context;
+        context.trace.addStep("started", `${grant.server.name}, priority ${grant.priority}`);
+        const attempt = new Attempt({
+            request: this.buildExchangeRequest(state, grant),
+            connections: this.options.connections,
+            maximumAnswerBytes: this.options.limits.maximumAnswerBytes,
+            stream: relay !== undefined && caller !== undefined ? { relay, caller } : undefined,
+            uncancellable: !request.repeatable,
+        });
+        task.setRunningListener(request.requestId, attempt);
+        active.setCancelListener((reason) => attempt.onCancel(reason));
+        const result = await attempt.run();
+        active.setCancelListener(undefined);
+        return result;
+    }
+
+    private buildExchangeRequest(state: RunState, grant: StartGrant): ExchangeRequest {
+        const { request } = state.context;
+        const { pool } = state.task;
+        const resumePoint = state.relay?.streamedTokens ? state.relay.readResumePoint() : undefined;
+        return {
+            address: grant.server.address,
+            method: request.method,
+            path: request.path,
+            headers: this.buildHeaders(request, pool, grant.priority),
+            body: buildExchangeBody(request.body, resumePoint),
+            wireId: state.attempt === 1 ? request.requestId : `${request.requestId}.${state.attempt}`,
+            answerTimeoutMs: pool.answerTimeoutMs,
+            fresh: !request.repeatable,
+        };
+    }
+
+    private buildHeaders(request: RoutedRequest, pool: Pool, priority: number): Record<string, string> {
+        const headers: Record<string, string> = { ...request.headers };
+        if (request.modelCall !== undefined) {
+            headers["x-priority"] = String(priority);
+        }
+        const variable = pool.credentialVariable;
+        const credential = variable === undefined ? undefined : this.options.readCredential(variable);
+        if (credential !== undefined) {
+            headers["authorization"] = `Bearer ${credential}`;
+        }
+        return headers;
+    }
+
+    private finishAttempt(
+        state: RunState,
+        grant: StartGrant,
+        result: Exclude<AttemptResult, FailedResult>,
+    ): RunResult {
+        const { context, task, relay, meter } = state;
+        const { requestId } = context.request;
+        if (result.type === "streamed") {
+            meter.setReportedUsage(state.attempt === 1 ? relay?.reportedUsage : undefined);
+            task.recordOutcome(requestId, grant.server.name, "completed");
+            return "streamed";
+        }
+        const usage = context.request.modelCall && readTokenUsage(result.parsedBody);
+        if (usage !== undefined) {
+            meter.setReportedUsage(usage);
+            task.recordTokens(requestId, usage.completionTokens);
+        }
+        task.recordOutcome(requestId, grant.server.name, "completed");
+        return result.answer;
+    }
+
+    private handleFailure(state: RunState, grant: StartGrant, result: FailedResult): void {
+        const { context, task, relay } = state;
+        const { failure, cancelReason, moved } = result;
+        const { request, trace } = context;
+        state.sent ||= failure.sent && failure.type !== "rejected";
+        const outcome = cancelReason === undefined ? convertFailureToOutcome(failure) : "cancelled";
+        task.recordOutcome(request.requestId, grant.server.name, outcome);
+        trace.addStep("failed", `${grant.server.name}: ${failure.type}, ${failure.message}`);
+        if (cancelReason !== undefined) {
+            throw buildCancelError(cancelReason, state.sent);
+        }
+        const action = chooseFailureAction({
+            failure: { ...failure, sent: state.sent || failure.sent },
+            repeatable: request.repeatable,
+            claimed: context.claimed,
+            attempt: state.attempt,
+            maximumAttempts: this.options.limits.maximumAttempts,
+            streamStarted: (relay?.streamedTokens ?? 0) > 0 || (context.caller?.started ?? false),
+            resumable: request.modelCall?.resumable ?? false,
+        });
+        if (action.type === "fail") {
+            throw action.error;
+        }
+        this.recordRetry(state, moved ? "moved" : failure.type);
+        state.excludedServers.push(grant.server.name);
+        state.attempt += 1;
+    }
+
+    private recordRetry(state: RunState, reason: string): void {
+        const { request, trace } = state.context;
+        trace.addStep("retried", reason);
+        this.options.metrics.addCount("request.retried", 1, { reason });
+        this.options.logger.writeEvent("requestRetried", { requestId: request.requestId, reason });
+    }
+}
+
+function buildQueuedRequest(state: RunState): QueuedRequest {
+    const { request } = state.context;
+    const { modelCall } = request;
+    return {
+        requestId: request.requestId,
+        customer: request.customer,
+        requestClass: request.requestClass,
+        arrivedMs: request.arrivedMs,
+        promptTokens: modelCall?.promptTokens ?? 0,
+        maximumTokens: modelCall?.maximumTokens,
+        prefixBlocks: modelCall?.prefixBlocks ?? [],
+        repeatable: request.repeatable,
+        excludedServers: [...state.excludedServers],
+        attempt: state.attempt,
+        resumedTokens: state.relay?.streamedTokens ?? 0,
+    };
+}
+
+function markAsSent(error: unknown): unknown {
+    if (!(error instanceof RouterError)) {
+        return error;
+    }
+    const { kind, message, retryAfterMs } = error;
+    return new RouterError(kind, message, { executed: "unknown", retryAfterMs, cause: error });
+}
--- /dev/null
+++ b/packages/node/src/lifecycle/node.ts
@@ -0,0 +1,196 @@
+/**
+ * The parts of one node, wired together.
+ *
+ * @packageDocumentation
+ */
+import type { AddressInfo } from "node:net";
+import type { FastifyInstance } from "fastify";
+import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
+import { buildCallerServer } from "../callerApi/callerServer.js";
+import { RequestHandler } from "../callerApi/requestHandler.js";
+import { RequestRouter } from "../callerApi/requestRouter.js";
+import { ActiveRequests } from "../dispatch/activeRequest.js";
+import { OnceRunner } from "../dispatch/onceRunner.js";
+import { PoolTasks } from "../dispatch/poolTasks.js";
+import { RequestRunner } from "../dispatch/requestRunner.js";
+import { ExplainBuffer, type RequestTrace } from "../explain/explainBuffer.js";
+import type { NodeLimits } from "../limits/nodeLimits.js";
+import { ConnectionPool } from "../upstream/connectionPool.js";
+import type { NodeHandle, NodeOptions } from "./nodeOptions.js";
+
+/** One node. */
+export class Node implements NodeHandle {
+    private readonly activeRequests = new ActiveRequests();
+    private readonly traces: ExplainBuffer;
+    private readonly connections: ConnectionPool;
+    private readonly tasks: PoolTasks;
+    private readonly onceRunner: OnceRunner;
+    private readonly server: FastifyInstance;
+    private readonly unsubscribes: (() => void)[] = [];
+    private readonly drainAbort = new AbortController();
+    private draining = false;
+    private stopping: Promise<void> | undefined;
+    private address = "";
+
+    /**
+     * @param options - Addresses, sources and recorders.
+     * @param limits - All limits.
+     */
+    constructor(
+        private readonly options: NodeOptions,
+        private readonly limits: NodeLimits,
+    ) {
+        const onError = (error: unknown): void => this.reportError(error);
+        const { clock } = options;
+        this.traces = new ExplainBuffer(limits.traces);
+        this.connections = new ConnectionPool(limits);
+        this.tasks = new PoolTasks({ createScheduler: options.createScheduler, clock, onError });
+        const runner = this.createRunner();
+        this.onceRunner = new OnceRunner({
+            runner,
+            claims: options.claims,
+            clock,
+            node: options.name,
+            outcomeRecordWaitMs: limits.outcomeRecordWaitMs,
+            onError,
+        });
+        this.server = this.createServer(runner);
+    }
+
+    get callerAddress(): string {
+        return this.address;
+    }
+
+    get name(): string {
+        return this.options.name;
+    }
+
+    get dataCentre(): string {
+        return this.options.dataCentre;
+    }
+
+    /** Applies the configuration, subscribes to changes and listens. */
+    async start(): Promise<void> {
+        const { configuration, keys, logger } = this.options;
+        const applied = configuration.readCurrent();
+        if (applied !== undefined) {
+            this.tasks.applyConfiguration(applied.configuration);
+        }
+        this.unsubscribes.push(
+            configuration.onChange((next) => this.tasks.applyConfiguration(next.configuration)),
+            keys.onWithdrawal((keyId) => this.endRequestsOfKey(keyId)),
+        );
+        await this.server.listen({ ...this.options.callerAddress });
+        const { address, port } = this.server.server.address() as AddressInfo;
+        this.address = `${address}:${port}`;
+        logger.writeEvent("nodeStarted", { node: this.name, address: this.address });
+    }
+
+    isReady(): boolean {
+        return !this.draining && this.options.configuration.readCurrent() !== undefined;
+    }
+
+    countRequests(): number {
+        return this.activeRequests.countRequests();
+    }
+
+    findTrace(requestId: string): RequestTrace | undefined {
+        return this.traces.findTrace(requestId);
+    }
+
+    listPoolStatuses(): ReadonlyMap<string, PoolStatus> {
+        return new Map(this.tasks.listTasks().map((task) => [task.pool.name, task.readStatus()]));
+    }
+
+    listPoolSummaries(): readonly PoolSummary[] {
+        return this.tasks.listTasks().map((task) => task.summarizePool());
+    }
+
+    recordPeerSummary(summary: PoolSummary): void {
+        this.tasks.findTask(summary.pool)?.recordPeerSummary(summary);
+    }
+
+    removePeer(node: string): void {
+        this.tasks.listTasks().forEach((task) => task.removePeer(node));
+    }
+
+    stop(): Promise<void> {
+        this.stopping ??= this.drain();
+        return this.stopping;
+    }
+
+    async abort(): Promise<void> {
+        this.draining = true;
+        this.drainAbort.abort();
+        this.connections.close();
+        this.server.server.closeAllConnections();
+        await this.stop();
+    }
+
+    private async drain(): Promise<void> {
+        const { logger, clock, flushUsage } = this.options;
+        this.draining = true;
+        logger.writeEvent("nodeStopping", { node: this.name, requests: this.countRequests() });
+        await clock.wait(this.limits.drainDelayMs, this.drainAbort.signal);
+        const closed = this.server.close();
+        await this.activeRequests.waitUntilIdle();
+        await this.onceRunner.waitForRecords();
+        await closed;
+        this.unsubscribes.forEach((unsubscribe) => unsubscribe());
+        this.tasks.stop();
+        this.connections.close();
+        await flushUsage?.();
+        logger.writeEvent("nodeStopped", { node: this.name });
+    }
+
+    private createRunner(): RequestRunner {
+        const { usage, metrics, logger, clock, readCredential } = this.options;
+        return new RequestRunner({
+            tasks: this.tasks,
+            connections: this.connections,
+            usage,
+            metrics,
+            logger,
+            clock,
+            limits: this.limits,
+            readCredential: readCredential ?? ((variable) => process.env[variable]),
+        });
+    }
+
+    private createServer(runner: RequestRunner): FastifyInstance {
+        const { configuration, keys, clock, logger, metrics } = this.options;
+        const router = new RequestRouter({ configuration, keys, clock });
+        const isDraining = (): boolean => this.draining;
+        const handler = new RequestHandler({
+            router,
+            runner,
+            onceRunner: this.onceRunner,
+            activeRequests: this.activeRequests,
+            traces: this.traces,
+            logger,
+            metrics,
+            clock,
+            limits: this.limits,
+            isDraining,
+        });
+        const isReady = (): boolean => this.isReady();
+        return buildCallerServer({
+            router,
+            handler,
+            logger,
+            metrics,
+            limits: this.limits,
+            isReady,
+            isDraining,
+        });
+    }
+
+    private endRequestsOfKey(keyId: string): void {
+        const requests = this.activeRequests.cancelKey(keyId);
+        this.options.logger.writeEvent("keyRequestsEnded", { keyId, requests });
+    }
+
+    private reportError(error: unknown): void {
+        this.options.logger.writeEvent("unexpectedError", { message: String(error) });
+    }
+}
--- /dev/null
+++ b/packages/node/src/streams/streamRelay.ts
@@ -0,0 +1,179 @@
+/**
+ * Relays a model engine's stream to a caller over one or more tries, and knows what the caller has
+ * so far.
+ *
+ * @packageDocumentation
+ */
+import { StringDecoder } from "node:string_decoder";
+import { createParser } from "eventsource-parser";
+import type { CallerStream } from "./callerStream.js";
+import { parseStreamEvent, streamTerminator, type TokenUsage } from "./streamEvent.js";
+import { TextBuffer } from "./textBuffer.js";
+
+/** Receives the progress of a stream. */
+export interface StreamProgress {
+    /**
+     * Tokens were relayed to the caller.
+     *
+     * @param tokens - How many since the last call.
+     */
+    onTokens(tokens: number): void;
+}
+
+/** Options of a {@link StreamRelay}. */
+export interface StreamRelayOptions {
+    readonly caller: CallerStream;
+    /** Whether to keep the text, so that the stream can continue on another engine. */
+    readonly resumable: boolean;
+    readonly progress: StreamProgress;
+}
+
+/** What a resumed stream continues from. */
+export interface ResumePoint {
+    readonly text: string;
+    readonly tokens: number;
+}
+
+/** Relays whole events; the last event is held back until the terminator shows that nothing is missing. */
+export class StreamRelay {
+    private readonly text = new TextBuffer();
+    private relayedTokens = 0;
+    private usage: TokenUsage | undefined;
+    private decoder = new StringDecoder("utf8");
+    private parser = this.createEventParser();
+    private output = "";
+    private heldEvents = "";
+    private heldTokens = 0;
+    private tokens = 0;
+    private finished = false;
+    private terminated = false;
+    private invalid: string | undefined;
+
+    /** @param options - The caller and the receiver of progress. */
+    constructor(private readonly options: StreamRelayOptions) {}
+
+    /** Tokens that the caller has. */
+    get streamedTokens(): number {
+        return this.relayedTokens;
+    }
+
+    /** Token counts of the engine, once it sent them. */
+    get reportedUsage(): TokenUsage | undefined {
+        return this.usage;
+    }
+
+    /** @returns The text and tokens that the caller has. */
+    readResumePoint(): ResumePoint {
+        return { text: this.text.readText(), tokens: this.relayedTokens };
+    }
+
+    /** Starts a new try; what the last one left incomplete is forgotten. */
+    startAttempt(): void {
+        this.decoder = new StringDecoder("utf8");
+        this.parser = this.createEventParser();
+        this.output = "";
+        this.heldEvents = "";
+        this.heldTokens = 0;
+        this.tokens = 0;
+        this.finished = false;
+        this.terminated = false;
+        this.invalid = undefined;
+    }
+
+    /**
+     * Relays the whole events of a part of the stream.
+     *
+     * @param chunk - Bytes from the engine.
+     * @returns Whether the caller keeps pace.
+     */
+    addChunk(chunk: Buffer): boolean {
+        this.parser.feed(this.decoder.write(chunk));
+        if (this.output === "") {
+            return true;
+        }
+        const writable = this.options.caller.writeEvents(this.output);
+        this.output = "";
+        this.reportTokens();
+        return writable;
+    }
+
+    /**
+     * Checks the stream so far.
+     *
+     * @returns What is wrong, or undefined.
+     */
+    findFault(): string | undefined {
+        return this.invalid;
+    }
+
+    /**
+     * Ends the try.
+     *
+     * @returns What is missing, or undefined when the stream is complete and the caller has it.
+     */
+    finishAttempt(): string | undefined {
+        if (this.invalid !== undefined) {
+            return this.invalid;
+        }
+        if (!this.terminated || !this.finished) {
+            return "the stream ended without its finish reason and terminator";
+        }
+        this.tokens += this.heldTokens;
+        this.options.caller.writeEvents(`${this.heldEvents}data: ${streamTerminator}\n\n`);
+        this.options.caller.finish();
+        this.reportTokens();
+        return undefined;
+    }
+
+    private reportTokens(): void {
+        if (this.tokens > 0) {
+            this.relayedTokens += this.tokens;
+            this.options.progress.onTokens(this.tokens);
+            this.tokens = 0;
+        }
+    }
+
+    private createEventParser(): ReturnType<typeof createParser> {
+        return createParser({ onEvent: (event) => this.handleEvent(event.data, event.event) });
+    }
+
+    private handleEvent(data: string, type: string | undefined): void {
+        if (this.invalid !== undefined) {
+            return;
+        }
+        if (this.terminated) {
+            this.invalid = "the stream goes on after its terminator";
+        } else if (type === "error") {
+            this.invalid = "the engine reported an error in the stream";
+        } else if (data === streamTerminator) {
+            this.terminated = true;
+        } else {
+            this.handleOutput(data);
+        }
+    }
+
+    private handleOutput(data: string): void {
+        const event = parseStreamEvent(data);
+        if (event === undefined) {
+            this.invalid = "an event of the stream is not valid";
+            return;
+        }
+        this.usage = event.usage ?? this.usage;
+        this.finished ||= event.finished;
+        const tokens = Number(event.generated);
+        if (this.finished) {
+            this.heldEvents += formatEvent(data);
+            this.heldTokens += tokens;
+            return;
+        }
+        this.output += formatEvent(data);
+        this.tokens += tokens;
+        if (this.options.resumable && event.text !== "") {
+            this.text.addPiece(event.text);
+        }
+    }
+}
+
+function formatEvent(data: string): string {
+    return `data: ${data.replaceAll("\n", "\ndata: ")}\n\n`;
+}
--- /dev/null
+++ b/packages/node/src/upstream/backendConnection.ts
@@ -0,0 +1,101 @@
+/**
+ * One TCP connection to a backend server. It carries one request at a time and never reconnects,
+ * so that the HTTP client cannot send a request a second time.
+ *
+ * @packageDocumentation
+ */
+import type { Socket } from "node:net";
+import { buildConnector, Client, type Dispatcher } from "undici";
+
+/** Options of a {@link BackendConnection}. */
+export interface BackendConnectionOptions {
+    /** IP address and port of the backend server. */
+    readonly address: string;
+    readonly connectTimeoutMs: number;
+    readonly idleConnectionMs: number;
+    /** Called when the connection is gone. */
+    readonly onClosed: (connection: BackendConnection) => void;
+}
+
+/** The error of a connection that was used after its end. */
+export class ConnectionClosedError extends Error {
+    readonly code = "PIMENTOCLEAT_CONNECTION_CLOSED";
+
+    /** Builds the error with its fixed message. */
+    constructor() {
+        super("the connection is closed and does not reconnect");
+        this.name = "ConnectionClosedError";
+    }
+}
+
+/** A connection that is opened by its first request. */
+export class BackendConnection {
+    readonly address: string;
+    private readonly client: Client;
+    private readonly connect: buildConnector.connector;
+    private socket: Socket | undefined;
+    private opened = false;
+    private closed = false;
+    private bytesBefore = 0;
+
+    /** @param options - Address, timeouts and the receiver of the end. */
+    constructor(private readonly options: BackendConnectionOptions) {
+        this.address = options.address;
+        this.connect = buildConnector({ timeout: options.connectTimeoutMs });
+        this.client = new Client(`http://${options.address}`, {
+            pipelining: 1,
+            keepAliveTimeout: options.idleConnectionMs,
+            keepAliveMaxTimeout: options.idleConnectionMs,
+            connect: (connectOptions, callback) => this.openOnce(connectOptions, callback),
+        });
+        this.client.on("disconnect", () => this.destroy());
+    }
+
+    /** Whether the connection can carry another request. */
+    get usable(): boolean {
+        return !this.closed && !(this.socket?.destroyed ?? false);
+    }
+
+    /**
+     * Whether a byte of the current request may have left this process.
+     *
+     * @returns True once the operating system or the socket's buffer has a byte.
+     */
+    hasSentBytes(): boolean {
+        return (this.socket?.bytesWritten ?? 0) > this.bytesBefore;
+    }
+
+    /**
+     * Sends a request; the caller takes care that only one is in flight.
+     *
+     * @param request - The request.
+     * @param handler - Receives the answer.
+     */
+    dispatchRequest(request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+        this.bytesBefore = this.socket?.bytesWritten ?? 0;
+        this.client.dispatch(request, handler);
+    }
+
+    /** Ends the connection at once; its request fails. */
+    destroy(): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        this.options.onClosed(this);
+        this.client.destroy().catch(() => {});
+        this.socket?.destroy();
+    }
+
+    private openOnce(options: buildConnector.Options, callback: buildConnector.Callback): void {
+        if (this.opened) {
+            (callback as unknown as (error: Error) => void)(new ConnectionClosedError());
+            return;
+        }
+        this.opened = true;
+        this.connect(options, (...result) => {
+            this.socket = result[1] ?? undefined;
+            callback(...result);
+        });
+    }
+}
--- /dev/null
+++ b/packages/node/src/upstream/exchange.ts
@@ -0,0 +1,203 @@
+/**
+ * One request to one backend server and its answer.
+ *
+ * @packageDocumentation
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Dispatcher } from "undici";
+import type { AttemptFailure, AttemptFailureType } from "./attemptFailure.js";
+import type { BackendConnection } from "./backendConnection.js";
+import type { ConnectionPool } from "./connectionPool.js";
+
+const requestIdHeader = "x-request-id";
+const millisecondsPerSecond = 1_000;
+/** Statuses that, with `x-executed: no`, say nothing to the caller but that the server did not run the request. */
+const rejectionStatuses: ReadonlySet<number> = new Set([401, 429, 503]);
+
+/** What is sent to a backend server. */
+export interface ExchangeRequest {
+    /** IP address and port. */
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer | undefined;
+    /** Identifier that the answer has to echo; unique for each try. */
+    readonly wireId: string;
+    /** Longest silence of the backend server, in milliseconds. */
+    readonly answerTimeoutMs: number;
+    /** Whether to open a connection of its own, used once. */
+    readonly fresh: boolean;
+}
+
+/** Receives the answer of an exchange. Exactly one of `onEnd` and `onFailure` is called last. */
+export interface ExchangeReceiver {
+    /**
+     * Receives status and headers of an answer that belongs to the request and is not a rejection.
+     *
+     * @returns Why the status is a failure, or undefined when the answer is wanted.
+     */
+    onHead(status: number, headers: IncomingHttpHeaders): string | undefined;
+    /**
+     * Receives a part of the body.
+     *
+     * @returns Why the answer is not valid, or undefined to go on.
+     */
+    onData(chunk: Buffer): string | undefined;
+    /**
+     * Receives the end of the answer.
+     *
+     * @returns Why the answer is not valid, or undefined when it is.
+     */
+    onEnd(): string | undefined;
+    onFailure(failure: AttemptFailure): void;
+}
+
+const failureTypes: Readonly<Record<string, AttemptFailureType>> = {
+    UND_ERR_HEADERS_TIMEOUT: "timedOut",
+    UND_ERR_BODY_TIMEOUT: "timedOut",
+    UND_ERR_CONNECT_TIMEOUT: "connectFailed",
+    UND_ERR_RES_CONTENT_LENGTH_MISMATCH: "invalidAnswer",
+};
+
+/** Sends a request over a connection that carries nothing else until the answer is complete. */
+export class Exchange {
+    private readonly connection: BackendConnection;
+    private controller: Dispatcher.DispatchController | undefined;
+    private ended = false;
+
+    /**
+     * @param request - What to send.
+     * @param receiver - Receives the answer.
+     * @param connections - Gives the connection.
+     */
+    constructor(
+        private readonly request: ExchangeRequest,
+        private readonly receiver: ExchangeReceiver,
+        private readonly connections: ConnectionPool,
+    ) {
+        this.connection = connections.takeConnection(request.address, request.fresh);
+    }
+
+    /** Sends the request. */
+    start(): void {
+        const { method, path, headers, body, wireId, answerTimeoutMs, fresh } = this.request;
+        this.connection.dispatchRequest(
+            {
+                method: method as Dispatcher.HttpMethod,
+                path,
+                headers: { ...headers, [requestIdHeader]: wireId },
+                body,
+                idempotent: false,
+                reset: fresh,
+                headersTimeout: answerTimeoutMs,
+                bodyTimeout: answerTimeoutMs,
+            },
+            {
+                onRequestStart: (controller) => {
+                    this.controller = controller;
+                },
+                onResponseStart: (...[, status, headers]) => this.handleHead(status, headers),
+                onResponseData: (...[, chunk]) => this.handleData(chunk),
+                onResponseEnd: () => this.handleEnd(),
+                onResponseError: (...[, error]) => this.handleError(error),
+            },
+        );
+    }
+
+    /** Stops reading until {@link Exchange.resume}. */
+    pause(): void {
+        this.controller?.pause();
+    }
+
+    /** Goes on reading. */
+    resume(): void {
+        this.controller?.resume();
+    }
+
+    /**
+     * Whether a byte of the request may have reached the backend server.
+     *
+     * @returns True once a byte was handed to the socket.
+     */
+    hasSentBytes(): boolean {
+        return this.connection.hasSentBytes();
+    }
+
+    /**
+     * Ends the exchange by destroying its connection, which tells the backend server to stop.
+     *
+     * @param message - Why.
+     */
+    cancel(message: string): void {
+        this.fail("cancelled", message);
+    }
+
+    private handleHead(status: number, headers: IncomingHttpHeaders): void {
+        if (status < 200 || this.ended) {
+            return;
+        }
+        if (headers[requestIdHeader] !== this.request.wireId) {
+            this.fail("mismatched", "the answer does not echo the request's identifier");
+            return;
+        }
+        if (rejectionStatuses.has(status) && headers["x-executed"] === "no") {
+            this.fail("rejected", `status ${status}, not run`, parseRetryAfter(headers["retry-after"]));
+            return;
+        }
+        const refused = this.receiver.onHead(status, headers);
+        if (refused !== undefined) {
+            this.fail("failedStatus", refused);
+        }
+    }
+
+    private handleData(chunk: Buffer): void {
+        if (this.ended) {
+            return;
+        }
+        const invalid = this.receiver.onData(chunk);
+        if (invalid !== undefined) {
+            this.fail("invalidAnswer", invalid);
+        }
+    }
+
+    private handleEnd(): void {
+        if (this.ended) {
+            return;
+        }
+        const invalid = this.receiver.onEnd();
+        if (invalid !== undefined) {
+            this.fail("invalidAnswer", invalid);
+            return;
+        }
+        this.ended = true;
+        if (this.request.fresh) {
+            this.connection.destroy();
+        } else {
+            this.connections.releaseConnection(this.connection);
+        }
+    }
+
+    private handleError(error: Error): void {
+        const code = (error as { code?: string }).code ?? "";
+        const sent = this.connection.hasSentBytes();
+        const type = failureTypes[code] ?? (sent ? "connectionLost" : "connectFailed");
+        this.fail(type, error.message);
+    }
+
+    /** Ends the exchange as failed and destroys the connection. */
+    private fail(type: AttemptFailureType, message: string, retryAfterMs?: number): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        const sent = this.connection.hasSentBytes();
+        this.connection.destroy();
+        this.receiver.onFailure({ type, sent, message, retryAfterMs });
+    }
+}
+
+function parseRetryAfter(value: string | undefined): number | undefined {
+    const seconds = Number(value ?? Number.NaN);
+    return Number.isFinite(seconds) && seconds >= 0 ? seconds * millisecondsPerSecond : undefined;
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -30,6 +30,7 @@
     requestFinished: defineEvent(2000, "debug", "request finished"),
     requestRefused: defineEvent(2001, "info", "request refused"),
     requestRetried: defineEvent(2002, "info", "request retried"),
+    keyRequestsEnded: defineEvent(2003, "info", "requests of a withdrawn key ended"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
     hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
     peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -29,6 +29,12 @@
 export const metricDefinitions = {
     "request.finished": defineMetric("counter", "requests", ["class", "status"], "Answered requests."),
     "request.refused": defineMetric("counter", "requests", ["kind"], "Refused requests, by error kind."),
+    "request.abandoned": defineMetric(
+        "counter",
+        "requests",
+        [],
+        "Requests whose caller left before the answer.",
+    ),
     "request.retried": defineMetric("counter", "retries", ["reason"], "Retries, by reason."),
     "request.firstToken": defineMetric("timer", "ms", ["class"], "Time to the first token."),
     "request.complete": defineMetric("timer", "ms", ["class"], "Time to the complete answer."),
