Test the request path against faulty backend servers and callers

Cause: the promises on keys, whole answers, single runs and graceful stops had no test. Ruled out: node's own close of idle connections during a stop, because it destroys a connection whose ended answer is still in its buffer. The stop closes the listener alone, waits for every answer to be sent, then closes idle connections.

--- /dev/null
+++ b/packages/node/src/__tests__/gracefulStop.test.ts
@@ -0,0 +1,65 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { describe, expect, it } from "vitest";
+import { buildChat, callNode, readStreamText } from "./support/callNode.js";
+import { answerJson, listWords, streamWords, type ReceivedRequest } from "./support/fakeBackend.js";
+import { createTestBed } from "./support/testBed.js";
+import { secret } from "./support/testNode.js";
+
+describe("graceful stop", () => {
+    const bed = createTestBed();
+
+    it("reports unready, serves on, and finishes every request and stream", async () => {
+        const words = listWords(20);
+        let release = (): void => {};
+        const released = new Promise<void>((resolve) => (release = resolve));
+        const engine = await bed.startBackend(
+            streamWords({ words, pause: async (index) => (index === 5 ? released : undefined) }),
+        );
+        const held: ReceivedRequest[] = [];
+        const service = await bed.startBackend((request) => held.push(request));
+        const node = await bed.startNode({
+            engines: [engine],
+            services: [service],
+            limits: { drainDelayMs: 300, keepAliveMs: 60_000 },
+        });
+        const stream = callNode(node, { path: "/v1/chat/completions", body: buildChat({ stream: true }) });
+        const order = callNode(node, { path: "/orders", body: {} });
+        await expect.poll(() => node.handle.countRequests()).toBe(2);
+
+        let stopped = false;
+        const stop = node.handle.stop().then(() => (stopped = true));
+        expect((await callNode(node, { path: "/readyz" })).status).toBe(503);
+        const late = callNode(node, { path: "/jobs/1" });
+        await expect.poll(() => held.length).toBe(2);
+        await expect.poll(() => callNode(node, { path: "/healthz" }).catch(() => "refused")).toBe("refused");
+        expect(stopped).toBe(false);
+
+        held.forEach((request) => answerJson({ ok: true })(request, 1));
+        release();
+        expect((await order).status).toBe(200);
+        expect((await late).headers["connection"]).toBe("close");
+        const text = (await stream).text;
+        expect(readStreamText(text)).toBe(words.join(""));
+        expect(text).toContain("[DONE]");
+        await stop;
+        expect(stopped).toBe(true);
+    });
+
+    it("does not cut an answer that its caller reads slowly", async () => {
+        const body = JSON.stringify("x".repeat(16_777_216));
+        const service = await bed.startBackend(answerJson("x".repeat(16_777_216)));
+        const node = await bed.startNode({ services: [service], limits: { drainDelayMs: 0 } });
+        const socket = connect(Number(node.handle.callerAddress.split(":")[1]), "127.0.0.1").pause();
+        socket.write(`GET /jobs/1 HTTP/1.1\r\nhost: a\r\nx-api-key: ${secret}\r\n\r\n`);
+        await expect
+            .poll(() => node.metrics.readValue("request.finished", { class: "standard", status: "200" }))
+            .toBe(1);
+        const stop = node.handle.stop();
+        let received = 0;
+        socket.on("data", (chunk) => (received += chunk.length));
+        await once(socket.resume(), "close");
+        await stop;
+        expect(received).toBeGreaterThan(body.length);
+    });
+});
--- a/packages/node/src/__tests__/requestPath.test.ts
+++ b/packages/node/src/__tests__/requestPath.test.ts
@@ -1,28 +1,16 @@
-import { afterEach, describe, expect, it } from "vitest";
+import { describe, expect, it } from "vitest";
 import { buildChat, callNode, readStreamText } from "./support/callNode.js";
-import { answerJson, FakeBackend, listWords, streamWords } from "./support/fakeBackend.js";
-import { startTestNode, type TestNode } from "./support/testNode.js";
+import { answerJson, listWords, streamWords } from "./support/fakeBackend.js";
+import { createTestBed } from "./support/testBed.js";
 
 describe("request path", () => {
-    const backends: FakeBackend[] = [];
-    let node: TestNode;
-
-    afterEach(async () => {
-        await node.handle.abort();
-        await Promise.all(backends.splice(0).map((backend) => backend.stop()));
-    });
-
-    async function startBackend(): Promise<FakeBackend> {
-        const backend = await new FakeBackend().start();
-        backends.push(backend);
-        return backend;
-    }
+    const bed = createTestBed();
 
     it("relays a whole answer with the request's identifier and counts its tokens", async () => {
-        const engine = await startBackend();
+        const engine = await bed.startBackend();
         const body = { choices: [], usage: { prompt_tokens: 7, completion_tokens: 5 } };
         engine.behavior = answerJson(body);
-        node = await startTestNode({ engines: [engine] });
+        const node = await bed.startNode({ engines: [engine] });
         const answer = await callNode(node, { path: "/v1/chat/completions", body: buildChat() });
         expect(answer.status).toBe(200);
         expect(JSON.parse(answer.text)).toEqual(body);
@@ -33,9 +21,9 @@
     });
 
     it("relays a stream to its finish reason and terminator", async () => {
-        const engine = await startBackend();
+        const engine = await bed.startBackend();
         engine.behavior = streamWords({ words: listWords(100) });
-        node = await startTestNode({ engines: [engine] });
+        const node = await bed.startNode({ engines: [engine] });
         const answer = await callNode(node, {
             path: "/v1/chat/completions",
             body: buildChat({ stream: true }),
@@ -47,9 +35,9 @@
     });
 
     it("serves plain routes, models, health and readiness", async () => {
-        const service = await startBackend();
+        const service = await bed.startBackend();
         service.behavior = answerJson({ job: 3 }, 200, { etag: '"v1"', "set-cookie": "a=b" });
-        node = await startTestNode({ services: [service] });
+        const node = await bed.startNode({ services: [service] });
         const job = await callNode(node, { path: "/jobs/3?detail=full" });
         expect(job.text).toBe('{"job":3}');
         expect(job.headers["etag"]).toBe('"v1"');
@@ -62,8 +50,8 @@
     });
 
     it("explains a request by its identifier", async () => {
-        const service = await startBackend();
-        node = await startTestNode({ services: [service] });
+        const service = await bed.startBackend();
+        const node = await bed.startNode({ services: [service] });
         const answer = await callNode(node, { path: "/jobs/3" });
         const trace = node.handle.findTrace(String(answer.headers["x-request-id"]));
         expect(trace?.steps.map((step) => step.step)).toEqual(["queued", "started", "finished"]);
--- a/packages/node/src/__tests__/support/fakeBackend.ts
+++ b/packages/node/src/__tests__/support/fakeBackend.ts
@@ -22,6 +22,8 @@
     connections = 0;
     closedConnections = 0;
     behavior: Behavior = answerJson({ ok: true });
+    /** IP address and port; also after the stop. */
+    address = "";
     private readonly closeListeners: (() => void)[] = [];
     private readonly server = createServer((message, response) => this.handle(message, response));
 
@@ -36,13 +38,10 @@
             });
         });
         await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+        this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
         return this;
     }
 
-    get address(): string {
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-    }
-
     /** Resolves when the next connection closes. */
     waitForClose(): Promise<void> {
         return new Promise((resolve) => this.closeListeners.push(resolve));
--- /dev/null
+++ b/packages/node/src/__tests__/upstreamFaults.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, it } from "vitest";
+import { callNode } from "./support/callNode.js";
+import { answerJson, type ReceivedRequest } from "./support/fakeBackend.js";
+import { faultTable } from "./support/faults.js";
+import { createTestBed } from "./support/testBed.js";
+import { FakeClaims } from "./support/testNode.js";
+
+const answerTimeoutMs = 300;
+const order = { path: "/orders", body: { leaflets: 5_000 } };
+
+describe("faults of backend servers", () => {
+    const bed = createTestBed();
+
+    it.each(faultTable)("$name: a repeatable request is answered by another server", async ({ behavior }) => {
+        const faulty = await bed.startBackend(behavior);
+        const good = await bed.startBackend(answerJson({ ok: "whole" }));
+        const node = await bed.startNode({ services: [faulty, good], answerTimeoutMs });
+        const answer = await callNode(node, { path: "/jobs/1" });
+        expect([answer.status, answer.text]).toEqual([200, '{"ok":"whole"}']);
+        expect(good.requests[0]?.wireId).not.toBe(faulty.requests[0]?.wireId);
+    });
+
+    it.each(faultTable)("$name: an explicit error without another server", async (fault) => {
+        const faulty = await bed.startBackend(fault.behavior);
+        const node = await bed.startNode({ services: [faulty], answerTimeoutMs });
+        const answer = await callNode(node, { path: "/jobs/1" });
+        expect(answer.error).toMatchObject({ requestId: answer.headers["x-request-id"] });
+        expect(answer.text).not.toContain("stack trace");
+        expect(faulty.requests).toHaveLength(1);
+    });
+
+    it.each(faultTable)("$name: a request that may not be repeated is sent once", async (fault) => {
+        const faulty = await bed.startBackend(fault.behavior);
+        const other = await bed.startBackend();
+        const node = await bed.startNode({ services: [faulty, other], answerTimeoutMs });
+        const { error } = await callNode(node, order);
+        expect([error?.kind, error?.executed]).toEqual([fault.kind, fault.executed]);
+        expect(faulty.requests.length + other.requests.length).toBe(1);
+    });
+
+    it.each(faultTable)("$name: with an idempotency key a repeat is not sent again", async (fault) => {
+        const faulty = await bed.startBackend(fault.behavior);
+        const claims = new FakeClaims();
+        const node = await bed.startNode({ services: [faulty], answerTimeoutMs, claims });
+        const headers = { "idempotency-key": "order-1" };
+        const first = await callNode(node, { ...order, headers });
+        expect(first.error?.executed).toBe(fault.executed);
+        expect(claims.outcomes.map((outcome) => outcome.type)).toEqual([
+            fault.executed === "no" ? "notRun" : "unknown",
+        ]);
+        faulty.behavior = answerJson({ ok: true });
+        const second = await callNode(node, { ...order, headers });
+        const sent = fault.executed === "no" ? 2 : 1;
+        expect(faulty.requests).toHaveLength(sent);
+        expect(second.error?.kind).toBe(sent === 2 ? undefined : "idempotency_outcome_unknown");
+    });
+
+    it("says not run when no connection could be opened", async () => {
+        const gone = await bed.startBackend();
+        await gone.stop();
+        const node = await bed.startNode({ services: [gone] });
+        const { error } = await callNode(node, order);
+        expect([error?.kind, error?.executed]).toEqual(["backend_failed", "no"]);
+    });
+
+    it("never sends a request again when the server resets a kept connection", async () => {
+        const service = await bed.startBackend();
+        const node = await bed.startNode({ services: [service] });
+        await callNode(node, { path: "/jobs/1" });
+        service.behavior = ({ socket }) => socket.resetAndDestroy();
+        const { error } = await callNode(node, order);
+        expect(error?.executed).toBe("unknown");
+        expect(service.requests).toHaveLength(2);
+        expect(service.requests[1]?.socket).not.toBe(service.requests[0]?.socket);
+    });
+
+    it("never gives a late answer to the next request", async () => {
+        const late: ReceivedRequest[] = [];
+        const service = await bed.startBackend((request) => late.push(request));
+        const node = await bed.startNode({ services: [service], answerTimeoutMs });
+        const closed = service.waitForClose();
+        await callNode(node, { path: "/jobs/1" });
+        await closed;
+        service.behavior = (request, count) => {
+            late.forEach((earlier) => answerJson({ of: "first" })(earlier, 1));
+            answerJson({ of: "second" })(request, count);
+        };
+        expect((await callNode(node, { path: "/jobs/2" })).text).toBe('{"of":"second"}');
+        expect(service.requests[1]?.socket).not.toBe(service.requests[0]?.socket);
+    });
+
+    it("discards crossed answers and asks again", async () => {
+        const crossed: ReceivedRequest[] = [];
+        const service = await bed.startBackend((request, count) => {
+            crossed.push(request);
+            if (count === 2) {
+                const [first, second] = crossed as [ReceivedRequest, ReceivedRequest];
+                answerJson({ for: second.message.url })({ ...first, wireId: second.wireId }, 1);
+                answerJson({ for: first.message.url })({ ...second, wireId: first.wireId }, 2);
+            } else if (count > 2) {
+                answerJson({ for: request.message.url })(request, count);
+            }
+        });
+        const node = await bed.startNode({ services: [service, service], slots: 1 });
+        const answers = await Promise.all(["/jobs/a", "/jobs/b"].map((path) => callNode(node, { path })));
+        expect(answers.map((answer) => answer.text)).toEqual(['{"for":"/jobs/a"}', '{"for":"/jobs/b"}']);
+    });
+});
--- a/packages/node/src/callerApi/callerServer.ts
+++ b/packages/node/src/callerApi/callerServer.ts
@@ -9,6 +9,7 @@
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, type RouterError } from "@pimentocleat/types";
 import { convertToRouterError, formatError, type FormattedError } from "../errors/formatError.js";
+import type { IdleCounter } from "../lifecycle/idleCounter.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import type { RequestHandler } from "./requestHandler.js";
 import type { AdmittedRequest, RequestRouter } from "./requestRouter.js";
@@ -30,6 +31,8 @@
     readonly limits: NodeLimits;
     readonly isReady: () => boolean;
     readonly isDraining: () => boolean;
+    /** Counts the answers that are not yet handed to the operating system in full. */
+    readonly openAnswers: IdleCounter;
 }
 
 /**
@@ -48,6 +51,8 @@
         async (...parameters: [FastifyRequest, Buffer]) => parameters[1],
     );
     server.addHook("onRequest", async (request, reply) => {
+        options.openAnswers.addWork();
+        reply.raw.once("close", () => options.openAnswers.removeWork());
         reply.header("x-request-id", request.id);
         if (options.isDraining()) {
             reply.header("connection", "close");
@@ -78,7 +83,6 @@
         bodyLimit: limits.maximumBodyBytes,
         requestTimeout: limits.requestTimeoutMs,
         keepAliveTimeout: limits.keepAliveMs,
-        return503OnClosing: false,
         exposeHeadRoutes: false,
         routerOptions: { maxParamLength: maximumPathLength },
         http: {
--- a/packages/node/src/dispatch/activeRequest.ts
+++ b/packages/node/src/dispatch/activeRequest.ts
@@ -5,6 +5,7 @@
  */
 import type { CancelReason } from "@pimentocleat/policy";
 import { ErrorKind, RouterError } from "@pimentocleat/types";
+import { IdleCounter } from "../lifecycle/idleCounter.js";
 
 /** A request in flight and the way to cancel it. */
 export class ActiveRequest {
@@ -78,12 +79,11 @@
 /** All requests in flight, by key. */
 export class ActiveRequests {
     private readonly byKey = new Map<string, Set<ActiveRequest>>();
-    private readonly all = new Set<ActiveRequest>();
-    private idleListeners: (() => void)[] = [];
+    private readonly work = new IdleCounter();
 
     /** @param request - A request that starts. */
     addRequest(request: ActiveRequest): void {
-        this.all.add(request);
+        this.work.addWork();
         if (request.keyId === undefined) {
             return;
         }
@@ -94,16 +94,12 @@
 
     /** @param request - A request that ended. */
     removeRequest(request: ActiveRequest): void {
-        this.all.delete(request);
+        this.work.removeWork();
         const ofKey = this.byKey.get(request.keyId ?? "");
         ofKey?.delete(request);
         if (ofKey?.size === 0) {
             this.byKey.delete(request.keyId ?? "");
         }
-        if (this.all.size === 0) {
-            this.idleListeners.forEach((listener) => listener());
-            this.idleListeners = [];
-        }
     }
 
     /**
@@ -120,14 +116,11 @@
 
     /** @returns Requests in flight. */
     countRequests(): number {
-        return this.all.size;
+        return this.work.countWork();
     }
 
     /** @returns Resolves when no request is in flight. */
     waitUntilIdle(): Promise<void> {
-        if (this.all.size === 0) {
-            return Promise.resolve();
-        }
-        return new Promise((resolve) => this.idleListeners.push(resolve));
+        return this.work.waitUntilIdle();
     }
 }
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -3,7 +3,9 @@
  *
  * @packageDocumentation
  */
-import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import type { Server as HttpServer } from "node:http";
+import { Server as NetServer, type AddressInfo } from "node:net";
 import type { FastifyInstance } from "fastify";
 import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
 import { buildCallerServer } from "../callerApi/callerServer.js";
@@ -15,12 +17,14 @@
 import { RequestRunner } from "../dispatch/requestRunner.js";
 import { ExplainBuffer, type RequestTrace } from "../explain/explainBuffer.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
+import { IdleCounter } from "./idleCounter.js";
 import { ConnectionPool } from "../upstream/connectionPool.js";
 import type { NodeHandle, NodeOptions } from "./nodeOptions.js";
 
 /** One node. */
 export class Node implements NodeHandle {
     private readonly activeRequests = new ActiveRequests();
+    private readonly openAnswers = new IdleCounter();
     private readonly traces: ExplainBuffer;
     private readonly connections: ConnectionPool;
     private readonly tasks: PoolTasks;
@@ -80,8 +84,10 @@
             configuration.onChange((next) => this.tasks.applyConfiguration(next.configuration)),
             keys.onWithdrawal((keyId) => this.endRequestsOfKey(keyId)),
         );
-        await this.server.listen({ ...this.options.callerAddress });
-        const { address, port } = this.server.server.address() as AddressInfo;
+        await this.server.ready();
+        this.httpServer.listen({ ...this.options.callerAddress });
+        await once(this.httpServer, "listening");
+        const { address, port } = this.httpServer.address() as AddressInfo;
         this.address = `${address}:${port}`;
         logger.writeEvent("nodeStarted", { node: this.name, address: this.address });
     }
@@ -123,19 +129,21 @@
         this.draining = true;
         this.drainAbort.abort();
         this.connections.close();
-        this.server.server.closeAllConnections();
+        this.httpServer.closeAllConnections();
         await this.stop();
     }
 
+    private get httpServer(): HttpServer {
+        return this.server.server;
+    }
+
     private async drain(): Promise<void> {
         const { logger, clock, flushUsage } = this.options;
         this.draining = true;
         logger.writeEvent("nodeStopping", { node: this.name, requests: this.countRequests() });
         await clock.wait(this.limits.drainDelayMs, this.drainAbort.signal);
-        const closed = this.server.close();
-        await this.activeRequests.waitUntilIdle();
+        await this.closeListener();
         await this.onceRunner.waitForRecords();
-        await closed;
         this.unsubscribes.forEach((unsubscribe) => unsubscribe());
         this.tasks.stop();
         this.connections.close();
@@ -143,6 +151,19 @@
         logger.writeEvent("nodeStopped", { node: this.name });
     }
 
+    /**
+     * Stops accepting connections and waits until every answer is sent. The HTTP server's own close
+     * comes last, because it destroys connections whose answer is ended but still in their buffer.
+     */
+    private async closeListener(): Promise<void> {
+        const closed = once(this.httpServer, "close");
+        NetServer.prototype.close.call(this.httpServer);
+        await this.activeRequests.waitUntilIdle();
+        await this.openAnswers.waitUntilIdle();
+        this.httpServer.close();
+        await closed;
+    }
+
     private createRunner(): RequestRunner {
         const { usage, metrics, logger, clock, readCredential } = this.options;
         return new RequestRunner({
@@ -174,14 +195,16 @@
             isDraining,
         });
         const isReady = (): boolean => this.isReady();
+        const { limits, openAnswers } = this;
         return buildCallerServer({
             router,
             handler,
             logger,
             metrics,
-            limits: this.limits,
+            limits,
             isReady,
             isDraining,
+            openAnswers,
         });
     }
 
