Bound the bytes between peers and make good for lost member updates

Ruled out: a longer retransmission (cost grows for all updates); a full exchange of members on contact (unbounded message). Change: 10 records a message; four known members repeated in turn on each message; npm run slopes with the peer slope.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { runSlopes } from "./slopes/runSlopes.js";
--- /dev/null
+++ b/packages/bench/src/slopes/peerSlope.ts
@@ -0,0 +1,147 @@
+/**
+ * Cost of membership and soft state per node, with real peers on loopback in one process.
+ *
+ * @packageDocumentation
+ */
+import { defaultPeerNetworkSettings, PeerNetwork, type PeerHandlers } from "@pimentocleat/node";
+import type { HostList } from "@pimentocleat/platform";
+import { createRandom } from "@pimentocleat/policy";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { SystemClock } from "@pimentocleat/types";
+import { setMaxListeners } from "node:events";
+import type { Slope, SlopeOptions, SlopePoint, SlopeResult } from "./slope.js";
+
+const nodeCounts = [3, 9, 27, 81];
+/** Time between two summaries of a pool, in milliseconds. */
+const summaryPeriodMs = 1_000;
+/** Size of a typical pool summary, in bytes. */
+const summaryBytes = 300;
+/** Time for the members to find each other before the measurement, in milliseconds. */
+const settleMs = 8_000;
+
+const emptyHostList: HostList = { listHosts: () => Promise.resolve([]) };
+
+class SlopeHandlers implements PeerHandlers {
+    recordsReceived = 0;
+
+    readConfiguration(): undefined {
+        return undefined;
+    }
+
+    handleHigherRevision(): void {}
+
+    addWithdrawals(): readonly string[] {
+        return [];
+    }
+
+    listWithdrawals(): readonly string[] {
+        return [];
+    }
+
+    storeUsageCopy(): void {}
+
+    handleRecord(): void {
+        this.recordsReceived += 1;
+    }
+
+    handleMemberGone(): void {}
+}
+
+interface MeasuredNode {
+    readonly network: PeerNetwork;
+    readonly handlers: SlopeHandlers;
+}
+
+/** Measures bytes, exchanges and processor time a second per node. */
+export class PeerSlope implements Slope {
+    readonly name = "peers";
+    readonly description = "membership and soft state, per node and second";
+
+    async measureSlope(options: SlopeOptions): Promise<SlopeResult> {
+        const points: SlopePoint[] = [];
+        for (const size of nodeCounts) {
+            points.push(await this.measurePoint(size, options));
+        }
+        return { name: this.name, sizeName: "nodes", seed: options.seed, points };
+    }
+
+    private async measurePoint(size: number, options: SlopeOptions): Promise<SlopePoint> {
+        const clock = new SystemClock();
+        const nodes = await startNodes(size, options.seed, clock);
+        const stopping = new AbortController();
+        setMaxListeners(size + 1, stopping.signal);
+        const publishing = nodes.map((node) => publishSummaries(node, clock, stopping.signal));
+        await clock.wait(settleMs);
+        const before = readTotals(nodes);
+        const startMs = clock.monotonicMs();
+        await clock.wait(options.durationMs);
+        const after = readTotals(nodes);
+        const nodeSeconds = (size * (clock.monotonicMs() - startMs)) / 1_000;
+        const known = nodes.map((node) => node.network.listMembers().length);
+        stopping.abort();
+        await Promise.all(publishing);
+        await Promise.all(nodes.map((node) => node.network.close()));
+        return {
+            size,
+            figures: {
+                // Each byte is sent by one node and received by another.
+                bytesPerNodeSecond: (2 * (after.bytes - before.bytes)) / nodeSeconds,
+                exchangesPerNodeSecond: (after.exchanges - before.exchanges) / nodeSeconds,
+                recordsPerNodeSecond: (after.records - before.records) / nodeSeconds,
+                processorPercentPerNode: (after.processorMs - before.processorMs) / nodeSeconds / 10,
+                leastMembersKnown: Math.min(...known),
+            },
+        };
+    }
+}
+
+async function startNodes(size: number, seed: number, clock: SystemClock): Promise<readonly MeasuredNode[]> {
+    const nodes: MeasuredNode[] = [];
+    let seedAddress: string | undefined;
+    for (let index = 0; index < size; index += 1) {
+        const handlers = new SlopeHandlers();
+        const network = new PeerNetwork({
+            name: `node-${index}`,
+            dataCentre: `dc-${index % 3}`,
+            listenAddress: "127.0.0.1:0",
+            secret: "slopes",
+            clock,
+            random: createRandom(seed + index),
+            hostList: emptyHostList,
+            seedAddresses: seedAddress === undefined ? [] : [seedAddress],
+            handlers,
+            logger: new SilentLogger(),
+            settings: defaultPeerNetworkSettings,
+        });
+        const address = await network.open();
+        seedAddress ??= address;
+        nodes.push({ network, handlers });
+    }
+    return nodes;
+}
+
+async function publishSummaries(node: MeasuredNode, clock: SystemClock, signal: AbortSignal): Promise<void> {
+    const payload = new Uint8Array(summaryBytes);
+    while (!signal.aborted) {
+        node.network.setRecord("pool:answers", payload);
+        await clock.wait(summaryPeriodMs, signal);
+    }
+}
+
+interface Totals {
+    readonly bytes: number;
+    readonly exchanges: number;
+    readonly records: number;
+    readonly processorMs: number;
+}
+
+function readTotals(nodes: readonly MeasuredNode[]): Totals {
+    const traffic = nodes.map((node) => node.network.readTraffic());
+    const usage = process.cpuUsage();
+    return {
+        bytes: traffic.reduce((sum, entry) => sum + entry.bytes, 0),
+        exchanges: traffic.reduce((sum, entry) => sum + entry.exchanges, 0),
+        records: nodes.reduce((sum, node) => sum + node.handlers.recordsReceived, 0),
+        processorMs: (usage.user + usage.system) / 1_000,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -0,0 +1,41 @@
+/**
+ * The program `npm run slopes`.
+ *
+ * @packageDocumentation
+ */
+import { cac } from "cac";
+import { PeerSlope } from "./peerSlope.js";
+import { formatSlope, type Slope } from "./slope.js";
+
+const slopes: readonly Slope[] = [new PeerSlope()];
+const defaultDurationMs = 10_000;
+
+/**
+ * Runs the measurements named on the command line, or all.
+ *
+ * @param parameters - The process's arguments.
+ * @returns The exit code.
+ */
+export async function runSlopes(parameters: readonly string[]): Promise<number> {
+    const program = cac("slopes");
+    program.option("--seed <number>", "seed of the random source", { default: 1 });
+    program.option("--duration <ms>", "time for each point, in milliseconds", { default: defaultDurationMs });
+    program.option("--json", "print JSON");
+    program.help();
+    const { args, options } = program.parse([...parameters]);
+    const unknown = args.filter((name) => !slopes.some((slope) => slope.name === name));
+    if (unknown.length > 0) {
+        const known = slopes.map((slope) => slope.name).join(", ");
+        process.stderr.write(`no slope named ${unknown.join(", ")}; choose from: ${known}\n`);
+        return 2;
+    }
+    const chosen = slopes.filter((slope) => args.length === 0 || args.includes(slope.name));
+    for (const slope of chosen) {
+        const result = await slope.measureSlope({
+            seed: Number(options.seed),
+            durationMs: Number(options.duration),
+        });
+        process.stdout.write(`${options.json ? JSON.stringify(result) : formatSlope(result)}\n`);
+    }
+    return 0;
+}
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -54,7 +54,7 @@
     probeTimeoutMs: 500,
     discoveryPeriodMs: 10_000,
     callTimeoutMs: 2_000,
-    recordsPerMessage: 24,
+    recordsPerMessage: 10,
     relayCount: 2,
 };
 
@@ -76,6 +76,14 @@
     readonly settings?: PeerNetworkSettings;
 }
 
+/** Traffic of a {@link PeerNetwork}. */
+export interface PeerTraffic {
+    /** Bytes received and sent on connections that peers opened. */
+    readonly bytes: number;
+    /** Exchanges merged, as the caller or as the receiver. */
+    readonly exchanges: number;
+}
+
 /** Keeps the node in touch with its peers. */
 export class PeerNetwork {
     private readonly settings: PeerNetworkSettings;
@@ -86,6 +94,7 @@
     private members: MemberTable | undefined;
     private records: RecordTable | undefined;
     private lastContactMs: number | undefined;
+    private exchanges = 0;
 
     /** @param options - Identity, address, secret, clock, discovery and handlers. */
     constructor(private readonly options: PeerNetworkOptions) {
@@ -142,6 +151,11 @@
         return this.members?.readSelf();
     }
 
+    /** @returns Bytes on connections that peers opened, and calls answered, since the start. */
+    readTraffic(): PeerTraffic {
+        return { bytes: this.server.countBytes(), exchanges: this.exchanges };
+    }
+
     /** @returns Monotonic time of the last successful exchange, in milliseconds. */
     readLastContactMs(): number | undefined {
         return this.lastContactMs;
@@ -324,6 +338,7 @@
         if (sender === undefined) {
             return undefined;
         }
+        this.exchanges += 1;
         this.lastContactMs = this.options.clock.monotonicMs();
         this.members?.recordContact(sender);
         this.members?.mergeStatements(decodeStatements(message.members));
--- a/packages/node/src/peers/peerServer.ts
+++ b/packages/node/src/peers/peerServer.ts
@@ -23,6 +23,7 @@
 export class PeerServer {
     private readonly server: Http2Server;
     private readonly sessions = new Set<ServerHttp2Session>();
+    private closedSessionBytes = 0;
 
     /** @param options - Authentication and the implementation of the calls. */
     constructor(options: PeerServerOptions) {
@@ -34,7 +35,7 @@
         this.server = createServer(adapter);
         this.server.on("session", (session) => {
             this.sessions.add(session);
-            session.on("close", () => this.sessions.delete(session));
+            session.socket.once("close", () => this.removeSession(session));
             session.on("error", () => session.destroy());
         });
     }
@@ -56,6 +57,12 @@
         });
     }
 
+    /** @returns Bytes received and sent on all connections accepted so far. */
+    countBytes(): number {
+        const openBytes = [...this.sessions].map(countSessionBytes);
+        return openBytes.reduce((sum, bytes) => sum + bytes, this.closedSessionBytes);
+    }
+
     /** Stops listening and closes all connections. */
     close(): Promise<void> {
         for (const session of this.sessions) {
@@ -65,4 +72,14 @@
             this.server.close(() => resolve());
         });
     }
+
+    private removeSession(session: ServerHttp2Session): void {
+        this.closedSessionBytes += countSessionBytes(session);
+        this.sessions.delete(session);
+    }
+}
+
+function countSessionBytes(session: ServerHttp2Session): number {
+    const { socket } = session;
+    return socket === undefined ? 0 : (socket.bytesRead ?? 0) + (socket.bytesWritten ?? 0);
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -17,3 +17,4 @@
 export * from "./membership/index.js";
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
+export { createRandom } from "./random/random.js";
--- a/packages/policy/src/membership/__tests__/memberTable.test.ts
+++ b/packages/policy/src/membership/__tests__/memberTable.test.ts
@@ -72,6 +72,26 @@
         expect(observer.listAlive().map((member) => member.incarnation)).toEqual([20]);
     });
 
+    it("makes good for updates that were lost, with messages of bounded size", () => {
+        const clock = new ManualClock();
+        const informed = createTable(clock, 0);
+        const memberCount = 60;
+        for (let index = 2; index <= memberCount + 1; index += 1) {
+            informed.recordContact(buildIdentity(index));
+        }
+        while (informed.takeUpdates().length > defaultMemberTableSettings.refreshPerMessage) {
+            // The updates are taken and lost.
+        }
+        const late = createTable(clock, 1);
+        const { refreshPerMessage, updatesPerMessage } = defaultMemberTableSettings;
+        for (let message = 0; message < (2 * memberCount) / refreshPerMessage; message += 1) {
+            const updates = informed.takeUpdates("node-1");
+            expect(updates.length).toBeLessThanOrEqual(refreshPerMessage + updatesPerMessage + 1);
+            late.mergeStatements(updates);
+        }
+        expect(late.listAlive().length).toBe(memberCount);
+    });
+
     it("probes each candidate once before it repeats one", () => {
         const clock = new ManualClock();
         const table = createTable(clock, 1);
--- a/packages/policy/src/membership/memberTable.ts
+++ b/packages/policy/src/membership/memberTable.ts
@@ -17,6 +17,8 @@
     readonly tombstoneMs: number;
     /** Most member updates in one message. */
     readonly updatesPerMessage: number;
+    /** Known members repeated in each message, in turn, so that a lost update is made good in time. */
+    readonly refreshPerMessage: number;
 }
 
 /** Defaults of {@link MemberTableSettings}. */
@@ -24,6 +26,7 @@
     suspicionMs: 3_000,
     tombstoneMs: 600_000,
     updatesPerMessage: 12,
+    refreshPerMessage: 4,
 };
 
 /** Options of a {@link MemberTable}. */
@@ -56,6 +59,7 @@
     private readonly rumors = new RumorQueue<MemberStatement>();
     private discovered: readonly DiscoveredHost[] = [];
     private probeOrder: string[] = [];
+    private refreshOrder: string[] = [];
     private self: MemberStatement;
 
     /** @param options - Clock, random source, own identity and settings. */
@@ -181,10 +185,11 @@
      * Takes the updates to piggyback on one message.
      *
      * @param receiver - Name of the receiver, if known; it is always told when it is doubted.
-     * @returns At most the configured number of statements, and one about the receiver.
+     * @returns At most the configured numbers of updates and repeats, and one about the receiver.
      */
     takeUpdates(receiver?: string): readonly MemberStatement[] {
-        const updates = this.rumors.takeRumors(this.settings.updatesPerMessage, this.known.size + 1);
+        const rumors = this.rumors.takeRumors(this.settings.updatesPerMessage, this.known.size + 1);
+        const updates = [...new Set([...rumors, ...this.takeRefreshes()])];
         const doubted = receiver === undefined ? undefined : this.known.get(receiver)?.statement;
         const isDoubted =
             doubted?.state === MembershipState.Suspect || doubted?.state === MembershipState.Gone;
@@ -220,6 +225,14 @@
         return this.self;
     }
 
+    private takeRefreshes(): MemberStatement[] {
+        if (this.refreshOrder.length === 0) {
+            this.refreshOrder = this.listPresent().map((member) => member.name);
+        }
+        const names = this.refreshOrder.splice(0, this.settings.refreshPerMessage);
+        return names.flatMap((name) => this.known.get(name)?.statement ?? []);
+    }
+
     private listStatements(): readonly MemberStatement[] {
         const statements = [...this.known.values()].map((member) => member.statement);
         return statements.sort((left, right) => (left.name < right.name ? -1 : 1));
