Claim idempotency keys in the table service

Cause: a request that may not be repeated needs a claim that outlives the node, with lost answers and late commits. Ruled out: deleting a released claim's row (a late insert of an older claim would land in its place and block the key); treating an ambiguous insert as claimed or as lost; taking over the claim of a node that is gone. Change: TableClaimStore inserts conditionally with a unique token; an ambiguous commit is tried again with the same token, and whoever finds its own token holds the claim. A claim given up is released by its owner, and its late commit is blocked by a newer version of the row. The memory table service can delay commits.

--- a/packages/platform/src/memory/memoryTableService.ts
+++ b/packages/platform/src/memory/memoryTableService.ts
@@ -16,8 +16,11 @@
 
 const defaultScanLimit = 1_000;
 
-/** What happens to one call: it works, it has no effect, or its answer is lost after its effect. */
-export type CallFault = "none" | "unavailable" | "lostReply";
+/**
+ * What happens to one call: it works, it has no effect, its answer is lost after its effect, or its answer
+ * is lost and a commit waits for {@link MemoryTableService.applyDelayed}.
+ */
+export type CallFault = "none" | "unavailable" | "lostReply" | "delayed";
 
 /** Chooses the fault of the next call. */
 export type FaultPlan = (call: "read" | "scan" | "commit") => CallFault;
@@ -35,6 +38,7 @@
     private reads = 0;
     private writes = 0;
     private planFault: FaultPlan = () => "none";
+    private delayed: (() => void)[] = [];
 
     /**
      * Replaces the fault plan.
@@ -45,6 +49,13 @@
         this.planFault = plan;
     }
 
+    /** Applies the delayed commits, in their order; each checks its conditions only now. */
+    applyDelayed(): void {
+        const due = this.delayed;
+        this.delayed = [];
+        due.forEach((apply) => apply());
+    }
+
     /** @returns How often the service was called. */
     readCounts(): TableCallCounts {
         return { reads: this.reads, writes: this.writes };
@@ -70,6 +81,10 @@
         if (fault === "unavailable") {
             throw new PlatformError(PlatformErrorKind.Unavailable, `table service: ${call} not possible`);
         }
+        if (fault === "delayed") {
+            this.delayed.push(action);
+            throw new PlatformError(PlatformErrorKind.Ambiguous, `table service: answer to ${call} delayed`);
+        }
         const result = action();
         if (fault === "lostReply") {
             throw new PlatformError(PlatformErrorKind.Ambiguous, `table service: answer to ${call} lost`);
--- /dev/null
+++ b/packages/state/src/claims/__tests__/claimWorld.ts
@@ -0,0 +1,132 @@
+/**
+ * Several hosts with claim stores over one table service, and a plain service that counts its runs.
+ *
+ * @packageDocumentation
+ */
+import { MemoryTableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/platform";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { ManualClock } from "@pimentocleat/types";
+import {
+    advanceTime,
+    HostTableService,
+    settleTasks,
+    SimulatedHost,
+} from "../../retrying/__tests__/simulatedHost.js";
+import type { ClaimOutcome, ClaimResult, ClaimStore, StoredAnswer } from "../claimStore.js";
+import { TableClaimStore, type TableClaimStoreOptions } from "../tableClaimStore.js";
+
+/** Builds the store of one node; mutants build a broken one. */
+export type ClaimStoreFactory = (options: TableClaimStoreOptions) => ClaimStore;
+
+export interface ClaimNode {
+    readonly name: string;
+    readonly host: SimulatedHost;
+    readonly table: HostTableService;
+    readonly store: ClaimStore;
+}
+
+/** What a caller saw of one request. */
+export interface Attempt {
+    readonly key: string;
+    readonly node: string;
+    result?: ClaimResult;
+    ran: boolean;
+}
+
+export const storedAnswer: StoredAnswer = { status: 200, headers: { a: "b" }, body: "aGVsbG8=" };
+
+export function createStore(options: TableClaimStoreOptions): ClaimStore {
+    return new TableClaimStore(options);
+}
+
+export class ClaimWorld {
+    readonly clock = new ManualClock();
+    readonly memory = new MemoryTableService();
+    readonly nodes: ClaimNode[] = [];
+    readonly gone = new Set<string>();
+    readonly attempts: Attempt[] = [];
+    private readonly runs = new Map<string, number>();
+    private tokens = 0;
+
+    constructor(
+        nodeCount: number,
+        private readonly factory: ClaimStoreFactory = createStore,
+        private readonly table: TableService = this.memory,
+    ) {
+        for (let index = 0; index < nodeCount; index += 1) {
+            this.nodes.push(this.createNode(`node-${index}-1`));
+        }
+    }
+
+    countRuns(key: string): number {
+        return this.runs.get(key) ?? 0;
+    }
+
+    /** Serves one request as the request path does: claim, run only when claimed, record the outcome. */
+    async request(index: number, key: string, outcome: ClaimOutcome["type"] = "answered"): Promise<Attempt> {
+        const node = this.nodes[index]!;
+        const attempt: Attempt = { key, node: node.name, ran: false };
+        this.attempts.push(attempt);
+        const result = await node.store.claimKey({
+            customer: "customer",
+            route: "/orders",
+            idempotencyKey: key,
+            requestDigest: "digest",
+            requestId: "request",
+            node: node.name,
+        });
+        await node.host.waitThawed();
+        attempt.result = result;
+        if (result.type === "claimed") {
+            if (outcome !== "notRun") {
+                attempt.ran = true;
+                this.runs.set(key, this.countRuns(key) + 1);
+            }
+            await node.host.waitThawed();
+            await node.store.recordOutcome(result.claim, this.createOutcome(outcome));
+        }
+        return attempt;
+    }
+
+    /** A crash: the old incarnation never goes on, a new one starts. */
+    crash(index: number, isKnown: boolean): void {
+        const old = this.nodes[index]!;
+        old.host.freeze();
+        if (isKnown) {
+            this.gone.add(old.name);
+        }
+        this.nodes[index] = this.createNode(`${old.name}x`);
+    }
+
+    async advance(durationMs: number): Promise<void> {
+        await advanceTime(this.clock, durationMs);
+    }
+
+    /** Ends all faults and freezes, and lets everything pending finish. */
+    async calm(): Promise<void> {
+        this.memory.setFaultPlan(() => "none");
+        this.memory.applyDelayed();
+        this.nodes.forEach((node) => node.host.thaw());
+        await settleTasks();
+        await this.advance(30_000);
+    }
+
+    private createNode(name: string): ClaimNode {
+        const host = new SimulatedHost(this.clock);
+        const table = new HostTableService(this.table, host);
+        const store = this.factory({
+            tableService: table,
+            clock: host,
+            random: () => 0.5,
+            logger: new SilentLogger(),
+            isOwnerGone: (owner) => this.gone.has(owner),
+            createToken: () => `token-${(this.tokens += 1)}`,
+        });
+        return { name, host, table, store };
+    }
+
+    private createOutcome(type: ClaimOutcome["type"]): ClaimOutcome {
+        return type === "answered" ? { type, answer: storedAnswer } : { type };
+    }
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,6 +6,8 @@
     ClaimStore,
     StoredAnswer,
 } from "./claims/claimStore.js";
+export { TableClaimStore, defaultClaimStoreSettings } from "./claims/tableClaimStore.js";
+export type { ClaimStoreSettings, TableClaimStoreOptions } from "./claims/tableClaimStore.js";
 export type { AppliedConfiguration, ConfigurationSource } from "./configuration/configurationSource.js";
 export type { KeyLookup, KeyRegistry } from "./keys/keyRegistry.js";
 export type { UsageAmount, UsageRecorder } from "./usage/usageRecorder.js";
--- /dev/null
+++ b/packages/state/src/retrying/__tests__/simulatedHost.ts
@@ -0,0 +1,107 @@
+/**
+ * A host in tests: its clock and its calls stop while it is frozen, as under SIGSTOP.
+ *
+ * @packageDocumentation
+ */
+import type { CommitResult, Row, ScanOptions, TableService, Transaction } from "@pimentocleat/platform";
+import type { ManualClock, WaitingClock } from "@pimentocleat/types";
+
+/** Lets the microtasks and immediates that are due run. */
+export async function settleTasks(rounds = 4): Promise<void> {
+    for (let round = 0; round < rounds; round += 1) {
+        await new Promise((resolve) => setImmediate(resolve));
+    }
+}
+
+/** Moves time in small steps, so that tasks that wait again are woken again. */
+export async function advanceTime(clock: ManualClock, durationMs: number, stepMs = 50): Promise<void> {
+    for (let movedMs = 0; movedMs < durationMs; movedMs += stepMs) {
+        clock.advance(Math.min(stepMs, durationMs - movedMs));
+        await settleTasks(1);
+    }
+    await settleTasks();
+}
+
+/** A host that can be frozen, thawed and crashed. A crashed host never goes on. */
+export class SimulatedHost implements WaitingClock {
+    private frozen = false;
+    private thawListeners: (() => void)[] = [];
+
+    constructor(
+        private readonly clock: ManualClock,
+        /** Rate of the host's monotonic clock. */
+        private readonly rate = 1,
+    ) {}
+
+    freeze(): void {
+        this.frozen = true;
+    }
+
+    thaw(): void {
+        this.frozen = false;
+        const listeners = this.thawListeners;
+        this.thawListeners = [];
+        listeners.forEach((listener) => listener());
+    }
+
+    get isFrozen(): boolean {
+        return this.frozen;
+    }
+
+    /** Waits while the host is frozen. */
+    async waitThawed(): Promise<void> {
+        while (this.frozen) {
+            await new Promise<void>((resolve) => this.thawListeners.push(resolve));
+        }
+    }
+
+    monotonicMs(): number {
+        return this.clock.monotonicMs() * this.rate;
+    }
+
+    wallMs(): number {
+        return this.clock.wallMs();
+    }
+
+    async wait(durationMs: number, signal?: AbortSignal): Promise<void> {
+        await this.clock.wait(durationMs / this.rate, signal);
+        await this.waitThawed();
+    }
+}
+
+/** The table service as one host sees it: with pauses before and after each effect. */
+export class HostTableService implements TableService {
+    /** Runs at each pause; a test may freeze the host here. */
+    onPause: (point: "beforeCall" | "afterCall", call: "read" | "scan" | "commit") => void = () => {};
+
+    constructor(
+        private readonly tableService: TableService,
+        private readonly host: SimulatedHost,
+    ) {}
+
+    readRow(table: string, key: string): Promise<Row | undefined> {
+        return this.runPaused("read", () => this.tableService.readRow(table, key));
+    }
+
+    scanRows(table: string, options?: ScanOptions): Promise<readonly Row[]> {
+        return this.runPaused("scan", () => this.tableService.scanRows(table, options));
+    }
+
+    commitTransaction(transaction: Transaction): Promise<CommitResult> {
+        return this.runPaused("commit", () => this.tableService.commitTransaction(transaction));
+    }
+
+    private async runPaused<Result>(
+        name: "read" | "scan" | "commit",
+        call: () => Promise<Result>,
+    ): Promise<Result> {
+        this.onPause("beforeCall", name);
+        await this.host.waitThawed();
+        try {
+            return await call();
+        } finally {
+            this.onPause("afterCall", name);
+            await this.host.waitThawed();
+        }
+    }
+}
