--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,6 +6,8 @@
     ClaimStore,
     StoredAnswer,
 } from "./claims/claimStore.js";
+export { defaultClaimRetentionMs, removeExpiredClaims } from "./claims/claimCleaner.js";
+export type { ClaimCleanerOptions, ClaimCleanerStep } from "./claims/claimCleaner.js";
 export { TableClaimStore, defaultClaimStoreSettings } from "./claims/tableClaimStore.js";
 export type { ClaimStoreSettings, TableClaimStoreOptions } from "./claims/tableClaimStore.js";
 export type { AppliedConfiguration, ConfigurationSource } from "./configuration/configurationSource.js";
