--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -14,3 +14,6 @@
     QueuedRequest,
     ServerStatus,
 } from "./scheduling/poolScheduler.js";
+export * from "./membership/index.js";
+export { FifoScheduler } from "./scheduling/fifoScheduler.js";
+export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -33,6 +33,9 @@
     claimOutcomeDelayed: defineEvent(4500, "warn", "outcome of a claim not stored yet; retrying"),
     claimOutcomeDropped: defineEvent(4501, "error", "too many outcomes wait; the oldest was dropped"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
+    hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
+    peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
+    peerGone: defineEvent(6002, "warn", "peer declared gone"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
