Keep the configuration in the table service, one row a file under one revision

Cause: operators race each other's edits, and answers to commits are lost after taking effect. Ruled out: one row for the whole folder (edits of different files would conflict); a lock (a frozen operator would block all others); tokens kept only in the head (the next commit overwrites them). Change: TableConfigurationStore merges changes by file onto whatever is stored, validates the whole and commits with a condition on the head; a log row for each revision carries a token that resolves lost replies. Keys newly marked as withdrawn enter the grow-only table of withdrawals in the same transaction. Conclusion: a commit whose answer is lost is applied once or reported as unknown, never doubled.

--- /dev/null
+++ b/packages/state/src/configuration/scanAllRows.ts
@@ -0,0 +1,36 @@
+/**
+ * Reading of whole tables in pages.
+ *
+ * @packageDocumentation
+ */
+import type { Row, TableService } from "@pimentocleat/platform";
+
+const pageSize = 500;
+
+/**
+ * Reads all rows of a table, page by page. Rows that change meanwhile may come in either state.
+ *
+ * @param tableService - The table service.
+ * @param table - The table.
+ * @param after - Only keys after this one.
+ * @returns The rows in the order of their keys; throws a `PlatformError` on failure.
+ */
+export async function scanAllRows(
+    tableService: TableService,
+    table: string,
+    after?: string,
+): Promise<readonly Row[]> {
+    const rows: Row[] = [];
+    let last = after;
+    for (;;) {
+        const page = await tableService.scanRows(table, {
+            limit: pageSize,
+            ...(last === undefined ? {} : { after: last }),
+        });
+        rows.push(...page);
+        if (page.length < pageSize) {
+            return rows;
+        }
+        last = page.at(-1)?.key;
+    }
+}
--- /dev/null
+++ b/packages/state/src/configuration/storeCaller.ts
@@ -0,0 +1,105 @@
+/**
+ * Calls of the table service that are retried for a while.
+ *
+ * @packageDocumentation
+ */
+import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
+import type { WaitingClock } from "@pimentocleat/types";
+import { computeBackoffMs } from "../retrying/backoff.js";
+import { runWithTimeout } from "../retrying/callTimeout.js";
+
+/** Options of {@link StoreCaller}; durations in milliseconds. */
+export interface StoreCallerOptions {
+    readonly clock: WaitingClock;
+    /** Uniform in [0, 1). */
+    readonly random: () => number;
+    /** Bound on one call. */
+    readonly callTimeoutMs: number;
+    readonly firstRetryMs: number;
+    readonly longestRetryMs: number;
+}
+
+/** Bounds that hold unless overridden. */
+export const defaultCallerBounds = { callTimeoutMs: 2_000, firstRetryMs: 50, longestRetryMs: 1_000 };
+
+/** Calls with a timeout and, for idempotent calls, retries until a deadline. */
+export class StoreCaller {
+    /** @param options - Clock, random source and bounds. */
+    constructor(private readonly options: StoreCallerOptions) {}
+
+    /** @returns The monotonic time, in milliseconds. */
+    readNowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
+    /**
+     * Runs one call with a timeout.
+     *
+     * @param callName - Names the call in errors.
+     * @param call - Starts the call.
+     * @returns The call's result; throws a `PlatformError` on failure.
+     */
+    runOnce<Result>(callName: string, call: () => Promise<Result>): Promise<Result> {
+        return runWithTimeout(
+            { clock: this.options.clock, timeoutMs: this.options.callTimeoutMs, callName },
+            call,
+        );
+    }
+
+    /**
+     * Runs an idempotent call until it succeeds or the deadline has passed.
+     *
+     * @param callName - Names the call in errors.
+     * @param deadlineMs - Monotonic time after which no retry starts.
+     * @param call - Starts the call.
+     * @returns The call's result; throws the last failure.
+     */
+    async runUntil<Result>(
+        callName: string,
+        deadlineMs: number,
+        call: () => Promise<Result>,
+    ): Promise<Result> {
+        for (let attempt = 1; ; attempt += 1) {
+            try {
+                return await this.runOnce(callName, call);
+            } catch (error) {
+                if (!isTemporary(error) || !(await this.waitForRetry(attempt, deadlineMs, error))) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    /**
+     * Waits before a retry.
+     *
+     * @param attempt - 1 for the first retry.
+     * @param deadlineMs - Monotonic time after which no retry starts.
+     * @param error - The failure, which may say when to come back.
+     * @returns Whether there is time for a retry.
+     */
+    async waitForRetry(attempt: number, deadlineMs: number, error?: unknown): Promise<boolean> {
+        const backoffMs = computeBackoffMs(
+            { firstMs: this.options.firstRetryMs, longestMs: this.options.longestRetryMs },
+            attempt,
+            this.options.random,
+        );
+        const askedMs = error instanceof PlatformError ? (error.retryAfterMs ?? 0) : 0;
+        const waitMs = Math.max(backoffMs, askedMs);
+        if (this.readNowMs() + waitMs > deadlineMs) {
+            return false;
+        }
+        await this.options.clock.wait(waitMs);
+        return true;
+    }
+}
+
+/**
+ * Tells whether a failure may pass by itself.
+ *
+ * @param error - What a call threw.
+ * @returns False for calls that the service found invalid and for errors of this process.
+ */
+export function isTemporary(error: unknown): boolean {
+    return error instanceof PlatformError && error.kind !== PlatformErrorKind.Rejected;
+}
--- /dev/null
+++ b/packages/state/src/configuration/tableConfigurationStore.ts
@@ -0,0 +1,289 @@
+/**
+ * The configuration in the platform's table service.
+ *
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { parseConfiguration, type Configuration, type ConfigurationFile } from "@pimentocleat/schema";
+import {
+    PlatformError,
+    PlatformErrorKind,
+    type Row,
+    type RowWrite,
+    type TableService,
+    type Transaction,
+} from "@pimentocleat/platform";
+import type { WaitingClock } from "@pimentocleat/types";
+import { z } from "zod";
+import type { KeyWithdrawal } from "../keys/withdrawal.js";
+import { buildWithdrawalAppend } from "../keys/withdrawalTable.js";
+import { isAmbiguous } from "../retrying/callTimeout.js";
+import type {
+    ApplyRequest,
+    ApplyResult,
+    ConfigurationStore,
+    FileChange,
+    FileConflict,
+} from "./configurationStore.js";
+import { buildSnapshot, computeFilesDigest, type ConfigurationSnapshot } from "./configurationSnapshot.js";
+import { buildConfigurationHeadMove, readHeads, type Heads } from "./headTable.js";
+import { mergeChanges, type MergedChanges } from "./mergeChanges.js";
+import { buildLogWrites, readLogEntry } from "./revisionLog.js";
+import { scanAllRows } from "./scanAllRows.js";
+import { defaultCallerBounds, isTemporary, StoreCaller } from "./storeCaller.js";
+
+const fileTable = "configurationFiles";
+const snapshotAttempts = 5;
+const defaultApplyTimeoutMs = 10_000;
+
+const fileRowSchema = z.object({ content: z.string(), revision: z.int(), author: z.string() });
+
+/** Options of {@link TableConfigurationStore}. */
+export interface TableConfigurationStoreOptions {
+    readonly tableService: TableService;
+    readonly clock: WaitingClock;
+    /** Uniform in [0, 1); `Math.random` when absent. */
+    readonly random?: () => number;
+    /** Creates a token that no other commit has; a random UUID when absent. */
+    readonly createToken?: () => string;
+    /** Bound on one call, in milliseconds. */
+    readonly callTimeoutMs?: number;
+    /** Bound on one apply, retries included, in milliseconds. */
+    readonly applyTimeoutMs?: number;
+}
+
+interface StoredState {
+    readonly heads: Heads;
+    readonly snapshot: ConfigurationSnapshot;
+    readonly rows: ReadonlyMap<string, z.infer<typeof fileRowSchema>>;
+}
+
+interface PreparedCommit {
+    readonly revision: number;
+    readonly token: string;
+    readonly transaction: Transaction;
+}
+
+type CommitOutcome = "committed" | "lost" | "unavailable" | "unknown";
+
+/** Keeps one row a file and a head with the revision; every apply is one transaction. */
+export class TableConfigurationStore implements ConfigurationStore {
+    private readonly caller: StoreCaller;
+    private readonly createToken: () => string;
+
+    /** @param options - The table service and bounds. */
+    constructor(private readonly options: TableConfigurationStoreOptions) {
+        this.caller = new StoreCaller({
+            clock: options.clock,
+            random: options.random ?? Math.random,
+            ...defaultCallerBounds,
+            ...(options.callTimeoutMs === undefined ? {} : { callTimeoutMs: options.callTimeoutMs }),
+        });
+        this.createToken = options.createToken ?? randomUUID;
+    }
+
+    async readSnapshot(): Promise<ConfigurationSnapshot> {
+        return (await this.readState()).snapshot;
+    }
+
+    async applyChanges(request: ApplyRequest): Promise<ApplyResult> {
+        const deadlineMs = this.caller.readNowMs() + (this.options.applyTimeoutMs ?? defaultApplyTimeoutMs);
+        for (let attempt = 1; ; attempt += 1) {
+            const result = await this.tryApply(request, deadlineMs);
+            if (result !== undefined) {
+                return result;
+            }
+            if (!(await this.caller.waitForRetry(attempt, deadlineMs))) {
+                return { type: "unavailable" };
+            }
+        }
+    }
+
+    /** Tries once; undefined when another operator's commit came first. */
+    private async tryApply(request: ApplyRequest, deadlineMs: number): Promise<ApplyResult | undefined> {
+        let state: StoredState;
+        try {
+            state = await this.caller.runUntil("read configuration", deadlineMs, () => this.readState());
+        } catch (error) {
+            if (isTemporary(error)) {
+                return { type: "unavailable" };
+            }
+            throw error;
+        }
+        const merged = mergeChanges(state.snapshot, request.changes);
+        const refusal = this.checkMerge(state, merged);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const parsed = parseConfiguration(merged.files);
+        if (parsed.configuration === undefined) {
+            return { type: "invalid", problems: parsed.problems };
+        }
+        const commit = this.prepareCommit(request, state, merged, parsed.configuration);
+        return this.finishCommit(await this.commit(commit, deadlineMs), commit, merged.effective);
+    }
+
+    private checkMerge(state: StoredState, merged: MergedChanges): ApplyResult | undefined {
+        const { revision } = state.snapshot;
+        if (merged.conflicts.length > 0) {
+            return { type: "conflict", revision, conflicts: describeConflicts(state, merged.conflicts) };
+        }
+        return merged.effective.length === 0 ? { type: "unchanged", revision } : undefined;
+    }
+
+    private finishCommit(
+        outcome: CommitOutcome,
+        commit: PreparedCommit,
+        changes: readonly FileChange[],
+    ): ApplyResult | undefined {
+        const { revision } = commit;
+        switch (outcome) {
+            case "committed":
+                return { type: "applied", revision, changedFiles: changes.map((change) => change.name) };
+            case "lost":
+                return undefined;
+            case "unavailable":
+                return { type: "unavailable" };
+            case "unknown":
+                return { type: "unknown", revision };
+        }
+    }
+
+    private prepareCommit(
+        request: ApplyRequest,
+        state: StoredState,
+        merged: MergedChanges,
+        configuration: Configuration,
+    ): PreparedCommit {
+        const revision = state.snapshot.revision + 1;
+        const token = this.createToken();
+        const appliedAtMs = this.options.clock.wallMs();
+        const { author } = request;
+        const move = buildConfigurationHeadMove(state.heads.configuration.version, {
+            revision,
+            digest: computeFilesDigest(merged.files),
+            author,
+            appliedAtMs,
+        });
+        const withdrawals = listNewWithdrawals(state.snapshot, configuration, {
+            author,
+            withdrawnAtMs: appliedAtMs,
+        });
+        const append = buildWithdrawalAppend(state.heads.withdrawals, withdrawals);
+        const files = merged.effective.map((change) => change.name);
+        const transaction: Transaction = {
+            conditions: [move.condition, ...append.conditions],
+            writes: [
+                move.write,
+                ...merged.effective.map((change) => buildFileWrite(change, revision, author)),
+                ...buildLogWrites(revision, { token, author, files, appliedAtMs }),
+                ...append.writes,
+            ],
+        };
+        return { revision, token, transaction };
+    }
+
+    /**
+     * Commits. A commit whose answer was lost is sent again: both build on the same version of the head, so
+     * at most one of them takes effect, and the log's token says whose.
+     */
+    private async commit(commit: PreparedCommit, deadlineMs: number): Promise<CommitOutcome> {
+        let mayHaveCommitted = false;
+        for (let attempt = 1; ; attempt += 1) {
+            try {
+                const result = await this.caller.runOnce("commit configuration", () =>
+                    this.options.tableService.commitTransaction(commit.transaction),
+                );
+                return result.outcome === "committed"
+                    ? "committed"
+                    : await this.resolveCommit(commit, mayHaveCommitted, deadlineMs);
+            } catch (error) {
+                if (!isTemporary(error)) {
+                    throw error;
+                }
+                mayHaveCommitted ||= isAmbiguous(error);
+                if (!(await this.caller.waitForRetry(attempt, deadlineMs, error))) {
+                    return mayHaveCommitted ? this.resolveCommit(commit, true, deadlineMs) : "unavailable";
+                }
+            }
+        }
+    }
+
+    /** Finds out whose commit made the revision. */
+    private async resolveCommit(
+        commit: PreparedCommit,
+        mayHaveCommitted: boolean,
+        deadlineMs: number,
+    ): Promise<CommitOutcome> {
+        if (!mayHaveCommitted) {
+            return "lost";
+        }
+        try {
+            const entry = await this.caller.runUntil("read back configuration", deadlineMs, () =>
+                readLogEntry(this.options.tableService, commit.revision),
+            );
+            if (entry === undefined) {
+                return "unknown";
+            }
+            return entry.token === commit.token ? "committed" : "lost";
+        } catch (error) {
+            if (isTemporary(error)) {
+                return "unknown";
+            }
+            throw error;
+        }
+    }
+
+    /** Reads heads and files that belong together. */
+    private async readState(): Promise<StoredState> {
+        const { tableService } = this.options;
+        for (let attempt = 1; attempt <= snapshotAttempts; attempt += 1) {
+            const heads = await readHeads(tableService);
+            const rows = new Map((await scanAllRows(tableService, fileTable)).map(parseFileRow));
+            const files = [...rows].map(([name, row]): ConfigurationFile => ({ name, content: row.content }));
+            const snapshot = buildSnapshot(heads.configuration.head?.revision ?? 0, files);
+            // The files may have changed between the two reads; then their digest is not the head's.
+            if (snapshot.digest === (heads.configuration.head?.digest ?? computeFilesDigest([]))) {
+                return { heads, snapshot, rows };
+            }
+        }
+        throw new PlatformError(
+            PlatformErrorKind.Unavailable,
+            "the configuration changes faster than it is read",
+        );
+    }
+}
+
+function parseFileRow(row: Row): [string, z.infer<typeof fileRowSchema>] {
+    return [row.key, fileRowSchema.parse(row.value)];
+}
+
+function buildFileWrite(change: FileChange, revision: number, author: string): RowWrite {
+    const place = { table: fileTable, key: change.name };
+    return change.content === undefined
+        ? place
+        : { ...place, value: { content: change.content, revision, author } };
+}
+
+function describeConflicts(state: StoredState, conflicts: readonly FileConflict[]): readonly FileConflict[] {
+    return conflicts.map((conflict) => {
+        const row = state.rows.get(conflict.name);
+        return row === undefined ? conflict : { ...conflict, revision: row.revision, author: row.author };
+    });
+}
+
+/** Lists the keys that a configuration newly marks as withdrawn, so that no later edit can undo it. */
+function listNewWithdrawals(
+    before: ConfigurationSnapshot,
+    configuration: Configuration,
+    mark: Pick<KeyWithdrawal, "author" | "withdrawnAtMs">,
+): readonly KeyWithdrawal[] {
+    const withdrawnBefore = new Set(
+        (parseConfiguration(before.files).configuration?.keys ?? [])
+            .filter((key) => key.withdrawn)
+            .map((key) => `${key.id} ${key.digest}`),
+    );
+    return configuration.keys
+        .filter((key) => key.withdrawn && !withdrawnBefore.has(`${key.id} ${key.digest}`))
+        .map((key) => ({ keyId: key.id, digest: key.digest, ...mark }));
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -9,3 +9,14 @@
 export type { AppliedConfiguration, ConfigurationSource } from "./configuration/configurationSource.js";
 export type { KeyLookup, KeyRegistry } from "./keys/keyRegistry.js";
 export type { UsageAmount, UsageRecorder } from "./usage/usageRecorder.js";
+export { buildSnapshot, computeContentDigest } from "./configuration/configurationSnapshot.js";
+export type { ConfigurationSnapshot } from "./configuration/configurationSnapshot.js";
+export type {
+    ApplyRequest,
+    ApplyResult,
+    ConfigurationStore,
+    FileChange,
+    FileConflict,
+} from "./configuration/configurationStore.js";
+export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
+export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
