Generate the pages of log events and metrics with the other references

Cause: the catalogue test failed (1 of 102) after events were added without their lines. Ruled out: editing the generated page by hand. Change: npm run generate writes all reference pages; generate:check covers them. Conclusion: one command keeps every generated file current.

--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -4,7 +4,13 @@
  */
 import { spawnSync } from "node:child_process";
 
-const outputs = ["packages/schema/src/generated", "docs/SETTINGS.md", "docs/CONFIGURATION.md"];
+const outputs = [
+    "packages/schema/src/generated",
+    "docs/SETTINGS.md",
+    "docs/CONFIGURATION.md",
+    "docs/LOG-EVENTS.md",
+    "docs/METRICS.md",
+];
 
 function runCommand(command, parameters) {
     const result = spawnSync(command, parameters, { stdio: "inherit" });
@@ -15,6 +21,7 @@
 
 runCommand("npx", ["buf", "generate"]);
 runCommand("npx", ["tsx", "scripts/writeReferencePages.mjs"]);
+runCommand("npx", ["tsx", "--conditions=source", "scripts/renderCatalogues.ts"]);
 
 if (process.argv.includes("--check")) {
     const status = spawnSync("git", ["status", "--porcelain", "--", ...outputs], { encoding: "utf8" });
