--- /dev/null
+++ b/packages/bench/bin/experiment.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runExperimentCommand } from "@pimentocleat/bench";
+
+await runExperimentCommand(process.argv);
--- /dev/null
+++ b/packages/bench/src/experiments/decisionCost.ts
@@ -0,0 +1,124 @@
+/**
+ * Measures the processor time of a scheduling decision against the length of the queue.
+ *
+ * @packageDocumentation
+ */
+import type { PoolConfiguration, QueuedRequest } from "@pimentocleat/policy";
+import { TieredScheduler } from "@pimentocleat/policy";
+import { classSchema, customerSchema, poolSchema } from "@pimentocleat/schema";
+import { ManualClock } from "@pimentocleat/types";
+
+/** Cost at one queue length. */
+export interface DecisionCost {
+    readonly servers: number;
+    readonly queued: number;
+    /** Median and 99th percentile of an outcome plus the start that follows it, in microseconds. */
+    readonly decisionMedianUs: number;
+    readonly decisionHighUs: number;
+    /** The same for an offer. */
+    readonly offerMedianUs: number;
+}
+
+const serverCount = 64;
+const slotsPerServer = 8;
+const queueLengths = [10, 100, 1_000, 10_000, 100_000];
+const rounds = 3_000;
+const customerCount = 230;
+const prefixLength = 8;
+
+/** @returns The cost at each queue length. */
+export function measureDecisionCost(): DecisionCost[] {
+    // The first run warms the compiler up and is not reported.
+    measureLength(1_000);
+    return queueLengths.map((queued) => measureLength(queued));
+}
+
+function measureLength(queued: number): DecisionCost {
+    const clock = new ManualClock();
+    const configuration = buildConfiguration();
+    const scheduler = new TieredScheduler({ configuration, clock, node: "node-1" });
+    const running: { readonly requestId: string; readonly server: string }[] = [];
+    let next = 0;
+    const offer = (): number => {
+        next += 1;
+        const request = buildRequest(next, clock.monotonicMs());
+        const startUs = performance.now() * 1_000;
+        scheduler.offerRequest(request);
+        return performance.now() * 1_000 - startUs;
+    };
+    const take = (): void => {
+        for (const decision of scheduler.takeDecisions()) {
+            if (decision.type === "start") {
+                running.push({ requestId: decision.requestId, server: decision.server });
+            }
+        }
+    };
+    while (next < queued + serverCount * slotsPerServer) {
+        offer();
+    }
+    take();
+    const decisionsUs: number[] = [];
+    const offersUs: number[] = [];
+    for (let round = 0; round < rounds; round += 1) {
+        clock.advance(1);
+        const ended = running.splice(round % running.length, 1)[0];
+        const startUs = performance.now() * 1_000;
+        scheduler.recordOutcome(ended?.requestId ?? "", ended?.server ?? "", "completed");
+        take();
+        decisionsUs.push(performance.now() * 1_000 - startUs);
+        offersUs.push(offer());
+    }
+    return {
+        servers: serverCount,
+        queued: scheduler.readStatus().waiting,
+        decisionMedianUs: readQuantile(decisionsUs, 0.5),
+        decisionHighUs: readQuantile(decisionsUs, 0.99),
+        offerMedianUs: readQuantile(offersUs, 0.5),
+    };
+}
+
+function readQuantile(values: readonly number[], quantile: number): number {
+    const sorted = values.toSorted((left, right) => left - right);
+    return Number((sorted[Math.floor(sorted.length * quantile)] ?? 0).toFixed(1));
+}
+
+function buildConfiguration(): PoolConfiguration {
+    const servers = Array.from(Array(serverCount).keys(), (index) => ({
+        name: `server-${index}`,
+        address: `127.0.0.1:${9000 + index}`,
+        dataCentre: `centre-${index % 3}`,
+        slots: slotsPerServer,
+    }));
+    const classes = [1, 2, 3].flatMap((tier) =>
+        ["first", "second"].map((name) =>
+            classSchema.parse({
+                name: `${name}-${tier}`,
+                tier,
+                firstTokenMs: 1_000_000_000,
+                completeMs: 1_000_000_000,
+            }),
+        ),
+    );
+    const customers = Array.from(Array(customerCount).keys(), (index) =>
+        customerSchema.parse({ name: `customer-${index}` }),
+    );
+    const pool = poolSchema.parse({ name: "pool", kind: "model", models: ["standard"], servers });
+    return { pool, classes, customers };
+}
+
+function buildRequest(index: number, nowMs: number): QueuedRequest {
+    const name = index % 2 === 0 ? "first" : "second";
+    return {
+        requestId: `request-${index}`,
+        customer: `customer-${(index * 7) % customerCount}`,
+        requestClass: `${name}-${1 + (index % 3)}`,
+        arrivedMs: nowMs,
+        promptTokens: 500,
+        maximumTokens: undefined,
+        prefixBlocks: Array.from(Array(prefixLength).keys(), (block) => `${index % 50}/${block}`),
+        repeatable: true,
+        excludedServers: [],
+        attempt: 1,
+        resumedTokens: 0,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/experiments/experimentRun.ts
@@ -0,0 +1,477 @@
+/**
+ * Drives the policy objects of several nodes under one manual clock against engine models.
+ *
+ * @packageDocumentation
+ */
+import type { CacheEvent, Decision, LoadReport, PoolScheduler, PoolSummary } from "@pimentocleat/policy";
+import { RetryBudget, chooseRetryAction } from "@pimentocleat/policy";
+import { ManualClock } from "@pimentocleat/types";
+import type { RunMeasures } from "../report/measures.js";
+import type { Deployment } from "./deployments.js";
+import type { EngineEvent } from "./engineModel.js";
+import { EngineModel } from "./engineModel.js";
+import type { PolicyVariant } from "./policyVariants.js";
+import { RandomSource } from "./randomSource.js";
+import type { RequestRecord } from "./runRecorder.js";
+import { RunRecorder } from "./runRecorder.js";
+import type { Arrival } from "./workload.js";
+import { engineSpeed } from "./workload.js";
+
+/** Something that happens to the run at a time. */
+export interface Fault {
+    readonly atMs: number;
+    readonly apply: (run: ExperimentRun) => void;
+}
+
+/** Options of a run. */
+export interface RunOptions {
+    readonly deployment: Deployment;
+    readonly variant: PolicyVariant;
+    readonly arrivals: readonly Arrival[];
+    readonly durationMs: number;
+    readonly seed: number;
+    readonly faults?: readonly Fault[];
+    readonly nodes?: number;
+    /** Age of load reports when they arrive. */
+    readonly reportLagMs?: number;
+    /** Share of cache events that get lost. */
+    readonly cacheEventLoss?: number;
+    readonly cacheBlocks?: number;
+    /** Time from which full use of the slots is awaited, for `strandedMs`. */
+    readonly awaitFullFromMs?: number;
+}
+
+/** A node of the run. */
+export interface NodeState {
+    readonly name: string;
+    readonly scheduler: PoolScheduler;
+    readonly budget: RetryBudget;
+    state: "live" | "frozen" | "dead";
+    /** When the balancer and the other nodes have noticed that the node is dead. */
+    noticedMs: number;
+    /** What a frozen node finds when it wakes. */
+    backlog: (() => void)[];
+}
+
+interface Delivery {
+    readonly dueMs: number;
+    readonly deliver: () => void;
+}
+
+const stepMs = 10;
+const summaryIntervalMs = 200;
+const summaryDelayMs = 5;
+const reportIntervalMs = 500;
+const defaultReportLagMs = 300;
+const cacheEventLagMs = 400;
+const drainMs = 60_000;
+/** The balancer, or the lease of a queue's owner, needs this long to notice a dead node. */
+const noticeDeadMs = 2_000;
+const fullUseShare = 0.97;
+
+/** One policy under one workload. */
+export class ExperimentRun {
+    readonly clock = new ManualClock();
+    readonly nodes: NodeState[];
+    readonly engines = new Map<string, EngineModel>();
+    readonly recorder: RunRecorder;
+    private readonly random: RandomSource;
+    private readonly records = new Map<string, RequestRecord>();
+    private readonly deliveries: Delivery[] = [];
+    private readonly cacheSequences = new Map<string, number>();
+    private readonly knownCaches = new Map<string, Set<string>>();
+    private readonly owners = new Map<string, NodeState>();
+    private readonly waitingByClass = new Map<string, number>();
+    private summaries = 0;
+    private nextArrival = 0;
+    private nextFault = 0;
+    private strandedUntilMs: number | undefined;
+
+    /** @param options - Deployment, policy, arrivals and faults. */
+    constructor(readonly options: RunOptions) {
+        const { deployment, variant, seed } = options;
+        this.random = new RandomSource(seed + 1);
+        this.recorder = new RunRecorder(deployment, options.durationMs);
+        const count = options.nodes ?? deployment.nodes;
+        this.nodes = Array.from(Array(count).keys(), (index) => {
+            const name = `node-${index + 1}`;
+            const settings = { configuration: deployment.configuration, clock: this.clock, node: name };
+            const scheduler = variant.create(settings, () => this.random.next());
+            const budget = new RetryBudget(deployment.configuration.pool.retryShare);
+            return { name, scheduler, budget, state: "live" as const, noticedMs: Infinity, backlog: [] };
+        });
+        for (const { name, slots } of deployment.configuration.pool.servers) {
+            const cacheBlocks = options.cacheBlocks ?? 0;
+            const settings = { name, slots, cacheBlocks, ...engineSpeed };
+            this.engines.set(name, new EngineModel(settings, () => this.random.next()));
+        }
+    }
+
+    /** @returns The measures at the end of the run. */
+    run(): RunMeasures {
+        const endMs = this.options.durationMs + drainMs;
+        let busySlotMs = 0;
+        for (let nowMs = 0; nowMs < endMs && !this.isIdle(nowMs); nowMs += stepMs) {
+            this.advanceStep(nowMs);
+            if (nowMs < this.options.durationMs) {
+                busySlotMs = this.sumEngines((engine) => engine.busySlotMs);
+            }
+        }
+        const slots = this.sumEngines((engine) => engine.settings.slots);
+        return this.recorder.buildMeasures({
+            policy: this.options.variant.name,
+            availableSlotMs: slots * this.options.durationMs,
+            busySlotMs,
+            overrun: Math.max(...[...this.engines.values()].map(({ overrun }) => overrun)),
+            summariesPerSecond: (this.summaries * 1_000) / this.options.durationMs / this.nodes.length,
+            overrunMs: this.sumEngines((engine) => engine.overrunMs),
+            strandedMs: this.readStrandedMs(),
+        });
+    }
+
+    /**
+     * Loses a node with all its requests; the engines stop them when its connections end.
+     *
+     * @param node - The node.
+     */
+    stopNode(node: NodeState): void {
+        node.state = "dead";
+        node.noticedMs = this.clock.monotonicMs() + noticeDeadMs;
+        for (const record of this.records.values()) {
+            if (this.getNode(record) === node && !record.isEnded) {
+                this.engines.get(record.server)?.cancel(record.arrival.requestId);
+                this.recorder.recordFailure(record);
+            }
+        }
+    }
+
+    /**
+     * Freezes a node for a time; what arrives meanwhile is handled when it wakes.
+     *
+     * @param node - The node.
+     * @param durationMs - How long.
+     */
+    freezeNode(node: NodeState, durationMs: number): void {
+        node.state = "frozen";
+        this.schedule(durationMs, () => {
+            node.state = "live";
+            const { backlog } = node;
+            node.backlog = [];
+            backlog.forEach((handle) => handle());
+        });
+    }
+
+    /**
+     * Tells all nodes that servers go, and takes the servers away at that time.
+     *
+     * @param servers - Names of the servers.
+     * @param noticeMs - Time until they go.
+     */
+    reclaimServers(servers: readonly string[], noticeMs: number): void {
+        const leavesAtMs = this.clock.monotonicMs() + noticeMs;
+        for (const server of servers) {
+            for (const { scheduler } of this.nodes) {
+                scheduler.recordLeaving({ server, leavesAtMs });
+            }
+            this.schedule(noticeMs, () => {
+                const engine = this.engines.get(server);
+                if (engine !== undefined) {
+                    engine.isDown = true;
+                }
+            });
+        }
+    }
+
+    private isIdle(nowMs: number): boolean {
+        return nowMs > this.options.durationMs && [...this.records.values()].every(({ isEnded }) => isEnded);
+    }
+
+    private advanceStep(nowMs: number): void {
+        const { faults = [], arrivals } = this.options;
+        for (let fault = faults[this.nextFault]; fault !== undefined && fault.atMs <= nowMs;) {
+            fault.apply(this);
+            this.nextFault += 1;
+            fault = faults[this.nextFault];
+        }
+        this.deliverDue(nowMs);
+        for (let arrival = arrivals[this.nextArrival]; arrival !== undefined && arrival.atMs <= nowMs;) {
+            this.offerArrival(arrival);
+            this.nextArrival += 1;
+            arrival = arrivals[this.nextArrival];
+        }
+        this.exchange(nowMs);
+        this.nodes.forEach((node) => this.applyDecisions(node));
+        this.clock.advance(stepMs);
+        for (const engine of this.engines.values()) {
+            engine.advance(stepMs).forEach((event) => this.receiveEngineEvent(engine, event));
+        }
+        this.observe(nowMs);
+    }
+
+    private observe(nowMs: number): void {
+        for (const { name } of this.options.deployment.configuration.classes) {
+            this.recorder.floors.recordWaiting(name, this.waitingByClass.get(name) ?? 0, nowMs);
+        }
+        const fromMs = this.options.awaitFullFromMs;
+        if (fromMs !== undefined && nowMs >= fromMs && this.strandedUntilMs === undefined) {
+            const slots = this.sumEngines(({ isDown, settings }) => (isDown ? 0 : settings.slots));
+            const running = this.sumEngines((engine) => engine.readLoad().runningRequests);
+            this.strandedUntilMs = running >= slots * fullUseShare ? nowMs : undefined;
+        }
+    }
+
+    private readStrandedMs(): number | undefined {
+        const fromMs = this.options.awaitFullFromMs;
+        return fromMs === undefined ? undefined : (this.strandedUntilMs ?? Infinity) - fromMs;
+    }
+
+    /** Spreads summaries, load reports and cache events. */
+    private exchange(nowMs: number): void {
+        this.nodes.forEach((node, index) => {
+            const phaseMs = Math.floor((index * summaryIntervalMs) / this.nodes.length / stepMs) * stepMs;
+            const isPeriodic = (nowMs + phaseMs) % summaryIntervalMs === 0;
+            if (node.state === "live" && (isPeriodic || node.scheduler.isSummaryDue?.() === true)) {
+                this.summaries += 1;
+                this.spreadSummary(node, node.scheduler.summarizePool());
+            }
+        });
+        if (nowMs % reportIntervalMs === 0) {
+            for (const engine of this.engines.values()) {
+                this.reportEngine(engine);
+            }
+        }
+    }
+
+    private spreadSummary(from: NodeState, summary: PoolSummary): void {
+        this.schedule(summaryDelayMs, () => {
+            for (const node of this.nodes) {
+                if (node !== from && node.state === "live") {
+                    node.scheduler.recordPeerSummary(summary);
+                }
+            }
+        });
+    }
+
+    private reportEngine(engine: EngineModel): void {
+        const lagMs = this.options.reportLagMs ?? defaultReportLagMs;
+        const report: LoadReport = { ...engine.readLoad(), ageMs: lagMs };
+        this.schedule(lagMs, () => this.eachLive((scheduler) => scheduler.recordLoadReport(report)));
+        const event = this.buildCacheEvent(engine);
+        if (event !== undefined && this.random.next() >= (this.options.cacheEventLoss ?? 0)) {
+            this.schedule(cacheEventLagMs, () => this.eachLive((node) => node.recordCacheEvent(event)));
+        }
+    }
+
+    private buildCacheEvent(engine: EngineModel): CacheEvent | undefined {
+        const server = engine.settings.name;
+        const known = this.knownCaches.get(server) ?? new Set<string>();
+        while (engine.cache.size > engine.settings.cacheBlocks) {
+            const [oldest] = engine.cache;
+            engine.cache.delete(oldest ?? "");
+        }
+        const stored = [...engine.cache].filter((block) => !known.has(block));
+        const removed = [...known].filter((block) => !engine.cache.has(block));
+        if (stored.length === 0 && removed.length === 0) {
+            return undefined;
+        }
+        const sequence = (this.cacheSequences.get(server) ?? 0) + 1;
+        this.cacheSequences.set(server, sequence);
+        this.knownCaches.set(server, new Set(engine.cache));
+        return { server, sequence, stored, removed, cleared: false };
+    }
+
+    private eachLive(apply: (scheduler: PoolScheduler) => void): void {
+        this.nodes.filter(({ state }) => state === "live").forEach(({ scheduler }) => apply(scheduler));
+    }
+
+    private schedule(delayMs: number, deliver: () => void): void {
+        this.deliveries.push({ dueMs: this.clock.monotonicMs() + delayMs, deliver });
+    }
+
+    private deliverDue(nowMs: number): void {
+        const due = this.deliveries.filter(({ dueMs }) => dueMs <= nowMs);
+        const later = this.deliveries.filter(({ dueMs }) => dueMs > nowMs);
+        this.deliveries.splice(0, this.deliveries.length, ...later);
+        due.forEach(({ deliver }) => deliver());
+    }
+
+    private chooseNode(arrival: Arrival): NodeState {
+        const nowMs = this.clock.monotonicMs();
+        const known = this.nodes.filter(({ noticedMs }) => nowMs < noticedMs);
+        const nodes = this.options.variant.singleOwner ? known.slice(0, 1) : known;
+        const node = nodes[Math.floor(arrival.nodeChoice * nodes.length)];
+        if (node === undefined) {
+            throw new Error("the run has no nodes");
+        }
+        return node;
+    }
+
+    private getNode(record: RequestRecord): NodeState {
+        const node = this.owners.get(record.arrival.requestId);
+        if (node === undefined) {
+            throw new Error(`request ${record.arrival.requestId} has no node`);
+        }
+        return node;
+    }
+
+    private offerArrival(arrival: Arrival): void {
+        const record: RequestRecord = {
+            arrival,
+            firstTokenAtMs: undefined,
+            streamed: 0,
+            generated: 0,
+            attempts: 1,
+            startedAtMs: 0,
+            server: "",
+            slotMs: 0,
+            isEnded: false,
+        };
+        this.records.set(arrival.requestId, record);
+        this.recorder.recordOffer(arrival);
+        const node = this.chooseNode(arrival);
+        this.owners.set(arrival.requestId, node);
+        if (node.state === "dead") {
+            this.recorder.recordFailure(record);
+            return;
+        }
+        node.budget.recordFirstTry();
+        this.handleOnNode(node, () => this.offerRequest(node, record, []));
+    }
+
+    private handleOnNode(node: NodeState, handle: () => void): void {
+        if (node.state === "frozen") {
+            node.backlog.push(handle);
+        } else {
+            handle();
+        }
+    }
+
+    private offerRequest(node: NodeState, record: RequestRecord, excludedServers: readonly string[]): void {
+        const { arrival } = record;
+        const result = node.scheduler.offerRequest({
+            requestId: arrival.requestId,
+            customer: arrival.customer,
+            requestClass: arrival.requestClass,
+            arrivedMs: arrival.atMs,
+            promptTokens: arrival.promptTokens,
+            maximumTokens: undefined,
+            prefixBlocks: arrival.prefixBlocks,
+            repeatable: arrival.repeatable,
+            excludedServers,
+            attempt: record.attempts,
+            resumedTokens: record.streamed,
+        });
+        if (result.type === "refused") {
+            this.recorder.recordRefusal(record, result.kind, this.clock.monotonicMs());
+        } else {
+            this.countWaiting(arrival.requestClass, 1);
+        }
+    }
+
+    private countWaiting(requestClass: string, amount: number): void {
+        this.waitingByClass.set(requestClass, (this.waitingByClass.get(requestClass) ?? 0) + amount);
+    }
+
+    private applyDecisions(node: NodeState): void {
+        if (node.state !== "live") {
+            return;
+        }
+        for (const decision of node.scheduler.takeDecisions()) {
+            this.applyDecision(decision);
+        }
+    }
+
+    private applyDecision(decision: Decision): void {
+        const record = this.records.get(decision.requestId);
+        if (record === undefined || record.isEnded) {
+            return;
+        }
+        const nowMs = this.clock.monotonicMs();
+        const node = this.getNode(record);
+        if (decision.type === "refuse") {
+            this.countWaiting(record.arrival.requestClass, -1);
+            this.recorder.recordRefusal(record, decision.kind, nowMs);
+            return;
+        }
+        if (decision.type === "move") {
+            this.recorder.recordSlotTime(record, nowMs);
+            this.engines.get(record.server)?.cancel(decision.requestId);
+            node.scheduler.recordOutcome(decision.requestId, record.server, "cancelled");
+            this.recorder.recordRetry("move");
+        } else if (decision.type === "start") {
+            this.countWaiting(record.arrival.requestClass, -1);
+            this.recorder.recordStart(record, decision.byFloor === true, nowMs);
+        }
+        this.startJob(record, decision.server);
+    }
+
+    private startJob(record: RequestRecord, server: string): void {
+        const { arrival } = record;
+        record.server = server;
+        record.startedAtMs = Infinity;
+        this.engines.get(server)?.start({
+            requestId: arrival.requestId,
+            node: 0,
+            promptTokens: arrival.promptTokens + record.streamed,
+            prefixBlocks: arrival.prefixBlocks,
+            tokens: arrival.tokens - record.streamed,
+        });
+    }
+
+    private receiveEngineEvent(engine: EngineModel, event: EngineEvent): void {
+        const record = this.records.get(event.job.requestId);
+        if (record !== undefined) {
+            this.handleOnNode(this.getNode(record), () => this.handleEngineEvent(engine, event, record));
+        }
+    }
+
+    private handleEngineEvent(engine: EngineModel, event: EngineEvent, record: RequestRecord): void {
+        const { requestId } = event.job;
+        if (record.isEnded || record.server !== engine.settings.name) {
+            return;
+        }
+        const { scheduler } = this.getNode(record);
+        const nowMs = this.clock.monotonicMs();
+        if (event.type === "admitted") {
+            record.startedAtMs = nowMs;
+        } else if (event.type === "firstToken") {
+            record.firstTokenAtMs ??= nowMs;
+            scheduler.recordFirstToken(requestId);
+        } else if (event.type === "tokens") {
+            record.streamed += event.tokens;
+            record.generated += event.tokens;
+            scheduler.recordTokens(requestId, event.tokens);
+        } else {
+            this.recorder.recordSlotTime(record, nowMs);
+            scheduler.recordOutcome(requestId, record.server, event.type);
+            this.finishAttempt(record, event.type, nowMs);
+        }
+    }
+
+    private finishAttempt(record: RequestRecord, outcome: "completed" | "failed", nowMs: number): void {
+        if (outcome === "completed") {
+            this.recorder.recordCompletion(record, nowMs);
+            return;
+        }
+        const node = this.getNode(record);
+        const action = chooseRetryAction({
+            outcome,
+            repeatable: record.arrival.repeatable,
+            bytesSent: true,
+            tokensStreamed: record.streamed,
+            resumable: true,
+            attempt: record.attempts,
+        });
+        if (action.type === "fail" || node.state !== "live" || !node.budget.take()) {
+            this.recorder.recordFailure(record);
+            return;
+        }
+        record.attempts += 1;
+        this.recorder.recordRetry(action.type);
+        this.offerRequest(node, record, [record.server]);
+    }
+
+    private sumEngines(read: (engine: EngineModel) => number): number {
+        return [...this.engines.values()].reduce((sum, engine) => sum + read(engine), 0);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/experiments/scenarios.ts
@@ -0,0 +1,204 @@
+/**
+ * The experiments: a workload, faults and the policies to compare.
+ *
+ * @packageDocumentation
+ */
+import type { Deployment } from "./deployments.js";
+import type { Fault, RunOptions } from "./experimentRun.js";
+import type { WorkloadOptions } from "./workload.js";
+import { buildArrivals } from "./workload.js";
+
+/** What a scenario changes against a plain run. */
+export type ScenarioOptions = Omit<RunOptions, "deployment" | "variant" | "seed" | "durationMs" | "arrivals">;
+
+/** An experiment. */
+export interface Scenario {
+    readonly name: string;
+    readonly description: string;
+    readonly durationMs: number;
+    readonly buildWorkload: (deployment: Deployment) => Omit<WorkloadOptions, "seed" | "durationMs">;
+    readonly buildOptions?: (deployment: Deployment) => ScenarioOptions;
+}
+
+const overload = 2;
+const heavyFactor = 20;
+const failingShare = 0.5;
+const guideBlocks = 24;
+const guideCount = 12;
+const guideTokens = 6_000;
+
+function isTopTier(deployment: Deployment, requestClass: string): boolean {
+    const { classes } = deployment.configuration;
+    return classes.some(({ name, tier }) => name === requestClass && tier === 1);
+}
+
+function listServers(deployment: Deployment): string[] {
+    return deployment.configuration.pool.servers.map(({ name }) => name);
+}
+
+function listThird(deployment: Deployment): string[] {
+    return listServers(deployment).filter((name, index) => name !== "" && index % 3 === 0);
+}
+
+function setEngines(
+    servers: readonly string[],
+    change: { slowness?: number; failShare?: number },
+): Fault["apply"] {
+    return (run) => {
+        for (const server of servers) {
+            const engine = run.engines.get(server);
+            if (engine !== undefined) {
+                engine.slowness = change.slowness ?? engine.slowness;
+                engine.failShare = change.failShare ?? engine.failShare;
+            }
+        }
+    };
+}
+
+const unloaded: Scenario = {
+    name: "unloaded",
+    description: "Half of the capacity is asked for; the reference for attainment.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 0.5 }),
+};
+
+const burst: Scenario = {
+    name: "burst",
+    description: "Twice the capacity: the lower tiers burst; the top tier fits in the capacity.",
+    durationMs: 60_000,
+    buildWorkload: (deployment) => ({
+        readLoad: (requestClass) => (isTopTier(deployment, requestClass) ? 1 : 3),
+    }),
+};
+
+const starve: Scenario = {
+    name: "starve",
+    description: "The top tier alone asks for more than the capacity.",
+    durationMs: 60_000,
+    buildWorkload: (deployment) => ({
+        readLoad: (requestClass) => (isTopTier(deployment, requestClass) ? 3 : 1),
+    }),
+};
+
+const heavyCustomer: Scenario = {
+    name: "heavy-customer",
+    description: "One of ten customers sends two thirds of a load of twice the capacity.",
+    durationMs: 60_000,
+    buildWorkload: () => ({
+        readLoad: () => overload,
+        readCustomerWeight: (customer) => (customer === "customer-1" ? heavyFactor : 1),
+    }),
+};
+
+const straggler: Scenario = {
+    name: "straggler",
+    description: "One engine becomes five times slower at 15 s; load 0.7.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 0.7 }),
+    buildOptions: (deployment) => ({
+        faults: [{ atMs: 15_000, apply: setEngines(listServers(deployment).slice(0, 1), { slowness: 5 }) }],
+    }),
+};
+
+const lag: Scenario = {
+    name: "lag",
+    description: "Load reports are 2 s old when they arrive; load 1.2.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 1.2 }),
+    buildOptions: () => ({ reportLagMs: 2_000 }),
+};
+
+const prefix: Scenario = {
+    name: "prefix",
+    description: "Prompts begin with one of 12 long guides; a fifth of the cache events is lost; load 0.7.",
+    durationMs: 60_000,
+    buildWorkload: () => ({
+        readLoad: () => 0.7,
+        promptTokens: guideTokens,
+        buildPrefix: (random) => {
+            const guide = Math.floor(random.next() * guideCount);
+            return Array.from(Array(guideBlocks).keys(), (block) => `${guide}/${block}`);
+        },
+    }),
+    buildOptions: () => ({ cacheEventLoss: 0.2, cacheBlocks: guideBlocks * 4 }),
+};
+
+const reclaim: Scenario = {
+    name: "reclaim",
+    description: "The cheap data centre goes at 20 s with 5 s notice and none can be had again; load 0.9.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 0.9 }),
+    buildOptions: (deployment) => {
+        const { servers } = deployment.configuration.pool;
+        const cheap = servers.filter(({ reclaimable }) => reclaimable).map(({ name }) => name);
+        return { faults: [{ atMs: 20_000, apply: (run) => run.reclaimServers(cheap, 5_000) }] };
+    },
+};
+
+const retryStorm: Scenario = {
+    name: "retry-storm",
+    description: "From 15 s to 40 s a third of the engines fails half of what they get; load 0.8.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 0.8 }),
+    buildOptions: (deployment) => ({
+        faults: [
+            { atMs: 15_000, apply: setEngines(listThird(deployment), { failShare: failingShare }) },
+            { atMs: 40_000, apply: setEngines(listThird(deployment), { failShare: 0 }) },
+        ],
+    }),
+};
+
+const nodeLoss: Scenario = {
+    name: "node-loss",
+    description: "At 20 s a node dies, at 30 s another freezes for 8 s; load 1.3.",
+    durationMs: 60_000,
+    buildWorkload: () => ({ readLoad: () => 1.3 }),
+    buildOptions: () => ({
+        awaitFullFromMs: 20_100,
+        faults: [
+            { atMs: 20_000, apply: (run) => run.nodes.slice(0, 1).forEach((node) => run.stopNode(node)) },
+            {
+                atMs: 30_000,
+                apply: (run) => run.nodes.slice(1, 2).forEach((node) => run.freezeNode(node, 8_000)),
+            },
+        ],
+    }),
+};
+
+/** All scenarios. */
+export const scenarios: readonly Scenario[] = [
+    unloaded,
+    burst,
+    starve,
+    heavyCustomer,
+    straggler,
+    lag,
+    prefix,
+    reclaim,
+    retryStorm,
+    nodeLoss,
+];
+
+/**
+ * Builds the options of a run.
+ *
+ * @param scenario - The scenario.
+ * @param deployment - The deployment.
+ * @param seed - Seed of the workload and the faults.
+ * @returns Options without the policy.
+ */
+export function buildRunOptions(
+    scenario: Scenario,
+    deployment: Deployment,
+    seed: number,
+): Omit<RunOptions, "variant"> {
+    const { durationMs } = scenario;
+    const workload = { ...scenario.buildWorkload(deployment), seed, durationMs };
+    return {
+        ...scenario.buildOptions?.(deployment),
+        deployment,
+        seed,
+        durationMs,
+        arrivals: buildArrivals(deployment, workload),
+    };
+}
--- /dev/null
+++ b/packages/policy/src/admission/admissionController.ts
@@ -0,0 +1,131 @@
+/**
+ * Predicts how long a request would wait, and refuses at once what cannot meet its target.
+ *
+ * @packageDocumentation
+ */
+import type { PeerDemand } from "../capacity/peerDemand.js";
+import type { ClassQueue } from "../scheduling/classQueue.js";
+
+/** What admission said about a request. */
+export interface AdmissionAdvice {
+    readonly admitted: boolean;
+    /** Predicted wait for a slot, in milliseconds. */
+    readonly waitMs: number;
+    /** When a request like this would fit again, in milliseconds from now. */
+    readonly retryAfterMs: number;
+}
+
+/**
+ * A request is refused only when the predicted wait exceeds its budget by this factor; closer calls
+ * are queued and answered at their latest start. Keeps errors of the estimate from refusing a higher
+ * tier that would have had a slot.
+ */
+const refusalMargin = 1.2;
+const leastRetryAfterMs = 100;
+const greatestRetryAfterMs = 60_000;
+const leastSlots = 0.02;
+
+/** Admission by predicted wait. */
+export class AdmissionController {
+    private classes: readonly ClassQueue[] = [];
+
+    /**
+     * @param peers - What waits and arrives at the other nodes.
+     */
+    constructor(private readonly peers: PeerDemand) {}
+
+    /** @param classes - The classes that replace the former ones. */
+    updateClasses(classes: readonly ClassQueue[]): void {
+        this.classes = classes;
+    }
+
+    /**
+     * Advises whether a request may wait.
+     *
+     * @param classQueue - Its class.
+     * @param customer - Its customer.
+     * @param slots - Slots of the pool that all nodes use together.
+     * @param nowMs - Monotonic time.
+     * @returns The advice.
+     */
+    advise(classQueue: ClassQueue, customer: string, slots: number, nowMs: number): AdmissionAdvice {
+        const waitMs = this.predictWaitMs(
+            classQueue,
+            this.countAhead(classQueue, customer) + 1,
+            slots,
+            nowMs,
+        );
+        const budgetMs = classQueue.readWaitBudgetMs();
+        return {
+            admitted: waitMs <= budgetMs * refusalMargin,
+            waitMs,
+            retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
+        };
+    }
+
+    /**
+     * Predicts the wait of the last waiting request of a class.
+     *
+     * @param classQueue - The class.
+     * @param slots - Slots of the pool that all nodes use together.
+     * @param nowMs - Monotonic time.
+     * @returns Whether it will be too late, and when to come back.
+     */
+    adviseLast(classQueue: ClassQueue, slots: number, nowMs: number): AdmissionAdvice {
+        const waitMs = this.predictWaitMs(classQueue, classQueue.queue.countWaiting(), slots, nowMs);
+        const budgetMs = classQueue.readWaitBudgetMs();
+        return {
+            admitted: waitMs <= budgetMs * refusalMargin,
+            waitMs,
+            retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
+        };
+    }
+
+    /**
+     * A customer's request waits for its own queue, and for as many requests of each other customer.
+     */
+    private countAhead(classQueue: ClassQueue, customer: string): number {
+        const { queue } = classQueue;
+        const own = queue.countCustomerWaiting(customer);
+        const others = queue.countActiveCustomers() - (own > 0 ? 1 : 0);
+        return Math.min(queue.countWaiting(), own + others * (own + 1));
+    }
+
+    private predictWaitMs(classQueue: ClassQueue, position: number, slots: number, nowMs: number): number {
+        const { tier, weight, floorShare } = classQueue.settings;
+        let higherLoad = 0;
+        let higherWorkMs = 0;
+        let tierWorkMs = 0;
+        let tierWeight = weight;
+        for (const other of this.classes) {
+            const holdingMs = other.holdingMs.readMean();
+            const elsewhere = this.peers.readDemand(other.settings.name);
+            const workMs = (other.queue.countWaiting() + elsewhere.waiting) * holdingMs;
+            if (other.settings.tier < tier) {
+                const perSecond = other.admitted.readPerSecond(nowMs) + elsewhere.perSecond;
+                higherLoad += (perSecond * holdingMs) / 1_000;
+                higherWorkMs += workMs;
+            } else if (other !== classQueue && other.settings.tier === tier && workMs > 0) {
+                tierWorkMs += workMs;
+                tierWeight += other.settings.weight;
+            }
+        }
+        const elsewhere = this.peers.readDemand(classQueue.settings.name).waiting;
+        // The same place in the queues of the other nodes.
+        const share = Math.min(1, position / (classQueue.queue.countWaiting() + 1));
+        const ownWorkMs = (position + elsewhere * share) * classQueue.holdingMs.readMean();
+        const fairWorkMs = Math.min(ownWorkMs + tierWorkMs, (ownWorkMs * tierWeight) / weight);
+        const leftSlots = Math.max(slots - higherLoad, slots * floorShare, leastSlots);
+        return higherWorkMs / Math.max(slots, leastSlots) + fairWorkMs / leftSlots;
+    }
+}
+
+/**
+ * Keeps a time to come back within bounds.
+ *
+ * @param retryAfterMs - The computed time, in milliseconds.
+ * @returns The time to send.
+ */
+export function limitRetryAfterMs(retryAfterMs: number): number {
+    return Math.round(Math.min(Math.max(retryAfterMs, leastRetryAfterMs), greatestRetryAfterMs));
+}
--- /dev/null
+++ b/packages/policy/src/fairness/fairQueue.ts
@@ -0,0 +1,210 @@
+/**
+ * The waiting requests of one class, shared fairly between customers by served tokens.
+ *
+ * @packageDocumentation
+ */
+import { Heap } from "heap-js";
+import type { QueuedRequest } from "../scheduling/poolScheduler.js";
+
+/** A waiting request; removed entries stay in the queue until they reach its head. */
+export interface WaitingEntry {
+    readonly request: QueuedRequest;
+    /** Latest useful start, in monotonic milliseconds. */
+    readonly latestStartMs: number;
+    removed: boolean;
+}
+
+interface CustomerAccount {
+    readonly name: string;
+    /** Tokens served, divided by the customer's weight. */
+    served: number;
+    /** Makes older heap entries of the account stale. */
+    version: number;
+    waiting: number;
+    entries: WaitingEntry[];
+    head: number;
+}
+
+interface AccountKey {
+    readonly account: CustomerAccount;
+    readonly version: number;
+    readonly served: number;
+}
+
+const compactionLength = 64;
+
+/**
+ * Serves the customer with the fewest served tokens first. A customer that becomes active starts at
+ * the least served active customer, so that idle time earns no credit.
+ */
+export class FairQueue {
+    private readonly accounts = new Map<string, CustomerAccount>();
+    private readonly heap = new Heap<AccountKey>((left, right) => left.served - right.served);
+    /** Retries, moves and resumed streams; they were ordered before and keep their place. */
+    private readonly first: WaitingEntry[] = [];
+    private lastMinimum = 0;
+    private waiting = 0;
+    private activeCustomers = 0;
+
+    /**
+     * @param readWeight - Reads the weight of a customer.
+     */
+    constructor(private readonly readWeight: (customer: string) => number) {}
+
+    /**
+     * Adds a waiting request.
+     *
+     * @param entry - The request.
+     * @param ahead - Whether it goes before every customer's queue.
+     */
+    add(entry: WaitingEntry, ahead: boolean): void {
+        this.waiting += 1;
+        if (ahead) {
+            this.first.push(entry);
+            return;
+        }
+        const account = this.getAccount(entry.request.customer);
+        if (account.waiting === 0) {
+            this.activateAccount(account);
+        }
+        account.waiting += 1;
+        account.entries.push(entry);
+    }
+
+    /**
+     * Removes a waiting request; its place is cleaned up later.
+     *
+     * @param entry - An entry that was added and not yet taken.
+     * @param ahead - As it was added.
+     */
+    remove(entry: WaitingEntry, ahead: boolean): void {
+        entry.removed = true;
+        this.waiting -= 1;
+        if (ahead) {
+            return;
+        }
+        const account = this.getAccount(entry.request.customer);
+        account.waiting -= 1;
+        this.deactivateEmptyAccount(account);
+    }
+
+    /**
+     * Finds the entry to serve next.
+     *
+     * @returns The entry, or undefined when none waits.
+     */
+    next(): WaitingEntry | undefined {
+        while (this.first[0]?.removed === true) {
+            this.first.shift();
+        }
+        if (this.first[0] !== undefined) {
+            return this.first[0];
+        }
+        const account = this.findLeastServed();
+        return account === undefined ? undefined : this.findHead(account);
+    }
+
+    /**
+     * Finds the newest waiting entry of the customer that was served most.
+     *
+     * @returns The entry to shed first, or undefined when only entries that were ordered before wait.
+     */
+    findLast(): WaitingEntry | undefined {
+        let most: CustomerAccount | undefined;
+        for (const account of this.accounts.values()) {
+            if (account.waiting > 0 && (most === undefined || account.served > most.served)) {
+                most = account;
+            }
+        }
+        return most?.entries.findLast((entry) => !entry.removed);
+    }
+
+    /**
+     * Charges tokens to a customer.
+     *
+     * @param customer - The customer.
+     * @param tokens - Tokens; negative to correct an estimate.
+     */
+    recordServed(customer: string, tokens: number): void {
+        const account = this.getAccount(customer);
+        account.served += tokens / this.readWeight(customer);
+        if (tokens < 0 && account.waiting > 0) {
+            this.pushAccount(account);
+        }
+    }
+
+    /** @returns Waiting requests of the class. */
+    countWaiting(): number {
+        return this.waiting;
+    }
+
+    /**
+     * @param customer - A customer.
+     * @returns Its waiting requests.
+     */
+    countCustomerWaiting(customer: string): number {
+        return this.accounts.get(customer)?.waiting ?? 0;
+    }
+
+    /** @returns Customers with waiting requests. */
+    countActiveCustomers(): number {
+        return this.activeCustomers;
+    }
+
+    private getAccount(name: string): CustomerAccount {
+        let account = this.accounts.get(name);
+        if (account === undefined) {
+            account = { name, served: this.lastMinimum, version: 0, waiting: 0, entries: [], head: 0 };
+            this.accounts.set(name, account);
+        }
+        return account;
+    }
+
+    private activateAccount(account: CustomerAccount): void {
+        const least = this.findLeastServed()?.served ?? this.lastMinimum;
+        account.served = Math.max(account.served, least);
+        this.activeCustomers += 1;
+        this.pushAccount(account);
+    }
+
+    private deactivateEmptyAccount(account: CustomerAccount): void {
+        if (account.waiting > 0) {
+            return;
+        }
+        account.version += 1;
+        account.entries = [];
+        account.head = 0;
+        this.activeCustomers -= 1;
+    }
+
+    private pushAccount(account: CustomerAccount): void {
+        account.version += 1;
+        this.heap.push({ account, version: account.version, served: account.served });
+    }
+
+    private findLeastServed(): CustomerAccount | undefined {
+        for (let key = this.heap.peek(); key !== undefined; key = this.heap.peek()) {
+            const { account } = key;
+            if (key.version === account.version && key.served >= account.served) {
+                this.lastMinimum = Math.max(this.lastMinimum, account.served);
+                return account;
+            }
+            this.heap.pop();
+            if (key.version === account.version) {
+                this.pushAccount(account);
+            }
+        }
+        return undefined;
+    }
+
+    private findHead(account: CustomerAccount): WaitingEntry | undefined {
+        while (account.entries[account.head]?.removed === true) {
+            account.head += 1;
+        }
+        if (account.head > compactionLength && account.head * 2 > account.entries.length) {
+            account.entries = account.entries.slice(account.head);
+            account.head = 0;
+        }
+        return account.entries[account.head];
+    }
+}
--- /dev/null
+++ b/packages/policy/src/fairness/peerLedger.ts
@@ -0,0 +1,55 @@
+/**
+ * Tokens that the other nodes served, so that a customer's share is one over all nodes.
+ *
+ * @packageDocumentation
+ */
+import type { PoolSummary } from "../scheduling/poolScheduler.js";
+
+interface PeerRecord {
+    sequence: number;
+    readonly tokens: Map<string, number>;
+}
+
+/** A change of a customer's served tokens. */
+export interface ServedChange {
+    readonly requestClass: string;
+    readonly customer: string;
+    readonly tokens: number;
+}
+
+/** Turns the running totals of peers into changes. */
+export class PeerLedger {
+    private readonly peers = new Map<string, PeerRecord>();
+
+    /**
+     * Compares a summary with the peer's former one.
+     *
+     * @param summary - A peer's summary.
+     * @returns The changes; none for an old or repeated summary. The first summary of a peer counts
+     * as zero change, since its past is not this node's.
+     */
+    recordSummary(summary: PoolSummary): ServedChange[] {
+        const known = this.peers.get(summary.node);
+        if (known !== undefined && summary.sequence <= known.sequence) {
+            return [];
+        }
+        const peer = known ?? { sequence: 0, tokens: new Map<string, number>() };
+        this.peers.set(summary.node, peer);
+        peer.sequence = summary.sequence;
+        const changes: ServedChange[] = [];
+        for (const [name, total] of Object.entries(summary.servedTokens)) {
+            const before = peer.tokens.get(name) ?? (known === undefined ? total : 0);
+            peer.tokens.set(name, total);
+            const [requestClass, customer] = name.split("/");
+            if (total !== before && requestClass !== undefined && customer !== undefined) {
+                changes.push({ requestClass, customer, tokens: total - before });
+            }
+        }
+        return changes;
+    }
+
+    /** @param node - A peer that is gone. */
+    removePeer(node: string): void {
+        this.peers.delete(node);
+    }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,3 +16,13 @@
 } from "./scheduling/poolScheduler.js";
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
+export { TieredScheduler } from "./scheduling/tieredScheduler.js";
+export { QueueOrder } from "./scheduling/queueOrder.js";
+export type { ChosenEntry } from "./scheduling/queueOrder.js";
+export { LocalSlots } from "./capacity/localSlots.js";
+export { LentSlots } from "./capacity/lentSlots.js";
+export type { LentSlotsOptions } from "./capacity/lentSlots.js";
+export type { ServerSlots, SlotPolicy, SlotsByNode, SlotSummary } from "./capacity/slotPolicy.js";
+export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
+export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
+export { RetryBudget } from "./retries/retryBudget.js";
--- /dev/null
+++ b/packages/policy/src/scheduling/classQueue.ts
@@ -0,0 +1,60 @@
+/**
+ * The state of one request class in a pool.
+ *
+ * @packageDocumentation
+ */
+import type { RequestClass } from "@pimentocleat/schema";
+import { FairQueue } from "../fairness/fairQueue.js";
+import { MeanEstimator, RateEstimator } from "./estimators.js";
+
+const demandMemoryMs = 2_000;
+const initialHoldingShare = 0.25;
+const initialFirstTokenShare = 0.2;
+const initialTokens = 64;
+/** Share of the target that a request may always wait, so that slow engines don't refuse everything. */
+const leastBudgetShare = 0.1;
+
+/** Queue, order and estimates of one class. */
+export class ClassQueue {
+    readonly queue: FairQueue;
+    /** Slot time used, divided by the weight; orders the classes of a tier. */
+    virtualTime = 0;
+    /** Slot starts that the floor owes; see {@link QueueOrder}. */
+    floorCredit: number;
+    /** How long a request holds its slot, in milliseconds. */
+    readonly holdingMs: MeanEstimator;
+    /** From start to first token, in milliseconds. */
+    readonly firstTokenMs: MeanEstimator;
+    /** Tokens of an answer. */
+    readonly tokens = new MeanEstimator(initialTokens);
+    readonly offered: RateEstimator;
+    readonly admitted: RateEstimator;
+
+    /**
+     * @param settings - The class.
+     * @param readWeight - Reads the weight of a customer.
+     * @param nowMs - Monotonic time.
+     * @param floorPhase - Initial floor credit, from 0 to 1; differs between nodes.
+     */
+    constructor(
+        public settings: RequestClass,
+        readWeight: (customer: string) => number,
+        nowMs: number,
+        floorPhase: number,
+    ) {
+        this.queue = new FairQueue(readWeight);
+        this.floorCredit = floorPhase;
+        this.holdingMs = new MeanEstimator(settings.completeMs * initialHoldingShare);
+        this.firstTokenMs = new MeanEstimator(settings.firstTokenMs * initialFirstTokenShare);
+        this.offered = new RateEstimator(demandMemoryMs, nowMs);
+        this.admitted = new RateEstimator(demandMemoryMs, nowMs);
+    }
+
+    /** @returns How long a request may wait for a slot and meet its targets, in milliseconds. */
+    readWaitBudgetMs(): number {
+        const { firstTokenMs, completeMs } = this.settings;
+        const untilFirstMs = firstTokenMs - this.firstTokenMs.readHigh();
+        const untilCompleteMs = completeMs - this.holdingMs.readMean();
+        return Math.max(Math.min(untilFirstMs, untilCompleteMs), firstTokenMs * leastBudgetShare);
+    }
+}
--- /dev/null
+++ b/packages/policy/src/scheduling/estimators.ts
@@ -0,0 +1,91 @@
+/**
+ * Running estimates of durations and rates.
+ *
+ * @packageDocumentation
+ */
+
+/** Exponentially weighted mean and mean deviation, as TCP estimates its round trip. */
+export class MeanEstimator {
+    private mean: number;
+    private deviation: number;
+    private samples = 0;
+
+    /**
+     * @param initial - Value until the first sample.
+     * @param gain - Weight of a new sample, 0 to 1.
+     */
+    constructor(
+        initial: number,
+        private readonly gain = 0.05,
+    ) {
+        this.mean = initial;
+        this.deviation = 0;
+    }
+
+    /** @param value - A new sample. */
+    record(value: number): void {
+        this.samples += 1;
+        // The first samples weigh more, so that the estimate settles quickly.
+        const gain = Math.max(this.gain, 1 / this.samples);
+        const difference = value - this.mean;
+        this.mean += gain * difference;
+        this.deviation += gain * (Math.abs(difference) - this.deviation);
+    }
+
+    /** @returns The mean. */
+    readMean(): number {
+        return this.mean;
+    }
+
+    /** @returns The mean plus two mean deviations. */
+    readHigh(): number {
+        return this.mean + 2 * this.deviation;
+    }
+
+    /** @returns Samples so far. */
+    countSamples(): number {
+        return this.samples;
+    }
+}
+
+/** Rate of events with an exponentially decaying memory. */
+export class RateEstimator {
+    private weight = 0;
+    private lastMs: number;
+
+    /**
+     * @param memoryMs - Time constant, in milliseconds.
+     * @param startMs - Monotonic time of the start.
+     */
+    constructor(
+        private readonly memoryMs: number,
+        private readonly startMs: number,
+    ) {
+        this.lastMs = startMs;
+    }
+
+    /**
+     * @param amount - Events or units.
+     * @param nowMs - Monotonic time.
+     */
+    record(amount: number, nowMs: number): void {
+        this.decay(nowMs);
+        this.weight += amount;
+    }
+
+    /**
+     * @param nowMs - Monotonic time.
+     * @returns Units a second.
+     */
+    readPerSecond(nowMs: number): number {
+        this.decay(nowMs);
+        const ageMs = nowMs - this.startMs;
+        const spanMs = this.memoryMs * (1 - Math.exp(-ageMs / this.memoryMs));
+        return spanMs <= 0 ? 0 : (this.weight * 1_000) / Math.max(spanMs, this.memoryMs / 10);
+    }
+
+    private decay(nowMs: number): void {
+        this.weight *= Math.exp((this.lastMs - nowMs) / this.memoryMs);
+        this.lastMs = nowMs;
+    }
+}
--- a/packages/policy/src/scheduling/poolScheduler.ts
+++ b/packages/policy/src/scheduling/poolScheduler.ts
@@ -33,13 +33,19 @@
     | { readonly type: "queued" }
     | { readonly type: "refused"; readonly kind: ErrorKind; readonly retryAfterMs: number };
 
-/** What the dispatch task must do. */
+/**
+ * What the dispatch task must do. `move` asks to continue a running request on `server`, because its
+ * present server leaves: the slot on `server` is taken from now on, and the outcome of the former
+ * server's try is still to be recorded.
+ */
 export type Decision =
     | {
           readonly type: "start";
           readonly requestId: string;
           readonly server: string;
           readonly priority: number;
+          /** Whether the class got the slot by its floor, ahead of a higher tier. */
+          readonly byFloor?: boolean;
       }
     | {
           readonly type: "refuse";
@@ -100,10 +106,19 @@
     readonly running: Readonly<Record<string, number>>;
     /** Recent demand by class, in requests a second. */
     readonly demand: Readonly<Record<string, number>>;
-    /** Tokens served recently by customer. */
+    /**
+     * Tokens served since the node's start, by `class/customer`; entries that didn't change recently
+     * may be left out.
+     */
     readonly servedTokens: Readonly<Record<string, number>>;
     /** Servers that this node sees as stragglers. */
     readonly stragglers: readonly string[];
+    /** The node's own slots that other nodes may use, by node and server; absent means none. */
+    readonly lent?: Readonly<Record<string, Readonly<Record<string, number>>>>;
+    /** Slots of other nodes that this node uses, by owner and server; absent means none. */
+    readonly borrowed?: Readonly<Record<string, Readonly<Record<string, number>>>>;
+    /** Sequence of the last summary received from each node; lets owners reuse withdrawn slots early. */
+    readonly acknowledged?: Readonly<Record<string, number>>;
 }
 
 /** A snapshot for operators and reports. */
@@ -153,6 +168,11 @@
     /** When to call {@link PoolScheduler.takeDecisions} again without an event; monotonic milliseconds. */
     readNextWakeMs(): number | undefined;
     summarizePool(): PoolSummary;
+    /**
+     * Whether a summary should go to the other nodes now instead of at the next period: urgent work
+     * waits, or a slot was lent or returned. Never more often than every 20 ms.
+     */
+    isSummaryDue?(): boolean;
     readStatus(): PoolStatus;
 }
 
--- /dev/null
+++ b/packages/policy/src/scheduling/poolState.ts
@@ -0,0 +1,275 @@
+/**
+ * The parts of a pool's scheduler and the steps that concern several of them.
+ *
+ * @packageDocumentation
+ */
+import { AdmissionController } from "../admission/admissionController.js";
+import { LentSlots } from "../capacity/lentSlots.js";
+import { PeerDemand } from "../capacity/peerDemand.js";
+import type { SlotPolicy } from "../capacity/slotPolicy.js";
+import { PeerLedger } from "../fairness/peerLedger.js";
+import { ServerRouter } from "../routing/serverRouter.js";
+import { ClassQueue } from "./classQueue.js";
+import type {
+    AttemptOutcome,
+    LoadReport,
+    PoolConfiguration,
+    PoolSummary,
+    QueuedRequest,
+} from "./poolScheduler.js";
+import { QueueOrder } from "./queueOrder.js";
+import type { RunningRequest } from "./runningRequests.js";
+import { RunningRequests } from "./runningRequests.js";
+import type { SchedulerOptions } from "./schedulerOptions.js";
+import type { WaitingRequest } from "./waitingRequests.js";
+import { WaitingRequests } from "./waitingRequests.js";
+
+const hashRange = 4_294_967_296;
+
+/** State of one pool on one node. */
+export class PoolState {
+    readonly waiting = new WaitingRequests();
+    readonly running = new RunningRequests();
+    readonly router = new ServerRouter();
+    readonly ledger = new PeerLedger();
+    readonly peerDemand = new PeerDemand();
+    readonly slots: SlotPolicy;
+    readonly order: QueueOrder;
+    readonly admission: AdmissionController;
+    private classes = new Map<string, ClassQueue>();
+    private classesFromLowestTier: readonly ClassQueue[] = [];
+    private weights = new Map<string, number>();
+    private configuration: PoolConfiguration;
+
+    /** @param options - Options of the scheduler. */
+    constructor(private readonly options: SchedulerOptions) {
+        const nowMs = options.clock.monotonicMs();
+        this.configuration = options.configuration;
+        this.slots = options.createSlotPolicy?.() ?? this.buildLentSlots();
+        this.order = options.createOrder?.(nowMs) ?? new QueueOrder([], nowMs);
+        this.admission = new AdmissionController(this.peerDemand);
+        this.updateConfiguration(options.configuration);
+    }
+
+    /** @returns The pool's name. */
+    readPoolName(): string {
+        return this.configuration.pool.name;
+    }
+
+    /**
+     * Brings a configuration into force.
+     *
+     * @param configuration - The new configuration.
+     * @returns Waiting requests whose class is gone.
+     */
+    updateConfiguration(configuration: PoolConfiguration): WaitingRequest[] {
+        this.configuration = configuration;
+        this.weights = new Map(configuration.customers.map(({ name, weight }) => [name, weight]));
+        const former = this.classes;
+        this.classes = new Map();
+        for (const settings of configuration.classes) {
+            const classQueue = former.get(settings.name) ?? this.buildClassQueue(settings);
+            classQueue.settings = settings;
+            this.classes.set(settings.name, classQueue);
+        }
+        const classes = [...this.classes.values()];
+        this.classesFromLowestTier = classes.toSorted(
+            (left, right) => right.settings.tier - left.settings.tier,
+        );
+        this.order.updateClasses(classes);
+        this.admission.updateClasses(classes);
+        this.router.updateServers(configuration.pool.servers);
+        this.updateSlots();
+        return [...this.waiting.list()].filter(({ classQueue }) => !classes.includes(classQueue));
+    }
+
+    /** Tells the slot policy which servers can take work. */
+    updateSlots(): void {
+        const servers = [];
+        for (const { settings, health, reportedSlots } of this.router.listServers()) {
+            if (health.readLeavesAtMs() === undefined) {
+                const slots = Math.min(settings.slots, reportedSlots ?? settings.slots);
+                servers.push({ name: settings.name, slots });
+            }
+        }
+        this.slots.updateServers(servers);
+    }
+
+    /**
+     * @param name - A class.
+     * @returns Its state, or undefined when the configuration doesn't have it.
+     */
+    findClass(name: string): ClassQueue | undefined {
+        return this.classes.get(name);
+    }
+
+    /** @returns The classes, lowest tier first. */
+    listClassesFromLowestTier(): readonly ClassQueue[] {
+        return this.classesFromLowestTier;
+    }
+
+    /**
+     * @param tier - A tier.
+     * @returns Whether requests of this or a higher tier wait.
+     */
+    hasWaitingBefore(tier: number): boolean {
+        return this.classesFromLowestTier.some(
+            ({ settings, queue }) => settings.tier <= tier && queue.countWaiting() > 0,
+        );
+    }
+
+    /** @returns Highest tier with waiting requests. */
+    findHighestWaitingTier(): number | undefined {
+        const classQueue = this.classesFromLowestTier.findLast(({ queue }) => queue.countWaiting() > 0);
+        return classQueue?.settings.tier;
+    }
+
+    /**
+     * Puts a request into its class's queue.
+     *
+     * @param request - The request.
+     * @param classQueue - Its class.
+     * @param latestStartMs - When its wait ends, in monotonic milliseconds.
+     * @param isAhead - Whether it goes before the customers' queues.
+     */
+    addWaiting(
+        request: QueuedRequest,
+        classQueue: ClassQueue,
+        latestStartMs: number,
+        isAhead: boolean,
+    ): void {
+        if (classQueue.queue.countWaiting() === 0) {
+            this.order.activateClass(classQueue);
+        }
+        const entry = { request, latestStartMs, removed: false };
+        this.waiting.add({ request, classQueue, entry, isAhead });
+    }
+
+    /**
+     * Notes a start.
+     *
+     * @param request - The request.
+     * @param classQueue - Its class.
+     * @param server - Its server.
+     * @param nowMs - Monotonic time.
+     */
+    startRunning(request: QueuedRequest, classQueue: ClassQueue, server: string, nowMs: number): void {
+        this.running.add(request, classQueue, server, nowMs);
+        this.acquireSlot(request.requestId, server);
+        this.router.prefixIndex.addBlocks(server, request.prefixBlocks);
+    }
+
+    /**
+     * Notes that a request continues on another server.
+     *
+     * @param running - The request.
+     * @param server - The new server.
+     */
+    moveRunning(running: RunningRequest, server: string): void {
+        running.formerServer = running.server;
+        running.server = server;
+        this.acquireSlot(running.request.requestId, server);
+    }
+
+    /**
+     * Notes that a try ended.
+     *
+     * @param running - The request.
+     * @param outcome - How it ended.
+     * @param nowMs - Monotonic time.
+     */
+    finishRunning(running: RunningRequest, outcome: AttemptOutcome, nowMs: number): void {
+        const { classQueue, request, server } = running;
+        const holdingMs = nowMs - running.startedMs;
+        this.running.remove(running, nowMs);
+        this.waiting.removeById(request.requestId);
+        this.releaseSlot(request.requestId, server);
+        const health = this.router.findServer(server)?.health;
+        health?.recordOutcome(outcome, nowMs);
+        if (outcome !== "completed") {
+            return;
+        }
+        classQueue.holdingMs.record(holdingMs);
+        if (running.tokens > 0) {
+            classQueue.tokens.record(running.tokens);
+        } else {
+            classQueue.firstTokenMs.record(holdingMs);
+            health?.recordPace(holdingMs);
+        }
+    }
+
+    /**
+     * Frees a slot.
+     *
+     * @param requestId - The request that held it.
+     * @param server - The server.
+     */
+    releaseSlot(requestId: string, server: string): void {
+        const state = this.router.findServer(server);
+        if (state !== undefined) {
+            state.running -= 1;
+        }
+        this.slots.recordEnd(requestId, server);
+    }
+
+    /** @param report - A server's load report. */
+    recordLoadReport(report: LoadReport): void {
+        const server = this.router.findServer(report.server);
+        if (server === undefined) {
+            return;
+        }
+        server.reportedWaiting = report.waitingRequests;
+        this.slots.recordLoadReport(report);
+        if (server.reportedSlots !== report.slots) {
+            server.reportedSlots = report.slots;
+            this.updateSlots();
+        }
+    }
+
+    /** @param summary - A peer's summary. */
+    recordPeerSummary(summary: PoolSummary): void {
+        this.slots.recordPeerSummary(summary);
+        this.peerDemand.recordSummary(summary, this.options.clock.monotonicMs());
+        for (const { requestClass, customer, tokens } of this.ledger.recordSummary(summary)) {
+            this.classes.get(requestClass)?.queue.recordServed(customer, tokens);
+        }
+    }
+
+    /** @param node - A peer that is gone. */
+    removePeer(node: string): void {
+        this.slots.removePeer(node);
+        this.ledger.removePeer(node);
+        this.peerDemand.removePeer(node);
+    }
+
+    private acquireSlot(requestId: string, server: string): void {
+        const state = this.router.findServer(server);
+        if (state !== undefined) {
+            state.running += 1;
+        }
+        this.slots.recordStart(requestId, server);
+    }
+
+    private buildClassQueue(settings: ClassQueue["settings"]): ClassQueue {
+        const nowMs = this.options.clock.monotonicMs();
+        const phase = hashText(`${this.options.node}/${settings.name}`) / hashRange;
+        return new ClassQueue(settings, (customer) => this.weights.get(customer) ?? 1, nowMs, phase);
+    }
+
+    private buildLentSlots(): LentSlots {
+        return new LentSlots({
+            clock: this.options.clock,
+            node: this.options.node,
+            readTier: (name) => this.classes.get(name)?.settings.tier,
+        });
+    }
+}
+
+/** FNV-1a with 32 bits; spreads the nodes' floor credits evenly. */
+function hashText(text: string): number {
+    let hash = 2_166_136_261;
+    for (let index = 0; index < text.length; index += 1) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619) >>> 0;
+    }
+    return hash;
+}
--- a/packages/policy/src/scheduling/schedulerOptions.ts
+++ b/packages/policy/src/scheduling/schedulerOptions.ts
@@ -4,7 +4,9 @@
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
+import type { SlotPolicy } from "../capacity/slotPolicy.js";
 import type { PoolConfiguration } from "./poolScheduler.js";
+import type { QueueOrder } from "./queueOrder.js";
 
 /** Options of a scheduler. */
 export interface SchedulerOptions {
@@ -13,4 +15,8 @@
     readonly clock: Clock;
     /** Name of this node, unique among the nodes that share the pool. */
     readonly node: string;
+    /** Builds another slot policy than the default; for comparisons. */
+    readonly createSlotPolicy?: () => SlotPolicy;
+    /** Builds another order than the default; for comparisons. */
+    readonly createOrder?: (nowMs: number) => QueueOrder;
 }
--- /dev/null
+++ b/packages/policy/src/scheduling/statusReader.ts
@@ -0,0 +1,73 @@
+/**
+ * Descriptions of a pool for other nodes and for operators.
+ *
+ * @packageDocumentation
+ */
+import type { PoolState } from "./poolState.js";
+import type { PoolStatus, PoolSummary, ServerStatus } from "./poolScheduler.js";
+import type { RoutedServer } from "../routing/serverRouter.js";
+
+/** Reads the state of a pool. */
+export class StatusReader {
+    private sequence = 0;
+
+    /**
+     * @param node - This node.
+     * @param state - The pool's state.
+     */
+    constructor(
+        private readonly node: string,
+        private readonly state: PoolState,
+    ) {}
+
+    /**
+     * Describes the pool for the other nodes; each call makes a new summary in order.
+     *
+     * @param nowMs - Monotonic time.
+     * @returns The summary.
+     */
+    summarizePool(nowMs: number): PoolSummary {
+        this.sequence += 1;
+        const waiting: Record<string, number> = {};
+        const demand: Record<string, number> = {};
+        for (const { settings, queue, offered } of this.state.listClassesFromLowestTier()) {
+            waiting[settings.name] = queue.countWaiting();
+            demand[settings.name] = offered.readPerSecond(nowMs);
+        }
+        const servers = [...this.state.router.listServers()];
+        return {
+            pool: this.state.readPoolName(),
+            node: this.node,
+            sequence: this.sequence,
+            waiting,
+            running: Object.fromEntries(servers.map(({ settings, running }) => [settings.name, running])),
+            demand,
+            servedTokens: this.state.running.takeServedTokens(),
+            stragglers: servers
+                .filter(({ health }) => health.readStraggler())
+                .map(({ settings }) => settings.name),
+            ...this.state.slots.summarizeSlots(this.state.findHighestWaitingTier(), this.sequence),
+        };
+    }
+
+    /**
+     * @param nowMs - Monotonic time.
+     * @returns A snapshot for operators.
+     */
+    readStatus(nowMs: number): PoolStatus {
+        return {
+            waiting: this.state.waiting.count(),
+            running: this.state.running.count(),
+            servers: [...this.state.router.listServers()].map((server) => readServerStatus(server, nowMs)),
+        };
+    }
+}
+
+function readServerStatus(server: RoutedServer, nowMs: number): ServerStatus {
+    return {
+        name: server.settings.name,
+        running: server.running,
+        slots: server.settings.slots,
+        state: server.health.readCondition(nowMs),
+    };
+}
--- /dev/null
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -0,0 +1,338 @@
+/**
+ * The scheduler of a pool: strict tiers, fair classes and customers, early refusal.
+ *
+ * @packageDocumentation
+ */
+import { ErrorKind } from "@pimentocleat/types";
+import type { AdmissionAdvice } from "../admission/admissionController.js";
+import { limitRetryAfterMs } from "../admission/admissionController.js";
+import type { ClassQueue } from "./classQueue.js";
+import { PoolState } from "./poolState.js";
+import type {
+    AttemptOutcome,
+    CacheEvent,
+    CancelReason,
+    Decision,
+    LeavingNotice,
+    LoadReport,
+    OfferResult,
+    PoolConfiguration,
+    PoolScheduler,
+    PoolStatus,
+    PoolSummary,
+    QueuedRequest,
+} from "./poolScheduler.js";
+import type { ChosenEntry } from "./queueOrder.js";
+import type { RunningRequest } from "./runningRequests.js";
+import type { SchedulerOptions } from "./schedulerOptions.js";
+import { StatusReader } from "./statusReader.js";
+import type { WaitingRequest } from "./waitingRequests.js";
+
+const noServerRetryAfterMs = 1_000;
+const shedIntervalMs = 100;
+const shedLimit = 32;
+/** Waiting requests that may be passed over in one round because no free server suits them. */
+const passedOverLimit = 16;
+/** Running work is moved so early before its server goes that the move can finish. */
+const moveMarginMs = 500;
+/** With peers or owed floors, decisions are due without an event. */
+const wakeIntervalMs = 100;
+
+/** Decides for one pool on one node; see docs/design/07-order.md. */
+export class TieredScheduler implements PoolScheduler {
+    protected readonly state: PoolState;
+    private readonly status: StatusReader;
+    private decisions: Decision[] = [];
+    private shedAtMs = 0;
+
+    /**
+     * @param options - Configuration, clock, node name and optional parts.
+     */
+    constructor(private readonly options: SchedulerOptions) {
+        this.state = new PoolState(options);
+        this.status = new StatusReader(options.node, this.state);
+    }
+
+    updateConfiguration(configuration: PoolConfiguration): void {
+        for (const waiting of this.state.updateConfiguration(configuration)) {
+            this.refuseWaiting(waiting, ErrorKind.UnknownClass, 0);
+        }
+    }
+
+    offerRequest(request: QueuedRequest): OfferResult {
+        const nowMs = this.readNowMs();
+        const classQueue = this.state.findClass(request.requestClass);
+        if (classQueue === undefined) {
+            return { type: "refused", kind: ErrorKind.UnknownClass, retryAfterMs: 0 };
+        }
+        if (!this.state.router.hasUsableServer(request)) {
+            return { type: "refused", kind: ErrorKind.NoBackendServer, retryAfterMs: noServerRetryAfterMs };
+        }
+        const isAhead = request.attempt > 1 || request.resumedTokens > 0;
+        if (!isAhead) {
+            classQueue.offered.record(1, nowMs);
+            const advice = this.adviseAdmission(classQueue, request, nowMs);
+            if (!advice.admitted) {
+                return { type: "refused", kind: ErrorKind.Overloaded, retryAfterMs: advice.retryAfterMs };
+            }
+            classQueue.admitted.record(1, nowMs);
+        }
+        this.state.addWaiting(request, classQueue, computeLatestStartMs(request, classQueue, nowMs), isAhead);
+        return { type: "queued" };
+    }
+
+    cancelRequest(requestId: string, reason: CancelReason): void {
+        this.state.waiting.removeById(requestId);
+        const running = this.state.running.find(requestId);
+        if (running !== undefined) {
+            this.decisions.push({ type: "cancel", requestId, server: running.server, reason });
+        }
+    }
+
+    recordFirstToken(requestId: string): void {
+        const running = this.state.running.find(requestId);
+        if (running === undefined || running.firstTokenMs !== undefined) {
+            return;
+        }
+        const nowMs = this.readNowMs();
+        running.firstTokenMs = nowMs;
+        running.lastTokenMs = nowMs;
+        const firstTokenMs = nowMs - running.startedMs;
+        running.classQueue.firstTokenMs.record(firstTokenMs);
+        this.state.router.recordFirstToken(running.server, running.request, firstTokenMs);
+    }
+
+    recordTokens(requestId: string, tokens: number): void {
+        const running = this.state.running.find(requestId);
+        if (running === undefined || tokens <= 0) {
+            return;
+        }
+        const nowMs = this.readNowMs();
+        if (running.firstTokenMs !== undefined && nowMs > running.lastTokenMs) {
+            const paceMs = (nowMs - running.lastTokenMs) / tokens;
+            this.state.router.findServer(running.server)?.health.recordPace(paceMs);
+        }
+        running.lastTokenMs = nowMs;
+        this.state.running.recordTokens(running, tokens);
+    }
+
+    recordOutcome(requestId: string, server: string, outcome: AttemptOutcome): void {
+        const running = this.state.running.find(requestId);
+        if (running === undefined) {
+            return;
+        }
+        const nowMs = this.readNowMs();
+        if (running.formerServer === server) {
+            running.formerServer = undefined;
+            this.state.releaseSlot(requestId, server);
+            return;
+        }
+        if (running.server !== server) {
+            return;
+        }
+        this.state.finishRunning(running, outcome, nowMs);
+    }
+
+    recordLoadReport(report: LoadReport): void {
+        this.state.recordLoadReport(report);
+    }
+
+    recordCacheEvent(event: CacheEvent): void {
+        this.state.router.prefixIndex.recordEvent(event);
+    }
+
+    recordLeaving(notice: LeavingNotice): void {
+        const server = this.state.router.findServer(notice.server);
+        if (server === undefined) {
+            return;
+        }
+        server.health.recordLeaving(notice.leavesAtMs);
+        this.state.updateSlots();
+        for (const running of this.state.running.listByServer(notice.server)) {
+            this.addMove(running, notice.leavesAtMs);
+        }
+    }
+
+    recordPeerSummary(summary: PoolSummary): void {
+        this.state.recordPeerSummary(summary);
+    }
+
+    removePeer(node: string): void {
+        this.state.removePeer(node);
+    }
+
+    takeDecisions(): readonly Decision[] {
+        const nowMs = this.readNowMs();
+        this.state.order.advance(nowMs, this.state.slots.countNodes());
+        this.state.slots.updateDemand(this.state.findHighestWaitingTier());
+        this.state.router.updateStragglers(nowMs);
+        this.expireWaiting(nowMs);
+        this.shedWaiting(nowMs);
+        this.startWaiting(nowMs);
+        const decisions = this.decisions;
+        this.decisions = [];
+        return decisions;
+    }
+
+    readNextWakeMs(): number | undefined {
+        const nowMs = this.readNowMs();
+        const earliestMs = this.state.waiting.readEarliestMs();
+        return earliestMs === undefined ? undefined : Math.min(earliestMs, nowMs + wakeIntervalMs);
+    }
+
+    summarizePool(): PoolSummary {
+        return this.status.summarizePool(this.readNowMs());
+    }
+
+    isSummaryDue(): boolean {
+        return this.state.slots.isSummaryDue();
+    }
+
+    readStatus(): PoolStatus {
+        return this.status.readStatus(this.readNowMs());
+    }
+
+    private readNowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
+    private adviseAdmission(classQueue: ClassQueue, request: QueuedRequest, nowMs: number): AdmissionAdvice {
+        const capacity = this.state.slots.readCapacity();
+        const countFree = (name: string): number => this.state.slots.countFree(name);
+        const isFree = this.state.router.hasFreeServer(nowMs, countFree);
+        if (isFree && !this.state.hasWaitingBefore(classQueue.settings.tier)) {
+            return { admitted: true, waitMs: 0, retryAfterMs: 0 };
+        }
+        return this.state.admission.advise(classQueue, request.customer, capacity, nowMs);
+    }
+
+    private addMove(running: RunningRequest, leavesAtMs: number): void {
+        const { request, classQueue, startedMs } = running;
+        const willFinish = startedMs + classQueue.holdingMs.readHigh() < leavesAtMs - moveMarginMs;
+        if (!willFinish && request.repeatable && !this.state.waiting.has(request.requestId)) {
+            this.state.addWaiting(request, classQueue, leavesAtMs - moveMarginMs, true);
+        }
+    }
+
+    private expireWaiting(nowMs: number): void {
+        for (let due = this.state.waiting.findDue(nowMs); due !== undefined;) {
+            const retryAfterMs = limitRetryAfterMs(due.classQueue.readWaitBudgetMs());
+            this.refuseWaiting(due, ErrorKind.QueueDeadline, retryAfterMs);
+            due = this.state.waiting.findDue(nowMs);
+        }
+    }
+
+    /** Refuses waiting requests that became hopeless, from the lowest tier up. */
+    private shedWaiting(nowMs: number): void {
+        if (nowMs - this.shedAtMs < shedIntervalMs) {
+            return;
+        }
+        this.shedAtMs = nowMs;
+        const capacity = this.state.slots.readCapacity();
+        let left = shedLimit;
+        for (const classQueue of this.state.listClassesFromLowestTier()) {
+            left -= this.shedClass(classQueue, { capacity, nowMs, limit: left });
+            if (left <= 0) {
+                return;
+            }
+        }
+    }
+
+    private shedClass(
+        classQueue: ClassQueue,
+        options: { readonly capacity: number; readonly nowMs: number; readonly limit: number },
+    ): number {
+        for (let count = 0; count < options.limit; count += 1) {
+            const advice = this.state.admission.adviseLast(classQueue, options.capacity, options.nowMs);
+            const last = advice.admitted ? undefined : classQueue.queue.findLast();
+            const waiting = last === undefined ? undefined : this.state.waiting.find(last.request.requestId);
+            if (waiting === undefined) {
+                return count;
+            }
+            this.refuseWaiting(waiting, ErrorKind.Shed, advice.retryAfterMs);
+        }
+        return options.limit;
+    }
+
+    private startWaiting(nowMs: number): void {
+        const passedOver: WaitingRequest[] = [];
+        const countFree = (name: string): number => this.state.slots.countFree(name);
+        while (passedOver.length < passedOverLimit && this.state.router.hasFreeServer(nowMs, countFree)) {
+            const chosen = this.state.order.next();
+            if (chosen === undefined) {
+                break;
+            }
+            if (!this.startChosen(chosen, nowMs)) {
+                this.passOver(chosen, passedOver);
+            }
+        }
+        for (const { request, classQueue, entry } of passedOver) {
+            this.state.addWaiting(request, classQueue, entry.latestStartMs, true);
+        }
+    }
+
+    private passOver(chosen: ChosenEntry, passedOver: WaitingRequest[]): void {
+        const waiting = this.state.waiting.find(chosen.entry.request.requestId);
+        if (waiting === undefined) {
+            throw new Error(`request ${chosen.entry.request.requestId} is queued but unknown`);
+        }
+        if (this.state.router.hasUsableServer(waiting.request)) {
+            this.state.waiting.remove(waiting);
+            passedOver.push(waiting);
+        } else {
+            this.refuseWaiting(waiting, ErrorKind.NoBackendServer, noServerRetryAfterMs);
+        }
+    }
+
+    private startChosen(chosen: ChosenEntry, nowMs: number): boolean {
+        const { request, latestStartMs } = chosen.entry;
+        const server = this.state.router.chooseServer(request, {
+            nowMs,
+            slackMs: latestStartMs - nowMs,
+            targetMs: chosen.classQueue.settings.firstTokenMs,
+            countFree: (name) => this.state.slots.countFree(name),
+        });
+        if (server === undefined) {
+            return false;
+        }
+        const name = server.settings.name;
+        this.state.waiting.removeById(request.requestId);
+        this.state.order.recordStart(chosen);
+        const running = this.state.running.find(request.requestId);
+        if (running === undefined) {
+            this.state.startRunning(request, chosen.classQueue, name, nowMs);
+            const priority = chosen.classQueue.settings.tier;
+            this.decisions.push({
+                type: "start",
+                requestId: request.requestId,
+                server: name,
+                priority,
+                byFloor: chosen.byFloor,
+            });
+        } else {
+            this.state.moveRunning(running, name);
+            this.decisions.push({ type: "move", requestId: request.requestId, server: name });
+        }
+        return true;
+    }
+
+    private refuseWaiting(waiting: WaitingRequest, kind: ErrorKind, retryAfterMs: number): void {
+        this.state.waiting.remove(waiting);
+        const { requestId } = waiting.request;
+        // A running request waits for a move; without one it stays where it is.
+        if (this.state.running.find(requestId) === undefined) {
+            this.decisions.push({ type: "refuse", requestId, kind, retryAfterMs });
+        }
+    }
+}
+
+function computeLatestStartMs(request: QueuedRequest, classQueue: ClassQueue, nowMs: number): number {
+    if (request.resumedTokens > 0) {
+        // The caller has part of the answer; the rest is worth having late.
+        return nowMs + classQueue.settings.completeMs;
+    }
+    if (request.attempt > 1) {
+        return Math.max(request.arrivedMs + classQueue.settings.completeMs, nowMs);
+    }
+    return request.arrivedMs + classQueue.readWaitBudgetMs();
+}
