Add the engine and plain service stand-ins and the program launcher

Cause: the entry host had no back ends to be run against, and tests had no way to start programs. Change: an OpenAI-compatible engine with slots, priorities, prefix cache, resume, cancel, load report, cache events, KV export and import, orders; a plain service that counts executions; fault switches and a record of raw headers on both; launchProgram and launchFile start and stop child processes by id.

--- /dev/null
+++ b/packages/standins/bin/engine.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runEngineProgram } from "../lib/index.js";
+
+await runEngineProgram();
--- /dev/null
+++ b/packages/standins/bin/plainService.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runPlainServiceProgram } from "../lib/index.js";
+
+await runPlainServiceProgram();
--- /dev/null
+++ b/packages/standins/src/engine/tokenGenerator.ts
@@ -0,0 +1,96 @@
+/**
+ * Deterministic answers: each token depends only on the model, the prompt, the seed and its position.
+ *
+ * @packageDocumentation
+ */
+
+const vocabularySize = 1_024;
+const consonants = ["b", "d", "f", "g", "l", "m", "n", "p", "r", "s", "t", "v", "z", "ch", "tr", "st"];
+const vowels = ["a", "e", "i", "o"];
+const syllableCount = consonants.length * vowels.length;
+const vocabulary = Array.from({ length: vocabularySize }, (...[, index]) => buildWord(index));
+const spacedVocabulary = vocabulary.map((word) => ` ${word}`);
+
+/** What determines an answer. */
+export interface GenerationSource {
+    readonly model: string;
+    readonly prompt: string;
+    readonly seed: number;
+}
+
+/** Generates the tokens of one answer. */
+export class TokenGenerator {
+    private readonly hash: number;
+
+    /**
+     * @param source - What determines the answer.
+     */
+    constructor(source: GenerationSource) {
+        this.hash = computeHash(`${source.model}\n${source.seed}\n${source.prompt}`);
+    }
+
+    /**
+     * Generates one token.
+     *
+     * @param position - Position in the answer, from 0.
+     * @returns The text, with a leading space but for the first.
+     */
+    buildToken(position: number): string {
+        const index = mixBits(this.hash ^ Math.imul(position + 1, 0x9e3779b1)) & (vocabularySize - 1);
+        return (position === 0 ? vocabulary[index] : spacedVocabulary[index]) as string;
+    }
+
+    /**
+     * Generates the beginning of the answer.
+     *
+     * @param count - Number of tokens.
+     * @returns The text.
+     */
+    buildText(count: number): string {
+        return Array.from({ length: count }, (...[, position]) => this.buildToken(position)).join("");
+    }
+
+    /**
+     * Derives where the model would end its answer.
+     *
+     * @param mean - Mean length, in tokens.
+     * @returns The length, between 1 and twice the mean, in tokens.
+     */
+    computeLength(mean: number): number {
+        return 1 + (mixBits(this.hash) % (2 * mean));
+    }
+}
+
+/**
+ * Counts the tokens of a text, which are its words.
+ *
+ * @param text - The text.
+ * @returns The number of tokens.
+ */
+export function countTokens(text: string): number {
+    return text.match(/\S+/g)?.length ?? 0;
+}
+
+function buildWord(index: number): string {
+    const first = buildSyllable(index % syllableCount);
+    return first + buildSyllable(Math.floor(index / syllableCount) * vowels.length + (index % vowels.length));
+}
+
+function buildSyllable(index: number): string {
+    const consonant = consonants[Math.floor(index / vowels.length) % consonants.length] as string;
+    return consonant + (vowels[index % vowels.length] as string);
+}
+
+function computeHash(text: string): number {
+    let hash = 0x811c9dc5;
+    for (let position = 0; position < text.length; position += 1) {
+        hash = Math.imul(hash ^ text.charCodeAt(position), 0x01000193);
+    }
+    return hash;
+}
+
+function mixBits(value: number): number {
+    const first = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
+    const second = Math.imul(first ^ (first >>> 13), 0xc2b2ae35);
+    return (second ^ (second >>> 16)) >>> 0;
+}
--- a/packages/standins/src/faults/faultHooks.ts
+++ b/packages/standins/src/faults/faultHooks.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { Readable } from "node:stream";
 import { setTimeout as wait } from "node:timers/promises";
 import type { CallCounter } from "./callCounter.js";
 import { findFault, type FaultSwitches, type FaultTarget } from "./faultSwitches.js";
@@ -56,7 +57,11 @@
         if (findFault(request.faults ?? [], "dropReply") !== undefined) {
             reply.raw.destroy();
         }
-        return payload;
+        if (findFault(request.faults ?? [], "failAfterEffect") !== undefined) {
+            return buildFailurePayload(reply);
+        }
+        const cut = findFault(request.faults ?? [], "cutMidAnswer");
+        return cut === undefined ? payload : cutPayload(reply, String(payload), cut.afterTokens);
     });
 }
 
@@ -95,6 +100,23 @@
     return undefined;
 }
 
+function buildFailurePayload(reply: FastifyReply): string {
+    const payload = JSON.stringify({ message: "failed by a fault switch", executed: "unknown" });
+    reply.code(503).removeHeader("x-executed");
+    reply.type("application/json").header("content-length", Buffer.byteLength(payload));
+    return payload;
+}
+
+function cutPayload(reply: FastifyReply, payload: string, length: number): Readable {
+    reply.header("content-length", Buffer.byteLength(payload));
+    return Readable.from(yieldThenFail(payload.slice(0, length)));
+}
+
+async function* yieldThenFail(part: string): AsyncGenerator<Buffer> {
+    yield Buffer.from(part);
+    throw new Error("the answer is cut by a fault switch");
+}
+
 function sendRateLimit(reply: FastifyReply, waitMs: number): FastifyReply {
     const retryAfterMs = Math.ceil(waitMs);
     return reply
--- a/packages/standins/src/faults/faultSchema.ts
+++ b/packages/standins/src/faults/faultSchema.ts
@@ -35,6 +35,7 @@
         retryAfterMs: z.number().positive().default(1_000),
         ...commonFields,
     }),
+    /** Cuts after this many tokens of a completion, or characters of any other answer. */
     z.strictObject({ kind: z.literal("cutMidAnswer"), afterTokens: z.int().nonnegative(), ...commonFields }),
     z.strictObject({ kind: z.literal("crossedAnswers"), ...commonFields }),
     z.strictObject({ kind: z.literal("straggle"), factor: z.number().min(1), ...commonFields }),
--- a/packages/standins/src/faults/faultSwitches.ts
+++ b/packages/standins/src/faults/faultSwitches.ts
@@ -54,6 +54,17 @@
         return this.active.filter((entry) => this.isStruck(entry, target)).map((entry) => entry.fault);
     }
 
+    /**
+     * Reads a fault that is a state of the whole stand-in; it is not counted.
+     *
+     * @param kind - The kind.
+     * @returns The fault, or undefined.
+     */
+    readStanding<Kind extends FaultKind>(kind: Kind): Extract<Fault, { kind: Kind }> | undefined {
+        const entry = this.active.find((candidate) => candidate.fault.kind === kind);
+        return entry?.fault as Extract<Fault, { kind: Kind }> | undefined;
+    }
+
     private isStruck(entry: ActiveFault, target: FaultTarget): boolean {
         const { fault } = entry;
         if (!isMatch(fault.service, target.service) || !isMatch(fault.call, target.call)) {
--- /dev/null
+++ b/packages/standins/src/plainService/plainServiceRoutes.ts
@@ -0,0 +1,141 @@
+/**
+ * Routes of the plain service stand-in; see docs/interfaces/plain-service.md.
+ *
+ * @packageDocumentation
+ */
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import { setTimeout as wait } from "node:timers/promises";
+import { z } from "zod";
+import { findFault, type FaultSwitches, type FaultTarget } from "../faults/faultSwitches.js";
+import type { LaggingValue } from "../program/laggingValue.js";
+import { readRequestId } from "../program/requestRecorder.js";
+import type { ExecutionCounter } from "./executionCounts.js";
+import type { SlotQueue, SlotUse } from "./slotQueue.js";
+
+const orderSchema = z.looseObject({ orderId: z.string().min(1) });
+const bookingSchema = z.looseObject({ seat: z.string().min(1), holder: z.string().min(1) });
+const jobParametersSchema = z.object({ id: z.string().min(1) });
+const jobStates = ["queued", "printing", "done"] as const;
+
+/** What the routes need. */
+export interface PlainServiceParts {
+    readonly counter: ExecutionCounter;
+    readonly load: LaggingValue<SlotUse>;
+    readonly queue: SlotQueue;
+    readonly slots: number;
+    readonly serviceMs: number;
+    readonly switches: FaultSwitches;
+}
+
+interface PlainAnswer {
+    readonly status: number;
+    readonly body: object;
+}
+
+interface SentAnswer extends PlainAnswer {
+    readonly requestId: string;
+}
+
+type Execute = (request: FastifyRequest) => PlainAnswer;
+
+/** Serves the calls. */
+export class PlainServiceRoutes {
+    private readonly holders = new Map<string, string>();
+    private lastAnswer: SentAnswer | undefined;
+
+    /**
+     * @param parts - What they need.
+     */
+    constructor(private readonly parts: PlainServiceParts) {}
+
+    /**
+     * Adds the routes.
+     *
+     * @param server - The server.
+     */
+    register(server: FastifyInstance): void {
+        const { load, counter, slots } = this.parts;
+        server.post("/orders", { config: buildConfig("order") }, async (request, reply) =>
+            this.runCall(request, reply, () => this.confirmOrder(request)),
+        );
+        server.post("/bookings", { config: buildConfig("booking") }, async (request, reply) =>
+            this.runCall(request, reply, () => this.bookSeat(request)),
+        );
+        server.get("/jobs/:id", { config: buildConfig("job") }, async (request, reply) =>
+            this.runCall(request, reply, () => findJob(request)),
+        );
+        server.get("/load", { config: buildConfig("load") }, async () => {
+            const { changedAtMs, value } = load.readValue();
+            return { ...value, slots, measuredAtMs: changedAtMs };
+        });
+        server.get("/counts", async () => counter.readCounts());
+    }
+
+    private async runCall(request: FastifyRequest, reply: FastifyReply, execute: Execute): Promise<object> {
+        await this.parts.queue.acquire();
+        try {
+            await this.waitServiceTime();
+            const answer = this.selectAnswer(request, reply, execute(request));
+            reply.code(answer.status);
+            return answer.body;
+        } finally {
+            this.parts.queue.release();
+        }
+    }
+
+    private async waitServiceTime(): Promise<void> {
+        const factor = this.parts.switches.readStanding("straggle")?.factor ?? 1;
+        if (this.parts.serviceMs > 0) {
+            await wait(this.parts.serviceMs * factor);
+        }
+    }
+
+    private selectAnswer(request: FastifyRequest, reply: FastifyReply, own: PlainAnswer): PlainAnswer {
+        const previous = this.lastAnswer;
+        this.lastAnswer = { ...own, requestId: readRequestId(request) ?? "" };
+        if (previous === undefined || findFault(request.faults, "crossedAnswers") === undefined) {
+            return own;
+        }
+        reply.header("x-request-id", previous.requestId);
+        return previous;
+    }
+
+    private confirmOrder(request: FastifyRequest): PlainAnswer {
+        const { orderId } = orderSchema.parse(request.body);
+        this.countExecution("orders", orderId, request);
+        return { status: 200, body: { outcome: "confirmed", orderId } };
+    }
+
+    private bookSeat(request: FastifyRequest): PlainAnswer {
+        const { seat, holder } = bookingSchema.parse(request.body);
+        if (this.holders.has(seat)) {
+            this.countExecution("refusals", seat, request);
+            return { status: 409, body: { outcome: "taken", seat } };
+        }
+        this.holders.set(seat, holder);
+        this.countExecution("bookings", `${seat}/${holder}`, request);
+        return { status: 200, body: { outcome: "booked", seat, holder } };
+    }
+
+    private countExecution(
+        name: "orders" | "bookings" | "refusals",
+        key: string,
+        request: FastifyRequest,
+    ): void {
+        this.parts.counter.addExecution(name, key);
+        const requestId = readRequestId(request);
+        if (requestId !== undefined) {
+            this.parts.counter.addExecution("requests", requestId);
+        }
+    }
+}
+
+function findJob(request: FastifyRequest): PlainAnswer {
+    const { id } = jobParametersSchema.parse(request.params);
+    const characters = [...id].reduce((sum, character) => sum + (character.codePointAt(0) ?? 0), 0);
+    return { status: 200, body: { jobId: id, status: jobStates[characters % jobStates.length] } };
+}
+
+function buildConfig(call: string): { target: FaultTarget } {
+    return { target: { service: "plain", call } };
+}
--- a/packages/standins/src/platform/platformStandIn.ts
+++ b/packages/standins/src/platform/platformStandIn.ts
@@ -19,8 +19,8 @@
 import { findFault } from "../faults/faultSwitches.js";
 import type { Fault } from "../faults/faultSchema.js";
 import { TokenBucket } from "../faults/tokenBucket.js";
+import { LaggingValue } from "../program/laggingValue.js";
 import { buildStandInServer, startListening, type RunningStandIn } from "../program/standInServer.js";
-import { LaggingHosts } from "./laggingHosts.js";
 import { registerObjectRoutes } from "./objectRoutes.js";
 import { OrderBook, type ReceivedOrder } from "./orderBook.js";
 import { platformOptionsSchema, type PlatformOptions } from "./platformOptions.js";
@@ -47,7 +47,7 @@
 }
 
 interface PlatformParts {
-    readonly hosts: LaggingHosts;
+    readonly hosts: LaggingValue<readonly ListedHost[]>;
     readonly orders: OrderBook;
     readonly usageReports: UsageReportBook;
     readonly weightReads: TokenBucket;
@@ -74,7 +74,7 @@
     let lastArrival = 0;
     const nextArrival = (): number => (lastArrival += 1);
     const parts: PlatformParts = {
-        hosts: new LaggingHosts(settings.hostListLagMs, clock),
+        hosts: new LaggingValue<readonly ListedHost[]>([], settings.hostListLagMs, clock),
         orders: new OrderBook({ checksFencing: settings.checksFencing, clock, nextArrival }),
         usageReports: new UsageReportBook(clock, nextArrival),
         weightReads: new TokenBucket(settings.weightReadsPerSecond, clock),
@@ -93,7 +93,7 @@
     return {
         ...running,
         table,
-        setHosts: (hosts) => parts.hosts.setHosts(hosts),
+        setHosts: (hosts) => parts.hosts.setValue(hosts),
         setWeights: (weights) => {
             parts.weights = weights;
         },
@@ -109,7 +109,7 @@
         target: { service: "weights", call: "list" },
         takeWaitMs: (): number => parts.weightReads.takeWaitMs(),
     };
-    server.get("/hosts", { config: hostsConfig }, async () => ({ hosts: parts.hosts.listHosts() }));
+    server.get("/hosts", { config: hostsConfig }, async () => ({ hosts: parts.hosts.readValue().value }));
     server.post("/orders", { config: orderConfig }, async (request) => {
         const order = serverOrderSchema.parse(request.body);
         return parts.orders.handleOrder(order, findOrderRefusal(request.faults));
@@ -123,7 +123,7 @@
 
 function registerControlRoutes(server: FastifyInstance, parts: PlatformParts): void {
     server.put("/hosts", async (request) => {
-        parts.hosts.setHosts(hostListAnswerSchema.parse(request.body).hosts);
+        parts.hosts.setValue(hostListAnswerSchema.parse(request.body).hosts);
         return { accepted: true };
     });
     server.put("/weights", async (request) => {
--- /dev/null
+++ b/packages/standins/src/program/laggingValue.ts
@@ -0,0 +1,62 @@
+/**
+ * A value whose readers see changes late.
+ *
+ * @packageDocumentation
+ */
+import type { Clock } from "@pimentocleat/types";
+
+const compactionLength = 1_024;
+
+/** A value as it was at some time. */
+export interface DatedValue<Value> {
+    /** Wall time of the change, in milliseconds since the Unix epoch. */
+    readonly changedAtMs: number;
+    readonly value: Value;
+}
+
+interface Version<Value> extends DatedValue<Value> {
+    readonly visibleAtMs: number;
+}
+
+/** Keeps versions of a value until they are visible. */
+export class LaggingValue<Value> {
+    private versions: Version<Value>[];
+
+    /**
+     * @param initial - The first value; visible at once.
+     * @param lagMs - How late a change shows, in milliseconds.
+     * @param clock - Source of time.
+     */
+    constructor(
+        initial: Value,
+        private readonly lagMs: number,
+        private readonly clock: Clock,
+    ) {
+        this.versions = [{ value: initial, changedAtMs: clock.wallMs(), visibleAtMs: -Infinity }];
+    }
+
+    /**
+     * Changes the value.
+     *
+     * @param value - The new value.
+     */
+    setValue(value: Value): void {
+        const visibleAtMs = this.clock.monotonicMs() + this.lagMs;
+        this.versions.push({ value, changedAtMs: this.clock.wallMs(), visibleAtMs });
+        if (this.versions.length > compactionLength) {
+            this.compact();
+        }
+    }
+
+    /** @returns The last visible value and when it was set. */
+    readValue(): DatedValue<Value> {
+        this.compact();
+        return this.versions[0] as Version<Value>;
+    }
+
+    private compact(): void {
+        const nowMs = this.clock.monotonicMs();
+        const current = this.versions.findLastIndex((version) => version.visibleAtMs <= nowMs);
+        this.versions = this.versions.slice(Math.max(0, current));
+    }
+}
--- a/packages/standins/src/program/programOptions.ts
+++ b/packages/standins/src/program/programOptions.ts
@@ -50,14 +50,33 @@
         cli.option(`--${convertToKebabCase(field)} <value>`, `${description} [${variable}]`);
     }
     cli.help();
-    const flags: Record<string, unknown> = {
-        ...cli.parse(["", name, ...input.parameters], { run: false }).options,
-    };
-    if (flags["help"] === true) {
+    const { options } = cli.parse(["", name, ...input.parameters], { run: false });
+    if (options["help"] === true) {
         return undefined;
     }
-    delete flags["--"];
-    return schema.parse({ ...readEnvironment(Object.keys(schema.shape), input.environment), ...flags });
+    const fields = Object.keys(schema.shape);
+    const result = schema.safeParse({
+        ...readEnvironment(fields, input.environment),
+        ...readFlags(fields, options),
+    });
+    if (!result.success) {
+        throw new Error(result.error.issues.map((issue) => formatIssue(issue)).join("; "));
+    }
+    return result.data;
+}
+
+function readFlags(
+    fields: readonly string[],
+    options: Readonly<Record<string, unknown>>,
+): Record<string, unknown> {
+    const fieldByOption = new Map(fields.map((field) => [convertToOptionName(field), field]));
+    const given = Object.entries(options).filter(([option]) => option !== "--");
+    return Object.fromEntries(given.map(([option, value]) => [fieldByOption.get(option) ?? option, value]));
+}
+
+function formatIssue(issue: z.core.$ZodIssue): string {
+    const flags = issue.code === "unrecognized_keys" ? issue.keys : [String(issue.path[0] ?? "")];
+    return `${flags.map((flag) => `--${convertToKebabCase(flag)}`).join(", ")}: ${issue.message}`;
 }
 
 function readEnvironment(
@@ -73,5 +92,12 @@
 }
 
 function convertToKebabCase(field: string): string {
-    return field.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+    return field.replace(/[A-Z]|\d+/g, (part) => `-${part.toLowerCase()}`);
+}
+
+/** The parser joins words at a hyphen between letters only. */
+function convertToOptionName(field: string): string {
+    return convertToKebabCase(field).replace(/([a-z])-([a-z])/g, (...[, before, after]: string[]) => {
+        return `${before}${after?.toUpperCase()}`;
+    });
 }
--- a/packages/standins/src/program/standInServer.ts
+++ b/packages/standins/src/program/standInServer.ts
@@ -9,6 +9,8 @@
 import { CallCounter } from "../faults/callCounter.js";
 import { registerFaultHooks } from "../faults/faultHooks.js";
 import { FaultSwitches } from "../faults/faultSwitches.js";
+import { registerCredentialCheck } from "./credential.js";
+import { registerRecorder, type RequestRecorder } from "./requestRecorder.js";
 
 const maximumBodyBytes = 256 * 1024 * 1024;
 const maximumObjectNameLength = 1_024;
@@ -39,12 +41,21 @@
     readonly counter: CallCounter;
 }
 
+/** What a server does before the faults strike. */
+export interface StandInServerOptions {
+    /** Records the requests and serves them at `GET /record`. */
+    readonly recorder?: RequestRecorder;
+    /** Bearer token that calls must carry. */
+    readonly credential?: string;
+}
+
 /**
  * Builds a server with `POST /faults` and the fault hooks.
  *
+ * @param options - What to do before the faults strike.
  * @returns The server, not listening yet.
  */
-export function buildStandInServer(): StandInServer {
+export function buildStandInServer(options: StandInServerOptions = {}): StandInServer {
     const server = fastify({
         bodyLimit: maximumBodyBytes,
         forceCloseConnections: true,
@@ -56,6 +67,10 @@
         const status = error instanceof ZodError ? 400 : (error.statusCode ?? 500);
         return reply.code(status).send({ message: error.message, executed: "no" });
     });
+    if (options.recorder !== undefined) {
+        registerRecorder(server, options.recorder);
+    }
+    registerCredentialCheck(server, options.credential);
     registerFaultHooks(server, { switches, counter });
     server.post("/faults", async (request) => {
         switches.setPlan(request.body as never);
