Hold leases with a margin for clocks and a fence row for transactions

Cause: control duties need one holder at a time although hosts freeze, clocks differ and answers of the store are lost. Ruled out: guarding transactions by the lease's own row (each renewal would break them, so a fence row that changes with acquisitions only); wall clocks; expiry times written by the holder; taking over on one old sighting. Change: pure timing and rendezvous placement in the policy; a manager that reads all leases in one scan, renews those held in one transaction, resolves lost answers by tokens and renews under the same number after an unused outage. Conclusion: orders and the usage reporter can build on the handle; a duty does not move back to a preferred node.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,12 @@
+export { computePreferenceRank } from "./leases/dutyPlacement.js";
+export {
+    computeFirstSendMs,
+    computeValidUntilMs,
+    defaultLeaseTiming,
+    isTakeoverDue,
+    updateObservation,
+} from "./leases/leaseTiming.js";
+export type { LeaseTiming, ObservedLease, ReceiverTraits } from "./leases/leaseTiming.js";
 export { compareServers, selectPoolConfiguration } from "./scheduling/poolScheduler.js";
 export type {
     AttemptOutcome,
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -13,3 +13,6 @@
 export type { AppliedConfiguration, ConfigurationSource } from "./configuration/configurationSource.js";
 export type { KeyLookup, KeyRegistry } from "./keys/keyRegistry.js";
 export type { UsageAmount, UsageRecorder } from "./usage/usageRecorder.js";
+export { LeaseManager } from "./leases/leaseManager.js";
+export type { LeaseManagerOptions } from "./leases/leaseManager.js";
+export type { LeaseHandle } from "./leases/heldLease.js";
--- /dev/null
+++ b/packages/state/src/leases/__tests__/leaseSteps.ts
@@ -0,0 +1,95 @@
+/**
+ * Random faults of hosts and of the table service, for stateful tests of what runs under leases.
+ *
+ * @packageDocumentation
+ */
+import fc from "fast-check";
+import type { CallFault } from "@pimentocleat/platform";
+import type { LeaseWorld } from "./leaseWorld.js";
+
+export const nodeCount = 3;
+
+const faults: readonly CallFault[] = ["none", "none", "none", "unavailable", "lostReply", "delayed"];
+const nodeArbitrary = fc.nat(nodeCount - 1);
+
+/** One step of a history. */
+export const stepArbitrary = fc.oneof(
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            type: fc.constant("advance" as const),
+            durationMs: fc.constantFrom(200, 1_000, 3_000, 9_000, 20_000),
+        }),
+    },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            type: fc.constant("faults" as const),
+            plan: fc.array(fc.constantFrom(...faults), { minLength: 1, maxLength: 10 }),
+        }),
+    },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("outage" as const) }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("recover" as const) }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("applyDelayed" as const) }) },
+    {
+        weight: 3,
+        arbitrary: fc.record({
+            type: fc.constant("freezeSoon" as const),
+            node: nodeArbitrary,
+            pauses: fc.nat(5),
+        }),
+    },
+    { weight: 2, arbitrary: fc.record({ type: fc.constant("thaw" as const), node: nodeArbitrary }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("crash" as const), node: nodeArbitrary }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("stop" as const), node: nodeArbitrary }) },
+);
+
+/** One step of a history. */
+export type LeaseStep = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+
+/**
+ * Runs one step.
+ *
+ * @param world - The hosts and the table service.
+ * @param step - The step.
+ * @param check - Throws if a promise is broken; runs at each moment.
+ */
+export async function runLeaseStep(world: LeaseWorld, step: LeaseStep, check: () => void): Promise<void> {
+    switch (step.type) {
+        case "advance":
+            await world.advance(step.durationMs, check);
+            break;
+        case "faults": {
+            let calls = 0;
+            world.memory.setFaultPlan(() => step.plan[(calls += 1) % step.plan.length]!);
+            break;
+        }
+        case "outage":
+            world.memory.setFaultPlan(() => "unavailable");
+            break;
+        case "recover":
+            world.memory.setFaultPlan(() => "none");
+            break;
+        case "applyDelayed":
+            world.memory.applyDelayed();
+            break;
+        case "freezeSoon":
+            world.freezeSoon(step.node, step.pauses);
+            break;
+        case "thaw":
+            world.thaw(step.node);
+            break;
+        case "crash":
+            world.nodes[step.node]!.host.freeze();
+            world.startNode(step.node);
+            break;
+        case "stop": {
+            const node = world.nodes[step.node]!;
+            node.stopping.abort();
+            void node.manager.releaseAll();
+            world.startNode(step.node);
+            break;
+        }
+    }
+    await world.advance(100, check);
+}
--- /dev/null
+++ b/packages/state/src/leases/__tests__/leaseWorld.ts
@@ -0,0 +1,113 @@
+/**
+ * Several hosts that compete for leases in one table service.
+ *
+ * @packageDocumentation
+ */
+import { MemoryTableService, type TableService } from "@pimentocleat/platform";
+import { defaultLeaseTiming, type LeaseTiming } from "@pimentocleat/policy";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { ManualClock } from "@pimentocleat/types";
+import { HostTableService, settleTasks, SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
+import { LeaseManager } from "../leaseManager.js";
+
+export const wireBoundMs = 500;
+
+export interface LeaseNode {
+    readonly name: string;
+    readonly host: SimulatedHost;
+    readonly table: HostTableService;
+    readonly manager: LeaseManager;
+    readonly stopping: AbortController;
+}
+
+export interface LeaseWorldOptions {
+    readonly nodeCount: number;
+    readonly leases: readonly string[];
+    readonly timing?: LeaseTiming;
+    /** Wraps the table service; mutants break it. */
+    readonly wrapTable?: (tableService: TableService) => TableService;
+    /** Rates of the hosts' clocks, used in turn. */
+    readonly rates?: readonly number[];
+    /** Starts what runs on a node beside its leases. */
+    readonly onNode?: (node: LeaseNode) => void;
+}
+
+export class LeaseWorld {
+    readonly clock = new ManualClock();
+    readonly memory = new MemoryTableService();
+    readonly nodes: LeaseNode[] = [];
+    /** Every node that ever was: a frozen one may come back. */
+    readonly allNodes: LeaseNode[] = [];
+    private tokens = 0;
+
+    constructor(readonly options: LeaseWorldOptions) {
+        for (let index = 0; index < options.nodeCount; index += 1) {
+            this.startNode(index);
+        }
+    }
+
+    /** Starts a new incarnation in a place. */
+    startNode(index: number): void {
+        const name = `node-${index}-${this.allNodes.length}`;
+        const rates = this.options.rates ?? [1];
+        const host = new SimulatedHost(this.clock, rates[index % rates.length]);
+        const wrapTable = this.options.wrapTable ?? ((service: TableService): TableService => service);
+        const table = new HostTableService(wrapTable(this.memory), host);
+        const manager = new LeaseManager({
+            tableService: table,
+            clock: host,
+            node: name,
+            listNodes: () => this.nodes.map((node) => node.name),
+            logger: new SilentLogger(),
+            random: () => 0.5,
+            createToken: () => `token-${(this.tokens += 1)}`,
+            timing: this.options.timing ?? defaultLeaseTiming,
+            wireBoundMs,
+        });
+        manager.setWanted(this.options.leases);
+        const node: LeaseNode = { name, host, table, manager, stopping: new AbortController() };
+        this.nodes[index] = node;
+        this.allNodes.push(node);
+        void manager.run(node.stopping.signal);
+        this.options.onNode?.(node);
+    }
+
+    /** Freezes a node at the n-th pause from now, before or after a call. */
+    freezeSoon(index: number, pauses: number): void {
+        const { host, table } = this.nodes[index]!;
+        let left = pauses;
+        table.onPause = (): void => {
+            if (left === 0) {
+                host.freeze();
+            }
+            left -= 1;
+        };
+    }
+
+    thaw(index: number): void {
+        const { host, table } = this.nodes[index]!;
+        table.onPause = (): void => {};
+        host.thaw();
+    }
+
+    listValidHolders(lease: string): readonly string[] {
+        return this.allNodes
+            .filter((node) => node.manager.findHeld(lease)?.isValid())
+            .map((node) => node.name);
+    }
+
+    async advance(durationMs: number, check: () => void = () => {}, stepMs = 100): Promise<void> {
+        for (let movedMs = 0; movedMs < durationMs; movedMs += stepMs) {
+            this.clock.advance(stepMs);
+            await settleTasks(2);
+            check();
+        }
+    }
+
+    async calm(durationMs: number, check: () => void = () => {}): Promise<void> {
+        this.memory.setFaultPlan(() => "none");
+        this.memory.applyDelayed();
+        [...this.nodes.keys()].forEach((index) => this.thaw(index));
+        await this.advance(durationMs, check);
+    }
+}
--- /dev/null
+++ b/packages/state/src/leases/leaseManager.ts
@@ -0,0 +1,272 @@
+/**
+ * Holds the leases of one node.
+ *
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import type { CommitResult, Row, TableService, Transaction } from "@pimentocleat/platform";
+import {
+    computePreferenceRank,
+    defaultLeaseTiming,
+    isTakeoverDue,
+    updateObservation,
+    type LeaseTiming,
+    type ObservedLease,
+} from "@pimentocleat/policy";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import { isAmbiguous, runWithTimeout } from "../retrying/callTimeout.js";
+import { HeldLease, type LeaseHandle } from "./heldLease.js";
+import {
+    findStoredLease,
+    formatFenceKey,
+    formatLeaseKey,
+    leaseTable,
+    type LeaseRecord,
+    type StoredLease,
+} from "./leaseRecord.js";
+
+/** Options of {@link LeaseManager}. */
+export interface LeaseManagerOptions {
+    readonly tableService: TableService;
+    readonly clock: WaitingClock;
+    /** This node's incarnation; never used by another process. */
+    readonly node: string;
+    /** Lists the nodes known to be live, for the order of preference. */
+    readonly listNodes: () => readonly string[];
+    readonly logger: Logger;
+    readonly random: () => number;
+    readonly createToken?: () => string;
+    readonly timing?: LeaseTiming;
+    readonly callTimeoutMs?: number;
+    /** Extra wait before a takeover for each node that is preferred over this one, in milliseconds. */
+    readonly preferenceDelayMs?: number;
+    /** Longest time on the wire of any order sent under these leases, in milliseconds. */
+    readonly wireBoundMs: number;
+}
+
+interface PendingAcquisition {
+    readonly token: string;
+    readonly sentMs: number;
+    readonly fencingNumber: number;
+}
+
+const defaultCallTimeoutMs = 1_000;
+const defaultPreferenceDelayMs = 1_000;
+const highestPreferenceRank = 5;
+/** Shortest wait after a failed step, as a share of the renewal interval. */
+const retryShare = 0.2;
+
+/**
+ * Acquires, renews and releases leases. One scan shows all leases; one transaction renews those held. The
+ * fencing number grows with each acquisition and its row is never deleted.
+ */
+export class LeaseManager {
+    private readonly timing: LeaseTiming;
+    private readonly observed = new Map<string, ObservedLease>();
+    private readonly acquisitions = new Map<string, PendingAcquisition>();
+    private readonly held = new Map<string, HeldLease>();
+    private wanted: readonly string[] = [];
+    private stopping = false;
+
+    /** @param options - The table service, the clock and the timing. */
+    constructor(private readonly options: LeaseManagerOptions) {
+        this.timing = options.timing ?? defaultLeaseTiming;
+    }
+
+    /**
+     * Replaces the list of leases that this node tries to hold.
+     *
+     * @param names - The leases.
+     */
+    setWanted(names: readonly string[]): void {
+        this.wanted = [...names];
+    }
+
+    /**
+     * Finds a lease that this node holds, valid or not.
+     *
+     * @param name - The lease.
+     * @returns The lease; it stays the same object until the lease is lost.
+     */
+    findHeld(name: string): LeaseHandle | undefined {
+        return this.held.get(name);
+    }
+
+    /**
+     * Renews and acquires until the signal is aborted.
+     *
+     * @param signal - Ends the loop; leases are kept until {@link LeaseManager.releaseAll}.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const succeeded = await this.advanceOnce();
+            const share = succeeded ? 0.8 + 0.2 * this.options.random() : retryShare;
+            await this.options.clock.wait(this.timing.renewIntervalMs * share, signal);
+        }
+    }
+
+    /**
+     * Takes one step: reads all leases, then renews and acquires what is due.
+     *
+     * @returns Whether the table service answered.
+     */
+    async advanceOnce(): Promise<boolean> {
+        try {
+            const rows = await this.scanLeases();
+            for (const name of new Set([...this.wanted, ...this.held.keys()])) {
+                this.observeLease(name, findStoredLease(rows, name));
+            }
+            await this.renewHeld();
+            for (const name of this.wanted) {
+                await this.acquireIfDue(name, findStoredLease(rows, name));
+            }
+            return true;
+        } catch {
+            return false;
+        }
+    }
+
+    /**
+     * Gives up all leases: first their validity, then, once the last order must have arrived, their rows.
+     *
+     * @returns Resolves when the rows are released or the table service failed.
+     */
+    async releaseAll(): Promise<void> {
+        this.stopping = true;
+        this.held.forEach((lease) => lease.end());
+        await this.options.clock.wait(this.options.wireBoundMs + this.timing.marginMs);
+        for (const lease of this.held.values()) {
+            const record = this.buildRecord(lease.fencingNumber, true);
+            await this.commit(this.buildRenewal([lease], () => record)).catch(() => undefined);
+        }
+        this.held.clear();
+    }
+
+    private observeLease(name: string, stored: StoredLease): void {
+        const { record, version } = stored;
+        const seen = { version, released: record?.released ?? false };
+        const nowMs = this.options.clock.monotonicMs();
+        this.observed.set(name, updateObservation(this.observed.get(name), seen, nowMs));
+        const lease = this.held.get(name);
+        if (lease !== undefined) {
+            if (!lease.confirmWrite(record?.token ?? "", version)) {
+                this.dropLease(lease);
+            }
+            return;
+        }
+        const pending = this.acquisitions.get(name);
+        if (record !== undefined && pending?.token === record.token) {
+            this.addLease(name, pending, version, stored.fenceVersion);
+        }
+    }
+
+    private async renewHeld(): Promise<void> {
+        const due = [...this.held.values()].filter((lease) => lease.isRenewalDue());
+        if (due.length === 0) {
+            return;
+        }
+        const records = new Map(due.map((lease) => [lease, this.buildRecord(lease.fencingNumber, false)]));
+        due.forEach((lease) => lease.startRenewal(records.get(lease)!.token));
+        const result = await this.commit(this.buildRenewal(due, (lease) => records.get(lease)!));
+        if (result.outcome === "conflict") {
+            // The next scan tells which lease is lost; the others stay valid for the rest of their time.
+            throw new Error("renewal conflict");
+        }
+        due.forEach((lease) => lease.confirmWrite(records.get(lease)!.token, result.version));
+    }
+
+    private async acquireIfDue(name: string, stored: StoredLease): Promise<void> {
+        const { clock, node, listNodes, preferenceDelayMs = defaultPreferenceDelayMs } = this.options;
+        const observed = this.observed.get(name);
+        if (observed === undefined || this.held.has(name) || this.stopping) {
+            return;
+        }
+        const rank = Math.min(computePreferenceRank(name, node, listNodes()), highestPreferenceRank);
+        if (!isTakeoverDue(observed, clock.monotonicMs(), this.timing, rank * preferenceDelayMs)) {
+            return;
+        }
+        const record = this.buildRecord((stored.record?.fencingNumber ?? 0) + 1, false);
+        const { token, fencingNumber } = record;
+        const pending = { token, fencingNumber, sentMs: clock.monotonicMs() };
+        this.acquisitions.set(name, pending);
+        const result = await this.commitAcquisition(name, stored, record);
+        if (result?.outcome === "committed") {
+            this.addLease(name, pending, result.version, result.version);
+        }
+    }
+
+    /** Returns undefined when the fate is unknown; the next scan shows it. */
+    private async commitAcquisition(
+        name: string,
+        stored: StoredLease,
+        record: LeaseRecord,
+    ): Promise<CommitResult | undefined> {
+        const lease = { table: leaseTable, key: formatLeaseKey(name) };
+        const fence = { table: leaseTable, key: formatFenceKey(name) };
+        try {
+            return await this.commit({
+                conditions: [
+                    { ...lease, version: stored.version },
+                    { ...fence, version: stored.fenceVersion },
+                ],
+                writes: [
+                    { ...lease, value: record },
+                    { ...fence, value: { fencingNumber: record.fencingNumber } },
+                ],
+            });
+        } catch (error) {
+            if (isAmbiguous(error)) {
+                return undefined;
+            }
+            throw error;
+        }
+    }
+
+    private addLease(name: string, pending: PendingAcquisition, version: number, fenceVersion: number): void {
+        const lease = new HeldLease(
+            { ...pending, name, version, fenceVersion },
+            this.timing,
+            this.options.clock,
+        );
+        this.acquisitions.delete(name);
+        this.held.set(name, lease);
+        this.options.logger.writeEvent("leaseAcquired", { lease: name, fencingNumber: lease.fencingNumber });
+    }
+
+    private dropLease(lease: HeldLease): void {
+        this.held.delete(lease.name);
+        const { name, fencingNumber } = lease;
+        this.options.logger.writeEvent("leaseLost", { lease: name, fencingNumber });
+    }
+
+    private buildRecord(fencingNumber: number, released: boolean): LeaseRecord {
+        const { node: holder, createToken = randomUUID } = this.options;
+        return { holder, token: createToken(), fencingNumber, released };
+    }
+
+    private buildRenewal(
+        leases: readonly HeldLease[],
+        findRecord: (lease: HeldLease) => LeaseRecord,
+    ): Transaction {
+        const rows = leases.map((lease) => ({ lease, table: leaseTable, key: formatLeaseKey(lease.name) }));
+        return {
+            conditions: rows.map(({ lease, table, key }) => ({ table, key, version: lease.readVersion() })),
+            writes: rows.map(({ lease, table, key }) => ({ table, key, value: findRecord(lease) })),
+        };
+    }
+
+    private async scanLeases(): Promise<ReadonlyMap<string, Row>> {
+        const rows = await this.runCall("lease scan", () => this.options.tableService.scanRows(leaseTable));
+        return new Map(rows.map((row) => [row.key, row]));
+    }
+
+    private commit(transaction: Transaction): Promise<CommitResult> {
+        return this.runCall("lease commit", () => this.options.tableService.commitTransaction(transaction));
+    }
+
+    private runCall<Result>(callName: string, call: () => Promise<Result>): Promise<Result> {
+        const { clock, callTimeoutMs: timeoutMs = defaultCallTimeoutMs } = this.options;
+        return runWithTimeout({ clock, timeoutMs, callName }, call);
+    }
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -30,6 +30,8 @@
     requestFinished: defineEvent(2000, "debug", "request finished"),
     requestRefused: defineEvent(2001, "info", "request refused"),
     requestRetried: defineEvent(2002, "info", "request retried"),
+    leaseAcquired: defineEvent(4000, "info", "lease acquired"),
+    leaseLost: defineEvent(4001, "warn", "lease lost to another node"),
     claimOutcomeDelayed: defineEvent(4500, "warn", "outcome of a claim not stored yet; retrying"),
     claimOutcomeDropped: defineEvent(4501, "error", "too many outcomes wait; the oldest was dropped"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
