--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -16,3 +16,14 @@
 export { LeaseManager } from "./leases/leaseManager.js";
 export type { LeaseManagerOptions } from "./leases/leaseManager.js";
 export type { LeaseHandle } from "./leases/heldLease.js";
+export { buildSnapshot, computeContentDigest } from "./configuration/configurationSnapshot.js";
+export type { ConfigurationSnapshot } from "./configuration/configurationSnapshot.js";
+export type {
+    ApplyRequest,
+    ApplyResult,
+    ConfigurationStore,
+    FileChange,
+    FileConflict,
+} from "./configuration/configurationStore.js";
+export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
+export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
