--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,12 @@
+export { computePreferenceRank } from "./leases/dutyPlacement.js";
+export {
+    computeFirstSendMs,
+    computeValidUntilMs,
+    defaultLeaseTiming,
+    isTakeoverDue,
+    updateObservation,
+} from "./leases/leaseTiming.js";
+export type { LeaseTiming, ObservedLease, ReceiverTraits } from "./leases/leaseTiming.js";
 export { compareServers, selectPoolConfiguration } from "./scheduling/poolScheduler.js";
 export type {
     AttemptOutcome,
@@ -17,3 +26,14 @@
 export * from "./membership/index.js";
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
+export { createRandom } from "./random/random.js";
+export { TieredScheduler } from "./scheduling/tieredScheduler.js";
+export { QueueOrder } from "./scheduling/queueOrder.js";
+export type { ChosenEntry } from "./scheduling/queueOrder.js";
+export { LocalSlots } from "./capacity/localSlots.js";
+export { LentSlots } from "./capacity/lentSlots.js";
+export type { LentSlotsOptions } from "./capacity/lentSlots.js";
+export type { ServerSlots, SlotPolicy, SlotsByNode, SlotSummary } from "./capacity/slotPolicy.js";
+export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
+export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
+export { RetryBudget } from "./retries/retryBudget.js";
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,6 +6,24 @@
     ClaimStore,
     StoredAnswer,
 } from "./claims/claimStore.js";
+export { defaultClaimRetentionMs, removeExpiredClaims } from "./claims/claimCleaner.js";
+export type { ClaimCleanerOptions, ClaimCleanerStep } from "./claims/claimCleaner.js";
+export { TableClaimStore, defaultClaimStoreSettings } from "./claims/tableClaimStore.js";
+export type { ClaimStoreSettings, TableClaimStoreOptions } from "./claims/tableClaimStore.js";
 export type { AppliedConfiguration, ConfigurationSource } from "./configuration/configurationSource.js";
 export type { KeyLookup, KeyRegistry } from "./keys/keyRegistry.js";
 export type { UsageAmount, UsageRecorder } from "./usage/usageRecorder.js";
+export { LeaseManager } from "./leases/leaseManager.js";
+export type { LeaseManagerOptions } from "./leases/leaseManager.js";
+export type { LeaseHandle } from "./leases/heldLease.js";
+export { buildSnapshot, computeContentDigest } from "./configuration/configurationSnapshot.js";
+export type { ConfigurationSnapshot } from "./configuration/configurationSnapshot.js";
+export type {
+    ApplyRequest,
+    ApplyResult,
+    ConfigurationStore,
+    FileChange,
+    FileConflict,
+} from "./configuration/configurationStore.js";
+export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
+export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
