Choose retries by the policy's table and budget

Cause: the request path had a choice of its own, without a budget, so that failures could multiply load; a caller heard "no backend server" when the true failure was another; a process frozen between claim and send could still send. Ruled out: charging continued streams and moves to the budget, because a reclaimed data centre would then lose nine of ten streams; charging connections that never opened, because they cost no work. Change: chooseFailureAction rests on chooseRetryAction and one RetryBudget a pool; the last failure is what the caller hears; a claimed request is not sent later than 120 s after its claim. Conclusion: one table decides; the request path adds only what it alone knows.

--- a/packages/node/src/__tests__/support/testNode.ts
+++ b/packages/node/src/__tests__/support/testNode.ts
@@ -153,6 +153,7 @@
                 models: ["copy-1"],
                 credentialVariable,
                 answerTimeoutMs,
+                retryShare: 1,
                 servers: buildServers("engine", options.engines),
             },
             {
@@ -160,6 +161,7 @@
                 kind: "plain",
                 credentialVariable,
                 answerTimeoutMs,
+                retryShare: 1,
                 servers: buildServers("order", options.services),
             },
         ],
--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -72,7 +72,7 @@
         const trace = new TraceRecorder(routed, this.options.clock);
         this.options.traces.addTrace(trace);
         const caller = routed.modelCall?.streamed ? this.openStream(routed, active, reply) : undefined;
-        const context: RunContext = { request: routed, active, trace, caller, claimed: false };
+        const context: RunContext = { request: routed, active, trace, caller, sendByMs: undefined };
         const run = this.startRun(context);
         try {
             const result = await (routed.repeatable ? run : raceWithdrawal(run, active));
--- a/packages/node/src/dispatch/chooseFailureAction.ts
+++ b/packages/node/src/dispatch/chooseFailureAction.ts
@@ -1,43 +1,39 @@
 /**
- * What to do after a failed try.
+ * What to do after a failed try: the policy's table, with what only the request path knows.
  *
  * @packageDocumentation
  */
-import type { AttemptOutcome } from "@pimentocleat/policy";
-import { ErrorKind, RouterError, type Executed } from "@pimentocleat/types";
+import {
+    buildFailure,
+    chooseRetryAction,
+    type FailedAttempt,
+    type FailedOutcome,
+    type RetryBudget,
+} from "@pimentocleat/policy";
+import { RouterError } from "@pimentocleat/types";
 import type { AttemptFailure, AttemptFailureType } from "../upstream/attemptFailure.js";
 
 /** A failed try and what the caller has so far. */
 export interface FailureSituation {
     readonly failure: AttemptFailure;
+    readonly attempt: number;
+    /** Whether an earlier try of the same request may have reached a backend server. */
+    readonly sentBefore: boolean;
     /** Whether the request may reach a backend server more than once. */
     readonly repeatable: boolean;
     /** Whether a request that may not be repeated has a claim on its idempotency key. */
     readonly claimed: boolean;
-    readonly attempt: number;
-    readonly maximumAttempts: number;
-    readonly streamStarted: boolean;
+    readonly streamedTokens: number;
     readonly resumable: boolean;
+    /** Whether the scheduler moved the request; such a move is not charged to the budget. */
+    readonly moved: boolean;
 }
 
 /** What to do. */
 export type FailureAction =
-    | { readonly type: "retry" }
-    | { readonly type: "resume" }
-    | { readonly type: "fail"; readonly error: RouterError };
+    { readonly type: "tryElsewhere" } | { readonly type: "fail"; readonly error: RouterError };
 
-const failureKinds: Readonly<Record<AttemptFailureType, ErrorKind>> = {
-    connectFailed: ErrorKind.BackendFailed,
-    connectionLost: ErrorKind.BackendFailed,
-    timedOut: ErrorKind.BackendTimeout,
-    mismatched: ErrorKind.AnswerMismatch,
-    invalidAnswer: ErrorKind.BackendFailed,
-    rejected: ErrorKind.BackendRefused,
-    failedStatus: ErrorKind.BackendFailed,
-    cancelled: ErrorKind.StreamInterrupted,
-};
-
-const failureOutcomes: Readonly<Record<AttemptFailureType, AttemptOutcome>> = {
+const failureOutcomes: Readonly<Record<AttemptFailureType, FailedOutcome>> = {
     connectFailed: "failed",
     connectionLost: "failed",
     timedOut: "timedOut",
@@ -45,24 +41,28 @@
     invalidAnswer: "failed",
     rejected: "rejected",
     failedStatus: "failed",
-    cancelled: "cancelled",
+    cancelled: "failed",
 };
 
 /**
- * Chooses what to do after a failed try.
+ * Chooses what to do after a failed try. Tries that generate work again are charged to the budget;
+ * a connection that never opened, a continued stream and a move generate none.
  *
  * @param situation - The failure and what the caller has so far.
- * @returns Another try, a continuation of the stream, or the error for the caller.
+ * @param budget - The pool's budget of retries.
+ * @returns Another try, or the error for the caller.
  */
-export function chooseFailureAction(situation: FailureSituation): FailureAction {
-    const { attempt, maximumAttempts, streamStarted, resumable } = situation;
-    if (attempt >= maximumAttempts || !mayRunAgain(situation)) {
+export function chooseFailureAction(situation: FailureSituation, budget: RetryBudget): FailureAction {
+    const { repeatable, claimed, moved, failure, streamedTokens } = situation;
+    const action = chooseRetryAction(describeAttempt(situation));
+    if (action.type === "fail" || (!repeatable && !claimed)) {
         return { type: "fail", error: buildFailureError(situation) };
     }
-    if (!streamStarted) {
-        return { type: "retry" };
+    const charged = !moved && failure.sent && streamedTokens === 0;
+    if (charged && !budget.take()) {
+        return { type: "fail", error: buildFailureError(situation) };
     }
-    return resumable ? { type: "resume" } : { type: "fail", error: buildFailureError(situation) };
+    return { type: "tryElsewhere" };
 }
 
 /**
@@ -71,29 +71,32 @@
  * @param failure - The failure.
  * @returns The outcome.
  */
-export function convertFailureToOutcome(failure: AttemptFailure): AttemptOutcome {
+export function convertFailureToOutcome(failure: AttemptFailure): FailedOutcome {
     return failureOutcomes[failure.type];
 }
 
 /**
- * Whether it is known that a failed try did not run.
+ * Builds the error for a failed try that nothing follows.
  *
- * @param failure - The failure.
- * @returns `no` only when no byte was sent or the backend server said so.
+ * @param situation - The failure and what the caller has so far.
+ * @returns The error; it says "not run" only when no try may have run.
  */
-export function findExecuted(failure: AttemptFailure): Executed {
-    return !failure.sent || failure.type === "rejected" ? "no" : "unknown";
-}
-
-function mayRunAgain(situation: FailureSituation): boolean {
-    const { failure, repeatable, claimed } = situation;
-    return repeatable || (claimed && findExecuted(failure) === "no");
+export function buildFailureError(situation: FailureSituation): RouterError {
+    const { kind, executed } = buildFailure(describeAttempt(situation));
+    return new RouterError(kind, undefined, {
+        executed: situation.sentBefore ? "unknown" : executed,
+        retryAfterMs: situation.failure.retryAfterMs,
+    });
 }
 
-function buildFailureError(situation: FailureSituation): RouterError {
-    const { failure, streamStarted } = situation;
-    const kind = streamStarted ? ErrorKind.StreamInterrupted : failureKinds[failure.type];
-    // A repeatable request may have run in an earlier try; "no" then would not be true.
-    const executed = situation.attempt === 1 || !situation.repeatable ? findExecuted(failure) : "unknown";
-    return new RouterError(kind, undefined, { executed, retryAfterMs: failure.retryAfterMs });
+function describeAttempt(situation: FailureSituation): FailedAttempt {
+    const { failure, attempt, repeatable, streamedTokens, resumable } = situation;
+    return {
+        outcome: convertFailureToOutcome(failure),
+        repeatable,
+        bytesSent: failure.sent,
+        tokensStreamed: streamedTokens,
+        resumable,
+        attempt,
+    };
 }
--- a/packages/node/src/dispatch/onceRunner.ts
+++ b/packages/node/src/dispatch/onceRunner.ts
@@ -10,6 +10,9 @@
 import type { RequestRunner, RunContext } from "./requestRunner.js";
 import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
 
+/** Longest time between claim and send; well below the time after which a claim reads as unknown. */
+const sendWindowMs = 120_000;
+
 type RefusedClaim = Exclude<ClaimResult["type"], "claimed" | "answered">;
 
 const claimKinds: Readonly<Record<RefusedClaim, ErrorKind>> = {
@@ -91,7 +94,7 @@
         try {
             const answer = (await this.options.runner.runRequest({
                 ...context,
-                claimed: true,
+                sendByMs: this.options.clock.monotonicMs() + sendWindowMs,
             })) as WholeAnswer;
             const { status, headers, body } = answer;
             const stored = { status, headers, body: body.toString("base64") };
--- a/packages/node/src/dispatch/poolTask.ts
+++ b/packages/node/src/dispatch/poolTask.ts
@@ -4,18 +4,19 @@
  *
  * @packageDocumentation
  */
-import type {
-    AttemptOutcome,
-    CacheEvent,
-    CancelReason,
-    Decision,
-    LeavingNotice,
-    LoadReport,
-    PoolConfiguration,
-    PoolScheduler,
-    PoolStatus,
-    PoolSummary,
-    QueuedRequest,
+import {
+    RetryBudget,
+    type AttemptOutcome,
+    type CacheEvent,
+    type CancelReason,
+    type Decision,
+    type LeavingNotice,
+    type LoadReport,
+    type PoolConfiguration,
+    type PoolScheduler,
+    type PoolStatus,
+    type PoolSummary,
+    type QueuedRequest,
 } from "@pimentocleat/policy";
 import type { BackendServer, Pool } from "@pimentocleat/schema";
 import { ErrorKind, RouterError, type WaitingClock } from "@pimentocleat/types";
@@ -51,6 +52,8 @@
 
 /** Dispatches the requests of one pool. */
 export class PoolTask {
+    /** Bounds the retries of the pool to a share of its first tries. */
+    readonly retryBudget: RetryBudget;
     private readonly scheduler: PoolScheduler;
     private readonly waiting = new Map<string, WaitingRequest>();
     private readonly running = new Map<string, RunningListener>();
@@ -65,6 +68,7 @@
     constructor(private readonly options: PoolTaskOptions) {
         this.scheduler = options.scheduler;
         this.poolConfiguration = options.configuration;
+        this.retryBudget = new RetryBudget(options.configuration.pool.retryShare);
         this.setServers(options.configuration.pool.servers);
     }
 
@@ -76,6 +80,7 @@
     /** @param configuration - The new configuration of the pool. */
     updateConfiguration(configuration: PoolConfiguration): void {
         this.poolConfiguration = configuration;
+        this.retryBudget.updateShare(configuration.pool.retryShare);
         this.setServers(configuration.pool.servers);
         this.scheduler.updateConfiguration(configuration);
         this.requestDecisions();
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -20,7 +20,12 @@
 import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
 import { Attempt, type AttemptResult } from "./attempt.js";
 import { buildExchangeBody } from "./buildExchangeBody.js";
-import { chooseFailureAction, convertFailureToOutcome } from "./chooseFailureAction.js";
+import {
+    buildFailureError,
+    chooseFailureAction,
+    convertFailureToOutcome,
+    type FailureSituation,
+} from "./chooseFailureAction.js";
 import type { PoolTask, StartGrant } from "./poolTask.js";
 import type { PoolTasks } from "./poolTasks.js";
 import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
@@ -45,8 +50,11 @@
     readonly trace: TraceRecorder;
     /** Undefined when the caller wants a whole answer. */
     readonly caller: CallerStream | undefined;
-    /** Whether the request holds a claim on its idempotency key. */
-    readonly claimed: boolean;
+    /**
+     * Monotonic time after which a claimed request is no longer sent, in milliseconds; undefined
+     * without a claim.
+     */
+    readonly sendByMs: number | undefined;
 }
 
 /** The end of a request that got its answer: a whole answer, or `streamed` when the caller has it already. */
@@ -61,7 +69,10 @@
     readonly meter: UsageMeter;
     readonly excludedServers: string[];
     attempt: number;
+    /** Whether a try may have reached a backend server. */
     sent: boolean;
+    /** What the caller gets when no server can take over. */
+    lastError: RouterError | undefined;
 }
 
 /** Runs requests. */
@@ -82,6 +93,7 @@
             throw new RouterError(ErrorKind.NoBackendServer);
         }
         const state = this.createState(context, task);
+        task.retryBudget.recordFirstTry();
         try {
             return await this.runAttempts(state);
         } finally {
@@ -98,7 +110,16 @@
         };
         const resumable = request.modelCall?.resumable ?? false;
         const relay = caller === undefined ? undefined : new StreamRelay({ caller, resumable, progress });
-        return { context, task, relay, meter, excludedServers: [], attempt: 1, sent: false };
+        return {
+            context,
+            task,
+            relay,
+            meter,
+            excludedServers: [],
+            attempt: 1,
+            sent: false,
+            lastError: undefined,
+        };
     }
 
     private recordStreamTokens(context: RunContext, task: PoolTask, meter: UsageMeter, tokens: number): void {
@@ -130,13 +151,14 @@
         try {
             return await task.waitForStart(buildQueuedRequest(state), context.active);
         } catch (error) {
-            throw state.sent ? markAsSent(error) : error;
+            throw findRefusal(state, error);
         }
     }
 
     private async runAttempt(state: RunState, grant: StartGrant): Promise<AttemptResult> {
         const { context, task, relay } = state;
         const { request, active, caller } = context;
+        this.checkSendTime(state, grant);
         context.trace.addStep("started", `${grant.server.name}, priority ${grant.priority}`);
         const attempt = new Attempt({
             request: this.buildExchangeRequest(state, grant),
@@ -152,6 +174,15 @@
         return result;
     }
 
+    /** A process that was frozen since its claim must not send: the claim may be judged dead by now. */
+    private checkSendTime(state: RunState, grant: StartGrant): void {
+        const { request, sendByMs } = state.context;
+        if (sendByMs !== undefined && this.options.clock.monotonicMs() > sendByMs) {
+            state.task.recordOutcome(request.requestId, grant.server.name, "cancelled");
+            throw new RouterError(ErrorKind.QueueDeadline, undefined, { executed: "no" });
+        }
+    }
+
     private buildExchangeRequest(state: RunState, grant: StartGrant): ExchangeRequest {
         const { request } = state.context;
         const { pool } = state.task;
@@ -203,29 +234,23 @@
     }
 
     private handleFailure(state: RunState, grant: StartGrant, result: FailedResult): void {
-        const { context, task, relay } = state;
+        const { context, task } = state;
         const { failure, cancelReason, moved } = result;
         const { request, trace } = context;
+        const situation = buildSituation(state, result);
         state.sent ||= failure.sent && failure.type !== "rejected";
-        const outcome = cancelReason === undefined ? convertFailureToOutcome(failure) : "cancelled";
+        const outcome = cancelReason === undefined && !moved ? convertFailureToOutcome(failure) : "cancelled";
         task.recordOutcome(request.requestId, grant.server.name, outcome);
         trace.addStep("failed", `${grant.server.name}: ${failure.type}, ${failure.message}`);
         if (cancelReason !== undefined) {
             throw buildCancelError(cancelReason, state.sent);
         }
-        const action = chooseFailureAction({
-            failure: { ...failure, sent: state.sent || failure.sent },
-            repeatable: request.repeatable,
-            claimed: context.claimed,
-            attempt: state.attempt,
-            maximumAttempts: this.options.limits.maximumAttempts,
-            streamStarted: (relay?.streamedTokens ?? 0) > 0 || (context.caller?.started ?? false),
-            resumable: request.modelCall?.resumable ?? false,
-        });
+        const action = chooseFailureAction(situation, task.retryBudget);
         if (action.type === "fail") {
             throw action.error;
         }
         this.recordRetry(state, moved ? "moved" : failure.type);
+        state.lastError = buildFailureError(situation);
         state.excludedServers.push(grant.server.name);
         state.attempt += 1;
     }
@@ -256,10 +281,25 @@
     };
 }
 
-function markAsSent(error: unknown): unknown {
-    if (!(error instanceof RouterError)) {
-        return error;
+function buildSituation(state: RunState, result: FailedResult): FailureSituation {
+    const { context, relay } = state;
+    return {
+        failure: result.failure,
+        attempt: state.attempt,
+        sentBefore: state.sent,
+        repeatable: context.request.repeatable,
+        claimed: context.sendByMs !== undefined,
+        streamedTokens: relay?.streamedTokens ?? 0,
+        resumable: context.request.modelCall?.resumable ?? false,
+        moved: result.moved,
+    };
+}
+
+/** After a failed try, the caller hears of that failure rather than of the lack of another server. */
+function findRefusal(state: RunState, error: unknown): unknown {
+    const { active } = state.context;
+    if (active.cancelReason !== undefined) {
+        return buildCancelError(active.cancelReason, state.sent);
     }
-    const { kind, message, retryAfterMs } = error;
-    return new RouterError(kind, message, { executed: "unknown", retryAfterMs, cause: error });
+    return state.lastError ?? error;
 }
--- a/packages/node/src/limits/nodeLimits.ts
+++ b/packages/node/src/limits/nodeLimits.ts
@@ -26,8 +26,6 @@
     readonly idleConnectionMs: number;
     /** Idle connections kept for one backend server. */
     readonly idleConnections: number;
-    /** Most tries of one repeatable request. */
-    readonly maximumAttempts: number;
     /** How long an answer waits for its idempotency record, in milliseconds. */
     readonly outcomeRecordWaitMs: number;
     /** How long a stopping node keeps serving while it reports unready, in milliseconds. */
@@ -54,7 +52,6 @@
     connectTimeoutMs: 1_000,
     idleConnectionMs: 4_000,
     idleConnections: 256,
-    maximumAttempts: 4,
     outcomeRecordWaitMs: 500,
     drainDelayMs: 5_000,
     traces: 2_000,
