Poll load, cache events and leaving notices for the schedulers

Cause: the schedulers knew a server's state only from the node's own dispatches. Ruled out: one timer for all servers, because a hanging server would delay the others' reports; putting the polls on the request connections, because those carry one request at a time. Change: one polling task a backend server with back-off, one for the host list; three log events.

--- a/packages/node/src/__tests__/support/fakeBackend.ts
+++ b/packages/node/src/__tests__/support/fakeBackend.ts
@@ -19,22 +19,24 @@
     readonly requests: ReceivedRequest[] = [];
     /** Every byte received on any connection. */
     received = "";
-    connections = 0;
-    closedConnections = 0;
     behavior: Behavior = answerJson({ ok: true });
+    /** Answers of load and cache polls by path; anything else gets 404. */
+    readonly pollAnswers = new Map<string, unknown>();
+    readonly polls: string[] = [];
     /** IP address and port; also after the stop. */
     address = "";
+    private readonly pollSockets = new Set<Socket>();
     private readonly closeListeners: (() => void)[] = [];
     private readonly server = createServer((message, response) => this.handle(message, response));
 
     async start(): Promise<this> {
         this.server.on("connection", (socket) => {
-            this.connections += 1;
             socket.on("data", (chunk) => (this.received += chunk.toString("latin1")));
             socket.on("error", () => {});
             socket.on("close", () => {
-                this.closedConnections += 1;
-                this.closeListeners.splice(0).forEach((listener) => listener());
+                if (!this.pollSockets.has(socket)) {
+                    this.closeListeners.splice(0).forEach((listener) => listener());
+                }
             });
         });
         await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
@@ -53,6 +55,10 @@
     }
 
     private handle(message: IncomingMessage, response: ServerResponse): void {
+        if (/^\/(load|cache-events)\b/.test(message.url ?? "")) {
+            this.answerPoll(message, response);
+            return;
+        }
         const chunks: Buffer[] = [];
         message.on("error", () => {});
         message.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -68,6 +74,15 @@
             this.behavior(request, this.requests.length);
         });
     }
+
+    private answerPoll(message: IncomingMessage, response: ServerResponse): void {
+        this.pollSockets.add(message.socket);
+        const url = message.url ?? "";
+        this.polls.push(url);
+        const answer = this.pollAnswers.get(url);
+        response.writeHead(answer === undefined ? 404 : 200, { "content-type": "application/json" });
+        response.end(JSON.stringify(answer ?? {}));
+    }
 }
 
 /** Answers JSON with the echo. */
--- a/packages/node/src/__tests__/support/testNode.ts
+++ b/packages/node/src/__tests__/support/testNode.ts
@@ -1,6 +1,7 @@
 /** A node with everything around it in memory. */
 import { configurationSchema, type Configuration, type Key } from "@pimentocleat/schema";
 import { FifoScheduler } from "@pimentocleat/policy";
+import type { HostList } from "@pimentocleat/platform";
 import type {
     AppliedConfiguration,
     Claim,
@@ -125,6 +126,8 @@
     readonly slots?: number;
     readonly limits?: NodeOptions["limits"];
     readonly claims?: FakeClaims;
+    readonly hosts?: HostList;
+    readonly createScheduler?: NodeOptions["createScheduler"];
     readonly ready?: boolean;
 }
 
@@ -214,7 +217,10 @@
         logger: new SilentLogger(),
         metrics,
         clock,
-        createScheduler: (part) => new FifoScheduler({ configuration: part, clock, node: "entry-1" }),
+        hosts: options.hosts,
+        createScheduler:
+            options.createScheduler ??
+            ((part) => new FifoScheduler({ configuration: part, clock, node: "entry-1" })),
         limits: { drainDelayMs: 0, ...options.limits },
         readCredential: () => poolCredential,
     });
--- a/packages/node/src/__tests__/upstreamFaults.test.ts
+++ b/packages/node/src/__tests__/upstreamFaults.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "vitest";
+import { BackendConnection } from "../upstream/backendConnection.js";
 import { callNode } from "./support/callNode.js";
 import { answerJson, type ReceivedRequest } from "./support/fakeBackend.js";
-import { faultTable } from "./support/faults.js";
+import { answerBrokenJson, echoWrongId, failWithStatus, faultTable } from "./support/faults.js";
 import { createTestBed } from "./support/testBed.js";
 import { FakeClaims } from "./support/testNode.js";
 
@@ -75,6 +76,53 @@
         expect(service.requests[1]?.socket).not.toBe(service.requests[0]?.socket);
     });
 
+    it.each([
+        { name: "wrong echo", behavior: echoWrongId },
+        { name: "broken JSON", behavior: answerBrokenJson },
+        { name: "server error", behavior: failWithStatus },
+    ])("$name: the connection carries no other request", async ({ behavior }) => {
+        const service = await bed.startBackend(behavior);
+        const node = await bed.startNode({ services: [service] });
+        await callNode(node, { path: "/jobs/1" });
+        service.behavior = answerJson({ ok: true });
+        expect((await callNode(node, { path: "/jobs/2" })).status).toBe(200);
+        expect(service.requests[1]?.socket).not.toBe(service.requests[0]?.socket);
+        await callNode(node, { path: "/jobs/3" });
+        expect(service.requests[2]?.socket).toBe(service.requests[1]?.socket);
+    });
+
+    it("never opens a second connection for a request, as the HTTP client would", async () => {
+        const service = await bed.startBackend();
+        let closed = 0;
+        const connection = new BackendConnection({
+            address: service.address,
+            connectTimeoutMs: 1_000,
+            idleConnectionMs: 1_000,
+            onClosed: () => (closed += 1),
+        });
+        const send = (): Promise<string> =>
+            new Promise((resolve) => {
+                connection.dispatchRequest(
+                    { path: "/jobs/1", method: "GET" },
+                    {
+                        onRequestStart: () => {},
+                        onResponseStart: () => {},
+                        onResponseData: () => {},
+                        onResponseEnd: () => resolve("answered"),
+                        onResponseError: (...[, error]) => resolve(error.name),
+                    },
+                );
+            });
+        expect(await send()).toBe("answered");
+        const gone = service.waitForClose();
+        service.requests[0]?.socket.destroy();
+        const second = send();
+        await gone;
+        expect(await second).not.toBe("answered");
+        expect(service.requests).toHaveLength(1);
+        expect([connection.usable, closed]).toEqual([false, 1]);
+    });
+
     it("never gives a late answer to the next request", async () => {
         const late: ReceivedRequest[] = [];
         const service = await bed.startBackend((request) => late.push(request));
--- /dev/null
+++ b/packages/node/src/backends/backendPoller.ts
@@ -0,0 +1,111 @@
+/**
+ * The task that polls one backend server for its load and its cache events.
+ *
+ * @packageDocumentation
+ */
+import type { BackendServer, Pool } from "@pimentocleat/schema";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import { Client } from "undici";
+import type { PoolTask } from "../dispatch/poolTask.js";
+import {
+    cacheAnswerSchema,
+    convertCacheAnswer,
+    convertLoadAnswer,
+    loadAnswerSchema,
+} from "./backendReports.js";
+
+const answerTimeoutMs = 1_000;
+const longestPauseMs = 10_000;
+
+/** Options of a {@link BackendPoller}. */
+export interface BackendPollerOptions {
+    readonly pool: Pool;
+    readonly server: BackendServer;
+    readonly task: PoolTask;
+    readonly clock: WaitingClock;
+    readonly logger: Logger;
+    readonly loadPollMs: number;
+    readonly cachePollMs: number;
+    readonly readCredential: (variable: string) => string | undefined;
+}
+
+/** Polls one server until it is stopped; a failing poll backs off. */
+export class BackendPoller {
+    private readonly client: Client;
+    private readonly abort = new AbortController();
+    private lastSequence = 0;
+
+    /** @param options - The server and the receiver of its reports. */
+    constructor(private readonly options: BackendPollerOptions) {
+        this.client = new Client(`http://${options.server.address}`, {
+            connectTimeout: answerTimeoutMs,
+            headersTimeout: answerTimeoutMs,
+            bodyTimeout: answerTimeoutMs,
+        });
+    }
+
+    /** Starts polling. */
+    start(): void {
+        const { loadPollMs, cachePollMs, pool } = this.options;
+        void this.runLoop("load", loadPollMs, () => this.pollLoad());
+        if (pool.kind === "model") {
+            void this.runLoop("cache events", cachePollMs, () => this.pollCacheEvents());
+        }
+    }
+
+    /** Stops polling. */
+    stop(): void {
+        this.abort.abort();
+        this.client.destroy().catch(() => {});
+    }
+
+    private async runLoop(subject: string, periodMs: number, poll: () => Promise<void>): Promise<void> {
+        const { clock, logger, server } = this.options;
+        let pauseMs = periodMs;
+        while (!this.abort.signal.aborted) {
+            try {
+                await poll();
+                pauseMs = periodMs;
+            } catch (error) {
+                if (pauseMs === periodMs && !this.abort.signal.aborted) {
+                    logger.writeEvent("backendPollFailed", {
+                        server: server.name,
+                        subject,
+                        message: String(error),
+                    });
+                }
+                pauseMs = Math.min(pauseMs * 2, longestPauseMs);
+            }
+            await clock.wait(pauseMs, this.abort.signal);
+        }
+    }
+
+    private async pollLoad(): Promise<void> {
+        const answer = loadAnswerSchema.parse(await this.readJson("/load"));
+        const { server, task, clock } = this.options;
+        task.recordLoadReport(convertLoadAnswer(server.name, answer, clock.wallMs()));
+    }
+
+    private async pollCacheEvents(): Promise<void> {
+        const answer = cacheAnswerSchema.parse(
+            await this.readJson(`/cache-events?after=${this.lastSequence}`),
+        );
+        const { server, task } = this.options;
+        const events = convertCacheAnswer(server.name, answer, this.lastSequence);
+        events.forEach((event) => task.recordCacheEvent(event));
+        this.lastSequence = events.at(-1)?.sequence ?? this.lastSequence;
+    }
+
+    private async readJson(path: string): Promise<unknown> {
+        const { pool, readCredential } = this.options;
+        const credential = pool.credentialVariable && readCredential(pool.credentialVariable);
+        const headers = credential === undefined ? {} : { authorization: `Bearer ${credential}` };
+        const answer = await this.client.request({ method: "GET", path, headers });
+        if (answer.statusCode !== 200) {
+            await answer.body.dump();
+            throw new Error(`status ${answer.statusCode}`);
+        }
+        return answer.body.json();
+    }
+}
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -8,6 +8,9 @@
 import { Server as NetServer, type AddressInfo } from "node:net";
 import type { FastifyInstance } from "fastify";
 import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
+import type { Configuration } from "@pimentocleat/schema";
+import { BackendPollers } from "../backends/backendPollers.js";
+import { LeavingWatcher } from "../backends/leavingWatcher.js";
 import { buildCallerServer } from "../callerApi/callerServer.js";
 import { RequestHandler } from "../callerApi/requestHandler.js";
 import { RequestRouter } from "../callerApi/requestRouter.js";
@@ -29,6 +32,8 @@
     private readonly connections: ConnectionPool;
     private readonly tasks: PoolTasks;
     private readonly onceRunner: OnceRunner;
+    private readonly pollers: BackendPollers;
+    private readonly leavingWatcher: LeavingWatcher | undefined;
     private readonly server: FastifyInstance;
     private readonly unsubscribes: (() => void)[] = [];
     private readonly drainAbort = new AbortController();
@@ -49,6 +54,12 @@
         this.traces = new ExplainBuffer(limits.traces);
         this.connections = new ConnectionPool(limits);
         this.tasks = new PoolTasks({ createScheduler: options.createScheduler, clock, onError });
+        const { logger, hosts } = options;
+        const readCredential = this.readCredential();
+        this.pollers = new BackendPollers({ ...limits, tasks: this.tasks, clock, logger, readCredential });
+        const { hostPollMs } = limits;
+        this.leavingWatcher =
+            hosts && new LeavingWatcher({ hosts, tasks: this.tasks, clock, logger, hostPollMs });
         const runner = this.createRunner();
         this.onceRunner = new OnceRunner({
             runner,
@@ -78,12 +89,13 @@
         const { configuration, keys, logger } = this.options;
         const applied = configuration.readCurrent();
         if (applied !== undefined) {
-            this.tasks.applyConfiguration(applied.configuration);
+            this.applyConfiguration(applied.configuration);
         }
         this.unsubscribes.push(
-            configuration.onChange((next) => this.tasks.applyConfiguration(next.configuration)),
+            configuration.onChange((next) => this.applyConfiguration(next.configuration)),
             keys.onWithdrawal((keyId) => this.endRequestsOfKey(keyId)),
         );
+        void this.leavingWatcher?.run();
         await this.server.ready();
         this.httpServer.listen({ ...this.options.callerAddress });
         await once(this.httpServer, "listening");
@@ -133,6 +145,15 @@
         await this.stop();
     }
 
+    private applyConfiguration(configuration: Configuration): void {
+        this.tasks.applyConfiguration(configuration);
+        this.pollers.applyConfiguration(configuration);
+    }
+
+    private readCredential(): (variable: string) => string | undefined {
+        return this.options.readCredential ?? ((variable) => process.env[variable]);
+    }
+
     private get httpServer(): HttpServer {
         return this.server.server;
     }
@@ -145,6 +166,8 @@
         await this.closeListener();
         await this.onceRunner.waitForRecords();
         this.unsubscribes.forEach((unsubscribe) => unsubscribe());
+        this.leavingWatcher?.stop();
+        this.pollers.stop();
         this.tasks.stop();
         this.connections.close();
         await flushUsage?.();
@@ -165,7 +188,7 @@
     }
 
     private createRunner(): RequestRunner {
-        const { usage, metrics, logger, clock, readCredential } = this.options;
+        const { usage, metrics, logger, clock } = this.options;
         return new RequestRunner({
             tasks: this.tasks,
             connections: this.connections,
@@ -174,7 +197,7 @@
             logger,
             clock,
             limits: this.limits,
-            readCredential: readCredential ?? ((variable) => process.env[variable]),
+            readCredential: this.readCredential(),
         });
     }
 
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -39,6 +39,9 @@
     hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
     peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
     peerGone: defineEvent(6002, "warn", "peer declared gone"),
+    backendPollFailed: defineEvent(7000, "warn", "poll of a backend server failed"),
+    backendLeaving: defineEvent(7001, "warn", "backend server is leaving"),
+    hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
