Follow configuration and withdrawals on every node, and stop a node that is cut off

Cause: a saved change must be in force everywhere within seconds and never revert; a withdrawn key must stop on nodes that lag, restart or lose the store. Ruled out: withdrawals as a flag of the configuration alone (a later edit would undo them); a poll for each kind (twice the reads); no limit for a node without contact (it would honour withdrawn keys for ever). Change: ConfigurationFollower, ConfiguredKeyRegistry, WithdrawalFollower and StoreFollower, which reads both heads in one jittered poll and asks peers while the store is out; a waiting ManualClock removes its abort listeners.

--- /dev/null
+++ b/packages/state/src/configuration/__tests__/cluster.ts
@@ -0,0 +1,314 @@
+/**
+ * Operators and nodes in one process over a table service in memory, with outages, lost replies, pauses,
+ * cuts and restarts. The oracle checks what must hold after every step.
+ */
+import { createHash } from "node:crypto";
+import { MemoryTableService, type CallFault, type TableService } from "@pimentocleat/platform";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { ManualClock, type WaitingClock } from "@pimentocleat/types";
+import { ConfiguredKeyRegistry } from "../../keys/configuredKeyRegistry.js";
+import { WithdrawalFollower, type WithdrawalFollowerOptions } from "../../keys/withdrawalFollower.js";
+import { WithdrawalStore } from "../../keys/withdrawalStore.js";
+import { ConfigurationFollower, type ConfigurationFollowerOptions } from "../configurationFollower.js";
+import type { ConfigurationSnapshot } from "../configurationSnapshot.js";
+import { defaultCallerBounds, StoreCaller } from "../storeCaller.js";
+import { StoreFollower } from "../storeFollower.js";
+import { TableConfigurationStore } from "../tableConfigurationStore.js";
+import type { KeyWithdrawal } from "../../keys/withdrawal.js";
+
+export const pollMs = 1_000;
+export const isolationLimitMs = 10_000;
+/** Longest time from an answer to "in force" while the store answers: a poll that just began, its wait, a poll. */
+export const convergenceBoundMs = 2 * defaultCallerBounds.callTimeoutMs + 1.5 * pollMs;
+
+/** What a mutant replaces. */
+export interface ClusterParts {
+    readonly wrapOperatorTable: (table: TableService) => TableService;
+    readonly createConfigurationFollower: (options: ConfigurationFollowerOptions) => ConfigurationFollower;
+    readonly createWithdrawalFollower: (options: WithdrawalFollowerOptions) => WithdrawalFollower;
+    readonly isolationLimitMs: number;
+}
+
+export const soundParts: ClusterParts = {
+    wrapOperatorTable: (table) => table,
+    createConfigurationFollower: (options) => new ConfigurationFollower(options),
+    createWithdrawalFollower: (options) => new WithdrawalFollower(options),
+    isolationLimitMs,
+};
+
+export function buildSecret(keyId: string): string {
+    return `secret of ${keyId}`;
+}
+
+export function buildDigest(keyId: string): string {
+    return createHash("sha256").update(buildSecret(keyId)).digest("hex");
+}
+
+/** A small generator, so that runs repeat. */
+export function createRandom(seed: number): () => number {
+    let state = seed >>> 0;
+    return () => {
+        state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+        return state / 2 ** 32;
+    };
+}
+
+/** Holds back everything that a paused process would do. */
+class Gate {
+    private opened: Promise<void> = Promise.resolve();
+    private release: (() => void) | undefined;
+
+    get isClosed(): boolean {
+        return this.release !== undefined;
+    }
+
+    close(): void {
+        this.opened = new Promise((resolve) => (this.release = resolve));
+    }
+
+    open(): void {
+        this.release?.();
+        this.release = undefined;
+    }
+
+    async pass<Result>(result: Promise<Result>): Promise<Result> {
+        try {
+            return await result;
+        } finally {
+            await this.opened;
+        }
+    }
+}
+
+class GatedTable implements TableService {
+    constructor(
+        private readonly inner: TableService,
+        private readonly gate: Gate,
+    ) {}
+    readRow(...call: Parameters<TableService["readRow"]>) {
+        return this.gate.pass(this.inner.readRow(...call));
+    }
+    scanRows(...call: Parameters<TableService["scanRows"]>) {
+        return this.gate.pass(this.inner.scanRows(...call));
+    }
+    commitTransaction(...call: Parameters<TableService["commitTransaction"]>) {
+        return this.gate.pass(this.inner.commitTransaction(...call));
+    }
+}
+
+export class ClusterNode {
+    readonly gate = new Gate();
+    readonly configuration: ConfigurationFollower;
+    readonly registry: ConfiguredKeyRegistry;
+    readonly withdrawals: WithdrawalFollower;
+    readonly follower: StoreFollower;
+    readonly controller = new AbortController();
+    isCut = false;
+    /** When the node last could have reached the store or a peer, for the oracle. */
+    touchableMs: number;
+    readonly seenWithdrawn = new Set<string>();
+    private highestRevision = 0;
+
+    constructor(
+        cluster: Cluster,
+        readonly index: number,
+        seed: number,
+    ) {
+        const clock: WaitingClock = {
+            monotonicMs: () => cluster.clock.monotonicMs(),
+            wallMs: () => cluster.clock.wallMs(),
+            wait: (durationMs, signal) => this.gate.pass(cluster.clock.wait(durationMs, signal)),
+        };
+        const table = new GatedTable(cluster.table, this.gate);
+        const logger = new SilentLogger();
+        const random = createRandom(seed);
+        const caller = new StoreCaller({ clock, random, ...defaultCallerBounds });
+        const tableService = cluster.buildNodeTable(table, this);
+        const peers = cluster.buildPeers(this);
+        const store = new TableConfigurationStore({ tableService, clock, random });
+        this.configuration = cluster.parts.createConfigurationFollower({ store, peers, logger });
+        this.registry = new ConfiguredKeyRegistry({ configuration: this.configuration, logger });
+        this.withdrawals = cluster.parts.createWithdrawalFollower({
+            registry: this.registry,
+            store: new WithdrawalStore(tableService, caller),
+            peers,
+            clock,
+            logger,
+        });
+        this.follower = new StoreFollower({
+            tableService,
+            caller,
+            configuration: this.configuration,
+            withdrawals: this.withdrawals,
+            clock,
+            logger,
+            random,
+            readIntervalMs: () => pollMs,
+            isolationLimitMs: cluster.parts.isolationLimitMs,
+        });
+        this.touchableMs = cluster.clock.monotonicMs();
+        void this.follower.run(this.controller.signal);
+    }
+
+    get isReady(): boolean {
+        return this.follower.readNotReadyReason() === undefined;
+    }
+
+    /** Whether the node would run a request with the key. */
+    accepts(keyId: string): boolean {
+        return this.isReady && this.registry.findKey(buildSecret(keyId)).type === "valid";
+    }
+
+    check(keyIds: readonly string[]): void {
+        const revision = this.configuration.readCurrent()?.revision ?? 0;
+        if (revision < this.highestRevision) {
+            throw new Error(
+                `node ${String(this.index)} reverted from ${String(this.highestRevision)} to ${String(revision)}`,
+            );
+        }
+        this.highestRevision = revision;
+        for (const keyId of keyIds) {
+            const type = this.registry.findKey(buildSecret(keyId)).type;
+            if (type === "withdrawn") {
+                this.seenWithdrawn.add(keyId);
+            } else if (type === "valid" && this.seenWithdrawn.has(keyId)) {
+                throw new Error(`key ${keyId} came back on node ${String(this.index)}`);
+            }
+        }
+    }
+}
+
+export class Cluster {
+    readonly table = new MemoryTableService();
+    readonly clock = new ManualClock();
+    readonly random: () => number;
+    readonly nodes: ClusterNode[] = [];
+    isOut = false;
+    arePeersReachable = true;
+    lostShare = 0;
+    /** Extra time that each call of the store takes, in milliseconds. */
+    storeDelayMs = 0;
+    private incarnations = 0;
+
+    constructor(
+        readonly parts: ClusterParts,
+        nodeCount: number,
+        private readonly seed: number,
+    ) {
+        this.random = createRandom(seed);
+        this.table.setFaultPlan(() => this.chooseFault());
+        for (let index = 0; index < nodeCount; index += 1) {
+            this.nodes.push(this.createNode(index));
+        }
+    }
+
+    createNode(index: number): ClusterNode {
+        this.incarnations += 1;
+        return new ClusterNode(this, index, this.seed * 1_000 + this.incarnations);
+    }
+
+    createOperator(): TableConfigurationStore {
+        const tableService = this.parts.wrapOperatorTable(this.table);
+        return new TableConfigurationStore({ tableService, clock: this.clock, random: this.random });
+    }
+
+    restartNode(index: number): void {
+        const old = this.nodes[index];
+        old?.controller.abort();
+        this.nodes[index] = this.createNode(index);
+    }
+
+    close(): void {
+        this.nodes.forEach((node) => node.controller.abort());
+    }
+
+    /** A node's access to the store: cut off, or slow. */
+    buildNodeTable(inner: TableService, node: { isCut: boolean }): TableService {
+        const run = async <Result>(call: () => Promise<Result>): Promise<Result> => {
+            await this.clock.wait(this.storeDelayMs);
+            if (node.isCut) {
+                // A cut shows as silence until the caller's timeout.
+                await this.clock.wait(Number.MAX_SAFE_INTEGER);
+            }
+            return call();
+        };
+        return {
+            readRow: (...call) => run(() => inner.readRow(...call)),
+            scanRows: (...call) => run(() => inner.scanRows(...call)),
+            commitTransaction: (...call) => run(() => inner.commitTransaction(...call)),
+        };
+    }
+
+    buildPeers(self: ClusterNode) {
+        const list = () =>
+            self.isCut || !this.arePeersReachable
+                ? []
+                : this.nodes.filter((node) => node !== self && !node.isCut && !node.gate.isClosed);
+        return {
+            readHighestSnapshot: (above: number): Promise<ConfigurationSnapshot | undefined> => {
+                // The reachable peers may be the ones that lag, and may ignore what the node already has.
+                const peers = list().filter(() => this.random() < 0.5);
+                const snapshots = peers.flatMap((node) => node.configuration.readSnapshot() ?? []);
+                snapshots.sort((left, right) => right.revision - left.revision);
+                return Promise.resolve(above >= 0 ? snapshots[0] : undefined);
+            },
+            spreadWithdrawals: (withdrawals: readonly KeyWithdrawal[]): Promise<number> => {
+                list().forEach((node) => node.withdrawals.receiveWithdrawals(withdrawals));
+                return Promise.resolve(list().length);
+            },
+            readWithdrawals: (): Promise<readonly KeyWithdrawal[] | undefined> => {
+                const peers = list().filter((node) => node.withdrawals.hasLoaded());
+                return Promise.resolve(
+                    peers.length === 0 ? undefined : peers.flatMap((node) => node.registry.listWithdrawals()),
+                );
+            },
+        };
+    }
+
+    /** Moves time in small steps and checks every node after each. */
+    async advance(durationMs: number, keyIds: readonly string[] = []): Promise<void> {
+        const stepMs = 50;
+        for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+            this.clock.advance(stepMs);
+            await settle();
+            this.check(keyIds);
+        }
+    }
+
+    async finish<Result>(call: Promise<Result>, keyIds: readonly string[] = []): Promise<Result> {
+        let isDone = false;
+        const done = call.finally(() => (isDone = true));
+        done.catch(() => {});
+        await settle();
+        while (!isDone) {
+            await this.advance(50, keyIds);
+        }
+        return done;
+    }
+
+    check(keyIds: readonly string[]): void {
+        const nowMs = this.clock.monotonicMs();
+        for (const node of this.nodes) {
+            node.check(keyIds);
+            if (!node.isCut && !node.gate.isClosed) {
+                node.touchableMs = nowMs;
+            }
+            if (node.isReady && nowMs - node.touchableMs > isolationLimitMs) {
+                throw new Error(`node ${String(node.index)} takes requests although it is cut off`);
+            }
+        }
+    }
+
+    private chooseFault(): CallFault {
+        if (this.isOut) {
+            return "unavailable";
+        }
+        return this.random() < this.lostShare ? "lostReply" : "none";
+    }
+}
+
+export async function settle(): Promise<void> {
+    for (let turn = 0; turn < 3; turn += 1) {
+        await new Promise(setImmediate);
+    }
+}
--- /dev/null
+++ b/packages/state/src/configuration/configurationFollower.ts
@@ -0,0 +1,114 @@
+/**
+ * The configuration in force on a node, kept up to date from the store or from peers.
+ *
+ * @packageDocumentation
+ */
+import { formatProblem, parseConfiguration } from "@pimentocleat/schema";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { AppliedConfiguration, ConfigurationSource } from "./configurationSource.js";
+import type { ConfigurationPeers } from "./configurationPeers.js";
+import { computeFilesDigest, type ConfigurationSnapshot } from "./configurationSnapshot.js";
+import type { ConfigurationStore } from "./configurationStore.js";
+
+/** Options of {@link ConfigurationFollower}. */
+export interface ConfigurationFollowerOptions {
+    readonly store: Pick<ConfigurationStore, "readSnapshot">;
+    readonly peers: ConfigurationPeers;
+    readonly logger: Logger;
+}
+
+/** Applies only higher revisions and keeps the last good one while store and peers are out. */
+export class ConfigurationFollower implements ConfigurationSource {
+    private applied: AppliedConfiguration | undefined;
+    private snapshot: ConfigurationSnapshot | undefined;
+    private refusedDigest: string | undefined;
+    private readonly listeners = new Set<(applied: AppliedConfiguration) => void>();
+
+    /** @param options - The store, the peers and the logger. */
+    constructor(private readonly options: ConfigurationFollowerOptions) {}
+
+    readCurrent(): AppliedConfiguration | undefined {
+        return this.applied;
+    }
+
+    onChange(listener: (applied: AppliedConfiguration) => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    /** @returns The files of the configuration in force, for peers that start during an outage. */
+    readSnapshot(): ConfigurationSnapshot | undefined {
+        return this.snapshot;
+    }
+
+    /** @returns The revision in force; 0 before the first one. */
+    readRevision(): number {
+        return this.applied?.revision ?? 0;
+    }
+
+    /**
+     * Fetches the configuration from the store if a higher revision exists.
+     *
+     * @param revision - The revision that the store's head names.
+     */
+    async followHead(revision: number): Promise<void> {
+        if (revision > this.readRevision()) {
+            this.applySnapshot(await this.options.store.readSnapshot());
+        }
+    }
+
+    /** Asks the peers for a higher revision; used while the store is out. */
+    async followPeers(): Promise<void> {
+        const snapshot = await this.options.peers.readHighestSnapshot(this.readRevision());
+        if (snapshot !== undefined) {
+            this.applySnapshot(snapshot);
+        }
+    }
+
+    /**
+     * Brings a snapshot into force if its revision is higher than the one in force.
+     *
+     * @param snapshot - The snapshot, from the store or a peer.
+     * @returns Whether it came into force.
+     */
+    applySnapshot(snapshot: ConfigurationSnapshot): boolean {
+        if (snapshot.revision <= this.readRevision()) {
+            return false;
+        }
+        const { revision, digest, files } = snapshot;
+        if (computeFilesDigest(files) !== digest) {
+            return this.refuseSnapshot(snapshot, "the digest does not match the files");
+        }
+        const { configuration, problems } = parseConfiguration(files);
+        if (configuration === undefined) {
+            return this.refuseSnapshot(snapshot, problems.map(formatProblem).join("; "));
+        }
+        this.snapshot = snapshot;
+        this.applied = { revision, configuration };
+        this.options.logger.writeEvent("configurationApplied", { revision, files: files.length });
+        for (const listener of this.listeners) {
+            this.notifyListener(listener, this.applied);
+        }
+        return true;
+    }
+
+    private refuseSnapshot(snapshot: ConfigurationSnapshot, reason: string): boolean {
+        if (this.refusedDigest !== snapshot.digest) {
+            this.refusedDigest = snapshot.digest;
+            this.options.logger.writeEvent("configurationRefused", { revision: snapshot.revision, reason });
+        }
+        return false;
+    }
+
+    /** A listener that throws must not keep the others from the new configuration. */
+    private notifyListener(
+        listener: (applied: AppliedConfiguration) => void,
+        applied: AppliedConfiguration,
+    ): void {
+        try {
+            listener(applied);
+        } catch (error) {
+            this.options.logger.writeEvent("unexpectedError", { message: String(error) });
+        }
+    }
+}
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -20,3 +20,16 @@
 } from "./configuration/configurationStore.js";
 export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
 export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
+export { ConfigurationFollower } from "./configuration/configurationFollower.js";
+export type { ConfigurationPeers } from "./configuration/configurationPeers.js";
+export { NoPeers } from "./configuration/noPeers.js";
+export { StoreCaller, defaultCallerBounds } from "./configuration/storeCaller.js";
+export { StoreFollower } from "./configuration/storeFollower.js";
+export type { NotReadyReason, StoreFollowerOptions } from "./configuration/storeFollower.js";
+export { ConfiguredKeyRegistry } from "./keys/configuredKeyRegistry.js";
+export { keyWithdrawalSchema } from "./keys/withdrawal.js";
+export type { KeyWithdrawal } from "./keys/withdrawal.js";
+export { WithdrawalFollower } from "./keys/withdrawalFollower.js";
+export type { WithdrawResult } from "./keys/withdrawalFollower.js";
+export type { WithdrawalPeers } from "./keys/withdrawalPeers.js";
+export { WithdrawalStore } from "./keys/withdrawalStore.js";
--- /dev/null
+++ b/packages/state/src/keys/withdrawalStore.ts
@@ -0,0 +1,71 @@
+/**
+ * The stored withdrawals.
+ *
+ * @packageDocumentation
+ */
+import type { TableService } from "@pimentocleat/platform";
+import { readHeads } from "../configuration/headTable.js";
+import type { StoreCaller } from "../configuration/storeCaller.js";
+import { formatWithdrawalIdentity, type KeyWithdrawal } from "./withdrawal.js";
+import { buildWithdrawalAppend, readWithdrawalsAfter } from "./withdrawalTable.js";
+
+const appendAttempts = 20;
+
+/** Appends to and reads the table of withdrawals. */
+export class WithdrawalStore {
+    /**
+     * @param tableService - The table service.
+     * @param caller - Bounds the calls.
+     */
+    constructor(
+        private readonly tableService: TableService,
+        private readonly caller: StoreCaller,
+    ) {}
+
+    /**
+     * Reads the withdrawals after a number.
+     *
+     * @param sequence - The number; 0 reads all.
+     * @returns The withdrawals in the order of their numbers; throws a `PlatformError` on failure.
+     */
+    readAfter(sequence: number): Promise<readonly KeyWithdrawal[]> {
+        return this.caller.runOnce("read withdrawals", () =>
+            readWithdrawalsAfter(this.tableService, sequence),
+        );
+    }
+
+    /**
+     * Appends the withdrawals that the table lacks. Repeating is harmless, so a lost reply is resolved by
+     * reading again.
+     *
+     * @param withdrawals - The withdrawals.
+     * @param deadlineMs - Monotonic time after which no retry starts.
+     * @returns Resolves when the table has all of them; throws a `PlatformError` on failure.
+     */
+    async appendWithdrawals(withdrawals: readonly KeyWithdrawal[], deadlineMs: number): Promise<void> {
+        for (let attempt = 1; attempt <= appendAttempts; attempt += 1) {
+            const isDone = await this.caller.runUntil("append withdrawals", deadlineMs, () =>
+                this.tryAppend(withdrawals),
+            );
+            if (isDone) {
+                return;
+            }
+            await this.caller.waitForRetry(attempt, Number.POSITIVE_INFINITY);
+        }
+        throw new Error(`withdrawals were not appended in ${String(appendAttempts)} attempts`);
+    }
+
+    private async tryAppend(withdrawals: readonly KeyWithdrawal[]): Promise<boolean> {
+        const { withdrawals: head } = await readHeads(this.tableService);
+        const stored = new Set(
+            (await readWithdrawalsAfter(this.tableService, 0)).map(formatWithdrawalIdentity),
+        );
+        const missing = withdrawals.filter((withdrawal) => !stored.has(formatWithdrawalIdentity(withdrawal)));
+        const append = buildWithdrawalAppend(head, missing);
+        if (append.writes.length === 0) {
+            return true;
+        }
+        const result = await this.tableService.commitTransaction(append);
+        return result.outcome === "committed";
+    }
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -31,6 +31,15 @@
     requestRefused: defineEvent(2001, "info", "request refused"),
     requestRetried: defineEvent(2002, "info", "request retried"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
+    configurationRefused: defineEvent(3001, "error", "configuration refused; the last one stays in force"),
+    storeUnreachable: defineEvent(3002, "warn", "table service not reached; asking peers"),
+    storeReachable: defineEvent(3003, "info", "table service reached again"),
+    nodeIsolated: defineEvent(3004, "error", "neither table service nor peers reached; taking no requests"),
+    nodeInTouch: defineEvent(3005, "info", "table service or a peer reached; taking requests"),
+    keyWithdrawn: defineEvent(3010, "info", "key withdrawn"),
+    withdrawalNotRecorded: defineEvent(3011, "warn", "withdrawal not recorded yet; retrying"),
+    operatorCall: defineEvent(3100, "info", "operator call"),
+    operatorRefused: defineEvent(3101, "warn", "operator call refused"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- a/packages/types/src/clock.ts
+++ b/packages/types/src/clock.ts
@@ -88,9 +88,14 @@
                 resolve();
                 return;
             }
-            const waiter: Waiter = { dueMs: this.elapsedMs + durationMs, finish: resolve };
+            const abort = (): void => this.removeWaiter(waiter);
+            const finish = (): void => {
+                signal?.removeEventListener("abort", abort);
+                resolve();
+            };
+            const waiter: Waiter = { dueMs: this.elapsedMs + durationMs, finish };
             this.waiters.push(waiter);
-            signal?.addEventListener("abort", () => this.removeWaiter(waiter), { once: true });
+            signal?.addEventListener("abort", abort, { once: true });
         });
     }
 
