--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -20,6 +20,7 @@
 } from "./configuration/configurationSchema.js";
 export { NodeIdentitySchema, file_pimentocleat_v1_common } from "./generated/pimentocleat/v1/common_pb.js";
 export type { NodeIdentity } from "./generated/pimentocleat/v1/common_pb.js";
+export * from "./generated/pimentocleat/v1/peers_pb.js";
 export { formatSettingsHelp, formatSettingsPage, listSettings } from "./settings/settingDescriptions.js";
 export type { SettingDescription } from "./settings/settingDescriptions.js";
 export { readSettings, SettingsError } from "./settings/readSettings.js";
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -30,6 +30,11 @@
     requestFinished: defineEvent(2000, "debug", "request finished"),
     requestRefused: defineEvent(2001, "info", "request refused"),
     requestRetried: defineEvent(2002, "info", "request retried"),
+    leaseAcquired: defineEvent(4000, "info", "lease acquired"),
+    leaseLost: defineEvent(4001, "warn", "lease lost to another node"),
+    claimOutcomeDelayed: defineEvent(4500, "warn", "outcome of a claim not stored yet; retrying"),
+    claimOutcomeDropped: defineEvent(4501, "error", "too many outcomes wait; the oldest was dropped"),
+    keyRequestsEnded: defineEvent(2003, "info", "requests of a withdrawn key ended"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
     configurationRefused: defineEvent(3001, "error", "configuration refused; the last one stays in force"),
     storeUnreachable: defineEvent(3002, "warn", "table service not reached; asking peers"),
@@ -40,6 +45,9 @@
     withdrawalNotRecorded: defineEvent(3011, "warn", "withdrawal not recorded yet; retrying"),
     operatorCall: defineEvent(3100, "info", "operator call"),
     operatorRefused: defineEvent(3101, "warn", "operator call refused"),
+    hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
+    peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
+    peerGone: defineEvent(6002, "warn", "peer declared gone"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
