Serve the operator interface on its own address

Cause: operators push configuration, create and withdraw keys and read state over the network. Ruled out: the callers' listener (one credential and one limit for two kinds of users); a shared file of keys (two operators who create keys would conflict), so each created key is a file of its own. Change: operator.proto, OperatorServer with a bearer credential compared in constant time, OperatorService over the small OperatorBackend; a key's secret leaves the node once, in the answer to its creation.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,3 +6,4 @@
 export type { ListenAddress, NodeHandle, NodeOptions } from "./lifecycle/nodeOptions.js";
 export type { SchedulerFactory } from "./dispatch/poolTasks.js";
 export * from "./peers/index.js";
+export * from "./operator/index.js";
--- /dev/null
+++ b/packages/node/src/operator/index.ts
@@ -0,0 +1,3 @@
+export type { KeyReport, NodeStatus, OperatorBackend, PoolReport } from "./operatorBackend.js";
+export { OperatorServer } from "./operatorServer.js";
+export type { OperatorServerOptions } from "./operatorServer.js";
--- /dev/null
+++ b/packages/node/src/operator/keyCreation.ts
@@ -0,0 +1,49 @@
+/**
+ * Creation of keys: a random secret, of which only the digest is kept.
+ *
+ * @packageDocumentation
+ */
+import { createHash, randomBytes } from "node:crypto";
+import { keySchema } from "@pimentocleat/schema";
+import type { FileChange } from "@pimentocleat/state";
+
+const secretBytes = 32;
+const secretPrefix = "pk-";
+
+/** What a key is created for. */
+export interface KeyCreationRequest {
+    readonly keyId: string;
+    readonly customer: string;
+    readonly defaultClass?: string;
+}
+
+/** A key that is not stored yet. */
+export interface CreatedKey {
+    /** Shown once to the operator; never logged or stored. */
+    readonly secret: string;
+    /** The file that defines the key; one file a key, so that operators do not conflict. */
+    readonly change: FileChange;
+}
+
+/**
+ * Creates a key.
+ *
+ * @param request - Identifier, customer and default class.
+ * @returns The secret and the file that defines the key.
+ * @throws A `ZodError` when the identifier or a name is not allowed.
+ */
+export function createKey(request: KeyCreationRequest): CreatedKey {
+    const secret = `${secretPrefix}${randomBytes(secretBytes).toString("base64url")}`;
+    const { id, customer, digest, defaultClass } = keySchema.parse({
+        id: request.keyId,
+        customer: request.customer,
+        digest: createHash("sha256").update(secret).digest("hex"),
+        ...(request.defaultClass === undefined ? {} : { defaultClass: request.defaultClass }),
+    });
+    const lines = ["keys:", `  - id: ${JSON.stringify(id)}`, `    customer: ${JSON.stringify(customer)}`];
+    if (defaultClass !== undefined) {
+        lines.push(`    defaultClass: ${JSON.stringify(defaultClass)}`);
+    }
+    lines.push(`    digest: ${digest}`, "");
+    return { secret, change: { name: `key-${id}.yaml`, content: lines.join("\n") } };
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -35,3 +35,4 @@
 } from "./configuration/configurationProblem.js";
 export { parseConfiguration } from "./configuration/parseConfiguration.js";
 export type { ParsedConfiguration } from "./configuration/parseConfiguration.js";
+export * from "./generated/pimentocleat/v1/operator_pb.js";
