Add contract tests of the platform clients and the engine stand-in

Cause: the clients' failure kinds and the engine's faults were tried by hand only. Ruled out: destroying the response on cutMidAnswer, which also lost tokens written just before.

--- /dev/null
+++ b/packages/standins/src/__tests__/contracts/tableService.test.ts
@@ -0,0 +1,158 @@
+import {
+    HttpTableService,
+    MemoryTableService,
+    PlatformErrorKind,
+    type CallFault,
+    type TableService,
+    type Transaction,
+} from "@pimentocleat/platform";
+import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import { startPlatform, type FaultInput } from "../../index.js";
+
+interface TableSubject {
+    readonly table: TableService;
+    setFault(fault: CallFault): void;
+    close(): Promise<void>;
+}
+
+const faultInputs: Record<CallFault, readonly FaultInput[]> = {
+    none: [],
+    unavailable: [{ kind: "refuse" }],
+    lostReply: [{ kind: "dropReply" }],
+};
+
+const subjects: Record<string, () => Promise<TableSubject>> = {
+    "in memory": async () => {
+        const table = new MemoryTableService();
+        const setFault = (fault: CallFault): void => table.setFaultPlan(() => fault);
+        return { table, setFault, close: async () => {} };
+    },
+    "over HTTP": async () => {
+        const platform = await startPlatform();
+        const table = new HttpTableService({ address: platform.address });
+        return {
+            table,
+            setFault: (fault) => platform.switches.setPlan({ faults: [...faultInputs[fault]] }),
+            close: async () => {
+                await table.close();
+                await platform.close();
+            },
+        };
+    },
+};
+
+const absent = { table: "leases", key: "usage", version: 0 };
+const current = { table: "leases", key: "usage", version: 1 };
+const outdated = { table: "leases", key: "usage", version: 7 };
+const change = { table: "leases", key: "usage", value: { holder: "entry-2" } };
+const removal = { table: "leases", key: "usage" };
+const other = { table: "intents", key: "one", value: [1, "x", true] };
+
+interface CommitCase {
+    readonly name: string;
+    readonly transaction: Transaction;
+    readonly outcome: "committed" | "conflict";
+    /** Keys and versions of both tables afterwards. */
+    readonly rows: readonly (readonly [string, number])[];
+}
+
+const commitCases: readonly CommitCase[] = [
+    {
+        name: "a row at the wanted version changes",
+        transaction: { conditions: [current], writes: [change] },
+        outcome: "committed",
+        rows: [["usage", 2]],
+    },
+    {
+        name: "a row at another version does not change",
+        transaction: { conditions: [outdated], writes: [change] },
+        outcome: "conflict",
+        rows: [["usage", 1]],
+    },
+    {
+        name: "a row that must be absent is not overwritten",
+        transaction: { conditions: [absent], writes: [change] },
+        outcome: "conflict",
+        rows: [["usage", 1]],
+    },
+    {
+        name: "one unmet condition stops the writes to all tables",
+        transaction: { conditions: [current, { ...absent, table: "none" }, outdated], writes: [other] },
+        outcome: "conflict",
+        rows: [["usage", 1]],
+    },
+    {
+        name: "writes to two tables share one version",
+        transaction: { conditions: [current], writes: [change, other] },
+        outcome: "committed",
+        rows: [
+            ["usage", 2],
+            ["one", 2],
+        ],
+    },
+    {
+        name: "a write without a value deletes",
+        transaction: { conditions: [], writes: [removal] },
+        outcome: "committed",
+        rows: [],
+    },
+];
+
+describe.each(Object.entries(subjects))("table service %s", (...[, start]) => {
+    let subject: TableSubject;
+    let table: TableService;
+
+    beforeEach(async () => {
+        subject = await start();
+        table = subject.table;
+        await table.commitTransaction({ conditions: [absent], writes: [{ ...change, value: "entry-1" }] });
+    });
+
+    afterEach(() => subject.close());
+
+    async function listVersions(): Promise<(readonly [string, number])[]> {
+        const rows = [...(await table.scanRows("leases")), ...(await table.scanRows("intents"))];
+        return rows.map((row) => [row.key, row.version] as const);
+    }
+
+    test.each(commitCases)("$name", async ({ transaction, outcome, rows }) => {
+        const result = await table.commitTransaction(transaction);
+        expect(result.outcome).toBe(outcome);
+        expect(await listVersions()).toEqual(rows);
+    });
+
+    test.each(commitCases)("$name, with the answer lost", async ({ transaction, rows }) => {
+        subject.setFault("lostReply");
+        const commit = table.commitTransaction(transaction);
+        await expect(commit).rejects.toMatchObject({ kind: PlatformErrorKind.Ambiguous });
+        subject.setFault("none");
+        expect(await listVersions()).toEqual(rows);
+    });
+
+    test.each(commitCases)("$name: not while the service is out", async ({ transaction }) => {
+        subject.setFault("unavailable");
+        const commit = table.commitTransaction(transaction);
+        await expect(commit).rejects.toMatchObject({ kind: PlatformErrorKind.Unavailable });
+        subject.setFault("none");
+        expect(await listVersions()).toEqual([["usage", 1]]);
+    });
+
+    test("a deleted row never gets an old version again", async () => {
+        await table.commitTransaction({ conditions: [], writes: [removal] });
+        await table.commitTransaction({ conditions: [absent], writes: [change] });
+        expect(await table.readRow("leases", "usage")).toEqual({
+            key: "usage",
+            value: change.value,
+            version: 3,
+        });
+    });
+
+    test("a scan pages by prefix, last key and limit", async () => {
+        const keys = ["b/2", "a/1", "b/10", "b/1", "c"];
+        const writes = keys.map((key) => ({ table: "pages", key, value: key }));
+        await table.commitTransaction({ conditions: [], writes });
+        const first = await table.scanRows("pages", { prefix: "b/", limit: 2 });
+        const second = await table.scanRows("pages", { prefix: "b/", after: first.at(-1)?.key });
+        expect([first, second].map((page) => page.map((row) => row.key))).toEqual([["b/1", "b/10"], ["b/2"]]);
+    });
+});
--- a/packages/standins/src/engine/answerWriter.ts
+++ b/packages/standins/src/engine/answerWriter.ts
@@ -50,7 +50,7 @@
      * @param message - What happened.
      */
     fail(message: string): void;
-    /** Destroys the connection. */
+    /** Ends the connection; what was written before still leaves. */
     cut(): void;
 }
 
@@ -112,7 +112,7 @@
     }
 
     cut(): void {
-        this.response.destroy();
+        this.response.socket?.destroySoon();
     }
 }
 
