Keep the shared contract table to faults that both subjects can show

Cause: type check failed after the model learned delayed effects, which HTTP cannot show on demand. Ruled out: dropping a row; the table lost none. Change: the contract table names the shared faults. Conclusion: delayed effects stay with the claim tests that use them.

--- a/packages/standins/src/__tests__/contracts/tableService.test.ts
+++ b/packages/standins/src/__tests__/contracts/tableService.test.ts
@@ -11,11 +11,14 @@
 
 interface TableSubject {
     readonly table: TableService;
-    setFault(fault: CallFault): void;
+    setFault(fault: SharedFault): void;
     close(): Promise<void>;
 }
 
-const faultInputs: Record<CallFault, readonly FaultInput[]> = {
+/** Faults that both subjects can show; a delayed effect is for the model alone. */
+type SharedFault = Exclude<CallFault, "delayed">;
+
+const faultInputs: Record<SharedFault, readonly FaultInput[]> = {
     none: [],
     unavailable: [{ kind: "refuse" }],
     lostReply: [{ kind: "dropReply" }],
@@ -24,7 +27,7 @@
 const subjects: Record<string, () => Promise<TableSubject>> = {
     "in memory": async () => {
         const table = new MemoryTableService();
-        const setFault = (fault: CallFault): void => table.setFaultPlan(() => fault);
+        const setFault = (fault: SharedFault): void => table.setFaultPlan(() => fault);
         return { table, setFault, close: async () => {} };
     },
     "over HTTP": async () => {
