Fuzz the membership under cuts and restarts

Cause: the membership had examples only; one-way cuts and restarts in any order were not tried. Ruled out: real sockets for this (slow and not repeatable); the policy is pure. Two mutants (suspicions kept from the suspect, no refutation) are caught.

--- /dev/null
+++ b/packages/policy/src/membership/__tests__/membershipStateful.test.ts
@@ -0,0 +1,187 @@
+import { ManualClock } from "@pimentocleat/types";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { createRandom } from "../../random/random.js";
+import { MembershipState, type MemberIdentity, type MemberStatement } from "../member.js";
+import { defaultMemberTableSettings, MemberTable } from "../memberTable.js";
+
+const seed = 20_261_206;
+const runs = 200;
+const nodeCount = 6;
+const healingRounds = 60;
+const periodMs = 1_000;
+
+/** One random event: a probe round, a one-way cut, a heal, or a host that is replaced. */
+type Event =
+    | { readonly type: "round" }
+    | { readonly type: "cut"; readonly from: number; readonly to: number }
+    | { readonly type: "heal" }
+    | { readonly type: "restart"; readonly node: number };
+
+type TableFactory = (clock: ManualClock, self: MemberIdentity, random: () => number) => MemberTable;
+
+const createSound: TableFactory = (clock, self, random) => new MemberTable({ clock, self, random });
+
+/** Keeps from its peers what it holds against them, so that they cannot refute it. */
+class SecretiveTable extends MemberTable {
+    override takeUpdates(receiver?: string): readonly MemberStatement[] {
+        return super.takeUpdates().filter((statement) => statement.name !== receiver);
+    }
+}
+
+/** Takes over what it hears about itself instead of refuting it. */
+class AcceptingTable extends MemberTable {
+    override mergeStatements(statements: readonly MemberStatement[]): void {
+        super.mergeStatements(statements.filter((statement) => statement.name !== this.readSelf().name));
+    }
+}
+
+class Network {
+    readonly clock = new ManualClock();
+    readonly tables: MemberTable[] = [];
+    private readonly cuts = new Set<string>();
+    private incarnation = 0;
+
+    constructor(private readonly createTable: TableFactory) {
+        for (let node = 0; node < nodeCount; node += 1) {
+            this.restart(node);
+        }
+    }
+
+    apply(event: Event): void {
+        if (event.type === "round") {
+            this.runRound();
+        } else if (event.type === "cut") {
+            this.cuts.add(`${event.from}>${event.to}`);
+        } else if (event.type === "heal") {
+            this.cuts.clear();
+        } else {
+            this.restart(event.node);
+        }
+    }
+
+    private restart(node: number): void {
+        this.incarnation += 1;
+        const random = createRandom(seed + this.incarnation);
+        const self = { ...buildIdentity(node), incarnation: this.incarnation };
+        const table = this.createTable(this.clock, self, random);
+        table.updateDiscovered([...Array(nodeCount).keys()].map(buildIdentity));
+        this.tables[node] = table;
+    }
+
+    private runRound(): void {
+        for (const [index, table] of this.tables.entries()) {
+            const address = table.chooseProbeAddress();
+            const target = [...Array(nodeCount).keys()].find(
+                (node) => buildIdentity(node).peerAddress === address,
+            );
+            if (address !== undefined && target !== undefined) {
+                this.probe(index, target, address);
+            }
+        }
+        this.clock.advance(periodMs);
+        this.tables.forEach((table) => table.removeExpired());
+    }
+
+    private probe(from: number, to: number, address: string): void {
+        const caller = this.tables[from] as MemberTable;
+        if (this.exchange(from, to)) {
+            return;
+        }
+        const relays = caller.chooseRelayAddresses(address, 2).map(readNode);
+        const isReached = relays.some((relay) => this.exchange(from, relay) && this.exchange(relay, to));
+        if (!isReached) {
+            caller.recordUnreachable(address);
+        }
+    }
+
+    private exchange(from: number, to: number): boolean {
+        const [caller, receiver] = [this.tables[from], this.tables[to]] as [MemberTable, MemberTable];
+        if (this.cuts.has(`${from}>${to}`)) {
+            return false;
+        }
+        receiver.recordContact(caller.readSelf());
+        receiver.mergeStatements(caller.takeUpdates(caller.findName(buildIdentity(to).peerAddress)));
+        if (this.cuts.has(`${to}>${from}`)) {
+            return false;
+        }
+        caller.recordContact(receiver.readSelf());
+        caller.mergeStatements(receiver.takeUpdates(caller.readSelf().name));
+        return true;
+    }
+}
+
+function buildIdentity(node: number): MemberIdentity {
+    return {
+        name: `node-${node}`,
+        incarnation: 0,
+        dataCentre: "a",
+        peerAddress: `127.0.0.1:${7_000 + node}`,
+    };
+}
+
+function readNode(address: string): number {
+    return Number(address.split(":")[1]) - 7_000;
+}
+
+const nodes = fc.integer({ min: 0, max: nodeCount - 1 });
+const events: fc.Arbitrary<Event> = fc.oneof(
+    { weight: 6, arbitrary: fc.constant<Event>({ type: "round" }) },
+    { weight: 4, arbitrary: fc.record({ type: fc.constant("cut" as const), from: nodes, to: nodes }) },
+    { weight: 1, arbitrary: fc.constant<Event>({ type: "heal" }) },
+    { weight: 1, arbitrary: fc.record({ type: fc.constant("restart" as const), node: nodes }) },
+);
+
+/** After the cuts heal, every node must see every other one's newest run alive. */
+function buildProperty(createTable: TableFactory): fc.IProperty<[Event[]]> {
+    return fc.property(fc.array(events, { maxLength: 60 }), (history) => {
+        const network = new Network(createTable);
+        history.forEach((event) => network.apply(event));
+        network.apply({ type: "heal" });
+        for (let round = 0; round < healingRounds; round += 1) {
+            network.apply({ type: "round" });
+        }
+        const truth = network.tables.map((table) => table.readSelf());
+        for (const table of network.tables) {
+            const expected = truth.filter((member) => member.name !== table.readSelf().name);
+            const seen = table.listAlive().map(({ name, incarnation }) => `${name}#${incarnation}`);
+            expect(seen).toEqual(expected.map(({ name, incarnation }) => `${name}#${incarnation}`));
+        }
+    });
+}
+
+describe("membership under random cuts and restarts", () => {
+    it("converges to the living after the cuts heal", () => {
+        fc.assert(buildProperty(createSound), { seed, numRuns: runs });
+    });
+
+    const mutants: readonly { readonly name: string; readonly factory: TableFactory }[] = [
+        {
+            name: "keeps suspicions from the suspect",
+            factory: (clock, self, random) => new SecretiveTable({ clock, self, random }),
+        },
+        {
+            name: "never refutes",
+            factory: (clock, self, random) => new AcceptingTable({ clock, self, random }),
+        },
+    ];
+
+    it.each(mutants)("catches a node that $name", ({ factory }) => {
+        const details = fc.check(buildProperty(factory), { seed, numRuns: runs, endOnFailure: true });
+        expect(details.failed).toBe(true);
+    });
+
+    it("bounds every message whatever happened before", () => {
+        const network = new Network(createSound);
+        const { refreshPerMessage, updatesPerMessage } = defaultMemberTableSettings;
+        for (let round = 0; round < 20; round += 1) {
+            network.apply({ type: "restart", node: round % nodeCount });
+            network.apply({ type: "round" });
+            const updates = network.tables.map((table) => table.takeUpdates("node-0"));
+            expect(Math.max(...updates.map((list) => list.length))).toBeLessThanOrEqual(
+                refreshPerMessage + updatesPerMessage + 1,
+            );
+            expect(updates.flat().every((update) => update.state !== MembershipState.Leaving)).toBe(true);
+        }
+    });
+});
