Compose the daemon as a library: configuration, keys, peers, operators, requests

Cause: the parts of a node had no common start and stop, and a node cut off from store and peers still served. Ruled out: a readiness check inside the request path (the gate is a ConfigurationSource that hides the configuration, so a request is refused as not run); a table row a node for its state (writes grow with the nodes, the peers' records carry it). Change: Daemon, PeerBridge, NodeDirectory, RecordPublisher and GatedConfiguration; the follower polls at once on a peer's hint, and while the store is out it samples three peers; settings without a user are gone.

--- /dev/null
+++ b/packages/node/src/daemon/daemon.ts
@@ -0,0 +1,220 @@
+/**
+ * The daemon of an entry host as a library: request path, configuration, keys, peers and operator interface.
+ *
+ * @packageDocumentation
+ */
+import { TieredScheduler } from "@pimentocleat/policy";
+import type { Settings } from "@pimentocleat/schema";
+import { TableClaimStore } from "@pimentocleat/state";
+import type { NodeHandle, NodeOptions } from "../lifecycle/nodeOptions.js";
+import { startNode } from "../lifecycle/startNode.js";
+import type { NodeLimits } from "../limits/nodeLimits.js";
+import type { NodeStatus, OperatorBackend } from "../operator/operatorBackend.js";
+import { OperatorServer } from "../operator/operatorServer.js";
+import { PeerNetwork } from "../peers/peerNetwork.js";
+import type { DaemonAddresses, DaemonOptions } from "./daemonOptions.js";
+import { buildFollowingParts, type FollowingParts } from "./daemonParts.js";
+import { GatedConfiguration } from "./gatedConfiguration.js";
+import { NodeDirectory } from "./nodeDirectory.js";
+import { RecordPublisher } from "./recordPublisher.js";
+import { NoUsage, type UsageParts } from "./usageParts.js";
+
+/** A running daemon. */
+export class Daemon {
+    private readonly parts: FollowingParts;
+    private readonly network: PeerNetwork;
+    private readonly operatorServer: OperatorServer;
+    private readonly directory = new NodeDirectory();
+    private readonly usage: UsageParts;
+    private readonly stopping = new AbortController();
+    private readonly tasks: Promise<void>[] = [];
+    private node: NodeHandle | undefined;
+    private addresses: DaemonAddresses = { caller: "", operator: "", peer: "" };
+    private stopped: Promise<void> | undefined;
+
+    /** @param options - Settings, services, recorders and clock. */
+    constructor(private readonly options: DaemonOptions) {
+        this.usage = options.usage ?? new NoUsage();
+        this.parts = buildFollowingParts(options, () => this.network.listMembers().length + 1);
+        this.network = this.buildNetwork();
+        this.operatorServer = new OperatorServer({
+            backend: this.buildBackend(),
+            credential: options.settings.operatorCredential,
+            logger: options.logger,
+        });
+    }
+
+    /**
+     * Starts listening and following; the node becomes ready once it has a configuration.
+     *
+     * @returns The addresses in use.
+     */
+    async start(): Promise<DaemonAddresses> {
+        const { settings } = this.options;
+        const operator = await this.operatorServer.open(...splitAddress(settings.operatorAddress));
+        this.connectBridge();
+        const peer = await this.network.open();
+        await this.parts.follower.pollOnce();
+        this.node = await startNode(this.buildNodeOptions());
+        this.addresses = { caller: this.node.callerAddress, operator, peer };
+        this.tasks.push(
+            this.parts.follower.run(this.stopping.signal),
+            this.buildPublisher().run(this.stopping.signal),
+        );
+        return this.addresses;
+    }
+
+    /** Stops gracefully: finishes every request, then leaves the peers and closes. */
+    stop(): Promise<void> {
+        this.stopped ??= this.close(async () => this.node?.stop());
+        return this.stopped;
+    }
+
+    /** Stops at once; running requests fail. */
+    abort(): Promise<void> {
+        return this.close(async () => this.node?.abort());
+    }
+
+    /** @returns State of this node. */
+    readStatus(): NodeStatus {
+        const { name, dataCentre } = this.options.settings;
+        return {
+            name,
+            dataCentre,
+            state: this.readState(),
+            revision: this.parts.configuration.readRevision(),
+            callerAddress: this.addresses.caller,
+            operatorAddress: this.addresses.operator,
+        };
+    }
+
+    private async close(stopNode: () => Promise<void>): Promise<void> {
+        await stopNode();
+        this.stopping.abort();
+        await Promise.all(this.tasks);
+        await this.network.close();
+        await this.operatorServer.close();
+        await this.options.services.close();
+        await this.options.metrics.close();
+    }
+
+    private readState(): string {
+        const reason = this.parts.follower.readNotReadyReason();
+        if (reason !== undefined) {
+            return reason;
+        }
+        if (this.stopped !== undefined) {
+            return "stopping";
+        }
+        return this.node?.isReady() === true ? "ready" : "starting";
+    }
+
+    private connectBridge(): void {
+        const { bridge, configuration, registry, withdrawals, follower } = this.parts;
+        bridge.connect({
+            network: this.network,
+            configuration,
+            registry,
+            withdrawals,
+            directory: this.directory,
+            requestPoll: () => follower.requestPoll(),
+            readNode: () => this.node,
+            storeUsageCopy: (copy) => this.usage.storeCopy(copy),
+        });
+    }
+
+    private buildNetwork(): PeerNetwork {
+        const { settings, services, clock, random, logger } = this.options;
+        return new PeerNetwork({
+            name: settings.name,
+            dataCentre: settings.dataCentre,
+            listenAddress: settings.peerAddress,
+            secret: settings.peerSecret,
+            clock,
+            random,
+            hostList: services.hostList,
+            seedAddresses: settings.peerSeeds,
+            handlers: this.parts.bridge,
+            logger,
+        });
+    }
+
+    private buildPublisher(): RecordPublisher {
+        return new RecordPublisher({
+            clock: this.options.clock,
+            setRecord: (key, payload) => this.network.setRecord(key, payload),
+            readStatus: () => this.readStatus(),
+            listSummaries: () => this.node?.listPoolSummaries() ?? [],
+        });
+    }
+
+    private buildNodeOptions(): NodeOptions {
+        const { settings, services, logger, metrics, clock, random, readCredential } = this.options;
+        const [host, port] = splitAddress(settings.callerAddress);
+        const { configuration, registry, follower } = this.parts;
+        const isOpen = (): boolean => follower.readNotReadyReason() === undefined;
+        return {
+            name: settings.name,
+            dataCentre: settings.dataCentre,
+            callerAddress: { host, port },
+            configuration: new GatedConfiguration({ source: configuration, isOpen }),
+            keys: registry,
+            claims: new TableClaimStore({
+                tableService: services.tableService,
+                clock,
+                random,
+                logger,
+                // A node that cannot be reached may still be running the request.
+                isOwnerGone: () => false,
+            }),
+            usage: this.usage.recorder,
+            hosts: services.hostList,
+            logger,
+            metrics,
+            clock,
+            createScheduler: (pool) =>
+                new TieredScheduler({ configuration: pool, clock, node: settings.name }),
+            limits: { ...selectLimits(settings), ...this.options.limits },
+            ...(readCredential === undefined ? {} : { readCredential }),
+            flushUsage: () => this.usage.flush(),
+        };
+    }
+
+    private buildBackend(): OperatorBackend {
+        const { store, registry, withdrawals, configuration, follower } = this.parts;
+        return {
+            configurationStore: store,
+            followStore: () => follower.pollOnce(),
+            withdrawKey: (keyId, author) => withdrawals.withdrawKey(keyId, author),
+            listKeys: () =>
+                registry.listKeys().map((key) => ({ key, isWithdrawn: registry.isWithdrawn(key.id) })),
+            readStatus: () => this.readStatus(),
+            countRequests: () => this.node?.countRequests() ?? 0,
+            countUnrecordedWithdrawals: () => registry.listUnrecorded().length,
+            listNodes: () => this.directory.listNodes(this.readStatus()),
+            listPools: () => {
+                const statuses = this.node?.listPoolStatuses();
+                const pools = configuration.readCurrent()?.configuration.pools ?? [];
+                return pools.map((pool) => ({ pool, status: statuses?.get(pool.name) }));
+            },
+            findTrace: (requestId) => this.node?.findTrace(requestId),
+        };
+    }
+}
+
+/** Limits of the request path that have a setting. */
+function selectLimits(settings: Settings): Partial<NodeLimits> {
+    return {
+        maximumBodyBytes: settings.maximumBodyBytes,
+        maximumHeaderBytes: settings.maximumHeaderBytes,
+        headersTimeoutMs: settings.headerTimeoutMs,
+        requestTimeoutMs: settings.requestTimeoutMs,
+        keepAliveMs: settings.keepAliveTimeoutMs,
+        drainDelayMs: settings.drainDelayMs,
+    };
+}
+
+function splitAddress(address: string): [string, number] {
+    const [host = "", port = "0"] = address.split(":");
+    return [host, Number(port)];
+}
--- /dev/null
+++ b/packages/node/src/daemon/daemonParts.ts
@@ -0,0 +1,70 @@
+/**
+ * The parts of a daemon that keep it in step with the store and its peers.
+ *
+ * @packageDocumentation
+ */
+import {
+    ConfigurationFollower,
+    ConfiguredKeyRegistry,
+    defaultCallerBounds,
+    StoreCaller,
+    StoreFollower,
+    TableConfigurationStore,
+    WithdrawalFollower,
+    WithdrawalStore,
+    type ConfigurationStore,
+} from "@pimentocleat/state";
+import type { DaemonOptions } from "./daemonOptions.js";
+import { PeerBridge } from "./peerBridge.js";
+
+/** Reads of the store a second that all nodes together may spend on polls. */
+const pollBudgetPerSecond = 500;
+const millisecondsPerSecond = 1_000;
+
+/** What follows the store. */
+export interface FollowingParts {
+    readonly bridge: PeerBridge;
+    readonly store: ConfigurationStore;
+    readonly configuration: ConfigurationFollower;
+    readonly registry: ConfiguredKeyRegistry;
+    readonly withdrawals: WithdrawalFollower;
+    readonly follower: StoreFollower;
+}
+
+/**
+ * Builds the parts that follow the store.
+ *
+ * @param options - The daemon's options.
+ * @param countNodes - Counts the nodes that are known to run; the polls get rarer with their number.
+ * @returns The parts, not running yet.
+ */
+export function buildFollowingParts(options: DaemonOptions, countNodes: () => number): FollowingParts {
+    const { settings, services, clock, logger, random } = options;
+    const { tableService } = services;
+    const caller = new StoreCaller({ clock, random, ...defaultCallerBounds });
+    const bridge = new PeerBridge();
+    const store = new TableConfigurationStore({ tableService, clock, random });
+    const configuration = new ConfigurationFollower({ store, peers: bridge, logger });
+    const registry = new ConfiguredKeyRegistry({ configuration, logger });
+    const withdrawalStore = new WithdrawalStore(tableService, caller);
+    const withdrawals = new WithdrawalFollower({
+        registry,
+        store: withdrawalStore,
+        peers: bridge,
+        clock,
+        logger,
+    });
+    const follower = new StoreFollower({
+        tableService,
+        caller,
+        configuration,
+        withdrawals,
+        clock,
+        logger,
+        random,
+        readIntervalMs: () =>
+            Math.max(settings.storePollMs, (countNodes() * millisecondsPerSecond) / pollBudgetPerSecond),
+        isolationLimitMs: settings.isolationLimitMs,
+    });
+    return { bridge, store, configuration, registry, withdrawals, follower };
+}
--- /dev/null
+++ b/packages/node/src/daemon/index.ts
@@ -0,0 +1,6 @@
+export { Daemon } from "./daemon.js";
+export type { DaemonAddresses, DaemonOptions } from "./daemonOptions.js";
+export { createPlatformServices } from "./platformServices.js";
+export type { PlatformServices } from "./platformServices.js";
+export { NoUsage } from "./usageParts.js";
+export type { UsageParts } from "./usageParts.js";
--- /dev/null
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -0,0 +1,140 @@
+/**
+ * Connects the peer network with configuration, keys, pools and the directory of nodes.
+ *
+ * @packageDocumentation
+ */
+import { Code, ConnectError } from "@connectrpc/connect";
+import type {
+    ConfigurationFollower,
+    ConfigurationPeers,
+    ConfigurationSnapshot,
+    ConfiguredKeyRegistry,
+    KeyWithdrawal,
+    WithdrawalFollower,
+    WithdrawalPeers,
+} from "@pimentocleat/state";
+import type { NodeHandle } from "../lifecycle/nodeOptions.js";
+import type { PeerConfiguration, PeerHandlers, PeerUsageCopy } from "../peers/peerHandlers.js";
+import type { PeerNetwork } from "../peers/peerNetwork.js";
+import type { NodeDirectory } from "./nodeDirectory.js";
+import {
+    decodeSnapshot,
+    decodeStatus,
+    decodeSummary,
+    decodeWithdrawal,
+    encodeJson,
+    encodeWithdrawal,
+    poolRecordPrefix,
+    statusRecordKey,
+} from "./peerRecords.js";
+
+/** Peers that a running node asks while the store is out, so that the cost does not grow with the nodes. */
+const sampledPeers = 3;
+
+/** The parts of a node that peers read and steer. */
+export interface PeerBridgeParts {
+    readonly network: PeerNetwork;
+    readonly configuration: ConfigurationFollower;
+    readonly registry: ConfiguredKeyRegistry;
+    readonly withdrawals: WithdrawalFollower;
+    readonly directory: NodeDirectory;
+    readonly requestPoll: () => void;
+    /** The request path; undefined while the node starts. */
+    readonly readNode: () => NodeHandle | undefined;
+    readonly storeUsageCopy: (copy: PeerUsageCopy) => void;
+}
+
+/** Both sides of the exchange with peers. */
+export class PeerBridge implements ConfigurationPeers, WithdrawalPeers, PeerHandlers {
+    private parts: PeerBridgeParts | undefined;
+    private encoded: { readonly snapshot: ConfigurationSnapshot; readonly content: Uint8Array } | undefined;
+
+    /**
+     * Connects the parts; before that, no peer is reached.
+     *
+     * @param parts - The parts of the node.
+     */
+    connect(parts: PeerBridgeParts): void {
+        this.parts = parts;
+    }
+
+    async readHighestSnapshot(above: number): Promise<ConfigurationSnapshot | undefined> {
+        // A starting node asks all, since it must not start from an old revision.
+        const found = await this.parts?.network.readConfiguration(
+            above,
+            above === 0 ? undefined : sampledPeers,
+        );
+        return found && decodeSnapshot(found.content);
+    }
+
+    async spreadWithdrawals(withdrawals: readonly KeyWithdrawal[]): Promise<number> {
+        const answer = await this.parts?.network.spreadWithdrawals(withdrawals.map(encodeWithdrawal));
+        return answer?.peers ?? 0;
+    }
+
+    async readWithdrawals(): Promise<readonly KeyWithdrawal[] | undefined> {
+        const answer = await this.parts?.network.spreadWithdrawals([], sampledPeers);
+        return answer === undefined || answer.peers === 0 ? undefined : decodeWithdrawals(answer.keyIds);
+    }
+
+    readConfiguration(): PeerConfiguration | undefined {
+        const snapshot = this.parts?.configuration.readSnapshot();
+        if (snapshot === undefined) {
+            return undefined;
+        }
+        if (this.encoded?.snapshot !== snapshot) {
+            this.encoded = { snapshot, content: encodeJson(snapshot) };
+        }
+        return { revision: snapshot.revision, content: this.encoded.content };
+    }
+
+    handleHigherRevision(): void {
+        this.parts?.requestPoll();
+    }
+
+    addWithdrawals(texts: readonly string[]): readonly string[] {
+        const known = new Set(this.listKnown());
+        const received = decodeWithdrawals(texts);
+        this.parts?.withdrawals.receiveWithdrawals(received);
+        return this.listKnown().filter((text) => !known.has(text));
+    }
+
+    listWithdrawals(): readonly string[] {
+        if (this.parts?.withdrawals.hasLoaded() !== true) {
+            // A peer must not take an incomplete list for news from a node in touch.
+            throw new ConnectError("the withdrawals are not known yet", Code.Unavailable);
+        }
+        return this.listKnown();
+    }
+
+    storeUsageCopy(copy: PeerUsageCopy): void {
+        this.parts?.storeUsageCopy(copy);
+    }
+
+    handleRecord(owner: string, key: string, payload: Uint8Array): void {
+        if (key === statusRecordKey) {
+            const status = decodeStatus(payload);
+            if (status?.name === owner) {
+                this.parts?.directory.setStatus(status);
+            }
+        } else if (key.startsWith(poolRecordPrefix)) {
+            const summary = decodeSummary(payload);
+            if (summary?.node === owner) {
+                this.parts?.readNode()?.recordPeerSummary(summary);
+            }
+        }
+    }
+
+    handleMemberGone(name: string): void {
+        this.parts?.directory.removeNode(name);
+        this.parts?.readNode()?.removePeer(name);
+    }
+
+    private listKnown(): readonly string[] {
+        return (this.parts?.registry.listWithdrawals() ?? []).map(encodeWithdrawal);
+    }
+}
+
+function decodeWithdrawals(texts: readonly string[]): readonly KeyWithdrawal[] {
+    return texts.flatMap((text) => decodeWithdrawal(text) ?? []);
+}
--- /dev/null
+++ b/packages/node/src/daemon/peerRecords.ts
@@ -0,0 +1,124 @@
+/**
+ * Contents of the soft records and withdrawals that nodes exchange.
+ *
+ * @packageDocumentation
+ */
+import type { PoolSummary } from "@pimentocleat/policy";
+import { keyWithdrawalSchema, type ConfigurationSnapshot, type KeyWithdrawal } from "@pimentocleat/state";
+import { z } from "zod";
+import type { NodeStatus } from "../operator/operatorBackend.js";
+
+/** Key of the record with a node's state. */
+export const statusRecordKey = "status";
+
+/** First part of the keys of pool summaries. */
+export const poolRecordPrefix = "pool:";
+
+const statusSchema = z.object({
+    name: z.string(),
+    dataCentre: z.string(),
+    state: z.string(),
+    revision: z.number(),
+    callerAddress: z.string(),
+    operatorAddress: z.string(),
+}) satisfies z.ZodType<NodeStatus>;
+
+const counts = z.record(z.string(), z.number());
+
+const summarySchema = z.object({
+    pool: z.string(),
+    node: z.string(),
+    sequence: z.number(),
+    waiting: counts,
+    running: counts,
+    demand: counts,
+    servedTokens: counts,
+    stragglers: z.array(z.string()),
+    lent: z.record(z.string(), counts).optional(),
+    borrowed: z.record(z.string(), counts).optional(),
+    acknowledged: counts.optional(),
+}) satisfies z.ZodType<PoolSummary>;
+
+const snapshotSchema = z.object({
+    revision: z.int().positive(),
+    digest: z.string(),
+    files: z.array(z.object({ name: z.string(), content: z.string() })),
+}) satisfies z.ZodType<ConfigurationSnapshot>;
+
+const partsOfWithdrawal = 4;
+
+/**
+ * Encodes a value as JSON bytes.
+ *
+ * @param value - A plain value.
+ * @returns The bytes.
+ */
+export function encodeJson(value: unknown): Uint8Array {
+    return new TextEncoder().encode(JSON.stringify(value));
+}
+
+function decodeJson<Schema extends z.ZodType>(
+    schema: Schema,
+    payload: Uint8Array,
+): z.infer<Schema> | undefined {
+    try {
+        return schema.parse(JSON.parse(new TextDecoder().decode(payload)));
+    } catch {
+        // A peer of another version may send what this one does not know.
+        return undefined;
+    }
+}
+
+/**
+ * Decodes the state of a node.
+ *
+ * @param payload - The bytes.
+ * @returns The state, or undefined when it is not one.
+ */
+export function decodeStatus(payload: Uint8Array): NodeStatus | undefined {
+    return decodeJson(statusSchema, payload);
+}
+
+/**
+ * Decodes a pool summary.
+ *
+ * @param payload - The bytes.
+ * @returns The summary, or undefined when it is not one.
+ */
+export function decodeSummary(payload: Uint8Array): PoolSummary | undefined {
+    return decodeJson(summarySchema, payload);
+}
+
+/**
+ * Decodes a configuration snapshot.
+ *
+ * @param payload - The bytes.
+ * @returns The snapshot, or undefined when it is not one.
+ */
+export function decodeSnapshot(payload: Uint8Array): ConfigurationSnapshot | undefined {
+    return decodeJson(snapshotSchema, payload);
+}
+
+/**
+ * Encodes a withdrawal as one text.
+ *
+ * @param withdrawal - The withdrawal.
+ * @returns Identifier, digest, time and author with spaces between them.
+ */
+export function encodeWithdrawal(withdrawal: KeyWithdrawal): string {
+    const { keyId, digest, withdrawnAtMs, author } = withdrawal;
+    return `${keyId} ${digest} ${String(withdrawnAtMs)} ${author}`;
+}
+
+/**
+ * Decodes a withdrawal.
+ *
+ * @param text - The text.
+ * @returns The withdrawal, or undefined when the text is not one.
+ */
+export function decodeWithdrawal(text: string): KeyWithdrawal | undefined {
+    const parts = text.split(" ");
+    const [keyId, digest, time] = parts;
+    const author = parts.slice(partsOfWithdrawal - 1).join(" ");
+    return keyWithdrawalSchema.safeParse({ keyId, digest, withdrawnAtMs: Number(time), author }).data;
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -7,3 +7,4 @@
 export type { SchedulerFactory } from "./dispatch/poolTasks.js";
 export * from "./peers/index.js";
 export * from "./operator/index.js";
+export * from "./daemon/index.js";
--- a/packages/node/src/operator/operatorServer.ts
+++ b/packages/node/src/operator/operatorServer.ts
@@ -45,12 +45,10 @@
         this.server.addHook("onRequest", async (request, reply) => {
             if (!this.isAuthorized(request.headers.authorization)) {
                 logger.writeEvent("operatorRefused", { address: request.ip });
-                return reply
-                    .code(401)
-                    .send({
-                        code: "unauthenticated",
-                        message: "the operator credential is missing or wrong",
-                    });
+                return reply.code(401).send({
+                    code: "unauthenticated",
+                    message: "the operator credential is missing or wrong",
+                });
             }
             return undefined;
         });
--- a/packages/node/src/peers/index.ts
+++ b/packages/node/src/peers/index.ts
@@ -1,3 +1,3 @@
 export type { PeerConfiguration, PeerHandlers, PeerUsageCopy } from "./peerHandlers.js";
 export { defaultPeerNetworkSettings, PeerNetwork } from "./peerNetwork.js";
-export type { PeerNetworkOptions, PeerNetworkSettings, PeerTraffic } from "./peerNetwork.js";
+export type { PeerNetworkOptions, PeerNetworkSettings, PeerTraffic, PeerWithdrawals } from "./peerNetwork.js";
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -76,6 +76,14 @@
     readonly settings?: PeerNetworkSettings;
 }
 
+/** What reached peers know of withdrawals. */
+export interface PeerWithdrawals {
+    /** Peers that answered. */
+    readonly peers: number;
+    /** Withdrawals that any of them knows of. */
+    readonly keyIds: readonly string[];
+}
+
 /** Traffic of a {@link PeerNetwork}. */
 export interface PeerTraffic {
     /** Bytes received and sent on connections that peers opened. */
@@ -175,10 +183,14 @@
      * Reads the highest configuration that some peers hold.
      *
      * @param aboveRevision - Only a higher revision is wanted.
+     * @param maximumPeers - Most peers to ask, chosen at random; all when absent.
      * @returns The configuration, or undefined when no reached peer has a higher one.
      */
-    async readConfiguration(aboveRevision: number): Promise<PeerConfiguration | undefined> {
-        const answers = await this.callPeers(this.listAddresses(), async (client) => {
+    async readConfiguration(
+        aboveRevision: number,
+        maximumPeers?: number,
+    ): Promise<PeerConfiguration | undefined> {
+        const answers = await this.callPeers(this.chooseAddresses(maximumPeers), async (client) => {
             const answer = await client.readConfiguration(
                 { aboveRevision: BigInt(aboveRevision) },
                 { timeoutMs: this.settings.callTimeoutMs },
@@ -196,17 +208,18 @@
      * Passes withdrawals to all known peers at once; each passes on what is new to it.
      *
      * @param keyIds - Identifiers of withdrawn keys.
-     * @returns Withdrawals that the reached peers know of.
+     * @param maximumPeers - Most peers to call, chosen at random; all when absent.
+     * @returns How many peers were reached, and the withdrawals that they know of.
      */
-    async spreadWithdrawals(keyIds: readonly string[]): Promise<readonly string[]> {
-        const answers = await this.callPeers(this.listAddresses(), async (client) => {
+    async spreadWithdrawals(keyIds: readonly string[], maximumPeers?: number): Promise<PeerWithdrawals> {
+        const answers = await this.callPeers(this.chooseAddresses(maximumPeers), async (client) => {
             const request = { keyIds: [...keyIds], forward: true };
             const answer = await client.spreadWithdrawals(request, {
                 timeoutMs: this.settings.callTimeoutMs,
             });
             return answer.keyIds;
         });
-        return [...new Set(answers.flat())];
+        return { peers: answers.length, keyIds: [...new Set(answers.flat())] };
     }
 
     /**
@@ -403,6 +416,12 @@
         return addresses.length > 0 ? addresses : [...this.options.seedAddresses];
     }
 
+    private chooseAddresses(maximumPeers: number | undefined): readonly string[] {
+        const alive =
+            maximumPeers === undefined ? [] : (this.members?.chooseRelayAddresses("", maximumPeers) ?? []);
+        return alive.length > 0 ? alive : this.listAddresses();
+    }
+
     private listSeedHosts(): { name: string; dataCentre: string; peerAddress: string }[] {
         return this.options.seedAddresses.map((peerAddress) => ({
             name: peerAddress,
--- a/packages/schema/src/configuration/checkEntry.ts
+++ b/packages/schema/src/configuration/checkEntry.ts
@@ -8,7 +8,7 @@
 import type { ConfigurationProblem } from "./configurationProblem.js";
 
 const builtInPathPrefix = "/v1/";
-const reservedPaths: ReadonlySet<string> = new Set(["/health", "/ready"]);
+const reservedPaths: ReadonlySet<string> = new Set(["/healthz", "/readyz"]);
 
 function checkRoute(
     entry: EntryPlace,
--- a/packages/schema/src/settings/settingDescriptions.ts
+++ b/packages/schema/src/settings/settingDescriptions.ts
@@ -33,7 +33,7 @@
     if (!result.success) {
         return "required";
     }
-    return result.data === undefined ? "none" : String(result.data);
+    return result.data === undefined || String(result.data) === "" ? "none" : String(result.data);
 }
 
 function describeSetting(name: SettingName): SettingDescription {
--- a/packages/schema/src/settings/settingMetadata.ts
+++ b/packages/schema/src/settings/settingMetadata.ts
@@ -47,6 +47,17 @@
     return z.string().refine(isAddress);
 }
 
+/**
+ * Builds the schema of a list of addresses.
+ *
+ * @returns The schema; its input is a text with commas between the addresses.
+ */
+export function buildAddressListSchema() {
+    const split = (value: unknown): unknown =>
+        typeof value === "string" ? value.split(",").filter((part) => part !== "") : value;
+    return z.preprocess(split, z.array(buildAddressSchema()));
+}
+
 /**
  * Builds the schema of a whole number that is written as a text.
  *
--- a/packages/schema/src/settings/settingsSchema.ts
+++ b/packages/schema/src/settings/settingsSchema.ts
@@ -4,7 +4,12 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import { buildAddressSchema, buildIntegerSchema, settingRegistry } from "./settingMetadata.js";
+import {
+    buildAddressListSchema,
+    buildAddressSchema,
+    buildIntegerSchema,
+    settingRegistry,
+} from "./settingMetadata.js";
 
 const kibibyte = 1_024;
 const mebibyte = 1_024 * kibibyte;
@@ -54,13 +59,14 @@
     callerAddress: defineAddress("Address on which callers are served.", "127.0.0.1:8080"),
     operatorAddress: defineAddress("Address of the operator interface.", "127.0.0.1:8081"),
     peerAddress: defineAddress("Address on which other nodes are served.", "127.0.0.1:8082"),
+    peerSeeds: buildAddressListSchema().default([]).register(settingRegistry, {
+        description: "Peer addresses to try besides those of the platform's host list.",
+        allowed: "addresses such as 127.0.0.1:8082, with commas between them",
+    }),
     platformAddress: buildAddressSchema().register(settingRegistry, {
         description: "Address of the platform's services.",
         allowed: address,
     }),
-    platformCredential: buildSecretSchema()
-        .optional()
-        .register(settingRegistry, describeSecret("Credential sent to the platform's services.")),
     peerSecret: buildSecretSchema().register(
         settingRegistry,
         describeSecret("Secret shared by all nodes; peers prove that they know it."),
@@ -123,11 +129,6 @@
         most: 3_600_000,
         value: 75_000,
     }),
-    maximumConnections: defineInteger("Most connections of callers at the same time.", "connections", {
-        least: 1,
-        most: 1_000_000,
-        value: 20_000,
-    }),
     storePollMs: defineInteger(
         "Mean time between two looks for a new configuration or withdrawal in the table service.",
         milliseconds,
--- a/packages/state/src/configuration/storeFollower.ts
+++ b/packages/state/src/configuration/storeFollower.ts
@@ -35,6 +35,7 @@
     private lastContactMs: number | undefined;
     private isStoreReachable = true;
     private wasIsolated = false;
+    private waiting = new AbortController();
 
     /** @param options - What to follow, and the bounds. */
     constructor(private readonly options: StoreFollowerOptions) {}
@@ -47,10 +48,15 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.pollOnce();
-            await this.options.clock.wait(this.computeWaitMs(), signal);
+            await this.waitForPoll(signal);
         }
     }
 
+    /** Ends the wait for the next poll, for instance because a peer has a higher revision. */
+    requestPoll(): void {
+        this.waiting.abort();
+    }
+
     /** Looks once at the store, or at the peers if the store cannot be reached. Never throws. */
     async pollOnce(): Promise<void> {
         const startedMs = this.options.clock.monotonicMs();
@@ -90,6 +96,17 @@
         this.noteContact(this.options.clock.monotonicMs());
     }
 
+    private async waitForPoll(signal: AbortSignal): Promise<void> {
+        const waiting = new AbortController();
+        this.waiting = waiting;
+        const stop = (): void => waiting.abort();
+        signal.addEventListener("abort", stop, { once: true });
+        if (!signal.aborted) {
+            await this.options.clock.wait(this.computeWaitMs(), waiting.signal);
+        }
+        signal.removeEventListener("abort", stop);
+    }
+
     private isIsolated(): boolean {
         const { clock, isolationLimitMs } = this.options;
         return (
