Lend slots by tier and deadline, and keep floors over all nodes

Cause: with slots lent by tier alone, urgent requests expired on one node while later ones of the same tier got slots on another; floors counted by each node for itself were never due. Ruled out: lending for any work of the borrower (lower tiers then kept the borrowed slots); floor credit that grows with time on each node. Change: summaries carry tier and slack of the most urgent waiting request, acknowledgements and starts; a loan is bound to a tier; FloorKeeper counts pool-wide starts; admission predicts with the waiting requests of all nodes and a customer's fair place.

--- a/packages/policy/src/admission/admissionController.ts
+++ b/packages/policy/src/admission/admissionController.ts
@@ -49,12 +49,8 @@
      * @returns The advice.
      */
     advise(classQueue: ClassQueue, customer: string, slots: number, nowMs: number): AdmissionAdvice {
-        const waitMs = this.predictWaitMs(
-            classQueue,
-            this.countAhead(classQueue, customer) + 1,
-            slots,
-            nowMs,
-        );
+        const ahead = classQueue.queue.countAhead(customer, classQueue.tokens.readMean());
+        const waitMs = this.predictWaitMs(classQueue, ahead + 1, slots, nowMs);
         const budgetMs = classQueue.readWaitBudgetMs();
         return {
             admitted: waitMs <= budgetMs * refusalMargin,
@@ -81,16 +77,6 @@
         };
     }
 
-    /**
-     * A customer's request waits for its own queue, and for as many requests of each other customer.
-     */
-    private countAhead(classQueue: ClassQueue, customer: string): number {
-        const { queue } = classQueue;
-        const own = queue.countCustomerWaiting(customer);
-        const others = queue.countActiveCustomers() - (own > 0 ? 1 : 0);
-        return Math.min(queue.countWaiting(), own + others * (own + 1));
-    }
-
     private predictWaitMs(classQueue: ClassQueue, position: number, slots: number, nowMs: number): number {
         const { tier, weight, floorShare } = classQueue.settings;
         let higherLoad = 0;
--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -9,7 +9,7 @@
 import { LendingBook, lendTermMs } from "./lendingBook.js";
 import { Members } from "./members.js";
 import { ReportedLoad } from "./reportedLoad.js";
-import type { ServerSlots, SlotPolicy, SlotSummary } from "./slotPolicy.js";
+import type { ServerSlots, SlotPolicy, SlotSummary, WaitingDemand } from "./slotPolicy.js";
 
 /** Options of {@link LentSlots}. */
 export interface LentSlotsOptions {
@@ -21,16 +21,19 @@
 
 interface Loan {
     readonly slots: Readonly<Record<string, number>>;
+    /** The slots are for requests of this tier and higher ones. */
+    readonly tier: number;
     readonly receivedMs: number;
 }
 
-interface PeerNeed {
-    readonly tier: number;
+interface PeerNeed extends WaitingDemand {
     readonly waiting: number;
 }
 
 const guardMs = 10_000;
 const summaryGapMs = 20;
+/** Of two nodes with the same tier, the slot's owner goes first unless the other is earlier by this. */
+const urgencyMarginMs = 200;
 /** Own slots are the home of a request that no loan was needed for. */
 const ownSource = "";
 
@@ -51,7 +54,7 @@
     private guardUntilMs = -Infinity;
     /** Last summary received from each node. */
     private readonly received = new Map<string, number>();
-    private highestTier: number | undefined;
+    private demand: WaitingDemand | undefined;
     private spreadTier: number | undefined;
     private hasReturns = false;
     private summarizedMs = -Infinity;
@@ -66,9 +69,9 @@
         this.updateHome(true);
     }
 
-    countFree(server: string): number {
+    countFree(server: string, tier: number): number {
         const nowMs = this.readNowMs();
-        const free = this.countFreeHome(server, nowMs) + this.countFreeLoans(server, nowMs);
+        const free = this.countFreeHome(server, nowMs) + this.countFreeLoans(server, tier, nowMs);
         if (free <= 0 || nowMs >= this.guardUntilMs) {
             return Math.max(0, free);
         }
@@ -84,10 +87,11 @@
         return this.members.list().length;
     }
 
-    recordStart(requestId: string, server: string): void {
+    recordStart(requestId: string, server: string, tier: number): void {
         const nowMs = this.readNowMs();
         this.getLoad(server).recordChange(1, nowMs);
-        const source = this.countFreeHome(server, nowMs) > 0 ? ownSource : this.findLender(server, nowMs);
+        const isHome = this.countFreeHome(server, nowMs) > 0;
+        const source = isHome ? ownSource : this.findLender(server, tier, nowMs);
         this.sources.set(`${server} ${requestId}`, source ?? ownSource);
         this.changeUsed(source ?? ownSource, server, 1);
     }
@@ -116,13 +120,14 @@
         if (this.members.recordHeard(summary.node, nowMs)) {
             this.updateHome(false);
         }
-        this.needs.set(summary.node, this.readNeed(summary));
+        this.needs.set(summary.node, this.readNeed(summary, nowMs));
         this.book.recordUsed(summary.node, summary.borrowed?.[this.options.node] ?? {});
         this.book.recordAcknowledged(summary.node, summary.acknowledged?.[this.options.node] ?? 0);
         const slots = summary.lent?.[this.options.node] ?? {};
         const former = this.loans.get(summary.node)?.slots ?? {};
         this.hasReturns ||= Object.entries(former).some(([server, count]) => count > (slots[server] ?? 0));
-        this.loans.set(summary.node, { slots, receivedMs: nowMs });
+        const tier = summary.lentTiers?.[this.options.node] ?? 0;
+        this.loans.set(summary.node, { slots, tier, receivedMs: nowMs });
     }
 
     removePeer(node: string): void {
@@ -131,32 +136,35 @@
         this.updateHome(false);
     }
 
-    updateDemand(highestTier: number | undefined): void {
-        this.highestTier = highestTier;
+    updateDemand(demand: WaitingDemand | undefined, isFloorOwed: boolean): void {
+        this.demand = demand;
         if (this.needs.size > 0) {
             const nowMs = this.readNowMs();
             this.updateHome(false);
-            this.withdrawUnneeded(highestTier, nowMs);
-            this.lendFree(highestTier, nowMs);
+            this.withdrawUnneeded(nowMs);
+            if (!isFloorOwed) {
+                this.lendFree(nowMs);
+            }
         }
     }
 
     isSummaryDue(): boolean {
         const isOld = this.readNowMs() - this.summarizedMs >= summaryGapMs;
-        const hasNews = this.book.hasChanges() || this.hasReturns || this.highestTier !== this.spreadTier;
+        const hasNews = this.book.hasChanges() || this.hasReturns || this.demand?.tier !== this.spreadTier;
         return isOld && hasNews && this.members.list().length > 1;
     }
 
-    summarizeSlots(highestTier: number | undefined, sequence: number): SlotSummary {
+    summarizeSlots(demand: WaitingDemand | undefined, isFloorOwed: boolean, sequence: number): SlotSummary {
         this.book.setSequence(sequence);
         this.members.compact(this.readNowMs());
-        this.updateDemand(highestTier);
+        this.updateDemand(demand, isFloorOwed);
         this.book.setSequence(sequence + 1);
-        this.spreadTier = highestTier;
+        this.spreadTier = demand?.tier;
         this.hasReturns = false;
         this.summarizedMs = this.readNowMs();
         return {
             lent: this.book.summarizeOffers(),
+            lentTiers: Object.fromEntries([...this.needs].map(([node, { tier }]) => [node, tier])),
             borrowed: this.summarizeBorrowed(),
             acknowledged: Object.fromEntries(this.received),
         };
@@ -195,25 +203,25 @@
         return home - this.countUsed(ownSource, server) - this.book.countTaken(server, nowMs);
     }
 
-    private countFreeLoans(server: string, nowMs: number): number {
+    private countFreeLoans(server: string, tier: number, nowMs: number): number {
         let free = 0;
         for (const node of this.loans.keys()) {
-            free += Math.max(0, this.countLoan(node, server, nowMs) - this.countUsed(node, server));
+            free += Math.max(0, this.countLoan(node, server, tier, nowMs) - this.countUsed(node, server));
         }
         return free;
     }
 
-    private countLoan(node: string, server: string, nowMs: number): number {
+    private countLoan(node: string, server: string, tier: number, nowMs: number): number {
         const loan = this.loans.get(node);
-        if (loan === undefined || nowMs - loan.receivedMs > lendTermMs) {
+        if (loan === undefined || nowMs - loan.receivedMs > lendTermMs || tier > loan.tier) {
             return 0;
         }
         return loan.slots[server] ?? 0;
     }
 
-    private findLender(server: string, nowMs: number): string | undefined {
+    private findLender(server: string, tier: number, nowMs: number): string | undefined {
         return [...this.loans.keys()].find(
-            (node) => this.countLoan(node, server, nowMs) > this.countUsed(node, server),
+            (node) => this.countLoan(node, server, tier, nowMs) > this.countUsed(node, server),
         );
     }
 
@@ -236,7 +244,7 @@
         return load;
     }
 
-    private readNeed(summary: PoolSummary): PeerNeed {
+    private readNeed(summary: PoolSummary, nowMs: number): PeerNeed {
         let tier = Infinity;
         let waiting = 0;
         for (const [name, count] of Object.entries(summary.waiting)) {
@@ -246,30 +254,38 @@
                 tier = classTier;
             }
         }
-        return { tier, waiting };
+        return { tier, waiting, latestStartMs: nowMs + (summary.slackMs ?? Infinity) };
     }
 
-    private withdrawUnneeded(highestTier: number | undefined, nowMs: number): void {
+    private withdrawUnneeded(nowMs: number): void {
         for (const node of this.book.listNodes()) {
             const need = this.needs.get(node);
-            if (need === undefined || need.tier >= (highestTier ?? Infinity)) {
+            if (need === undefined || !this.isMoreUrgent(need)) {
                 // Own work comes first, or the borrower wants no more: keep only what is in use.
-                this.book.withdrawOffers(node, highestTier === undefined, nowMs);
+                this.book.withdrawOffers(node, this.demand === undefined, nowMs);
             }
         }
     }
 
-    /** Lends free home slots to the nodes whose waiting requests are of a higher tier, highest first. */
-    private lendFree(highestTier: number | undefined, nowMs: number): void {
-        const needy = [...this.needs].filter(([, need]) => need.tier < (highestTier ?? Infinity));
-        needy.sort(([, left], [, right]) => left.tier - right.tier);
+    /** Lends free home slots to the nodes whose waiting requests are more urgent, most urgent first. */
+    private lendFree(nowMs: number): void {
+        const needy = [...this.needs].filter(([, need]) => this.isMoreUrgent(need));
+        needy.sort(([, left], [, right]) => compareDemands(left, right));
         const lenders = Math.max(1, this.members.list().length - 1);
         for (const [node, need] of needy) {
-            const unused = this.book.countOffered(node) - this.book.countUsed(node);
+            const unused = Math.max(0, this.book.countOffered(node) - this.book.countUsed(node));
             this.lendTo(node, Math.ceil(need.waiting / lenders) - unused, nowMs);
         }
     }
 
+    private isMoreUrgent(need: PeerNeed): boolean {
+        if (need.waiting === 0 || this.demand === undefined) {
+            return need.waiting > 0;
+        }
+        const isEarlier = need.latestStartMs + urgencyMarginMs < this.demand.latestStartMs;
+        return need.tier < this.demand.tier || (need.tier === this.demand.tier && isEarlier);
+    }
+
     private lendTo(node: string, wanted: number, nowMs: number): void {
         let left = wanted;
         for (const { name } of this.servers) {
@@ -292,3 +308,7 @@
         return borrowed;
     }
 }
+
+function compareDemands(left: WaitingDemand, right: WaitingDemand): number {
+    return left.tier - right.tier || left.latestStartMs - right.latestStartMs;
+}
--- a/packages/policy/src/capacity/localSlots.ts
+++ b/packages/policy/src/capacity/localSlots.ts
@@ -90,7 +90,7 @@
     removePeer(): void {}
 
     summarizeSlots(): SlotSummary {
-        return { lent: {}, borrowed: {}, acknowledged: {} };
+        return { lent: {}, lentTiers: {}, borrowed: {}, acknowledged: {} };
     }
 
     isSummaryDue(): boolean {
--- a/packages/policy/src/capacity/peerDemand.ts
+++ b/packages/policy/src/capacity/peerDemand.ts
@@ -11,6 +11,11 @@
     readonly waiting: number;
     /** Requests a second. */
     readonly perSecond: number;
+    /** The node with the most waiting requests, and how many. */
+    readonly largestNode: string;
+    readonly largestWaiting: number;
+    /** Last start that a node told of, in monotonic milliseconds. */
+    readonly lastStartMs: number;
 }
 
 interface PeerReport {
@@ -18,7 +23,13 @@
     readonly receivedMs: number;
 }
 
-const noDemand: ClassDemand = { waiting: 0, perSecond: 0 };
+const noDemand: ClassDemand = {
+    waiting: 0,
+    perSecond: 0,
+    largestNode: "",
+    largestWaiting: 0,
+    lastStartMs: -Infinity,
+};
 
 /** Keeps the last summary of each other node. */
 export class PeerDemand {
@@ -28,10 +39,14 @@
     /**
      * @param summary - A peer's summary.
      * @param nowMs - Monotonic time.
+     * @returns Slot starts of the peer since its last summary.
      */
-    recordSummary(summary: PoolSummary, nowMs: number): void {
+    recordSummary(summary: PoolSummary, nowMs: number): number {
+        const starts = summary.starts ?? 0;
+        const before = this.reports.get(summary.node)?.summary.starts ?? starts;
         this.reports.set(summary.node, { summary, receivedMs: nowMs });
         this.updateSums(nowMs);
+        return Math.max(0, starts - before);
     }
 
     /** @param node - A peer that is gone. */
@@ -54,13 +69,22 @@
                 this.reports.delete(node);
                 continue;
             }
-            for (const [name, count] of Object.entries(summary.waiting)) {
-                const sum = this.readDemand(name);
-                this.sums.set(name, {
-                    waiting: sum.waiting + count,
-                    perSecond: sum.perSecond + (summary.demand[name] ?? 0),
-                });
+            for (const name of Object.keys(summary.waiting)) {
+                this.sums.set(name, addReport(this.readDemand(name), name, { summary, receivedMs }));
             }
         }
     }
 }
+
+function addReport(sum: ClassDemand, name: string, { summary, receivedMs }: PeerReport): ClassDemand {
+    const waiting = summary.waiting[name] ?? 0;
+    const isTie = waiting === sum.largestWaiting && summary.node < sum.largestNode;
+    const isLargest = waiting > sum.largestWaiting || isTie;
+    return {
+        waiting: sum.waiting + waiting,
+        perSecond: sum.perSecond + (summary.demand[name] ?? 0),
+        largestNode: isLargest ? summary.node : sum.largestNode,
+        largestWaiting: isLargest ? waiting : sum.largestWaiting,
+        lastStartMs: Math.max(sum.lastStartMs, receivedMs - (summary.sinceStartMs?.[name] ?? Infinity)),
+    };
+}
--- a/packages/policy/src/capacity/slotPolicy.ts
+++ b/packages/policy/src/capacity/slotPolicy.ts
@@ -20,41 +20,53 @@
     readonly lent: SlotsByNode;
     /** Slots of other nodes in use here, by owner and server. */
     readonly borrowed: SlotsByNode;
+    /** Tier for which the slots are lent, by node. */
+    readonly lentTiers: Readonly<Record<string, number>>;
     /** Sequence of the last summary received from each node. */
     readonly acknowledged: Readonly<Record<string, number>>;
 }
 
+/** The most urgent request that waits on a node. */
+export interface WaitingDemand {
+    readonly tier: number;
+    /** Latest start, in monotonic milliseconds. */
+    readonly latestStartMs: number;
+}
+
 /** Decides how many requests this node may start on a server. */
 export interface SlotPolicy {
     /** Replaces the servers that can take work. */
     updateServers(servers: readonly ServerSlots[]): void;
     /**
      * @param server - A server.
-     * @returns Requests that this node may start there now.
+     * @param tier - Tier of the request to start.
+     * @returns Requests of the tier that this node may start there now.
      */
-    countFree(server: string): number;
+    countFree(server: string, tier: number): number;
     /** @returns Slots of the pool that all nodes use together; admission divides by it. */
     readCapacity(): number;
     /** @returns Nodes that share the pool, this one included. */
     countNodes(): number;
-    recordStart(requestId: string, server: string): void;
+    recordStart(requestId: string, server: string, tier: number): void;
     recordEnd(requestId: string, server: string): void;
     recordLoadReport(report: LoadReport): void;
     recordPeerSummary(summary: PoolSummary): void;
     removePeer(node: string): void;
     /**
-     * Sets free slots aside for other nodes whose waiting requests are of a higher tier.
+     * Sets free slots aside for other nodes whose waiting requests are more urgent.
      *
-     * @param highestTier - Highest tier that waits here, undefined when nothing waits.
+     * @param demand - The most urgent request that waits here, undefined when nothing waits.
+     * @param isFloorOwed - Whether the next free slot is needed here for a class's floor.
      */
-    updateDemand(highestTier: number | undefined): void;
+    updateDemand(demand: WaitingDemand | undefined, isFloorOwed: boolean): void;
     /**
      * Describes what is lent and borrowed, for the other nodes.
      *
-     * @param highestTier - Highest tier that waits here, undefined when nothing waits.
+     * @param demand - The most urgent request that waits here, undefined when nothing waits.
+     * @param isFloorOwed - Whether the next free slot is needed here for a class's floor.
      * @param sequence - Sequence of the summary.
      */
-    summarizeSlots(highestTier: number | undefined, sequence: number): SlotSummary;
+    summarizeSlots(demand: WaitingDemand | undefined, isFloorOwed: boolean, sequence: number): SlotSummary;
     /** @returns Whether other nodes should get a summary at once. */
     isSummaryDue(): boolean;
 }
--- a/packages/policy/src/fairness/fairQueue.ts
+++ b/packages/policy/src/fairness/fairQueue.ts
@@ -44,7 +44,6 @@
     private readonly first: WaitingEntry[] = [];
     private lastMinimum = 0;
     private waiting = 0;
-    private activeCustomers = 0;
 
     /**
      * @param readWeight - Reads the weight of a customer.
@@ -139,16 +138,27 @@
     }
 
     /**
-     * @param customer - A customer.
-     * @returns Its waiting requests.
+     * Counts the waiting requests that would go before a new one of a customer.
+     *
+     * @param customer - The customer.
+     * @param tokens - Mean tokens of an answer.
+     * @returns Requests that are served earlier, when each is charged the mean.
      */
-    countCustomerWaiting(customer: string): number {
-        return this.accounts.get(customer)?.waiting ?? 0;
-    }
-
-    /** @returns Customers with waiting requests. */
-    countActiveCustomers(): number {
-        return this.activeCustomers;
+    countAhead(customer: string, tokens: number): number {
+        const own = this.getAccount(customer);
+        const least = this.findLeastServed()?.served ?? this.lastMinimum;
+        const ownServed = own.waiting > 0 ? own.served : Math.max(own.served, least);
+        const ownTokens = Math.max(tokens, 1) / this.readWeight(customer);
+        const turn = ownServed + own.waiting * ownTokens;
+        let ahead = this.first.length + own.waiting;
+        for (const account of this.accounts.values()) {
+            if (account.waiting > 0 && account !== own) {
+                const otherTokens = Math.max(tokens, 1) / this.readWeight(account.name);
+                const turns = Math.ceil((turn - account.served) / otherTokens);
+                ahead += Math.min(Math.max(turns, 0), account.waiting);
+            }
+        }
+        return ahead;
     }
 
     private getAccount(name: string): CustomerAccount {
@@ -163,7 +173,6 @@
     private activateAccount(account: CustomerAccount): void {
         const least = this.findLeastServed()?.served ?? this.lastMinimum;
         account.served = Math.max(account.served, least);
-        this.activeCustomers += 1;
         this.pushAccount(account);
     }
 
@@ -174,7 +183,6 @@
         account.version += 1;
         account.entries = [];
         account.head = 0;
-        this.activeCustomers -= 1;
     }
 
     private pushAccount(account: CustomerAccount): void {
--- a/packages/policy/src/routing/serverRouter.ts
+++ b/packages/policy/src/routing/serverRouter.ts
@@ -28,9 +28,14 @@
     readonly slackMs: number;
     /** First token target of the class, in milliseconds. */
     readonly targetMs: number;
-    readonly countFree: (server: string) => number;
+    readonly countFree: CountFree;
+    /** Tier of the request. */
+    readonly tier: number;
 }
 
+/** Counts the free slots of a server for a request of a tier. */
+export type CountFree = (server: string, tier: number) => number;
+
 /** Requests that a server on probation may run for this node. */
 const probationSlots = 1;
 /** A request with less than this share of its target left is nearly late. */
@@ -116,16 +121,17 @@
     }
 
     /**
+     * @param tier - A tier.
      * @param nowMs - Monotonic time.
      * @param countFree - Counts the free slots of a server.
-     * @returns Whether some request could start now.
+     * @returns Whether some request of the tier could start now.
      */
-    hasFreeServer(nowMs: number, countFree: (server: string) => number): boolean {
+    hasFreeServer(tier: number, nowMs: number, countFree: CountFree): boolean {
         for (const server of this.servers.values()) {
             const condition = server.health.readCondition(nowMs);
             const isOpen =
                 condition === "normal" || (condition === "probation" && server.running < probationSlots);
-            if (isOpen && countFree(server.settings.name) > 0) {
+            if (isOpen && countFree(server.settings.name, tier) > 0) {
                 return true;
             }
         }
@@ -181,7 +187,7 @@
     }
 
     private canStart(server: RoutedServer, request: QueuedRequest, context: RoutingContext): boolean {
-        if (context.countFree(server.settings.name) < 1 || isExcluded(request, server)) {
+        if (context.countFree(server.settings.name, context.tier) < 1 || isExcluded(request, server)) {
             return false;
         }
         const condition = server.health.readCondition(context.nowMs);
--- a/packages/policy/src/scheduling/classQueue.ts
+++ b/packages/policy/src/scheduling/classQueue.ts
@@ -19,8 +19,12 @@
     readonly queue: FairQueue;
     /** Slot time used, divided by the weight; orders the classes of a tier. */
     virtualTime = 0;
-    /** Slot starts that the floor owes; see {@link QueueOrder}. */
-    floorCredit: number;
+    /** Slot starts that the floor owes; see {@link FloorKeeper}. */
+    floorCredit = 0;
+    /** Last start on this node, in monotonic milliseconds. */
+    lastStartMs = -Infinity;
+    /** When requests began to wait without a break, in monotonic milliseconds. */
+    activeSinceMs = 0;
     /** How long a request holds its slot, in milliseconds. */
     readonly holdingMs: MeanEstimator;
     /** From start to first token, in milliseconds. */
@@ -34,16 +38,13 @@
      * @param settings - The class.
      * @param readWeight - Reads the weight of a customer.
      * @param nowMs - Monotonic time.
-     * @param floorPhase - Initial floor credit, from 0 to 1; differs between nodes.
      */
     constructor(
         public settings: RequestClass,
         readWeight: (customer: string) => number,
         nowMs: number,
-        floorPhase: number,
     ) {
         this.queue = new FairQueue(readWeight);
-        this.floorCredit = floorPhase;
         this.holdingMs = new MeanEstimator(settings.completeMs * initialHoldingShare);
         this.firstTokenMs = new MeanEstimator(settings.firstTokenMs * initialFirstTokenShare);
         this.offered = new RateEstimator(demandMemoryMs, nowMs);
--- a/packages/policy/src/scheduling/poolScheduler.ts
+++ b/packages/policy/src/scheduling/poolScheduler.ts
@@ -117,6 +117,14 @@
     readonly lent?: Readonly<Record<string, Readonly<Record<string, number>>>>;
     /** Slots of other nodes that this node uses, by owner and server; absent means none. */
     readonly borrowed?: Readonly<Record<string, Readonly<Record<string, number>>>>;
+    /** Slot starts since the node's start. */
+    readonly starts?: number;
+    /** Time since the last start of each class with waiting requests, in milliseconds. */
+    readonly sinceStartMs?: Readonly<Record<string, number>>;
+    /** Tier for which the slots are lent, by node. */
+    readonly lentTiers?: Readonly<Record<string, number>>;
+    /** Time left until the latest start of the most urgent waiting request, in milliseconds. */
+    readonly slackMs?: number;
     /** Sequence of the last summary received from each node; lets owners reuse withdrawn slots early. */
     readonly acknowledged?: Readonly<Record<string, number>>;
 }
--- a/packages/policy/src/scheduling/poolState.ts
+++ b/packages/policy/src/scheduling/poolState.ts
@@ -6,7 +6,8 @@
 import { AdmissionController } from "../admission/admissionController.js";
 import { LentSlots } from "../capacity/lentSlots.js";
 import { PeerDemand } from "../capacity/peerDemand.js";
-import type { SlotPolicy } from "../capacity/slotPolicy.js";
+import type { SlotPolicy, WaitingDemand } from "../capacity/slotPolicy.js";
+import { FloorKeeper } from "../fairness/floorKeeper.js";
 import { PeerLedger } from "../fairness/peerLedger.js";
 import { ServerRouter } from "../routing/serverRouter.js";
 import { ClassQueue } from "./classQueue.js";
@@ -24,8 +25,6 @@
 import type { WaitingRequest } from "./waitingRequests.js";
 import { WaitingRequests } from "./waitingRequests.js";
 
-const hashRange = 4_294_967_296;
-
 /** State of one pool on one node. */
 export class PoolState {
     readonly waiting = new WaitingRequests();
@@ -35,6 +34,7 @@
     readonly peerDemand = new PeerDemand();
     readonly slots: SlotPolicy;
     readonly order: QueueOrder;
+    readonly floors: FloorKeeper;
     readonly admission: AdmissionController;
     private classes = new Map<string, ClassQueue>();
     private classesFromLowestTier: readonly ClassQueue[] = [];
@@ -43,10 +43,10 @@
 
     /** @param options - Options of the scheduler. */
     constructor(private readonly options: SchedulerOptions) {
-        const nowMs = options.clock.monotonicMs();
         this.configuration = options.configuration;
         this.slots = options.createSlotPolicy?.() ?? this.buildLentSlots();
-        this.order = options.createOrder?.(nowMs) ?? new QueueOrder([], nowMs);
+        this.floors = new FloorKeeper(options.node, this.peerDemand);
+        this.order = options.createOrder?.(this.floors) ?? new QueueOrder(this.floors, options.clock);
         this.admission = new AdmissionController(this.peerDemand);
         this.updateConfiguration(options.configuration);
     }
@@ -118,10 +118,31 @@
         );
     }
 
-    /** @returns Highest tier with waiting requests. */
-    findHighestWaitingTier(): number | undefined {
-        const classQueue = this.classesFromLowestTier.findLast(({ queue }) => queue.countWaiting() > 0);
-        return classQueue?.settings.tier;
+    /** @returns The highest tier with waiting requests, and its earliest latest start. */
+    findDemand(): WaitingDemand | undefined {
+        let demand: WaitingDemand | undefined;
+        for (const { settings, queue } of this.classesFromLowestTier) {
+            const latestStartMs = queue.next()?.latestStartMs;
+            const isHigher = settings.tier < (demand?.tier ?? Infinity);
+            if (latestStartMs !== undefined && (isHigher || latestStartMs < (demand?.latestStartMs ?? 0))) {
+                demand = { tier: settings.tier, latestStartMs };
+            }
+        }
+        return demand;
+    }
+
+    /** Tells the slot policy what waits here. */
+    updateDemand(): void {
+        this.slots.updateDemand(this.findDemand(), this.order.findOwedClass() !== undefined);
+    }
+
+    /**
+     * @param tier - A tier.
+     * @returns Whether a request of the tier could start now.
+     */
+    hasFreeSlot(tier: number): boolean {
+        const nowMs = this.options.clock.monotonicMs();
+        return this.router.hasFreeServer(tier, nowMs, (name) => this.slots.countFree(name, tier));
     }
 
     /**
@@ -140,6 +161,7 @@
     ): void {
         if (classQueue.queue.countWaiting() === 0) {
             this.order.activateClass(classQueue);
+            classQueue.activeSinceMs = this.options.clock.monotonicMs();
         }
         const entry = { request, latestStartMs, removed: false };
         this.waiting.add({ request, classQueue, entry, isAhead });
@@ -155,7 +177,7 @@
      */
     startRunning(request: QueuedRequest, classQueue: ClassQueue, server: string, nowMs: number): void {
         this.running.add(request, classQueue, server, nowMs);
-        this.acquireSlot(request.requestId, server);
+        this.acquireSlot(request.requestId, server, classQueue.settings.tier);
         this.router.prefixIndex.addBlocks(server, request.prefixBlocks);
     }
 
@@ -168,7 +190,7 @@
     moveRunning(running: RunningRequest, server: string): void {
         running.formerServer = running.server;
         running.server = server;
-        this.acquireSlot(running.request.requestId, server);
+        this.acquireSlot(running.request.requestId, server, running.classQueue.settings.tier);
     }
 
     /**
@@ -229,7 +251,8 @@
     /** @param summary - A peer's summary. */
     recordPeerSummary(summary: PoolSummary): void {
         this.slots.recordPeerSummary(summary);
-        this.peerDemand.recordSummary(summary, this.options.clock.monotonicMs());
+        const starts = this.peerDemand.recordSummary(summary, this.options.clock.monotonicMs());
+        this.floors.recordPeerStarts(starts, this.classesFromLowestTier);
         for (const { requestClass, customer, tokens } of this.ledger.recordSummary(summary)) {
             this.classes.get(requestClass)?.queue.recordServed(customer, tokens);
         }
@@ -242,18 +265,17 @@
         this.peerDemand.removePeer(node);
     }
 
-    private acquireSlot(requestId: string, server: string): void {
+    private acquireSlot(requestId: string, server: string, tier: number): void {
         const state = this.router.findServer(server);
         if (state !== undefined) {
             state.running += 1;
         }
-        this.slots.recordStart(requestId, server);
+        this.slots.recordStart(requestId, server, tier);
     }
 
     private buildClassQueue(settings: ClassQueue["settings"]): ClassQueue {
         const nowMs = this.options.clock.monotonicMs();
-        const phase = hashText(`${this.options.node}/${settings.name}`) / hashRange;
-        return new ClassQueue(settings, (customer) => this.weights.get(customer) ?? 1, nowMs, phase);
+        return new ClassQueue(settings, (customer) => this.weights.get(customer) ?? 1, nowMs);
     }
 
     private buildLentSlots(): LentSlots {
@@ -264,12 +286,3 @@
         });
     }
 }
-
-/** FNV-1a with 32 bits; spreads the nodes' floor credits evenly. */
-function hashText(text: string): number {
-    let hash = 2_166_136_261;
-    for (let index = 0; index < text.length; index += 1) {
-        hash = Math.imul(hash ^ text.charCodeAt(index), 16_777_619) >>> 0;
-    }
-    return hash;
-}
--- a/packages/policy/src/scheduling/queueOrder.ts
+++ b/packages/policy/src/scheduling/queueOrder.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+import type { Clock } from "@pimentocleat/types";
+import type { FloorKeeper } from "../fairness/floorKeeper.js";
 import type { WaitingEntry } from "../fairness/fairQueue.js";
 import type { ClassQueue } from "./classQueue.js";
 
@@ -14,12 +16,6 @@
     readonly byFloor: boolean;
 }
 
-/** Largest share of slot starts that all floors together may take. */
-const totalFloorShareLimit = 0.2;
-/** A waiting class is owed one start of the whole pool in this time, whatever its share. */
-const floorIntervalMs = 8_000;
-/** Floors never save up more than this many starts. */
-const floorCreditLimit = 2;
 /** How far ahead of the least served class of its tier a class may run for its deadline's sake. */
 const eligibleLeadMs = 1_000;
 
@@ -28,53 +24,44 @@
  * weighted share; and a floor, which only changes the order of waiting requests.
  */
 export class QueueOrder {
-    private lastAccrualMs: number;
+    protected classes: readonly ClassQueue[] = [];
 
     /**
-     * @param classes - The classes of the pool.
-     * @param nowMs - Monotonic time.
+     * @param floors - The floors of the classes.
+     * @param clock - Source of time.
      */
     constructor(
-        private classes: readonly ClassQueue[],
-        nowMs: number,
-    ) {
-        this.lastAccrualMs = nowMs;
-    }
+        private readonly floors: FloorKeeper,
+        private readonly clock: Clock,
+    ) {}
 
     /** @param classes - The classes that replace the former ones. */
     updateClasses(classes: readonly ClassQueue[]): void {
         this.classes = classes;
     }
 
-    /**
-     * Lets floors grow with time.
-     *
-     * @param nowMs - Monotonic time.
-     * @param nodes - Nodes that share the pool.
-     */
-    advance(nowMs: number, nodes: number): void {
-        const credit = (nowMs - this.lastAccrualMs) / (floorIntervalMs * nodes);
-        this.lastAccrualMs = nowMs;
-        for (const classQueue of this.classes) {
-            if (classQueue.queue.countWaiting() > 0) {
-                addFloorCredit(classQueue, credit);
-            }
-        }
+    /** @returns The class that is owed a start by its floor. */
+    findOwedClass(): ClassQueue | undefined {
+        return this.floors.findOwedClass(this.classes, this.clock.monotonicMs());
     }
 
     /**
      * Finds the request for the next free slot.
      *
-     * @returns The request, or undefined when none waits.
+     * @param hasFreeSlot - Whether a request of a tier could start now; a lower tier never has more
+     * free slots than a higher one.
+     * @returns The request, or undefined when none can start.
      */
-    next(): ChosenEntry | undefined {
-        const owed = this.findOwedClass();
-        const classQueue = owed ?? this.findClassByTier();
-        const entry = classQueue?.queue.next();
-        if (classQueue === undefined || entry === undefined) {
+    next(hasFreeSlot: (tier: number) => boolean): ChosenEntry | undefined {
+        const first = this.findClassByTier();
+        if (first === undefined || !hasFreeSlot(first.settings.tier)) {
             return undefined;
         }
-        return { classQueue, entry, byFloor: owed !== undefined && owed !== this.findClassByTier() };
+        const owed = this.findOwedClass();
+        const byFloor = owed !== undefined && owed !== first && hasFreeSlot(owed.settings.tier);
+        const classQueue = byFloor ? owed : first;
+        const entry = classQueue.queue.next();
+        return entry === undefined ? undefined : { classQueue, entry, byFloor };
     }
 
     /**
@@ -83,14 +70,8 @@
      * @param chosen - What {@link QueueOrder.next} returned.
      */
     recordStart(chosen: ChosenEntry): void {
-        const scale = this.computeFloorScale();
-        for (const classQueue of this.classes) {
-            if (classQueue.queue.countWaiting() > 0 || classQueue === chosen.classQueue) {
-                addFloorCredit(classQueue, classQueue.settings.floorShare * scale);
-            }
-        }
         const { classQueue } = chosen;
-        classQueue.floorCredit = Math.max(0, classQueue.floorCredit - 1);
+        this.floors.recordStart(classQueue, this.classes, this.clock.monotonicMs());
         classQueue.virtualTime += classQueue.holdingMs.readMean() / classQueue.settings.weight;
     }
 
@@ -106,26 +87,7 @@
         }
     }
 
-    private computeFloorScale(): number {
-        let total = 0;
-        for (const classQueue of this.classes) {
-            total += classQueue.settings.floorShare;
-        }
-        return total <= totalFloorShareLimit ? 1 : totalFloorShareLimit / total;
-    }
-
-    private findOwedClass(): ClassQueue | undefined {
-        let owed: ClassQueue | undefined;
-        for (const classQueue of this.classes) {
-            const isOwed = classQueue.floorCredit >= 1 && classQueue.queue.countWaiting() > 0;
-            if (isOwed && classQueue.floorCredit > (owed?.floorCredit ?? 0)) {
-                owed = classQueue;
-            }
-        }
-        return owed;
-    }
-
-    private findClassByTier(): ClassQueue | undefined {
+    protected findClassByTier(): ClassQueue | undefined {
         const tier = this.findHighestTier();
         const least = tier === undefined ? undefined : this.findLeastVirtualTime(tier);
         if (least === undefined) {
@@ -166,7 +128,3 @@
         return least;
     }
 }
-
-function addFloorCredit(classQueue: ClassQueue, credit: number): void {
-    classQueue.floorCredit = Math.min(floorCreditLimit, classQueue.floorCredit + credit);
-}
--- a/packages/policy/src/scheduling/statusReader.ts
+++ b/packages/policy/src/scheduling/statusReader.ts
@@ -7,6 +7,8 @@
 import type { PoolStatus, PoolSummary, ServerStatus } from "./poolScheduler.js";
 import type { RoutedServer } from "../routing/serverRouter.js";
 
+const rememberStartMs = 20_000;
+
 /** Reads the state of a pool. */
 export class StatusReader {
     private sequence = 0;
@@ -30,23 +32,32 @@
         this.sequence += 1;
         const waiting: Record<string, number> = {};
         const demand: Record<string, number> = {};
-        for (const { settings, queue, offered } of this.state.listClassesFromLowestTier()) {
+        const sinceStartMs: Record<string, number> = {};
+        for (const { settings, queue, offered, lastStartMs } of this.state.listClassesFromLowestTier()) {
             waiting[settings.name] = queue.countWaiting();
+            if (nowMs - lastStartMs < rememberStartMs) {
+                sinceStartMs[settings.name] = nowMs - lastStartMs;
+            }
             demand[settings.name] = offered.readPerSecond(nowMs);
         }
+        const requestDemand = this.state.findDemand();
+        const isFloorOwed = this.state.order.findOwedClass() !== undefined;
         const servers = [...this.state.router.listServers()];
         return {
             pool: this.state.readPoolName(),
             node: this.node,
             sequence: this.sequence,
             waiting,
+            starts: this.state.floors.countStarts(),
+            sinceStartMs,
+            slackMs: requestDemand === undefined ? undefined : requestDemand.latestStartMs - nowMs,
             running: Object.fromEntries(servers.map(({ settings, running }) => [settings.name, running])),
             demand,
             servedTokens: this.state.running.takeServedTokens(),
             stragglers: servers
                 .filter(({ health }) => health.readStraggler())
                 .map(({ settings }) => settings.name),
-            ...this.state.slots.summarizeSlots(this.state.findHighestWaitingTier(), this.sequence),
+            ...this.state.slots.summarizeSlots(requestDemand, isFloorOwed, this.sequence),
         };
     }
 
--- a/packages/policy/src/scheduling/tieredScheduler.ts
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -163,8 +163,7 @@
 
     takeDecisions(): readonly Decision[] {
         const nowMs = this.readNowMs();
-        this.state.order.advance(nowMs, this.state.slots.countNodes());
-        this.state.slots.updateDemand(this.state.findHighestWaitingTier());
+        this.state.updateDemand();
         this.state.router.updateStragglers(nowMs);
         this.expireWaiting(nowMs);
         this.shedWaiting(nowMs);
@@ -198,8 +197,7 @@
 
     private adviseAdmission(classQueue: ClassQueue, request: QueuedRequest, nowMs: number): AdmissionAdvice {
         const capacity = this.state.slots.readCapacity();
-        const countFree = (name: string): number => this.state.slots.countFree(name);
-        const isFree = this.state.router.hasFreeServer(nowMs, countFree);
+        const isFree = this.state.hasFreeSlot(classQueue.settings.tier);
         if (isFree && !this.state.hasWaitingBefore(classQueue.settings.tier)) {
             return { admitted: true, waitMs: 0, retryAfterMs: 0 };
         }
@@ -256,9 +254,9 @@
 
     private startWaiting(nowMs: number): void {
         const passedOver: WaitingRequest[] = [];
-        const countFree = (name: string): number => this.state.slots.countFree(name);
-        while (passedOver.length < passedOverLimit && this.state.router.hasFreeServer(nowMs, countFree)) {
-            const chosen = this.state.order.next();
+        const hasFreeSlot = (tier: number): boolean => this.state.hasFreeSlot(tier);
+        while (passedOver.length < passedOverLimit) {
+            const chosen = this.state.order.next(hasFreeSlot);
             if (chosen === undefined) {
                 break;
             }
@@ -290,7 +288,8 @@
             nowMs,
             slackMs: latestStartMs - nowMs,
             targetMs: chosen.classQueue.settings.firstTokenMs,
-            countFree: (name) => this.state.slots.countFree(name),
+            tier: chosen.classQueue.settings.tier,
+            countFree: (name, tier) => this.state.slots.countFree(name, tier),
         });
         if (server === undefined) {
             return false;
