Add contract tests of the plain service, the platform's services and the programs

Cause: repeated executions, stale orders, differing usage reports and lost replies had no table of cases. Ruled out: short timeouts on calls that are meant to succeed (one of four runs failed on a busy machine, an order that took longer than 250 ms); only calls that are to hang have one now.

--- a/packages/standins/src/__tests__/contracts/platformCalls.ts
+++ b/packages/standins/src/__tests__/contracts/platformCalls.ts
@@ -16,8 +16,11 @@
 } from "@pimentocleat/platform";
 import type { RunningPlatform } from "../../index.js";
 
-/** Bound on a call that gets no answer, in milliseconds. */
-export const callTimeoutMs = 250;
+/** Bound on a call that is to get no answer, in milliseconds. */
+export const hangTimeoutMs = 250;
+
+/** Bound on any other call, in milliseconds; never reached. */
+export const callTimeoutMs = 30_000;
 
 /** An order that the platform accepts. */
 export const sampleOrder: ServerOrder = {
@@ -104,7 +107,7 @@
         answer: { outcome: "accepted" },
         run: (options) =>
             withClient(new HttpOrderingService(options), (client) =>
-                client.orderServers(sampleOrder, callTimeoutMs),
+                client.orderServers(sampleOrder, options.timeoutMs ?? callTimeoutMs),
             ),
         countEffects: (platform) => platform.readRecord().orders.length,
     },
@@ -114,7 +117,7 @@
         answer: undefined,
         run: (options) =>
             withClient(new HttpUsageReportService(options), (client) =>
-                client.reportUsage(sampleReport, callTimeoutMs),
+                client.reportUsage(sampleReport, options.timeoutMs ?? callTimeoutMs),
             ),
         countEffects: (platform) => platform.readRecord().usageReports.length,
     },
--- a/packages/standins/src/__tests__/contracts/platformClients.test.ts
+++ b/packages/standins/src/__tests__/contracts/platformClients.test.ts
@@ -1,8 +1,13 @@
-import { HttpTableService, PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
-import { createServer, type AddressInfo } from "node:net";
-import { afterEach, beforeEach, describe, expect, test } from "vitest";
+import {
+    HttpOrderingService,
+    HttpTableService,
+    PlatformError,
+    PlatformErrorKind,
+} from "@pimentocleat/platform";
+import { createServer, type AddressInfo, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import { startPlatform, type FaultInput, type RunningPlatform } from "../../index.js";
-import { callTimeoutMs, platformCalls, withClient } from "./platformCalls.js";
+import { callTimeoutMs, hangTimeoutMs, platformCalls, sampleOrder, withClient } from "./platformCalls.js";
 
 interface FaultCase {
     readonly fault: FaultInput;
@@ -27,6 +32,9 @@
     { fault: { kind: "cutMidAnswer", afterTokens: 1 }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
 ];
 
+const acceptedBody = `{"outcome":"accepted"}`;
+const acceptedAnswer = `HTTP/1.1 200 OK\r\ncontent-length: ${acceptedBody.length}\r\n\r\n${acceptedBody}`;
+
 let platform: RunningPlatform;
 
 beforeEach(async () => {
@@ -53,7 +61,8 @@
 
     test.each(faultCases)("$fault.kind", async ({ fault, kind, hasEffect, retryAfterMs }) => {
         platform.switches.setPlan({ faults: [{ ...fault, service, count: 1 }] });
-        const error = await findError(run({ address: platform.address, timeoutMs: callTimeoutMs }));
+        const timeoutMs = fault.kind === "hang" ? hangTimeoutMs : callTimeoutMs;
+        const error = await findError(run({ address: platform.address, timeoutMs }));
         expect(error?.kind).toBe(kind);
         expect(error?.retryAfterMs).toBe(retryAfterMs);
         if (countEffects !== undefined) {
@@ -81,17 +90,26 @@
     const write = { conditions: [], writes: [{ table: "a", key: "k", value: 1 }] };
 
     test("a call that times out before a connection is free is never sent", async () => {
-        platform.switches.setPlan({ faults: [{ kind: "hang", call: "read" }] });
-        const options = { address: platform.address, connections: 1, timeoutMs: callTimeoutMs };
-        await withClient(new HttpTableService(options), async (client) => {
-            const blocking = findError(client.readRow("a", "k"));
-            const waiting = findError(client.commitTransaction(write));
-            const [first, second] = await Promise.all([blocking, waiting]);
-            expect(first?.kind).toBe(PlatformErrorKind.Ambiguous);
+        const received: Socket[] = [];
+        const server = createServer((socket) => socket.on("data", () => received.push(socket)));
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const answerNext = async (count: number): Promise<void> => {
+            await vi.waitUntil(() => received.length >= count, { timeout: callTimeoutMs });
+            received.at(-1)?.write(acceptedAnswer);
+        };
+        await withClient(new HttpOrderingService({ address, connections: 1 }), async (client) => {
+            const first = client.orderServers(sampleOrder, callTimeoutMs);
+            const second = await findError(client.orderServers(sampleOrder, hangTimeoutMs));
             expect(second?.kind).toBe(PlatformErrorKind.Unavailable);
-            expect(await client.scanRows("a")).toEqual([]);
+            await answerNext(1);
+            expect(await first).toEqual({ outcome: "accepted" });
+            const third = client.orderServers(sampleOrder, callTimeoutMs);
+            await answerNext(2);
+            expect(await third).toEqual({ outcome: "accepted" });
         });
-        expect(platform.readRecord().callCounts["table"]).toEqual({ read: 1, scan: 1 });
+        server.close();
+        expect(received.length).toBe(2);
     });
 
     test("a call is sent once, whatever becomes of its answer", async () => {
--- /dev/null
+++ b/packages/standins/src/__tests__/contracts/platformServices.test.ts
@@ -0,0 +1,168 @@
+import {
+    HttpHostList,
+    HttpObjectStore,
+    HttpOrderingService,
+    HttpTableService,
+    HttpUsageReportService,
+    HttpWeightStore,
+    PlatformErrorKind,
+    type ListedHost,
+    type OrderResult,
+    type ServerOrder,
+} from "@pimentocleat/platform";
+import { ManualClock } from "@pimentocleat/types";
+import { afterEach, expect, test } from "vitest";
+import { startPlatform, type PlatformOptions, type RunningPlatform } from "../../index.js";
+import { callTimeoutMs, sampleOrder, sampleReport, withClient } from "./platformCalls.js";
+
+let platform: RunningPlatform;
+let clock: ManualClock;
+
+afterEach(() => platform.close());
+
+async function start(options: PlatformOptions = {}): Promise<void> {
+    clock = new ManualClock();
+    platform = await startPlatform(options, clock);
+}
+
+interface OrderCase {
+    readonly name: string;
+    readonly change: Partial<ServerOrder>;
+    readonly checked: OrderResult;
+}
+
+const stale: OrderResult = { outcome: "stale", fencingNumber: 5, generation: 3 };
+const accepted: OrderResult = { outcome: "accepted" };
+const orderCases: readonly OrderCase[] = [
+    { name: "the same order again", change: {}, checked: accepted },
+    { name: "a newer generation", change: { generation: 4 }, checked: accepted },
+    {
+        name: "a newer holder with an old generation",
+        change: { fencingNumber: 6, generation: 2 },
+        checked: stale,
+    },
+    { name: "an older holder", change: { fencingNumber: 4, generation: 4 }, checked: stale },
+    {
+        name: "an older holder for another pool",
+        change: { fencingNumber: 4, pool: "answers" },
+        checked: accepted,
+    },
+];
+
+test.each(orderCases.flatMap((each) => [true, false].map((checks) => ({ ...each, checks }))))(
+    "$name, fencing check $checks",
+    async ({ change, checked, checks }) => {
+        await start({ checksFencing: checks });
+        const first = { ...sampleOrder, fencingNumber: 5, generation: 3 };
+        const expected = checks ? checked : accepted;
+        await withClient(new HttpOrderingService({ address: platform.address }), async (client) => {
+            await client.orderServers(first, callTimeoutMs);
+            expect(await client.orderServers({ ...first, ...change }, callTimeoutMs)).toEqual(expected);
+        });
+        const received = platform.readRecord().orders;
+        expect(received.map(({ arrival, result }) => [arrival, result])).toEqual([
+            [1, accepted],
+            [2, expected],
+        ]);
+        expect(received[1]?.order).toEqual({ ...first, ...change });
+    },
+);
+
+test("when no server can be had the order has no effect", async () => {
+    await start();
+    platform.switches.setPlan({ faults: [{ kind: "noneAvailable", retryAfterMs: 700 }] });
+    await withClient(new HttpOrderingService({ address: platform.address }), async (client) => {
+        const result = await client.orderServers(sampleOrder, callTimeoutMs);
+        expect(result).toEqual({ outcome: "noneAvailable", retryAfterMs: 700 });
+    });
+});
+
+test("a repeated usage report with other figures is noted, in whatever order its customers come", async () => {
+    await start();
+    const other = { customer: "shop", requests: 9, promptTokens: 9, completionTokens: 9 };
+    const [first] = sampleReport.customers;
+    const reports = [
+        { ...sampleReport, customers: [first!, other] },
+        { ...sampleReport, customers: [other, first!], sender: "entry-2" },
+        { ...sampleReport, customers: [first!] },
+        { ...sampleReport, customers: [first!], windowStartMs: 120_000 },
+    ];
+    await withClient(new HttpUsageReportService({ address: platform.address }), async (client) => {
+        for (const report of reports) {
+            await client.reportUsage(report, callTimeoutMs);
+        }
+    });
+    const received = platform.readRecord().usageReports;
+    expect(received.map(({ report }) => report)).toEqual(reports);
+    expect(received.map((each) => each.differsFromEarlier)).toEqual([false, false, true, false]);
+});
+
+test("the host list lags behind a change", async () => {
+    await start({ hostListLagMs: 2_000 });
+    const host: ListedHost = {
+        name: "engine-1",
+        dataCentre: "catania",
+        address: "127.0.0.1:9",
+        role: "backend",
+        state: "live",
+    };
+    const leaving: ListedHost = { ...host, state: "leaving", leavesAtMs: 5 };
+    await withClient(new HttpHostList({ address: platform.address }), async (client) => {
+        platform.setHosts([host]);
+        expect(await client.listHosts()).toEqual([]);
+        clock.advance(2_000);
+        platform.setHosts([leaving]);
+        clock.advance(1_999);
+        expect(await client.listHosts()).toEqual([host]);
+        clock.advance(1);
+        expect(await client.listHosts()).toEqual([leaving]);
+    });
+});
+
+test("the weight store refuses calls above its rate and says when to come back", async () => {
+    await start({ weightReadsPerSecond: 2 });
+    const weights = [{ name: "demo-model", version: "2", sizeBytes: 1_000 }];
+    platform.setWeights(weights);
+    await withClient(new HttpWeightStore({ address: platform.address }), async (client) => {
+        expect(await client.listWeights()).toEqual(weights);
+        expect(await client.listWeights()).toEqual(weights);
+        const refused = { kind: PlatformErrorKind.RateLimited, retryAfterMs: 500 };
+        await expect(client.listWeights()).rejects.toMatchObject(refused);
+        clock.advance(500);
+        expect(await client.listWeights()).toEqual(weights);
+    });
+});
+
+test("tables and objects share the rates of reads and writes", async () => {
+    await start({ writesPerSecond: 1, readsPerSecond: 1 });
+    const limited = { kind: PlatformErrorKind.RateLimited };
+    const options = { address: platform.address };
+    await withClient(new HttpTableService(options), async (table) =>
+        withClient(new HttpObjectStore(options), async (objects) => {
+            await objects.putObject("a", Buffer.from("x"));
+            const commit = table.commitTransaction({ conditions: [], writes: [] });
+            await expect(commit).rejects.toMatchObject(limited);
+            await table.readRow("a", "k");
+            await expect(objects.getObject("a")).rejects.toMatchObject(limited);
+        }),
+    );
+});
+
+test("objects keep their bytes, whatever their name", async () => {
+    await start();
+    const content = Buffer.from([0, 255, 10, 13, 0]);
+    const name = `configuration/è ${"x".repeat(300)}?`;
+    await withClient(new HttpObjectStore({ address: platform.address }), async (objects) => {
+        await objects.putObject(name, content);
+        expect(Buffer.from((await objects.getObject(name)) ?? [])).toEqual(content);
+    });
+});
+
+test("rejected calls have no effect", async () => {
+    await start();
+    await withClient(new HttpOrderingService({ address: platform.address }), async (client) => {
+        const order = client.orderServers({ ...sampleOrder, count: -1 }, callTimeoutMs);
+        await expect(order).rejects.toMatchObject({ kind: PlatformErrorKind.Rejected });
+    });
+    expect(platform.readRecord().orders).toEqual([]);
+});
--- /dev/null
+++ b/packages/standins/src/__tests__/programs.test.ts
@@ -0,0 +1,57 @@
+import { afterEach, expect, test } from "vitest";
+import { launchProgram, type LaunchedProgram, type StandInName } from "../index.js";
+import { readBackendJson, sendBackendCall } from "./contracts/backendCalls.js";
+
+const programNames: readonly StandInName[] = ["engine", "plainService", "platform"];
+let program: LaunchedProgram | undefined;
+
+afterEach(async () => {
+    await program?.stop();
+    program = undefined;
+});
+
+test.each(programNames)("%s starts on a port of the system's choice and stops on SIGTERM", async (name) => {
+    program = await launchProgram(name);
+    expect(program.address).toMatch(/^127\.0\.0\.1:\d+$/);
+    const plan = { faults: [{ kind: "refuse", count: 1 }] };
+    const accepted = await sendBackendCall(program.address, { path: "/faults", body: plan });
+    expect([accepted.status, accepted.text]).toEqual([200, `{"accepted":true}`]);
+    const path = name === "platform" ? "/hosts" : "/load";
+    expect((await sendBackendCall(program.address, { path })).status).toBe(503);
+    expect((await sendBackendCall(program.address, { path })).status).toBe(200);
+    const wrong = await sendBackendCall(program.address, {
+        path: "/faults",
+        body: { faults: [{ kind: "x" }] },
+    });
+    expect(wrong.status).toBe(400);
+    expect(await program.stop()).toEqual({ code: 0, signal: undefined });
+    expect(program.readStderr()).toBe("");
+});
+
+test("a flag wins over the environment", async () => {
+    const environment = {
+        ...process.env,
+        PIMENTOCLEAT_STANDIN_SLOTS: "3",
+        PIMENTOCLEAT_STANDIN_CREDENTIAL: "7",
+    };
+    program = await launchProgram("engine", ["--slots", "4", "--prefill-ms-per-1000", "5"], { environment });
+    expect((await sendBackendCall(program.address, { path: "/load" })).status).toBe(401);
+    const headers = { authorization: "Bearer 7" };
+    const load = await sendBackendCall(program.address, { path: "/load", headers });
+    expect(JSON.parse(load.text).slots).toBe(4);
+});
+
+test.each([
+    [["--slots", "none"], "--slots: "],
+    [["--unknown", "1"], "--unknown: "],
+])("a wrong setting %j ends the program and is named", async (parameters, named) => {
+    const start = launchProgram("engine", parameters);
+    await expect(start).rejects.toThrow(named);
+});
+
+test("a program stopped by SIGKILL is told as such", async () => {
+    program = await launchProgram("plainService");
+    expect(await readBackendJson(program.address, "/counts")).toMatchObject({ orders: {} });
+    program.sendSignal("SIGKILL");
+    expect(await program.exited).toEqual({ code: undefined, signal: "SIGKILL" });
+});
--- a/packages/standins/src/launcher/launchProgram.ts
+++ b/packages/standins/src/launcher/launchProgram.ts
@@ -10,6 +10,10 @@
 const defaultStopTimeoutMs = 20_000;
 const maximumOutputLength = 1_000_000;
 const listeningPattern = /^listening (\S+)$/m;
+const runningChildren = new Set<ChildProcess>();
+
+/** Programs do not outlive this process, unless it is killed. */
+process.once("exit", () => runningChildren.forEach((child) => child.kill("SIGKILL")));
 
 /** Names of the stand-in programs. */
 export type StandInName = "engine" | "plainService" | "platform";
@@ -111,11 +115,13 @@
         private readonly child: ChildProcess,
         private readonly path: string,
     ) {
+        runningChildren.add(child);
         this.exited = new Promise((resolve, reject) => {
             child.once("error", reject);
-            child.once("close", (code, signal) =>
-                resolve({ code: code ?? undefined, signal: signal ?? undefined }),
-            );
+            child.once("close", (code, signal) => {
+                runningChildren.delete(child);
+                resolve({ code: code ?? undefined, signal: signal ?? undefined });
+            });
         });
         child.stdout?.setEncoding("utf8").on("data", (text: string) => {
             this.stdout = (this.stdout + text).slice(-maximumOutputLength);
