Order servers under a lease, and plan how many

Cause: the platform must never get orders from two holders, although it may ignore the fencing number, and the number of servers must follow demand, cost and notices. Ruled out: increments (a repeat would order twice); trusting the lease at the time of planning; a second wait in the receiver; a lease per data centre (what cannot be had in one has to be had in another by the same holder). Change: the intent is stored under the lease's fence, the lease is asked in the tick in which the first byte leaves (the HTTP clients take the question along), a new holder waits out the wire of the earlier one where the receiver ignores the number, and an order of unknown fate blocks the next for the wire bound. A pure planner with hysteresis and backoff. Without the check, the wait or the fence the tests fail.

--- a/packages/platform/src/http/answerCollector.ts
+++ b/packages/platform/src/http/answerCollector.ts
@@ -46,10 +46,12 @@
     /**
      * @param finish - Receives the whole answer.
      * @param fail - Receives the failure.
+     * @param isSendAllowed - Asked in the tick in which the first byte would leave.
      */
     constructor(
         private readonly finish: (answer: CollectedAnswer) => void,
         private readonly fail: (failure: CallFailure) => void,
+        private readonly isSendAllowed: () => boolean = () => true,
     ) {}
 
     /**
@@ -69,6 +71,10 @@
             controller.abort(this.cancelReason);
             return;
         }
+        if (!this.isSendAllowed()) {
+            controller.abort(new CallFailure(false, "the send is no longer allowed"));
+            return;
+        }
         this.sent = true;
         this.controller = controller;
     }
--- a/packages/platform/src/http/httpOrderingService.ts
+++ b/packages/platform/src/http/httpOrderingService.ts
@@ -17,7 +17,12 @@
         super("ordering interface", options);
     }
 
-    async orderServers(order: ServerOrder, timeoutMs: number): Promise<OrderResult> {
-        return this.client.sendJson("/orders", order, orderResultSchema, timeoutMs);
+    async orderServers(
+        order: ServerOrder,
+        timeoutMs: number,
+        isSendAllowed?: () => boolean,
+    ): Promise<OrderResult> {
+        const bounds = { timeoutMs, isSendAllowed };
+        return this.client.sendJson("/orders", order, orderResultSchema, bounds);
     }
 }
--- a/packages/platform/src/http/httpUsageReportService.ts
+++ b/packages/platform/src/http/httpUsageReportService.ts
@@ -17,7 +17,8 @@
         super("usage report interface", options);
     }
 
-    async reportUsage(report: UsageReport, timeoutMs: number): Promise<void> {
-        await this.client.sendJson("/usage-reports", report, usageReportAnswerSchema, timeoutMs);
+    async reportUsage(report: UsageReport, timeoutMs: number, isSendAllowed?: () => boolean): Promise<void> {
+        const bounds = { timeoutMs, isSendAllowed };
+        await this.client.sendJson("/usage-reports", report, usageReportAnswerSchema, bounds);
     }
 }
--- a/packages/platform/src/http/platformHttpClient.ts
+++ b/packages/platform/src/http/platformHttpClient.ts
@@ -27,14 +27,20 @@
     readonly connections?: number;
 }
 
+/** Bounds of a call. */
+export interface PlatformCallBounds {
+    /** Bound on the whole call, in milliseconds. */
+    readonly timeoutMs?: number;
+    /** Asked in the tick in which the first byte would leave; on false nothing is sent. */
+    readonly isSendAllowed?: () => boolean;
+}
+
 /** One call. */
-export interface PlatformCall {
+export interface PlatformCall extends PlatformCallBounds {
     readonly method: "GET" | "POST" | "PUT";
     readonly path: string;
     readonly body?: Uint8Array | string;
     readonly contentType?: string;
-    /** Bound on the whole call, in milliseconds. */
-    readonly timeoutMs?: number;
 }
 
 /** Sends calls and never repeats one by itself. */
@@ -65,21 +71,21 @@
      * @param path - The path.
      * @param body - The request.
      * @param schema - Schema of the answer.
-     * @param timeoutMs - Bound on the whole call, in milliseconds.
+     * @param bounds - Bounds of the call.
      * @returns The answer.
      */
     async sendJson<Schema extends z.ZodType>(
         path: string,
         body: unknown,
         schema: Schema,
-        timeoutMs?: number,
+        bounds: PlatformCallBounds = {},
     ): Promise<z.infer<Schema>> {
         const call: PlatformCall = {
             method: "POST",
             path,
             body: JSON.stringify(body),
             contentType: "application/json",
-            timeoutMs,
+            ...bounds,
         };
         return this.parseAnswer(await this.sendCall(call), schema);
     }
@@ -140,7 +146,7 @@
         const timeoutMs = call.timeoutMs ?? this.timeoutMs;
         let timer: NodeJS.Timeout | undefined;
         const collected = new Promise<CollectedAnswer>((resolve, reject) => {
-            const collector = new AnswerCollector(resolve, reject);
+            const collector = new AnswerCollector(resolve, reject, call.isSendAllowed);
             timer = setTimeout(() => collector.cancel(`no answer within ${timeoutMs} ms`), timeoutMs);
             this.pool.dispatch(buildDispatchOptions(call), collector);
         });
--- a/packages/platform/src/ordering/orderingService.ts
+++ b/packages/platform/src/ordering/orderingService.ts
@@ -26,12 +26,16 @@
 
 /** Client of the ordering interface; throws a `PlatformError` on failure. */
 export interface OrderingService {
+    /** Whether the platform refuses an order with an old fencing number; absent means that it does not. */
+    readonly checksFencing?: boolean;
     /**
      * Orders servers.
      *
      * @param order - The desired state.
      * @param timeoutMs - Bound on the time on the wire, in milliseconds.
+     * @param isSendAllowed - Asked in the tick in which the first byte would leave; on false nothing is
+     * sent and the call fails as `Unavailable`. Absent means that the send is allowed.
      * @returns What the platform did.
      */
-    orderServers(order: ServerOrder, timeoutMs: number): Promise<OrderResult>;
+    orderServers(order: ServerOrder, timeoutMs: number, isSendAllowed?: () => boolean): Promise<OrderResult>;
 }
--- a/packages/platform/src/usageReports/usageReportService.ts
+++ b/packages/platform/src/usageReports/usageReportService.ts
@@ -24,11 +24,15 @@
 
 /** Client of the usage report interface; throws a `PlatformError` on failure. */
 export interface UsageReportService {
+    /** Whether the platform refuses a report with an old fencing number; absent means that it does not. */
+    readonly checksFencing?: boolean;
     /**
      * Reports a window.
      *
      * @param report - The sealed figures.
      * @param timeoutMs - Bound on the time on the wire, in milliseconds.
+     * @param isSendAllowed - Asked in the tick in which the first byte would leave; on false nothing is
+     * sent and the call fails as `Unavailable`. Absent means that the send is allowed.
      */
-    reportUsage(report: UsageReport, timeoutMs: number): Promise<void>;
+    reportUsage(report: UsageReport, timeoutMs: number, isSendAllowed?: () => boolean): Promise<void>;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -27,3 +27,5 @@
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
 export { createRandom } from "./random/random.js";
+export { ServerPlanner, defaultPlannerSettings } from "./orders/serverPlanner.js";
+export type { PlannedServers, PlannerInput, PlannerSettings, ServerOption } from "./orders/serverPlanner.js";
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -27,3 +27,6 @@
 } from "./configuration/configurationStore.js";
 export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
 export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
+export { OrderSender } from "./orders/orderSender.js";
+export type { OrderSenderOptions, SendResult } from "./orders/orderSender.js";
+export type { OrderIntent, WantedServers } from "./orders/orderRecord.js";
--- a/packages/state/src/leases/__tests__/leaseWorld.ts
+++ b/packages/state/src/leases/__tests__/leaseWorld.ts
@@ -10,7 +10,8 @@
 import { HostTableService, settleTasks, SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
 import { LeaseManager } from "../leaseManager.js";
 
-export const wireBoundMs = 500;
+/** Bound on the wire unless a test gives its own. */
+export const defaultWireBoundMs = 500;
 
 export interface LeaseNode {
     readonly name: string;
@@ -24,6 +25,7 @@
     readonly nodeCount: number;
     readonly leases: readonly string[];
     readonly timing?: LeaseTiming;
+    readonly wireBoundMs?: number;
     /** Wraps the table service; mutants break it. */
     readonly wrapTable?: (tableService: TableService) => TableService;
     /** Rates of the hosts' clocks, used in turn. */
@@ -62,7 +64,7 @@
             random: () => 0.5,
             createToken: () => `token-${(this.tokens += 1)}`,
             timing: this.options.timing ?? defaultLeaseTiming,
-            wireBoundMs,
+            wireBoundMs: this.options.wireBoundMs ?? defaultWireBoundMs,
         });
         manager.setWanted(this.options.leases);
         const node: LeaseNode = { name, host, table, manager, stopping: new AbortController() };
