--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -30,3 +30,16 @@
 export { OrderSender } from "./orders/orderSender.js";
 export type { OrderSenderOptions, SendResult } from "./orders/orderSender.js";
 export type { OrderIntent, WantedServers } from "./orders/orderRecord.js";
+export { ConfigurationFollower } from "./configuration/configurationFollower.js";
+export type { ConfigurationPeers } from "./configuration/configurationPeers.js";
+export { NoPeers } from "./configuration/noPeers.js";
+export { StoreCaller, defaultCallerBounds } from "./configuration/storeCaller.js";
+export { StoreFollower } from "./configuration/storeFollower.js";
+export type { NotReadyReason, StoreFollowerOptions } from "./configuration/storeFollower.js";
+export { ConfiguredKeyRegistry } from "./keys/configuredKeyRegistry.js";
+export { keyWithdrawalSchema } from "./keys/withdrawal.js";
+export type { KeyWithdrawal } from "./keys/withdrawal.js";
+export { WithdrawalFollower } from "./keys/withdrawalFollower.js";
+export type { WithdrawResult } from "./keys/withdrawalFollower.js";
+export type { WithdrawalPeers } from "./keys/withdrawalPeers.js";
+export { WithdrawalStore } from "./keys/withdrawalStore.js";
