--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -27,6 +27,9 @@
 } from "./configuration/configurationStore.js";
 export { TableConfigurationStore } from "./configuration/tableConfigurationStore.js";
 export type { TableConfigurationStoreOptions } from "./configuration/tableConfigurationStore.js";
+export { OrderSender } from "./orders/orderSender.js";
+export type { OrderSenderOptions, SendResult } from "./orders/orderSender.js";
+export type { OrderIntent, WantedServers } from "./orders/orderRecord.js";
 export { ConfigurationFollower } from "./configuration/configurationFollower.js";
 export type { ConfigurationPeers } from "./configuration/configurationPeers.js";
 export { NoPeers } from "./configuration/noPeers.js";
