--- /dev/null
+++ b/packages/standins/src/__tests__/contracts/platformClients.test.ts
@@ -0,0 +1,123 @@
+import {
+    HttpOrderingService,
+    HttpTableService,
+    PlatformError,
+    PlatformErrorKind,
+} from "@pimentocleat/platform";
+import { createServer, type AddressInfo, type Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
+import { startPlatform, type FaultInput, type RunningPlatform } from "../../index.js";
+import { callTimeoutMs, hangTimeoutMs, platformCalls, sampleOrder, withClient } from "./platformCalls.js";
+
+interface FaultCase {
+    readonly fault: FaultInput;
+    /** Expected kind; undefined when the call succeeds. */
+    readonly kind: PlatformErrorKind | undefined;
+    readonly hasEffect: boolean;
+    readonly retryAfterMs?: number;
+}
+
+const faultCases: readonly FaultCase[] = [
+    { fault: { kind: "delay", delayMs: 1 }, kind: undefined, hasEffect: true },
+    { fault: { kind: "refuse" }, kind: PlatformErrorKind.Unavailable, hasEffect: false },
+    {
+        fault: { kind: "rateLimit", retryAfterMs: 1_500 },
+        kind: PlatformErrorKind.RateLimited,
+        hasEffect: false,
+        retryAfterMs: 1_500,
+    },
+    { fault: { kind: "hang" }, kind: PlatformErrorKind.Ambiguous, hasEffect: false },
+    { fault: { kind: "dropReply" }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
+    { fault: { kind: "failAfterEffect" }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
+    { fault: { kind: "cutMidAnswer", afterTokens: 1 }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
+];
+
+const acceptedBody = `{"outcome":"accepted"}`;
+const acceptedAnswer = `HTTP/1.1 200 OK\r\ncontent-length: ${acceptedBody.length}\r\n\r\n${acceptedBody}`;
+
+let platform: RunningPlatform;
+
+beforeEach(async () => {
+    platform = await startPlatform();
+});
+
+afterEach(() => platform.close());
+
+async function findError(call: Promise<unknown>): Promise<PlatformError | undefined> {
+    const failure = await call.then(
+        () => undefined,
+        (error: unknown) => error,
+    );
+    if (failure !== undefined) {
+        expect(failure).toBeInstanceOf(PlatformError);
+    }
+    return failure as PlatformError | undefined;
+}
+
+describe.each(platformCalls)("$name", ({ service, run, answer, countEffects }) => {
+    test("answers without a fault", async () => {
+        expect(await run({ address: platform.address })).toEqual(answer);
+    });
+
+    test.each(faultCases)("$fault.kind", async ({ fault, kind, hasEffect, retryAfterMs }) => {
+        platform.switches.setPlan({ faults: [{ ...fault, service, count: 1 }] });
+        const timeoutMs = fault.kind === "hang" ? hangTimeoutMs : callTimeoutMs;
+        const error = await findError(run({ address: platform.address, timeoutMs }));
+        expect(error?.kind).toBe(kind);
+        expect(error?.retryAfterMs).toBe(retryAfterMs);
+        if (countEffects !== undefined) {
+            expect(await countEffects(platform)).toBe(hasEffect ? 1 : 0);
+        }
+    });
+
+    test("is unavailable when nothing listens", async () => {
+        const { address } = platform;
+        await platform.close();
+        expect((await findError(run({ address })))?.kind).toBe(PlatformErrorKind.Unavailable);
+    });
+
+    test("is ambiguous when the peer reads the call and closes the connection", async () => {
+        const server = createServer((socket) => socket.once("data", () => socket.destroy()));
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const error = await findError(run({ address }));
+        server.close();
+        expect(error?.kind).toBe(PlatformErrorKind.Ambiguous);
+    });
+});
+
+describe("calls that were not sent", () => {
+    const write = { conditions: [], writes: [{ table: "a", key: "k", value: 1 }] };
+
+    test("a call that times out before a connection is free is never sent", async () => {
+        const received: Socket[] = [];
+        const server = createServer((socket) => socket.on("data", () => received.push(socket)));
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+        const answerNext = async (count: number): Promise<void> => {
+            await vi.waitUntil(() => received.length >= count, { timeout: callTimeoutMs });
+            received.at(-1)?.write(acceptedAnswer);
+        };
+        await withClient(new HttpOrderingService({ address, connections: 1 }), async (client) => {
+            const first = client.orderServers(sampleOrder, callTimeoutMs);
+            const second = await findError(client.orderServers(sampleOrder, hangTimeoutMs));
+            expect(second?.kind).toBe(PlatformErrorKind.Unavailable);
+            await answerNext(1);
+            expect(await first).toEqual({ outcome: "accepted" });
+            const third = client.orderServers(sampleOrder, callTimeoutMs);
+            await answerNext(2);
+            expect(await third).toEqual({ outcome: "accepted" });
+        });
+        server.close();
+        expect(received.length).toBe(2);
+    });
+
+    test("a call is sent once, whatever becomes of its answer", async () => {
+        platform.switches.setPlan({ faults: [{ kind: "dropReply", call: "commit" }] });
+        await withClient(new HttpTableService({ address: platform.address }), async (client) => {
+            await findError(client.commitTransaction(write));
+            await findError(client.commitTransaction(write));
+        });
+        expect(platform.readRecord().callCounts["table"]).toEqual({ commit: 2 });
+    });
+});
