Measure one node: added latency, load and memory

Cause: nothing said what a node adds or carries. Ruled out: the engine stand-in as the backend of the benchmark, because it would limit the load. Change: npm run bench starts a backend twice and one node as processes, calls directly and through the node in the same run, and measures load, processor time and memory of the node alone.

--- /dev/null
+++ b/packages/bench/bin/bench.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runBenchCommand } from "@pimentocleat/bench";
+
+await runBenchCommand(process.argv);
--- /dev/null
+++ b/packages/bench/src/bench/benchBackend.ts
@@ -0,0 +1,63 @@
+/**
+ * The backend of the benchmark: answers at once, or streams at a fixed pace. It does as little as it
+ * can, so that it does not limit the load.
+ *
+ * @packageDocumentation
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { BenchPlan } from "./benchOptions.js";
+import { listenAndReport } from "./benchProcess.js";
+
+const usage = `"usage":{"prompt_tokens":8,"completion_tokens":1}`;
+const wholeBody = `{"choices":[{"index":0,"message":{"role":"assistant","content":"word"},"finish_reason":"stop"}],${usage}}`;
+const tokenEvent = Buffer.from(
+    `data: {"id":"bench","object":"chat.completion.chunk","created":1,"model":"bench","choices":[{"index":0,"delta":{"content":" word"},"finish_reason":null}]}\n\n`,
+);
+const lastEvents = `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n`;
+
+interface BenchBody {
+    readonly stream?: boolean;
+    readonly bench?: BenchPlan;
+}
+
+/** Runs the backend until its parent ends it. */
+export async function runBenchBackend(): Promise<void> {
+    const server = createServer((request, response) => {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        request.on("end", () => answerRequest(request, response, Buffer.concat(chunks).toString()));
+    });
+    server.keepAliveTimeout = 60_000;
+    await listenAndReport(server);
+}
+
+function answerRequest(request: IncomingMessage, response: ServerResponse, text: string): void {
+    const echo = { "x-request-id": request.headers["x-request-id"] ?? "" };
+    if (request.method === "GET") {
+        const load = `{"running":0,"waiting":0,"slots":100000,"events":[],"lastSequence":0}`;
+        response.writeHead(200, { ...echo, "content-type": "application/json" }).end(load);
+        return;
+    }
+    const body = JSON.parse(text) as BenchBody;
+    if (body.stream && body.bench !== undefined) {
+        response.writeHead(200, { ...echo, "content-type": "text/event-stream" });
+        streamTokens(response, body.bench);
+        return;
+    }
+    const headers = { ...echo, "content-type": "application/json", "content-length": wholeBody.length };
+    response.writeHead(200, headers).end(wholeBody);
+}
+
+function streamTokens(response: ServerResponse, plan: BenchPlan): void {
+    let sent = 0;
+    const timer = setInterval(() => {
+        if (sent === plan.tokens) {
+            clearInterval(timer);
+            response.end(lastEvents);
+            return;
+        }
+        sent += 1;
+        response.write(tokenEvent);
+    }, plan.intervalMs);
+    response.on("close", () => clearInterval(timer));
+}
--- /dev/null
+++ b/packages/bench/src/bench/benchClient.ts
@@ -0,0 +1,106 @@
+/**
+ * The calls of the benchmark.
+ *
+ * @packageDocumentation
+ */
+import { connect, type Socket } from "node:net";
+import { once } from "node:events";
+import { Client } from "undici";
+import { benchSecret, type BenchPlan } from "./benchOptions.js";
+
+const path = "/v1/chat/completions";
+
+/**
+ * Builds the body of a call.
+ *
+ * @param plan - What the backend does; undefined for a whole answer at once.
+ * @param words - Length of the prompt, in words.
+ * @returns JSON text.
+ */
+export function buildBenchBody(plan: BenchPlan | undefined, words: number): string {
+    const messages = [{ role: "user", content: "word ".repeat(words) }];
+    return JSON.stringify({ model: "bench", messages, stream: plan !== undefined, bench: plan });
+}
+
+/** A caller with one connection. */
+export class BenchClient {
+    private readonly client: Client;
+
+    /** @param address - IP address and port of the node or the backend. */
+    constructor(address: string) {
+        this.client = new Client(`http://${address}`, { headersTimeout: 0, bodyTimeout: 0 });
+    }
+
+    /**
+     * Makes a call for a whole answer.
+     *
+     * @param body - Body from {@link buildBenchBody}.
+     * @returns Its duration, in milliseconds.
+     */
+    async callWhole(body: string): Promise<number> {
+        const startMs = performance.now();
+        const answer = await this.client.request({ method: "POST", path, headers: buildHeaders(), body });
+        await answer.body.text();
+        if (answer.statusCode !== 200) {
+            throw new Error(`status ${answer.statusCode}`);
+        }
+        return performance.now() - startMs;
+    }
+
+    /**
+     * Makes a call for a stream.
+     *
+     * @param body - Body from {@link buildBenchBody}.
+     * @returns Time to the first part and between parts, in milliseconds.
+     */
+    async callStream(
+        body: string,
+    ): Promise<{ readonly firstMs: number; readonly gapsMs: readonly number[] }> {
+        const startMs = performance.now();
+        const answer = await this.client.request({ method: "POST", path, headers: buildHeaders(), body });
+        const timesMs: number[] = [];
+        for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+            if (chunk.length > 0) {
+                timesMs.push(performance.now());
+            }
+        }
+        const gapsMs = timesMs.slice(1).map((timeMs, index) => timeMs - (timesMs[index] ?? timeMs));
+        return { firstMs: (timesMs[0] ?? startMs) - startMs, gapsMs };
+    }
+
+    /** Closes the connection. */
+    async close(): Promise<void> {
+        await this.client.destroy();
+    }
+}
+
+/**
+ * Opens a connection and sends one request without reading more than is counted.
+ *
+ * @param address - IP address and port of the node.
+ * @param request - Body of a stream, or undefined for an idle connection after a health check.
+ * @param onData - Receives the bytes of the answer.
+ * @returns The socket.
+ */
+export async function openRawConnection(
+    address: string,
+    request: string | undefined,
+    onData: (chunk: Buffer) => void,
+): Promise<Socket> {
+    const [host, port] = address.split(":");
+    const socket = connect(Number(port), host);
+    await once(socket, "connect");
+    socket.on("data", onData);
+    socket.on("error", () => {});
+    const head = `host: ${address}\r\nauthorization: Bearer ${benchSecret}\r\n`;
+    socket.write(
+        request === undefined
+            ? `GET /healthz HTTP/1.1\r\n${head}\r\n`
+            : `POST ${path} HTTP/1.1\r\n${head}content-length: ${Buffer.byteLength(request)}\r\n\r\n${request}`,
+    );
+    return socket;
+}
+
+function buildHeaders(): Record<string, string> {
+    return { authorization: `Bearer ${benchSecret}`, "content-type": "application/json" };
+}
--- /dev/null
+++ b/packages/bench/src/bench/benchNode.ts
@@ -0,0 +1,73 @@
+/**
+ * The node of the benchmark, in a process of its own.
+ *
+ * @packageDocumentation
+ */
+import { createHash } from "node:crypto";
+import { startNode } from "@pimentocleat/node";
+import { TieredScheduler } from "@pimentocleat/policy";
+import { configurationSchema, type Configuration } from "@pimentocleat/schema";
+import {
+    ConfiguredKeyRegistry,
+    type AppliedConfiguration,
+    type ClaimStore,
+    type ConfigurationSource,
+} from "@pimentocleat/state";
+import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
+import { SystemClock } from "@pimentocleat/types";
+import { benchSecret } from "./benchOptions.js";
+import { answerMeasurements } from "./benchProcess.js";
+
+const slots = 100_000;
+
+/** Claims nothing; the benchmark sends no request that may not be repeated. */
+class RefusingClaimStore implements ClaimStore {
+    async claimKey(): Promise<{ type: "unavailable"; retryAfterMs: number }> {
+        return { type: "unavailable", retryAfterMs: 0 };
+    }
+
+    async recordOutcome(): Promise<void> {}
+}
+
+/**
+ * Runs the node until its parent ends it.
+ *
+ * @param addresses - IP addresses and ports of the backend servers.
+ */
+export async function runBenchNode(addresses: readonly string[]): Promise<void> {
+    const applied: AppliedConfiguration = { revision: 1, configuration: buildConfiguration(addresses) };
+    const configuration: ConfigurationSource = { readCurrent: () => applied, onChange: () => () => {} };
+    const clock = new SystemClock();
+    const logger = new SilentLogger();
+    const node = await startNode({
+        name: "bench-1",
+        dataCentre: "bench",
+        callerAddress: { host: "127.0.0.1", port: 0 },
+        configuration,
+        keys: new ConfiguredKeyRegistry({ configuration, logger }),
+        claims: new RefusingClaimStore(),
+        usage: { recordUsage: () => {} },
+        logger,
+        metrics: new MemoryMetrics(),
+        clock,
+        createScheduler: (part) => new TieredScheduler({ configuration: part, clock, node: "bench-1" }),
+        limits: { keepAliveMs: 120_000, idleConnections: 4_096, stalledCallerMs: 120_000 },
+    });
+    answerMeasurements(node.callerAddress);
+}
+
+function buildConfiguration(addresses: readonly string[]): Configuration {
+    const digest = createHash("sha256").update(benchSecret).digest("hex");
+    const servers = addresses.map((address, index) => ({
+        name: `engine-${index}`,
+        address,
+        dataCentre: "bench",
+        slots,
+    }));
+    return configurationSchema.parse({
+        customers: [{ name: "bench" }],
+        keys: [{ id: "bench", customer: "bench", digest, defaultClass: "bench" }],
+        classes: [{ name: "bench", tier: 1, firstTokenMs: 60_000, completeMs: 600_000 }],
+        pools: [{ name: "engines", kind: "model", models: ["bench"], servers }],
+    });
+}
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,3 +1,4 @@
+export { runBenchCommand } from "./bench/benchCommand.js";
 export { runSlopes } from "./slopes/runSlopes.js";
 export { runExperimentCommand } from "./experiments/experimentCommand.js";
 export { listExperiments, runExperiment } from "./experiments/runExperiment.js";
