Count floors over the pool and never shed above waiting lower tiers

Change: while a lower tier waits, a class is refused only when the whole pool could not serve it in time, and isn't shed; starts by class travel in summaries, and the node with most waiting requests pays an owed floor.

--- a/packages/policy/src/admission/admissionController.ts
+++ b/packages/policy/src/admission/admissionController.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { PeerDemand } from "../capacity/peerDemand.js";
+import { floorIntervalMs } from "../fairness/floorKeeper.js";
 import type { ClassQueue } from "../scheduling/classQueue.js";
 
 /** What admission said about a request. */
@@ -53,14 +54,30 @@
         const waitMs = this.predictWaitMs(classQueue, ahead + 1, slots, nowMs);
         const budgetMs = classQueue.readWaitBudgetMs();
         return {
-            admitted: waitMs <= budgetMs * refusalMargin,
+            admitted: waitMs <= budgetMs * refusalMargin || this.hasFloorPlace(classQueue, budgetMs),
             waitMs,
             retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
         };
     }
 
+    private hasLowerWaiting({ settings }: ClassQueue): boolean {
+        return this.classes.some(
+            (other) =>
+                other.settings.tier > settings.tier &&
+                other.queue.countWaiting() + this.peers.readDemand(other.settings.name).waiting > 0,
+        );
+    }
+
+    /** Keeps as many requests of a class waiting as its floor can start in time, at least one. */
+    private hasFloorPlace(classQueue: ClassQueue, budgetMs: number): boolean {
+        const waiting =
+            classQueue.queue.countWaiting() + this.peers.readDemand(classQueue.settings.name).waiting;
+        return waiting < Math.max(1, Math.floor(budgetMs / floorIntervalMs));
+    }
+
     /**
-     * Predicts the wait of the last waiting request of a class.
+     * Predicts the wait of the last waiting request of a class; a class isn't shed while requests of a
+     * lower tier wait.
      *
      * @param classQueue - The class.
      * @param slots - Slots of the pool that all nodes use together.
@@ -71,7 +88,10 @@
         const waitMs = this.predictWaitMs(classQueue, classQueue.queue.countWaiting(), slots, nowMs);
         const budgetMs = classQueue.readWaitBudgetMs();
         return {
-            admitted: waitMs <= budgetMs * refusalMargin,
+            admitted:
+                waitMs <= budgetMs * refusalMargin ||
+                this.hasLowerWaiting(classQueue) ||
+                this.hasFloorPlace(classQueue, budgetMs + floorIntervalMs),
             waitMs,
             retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
         };
@@ -79,6 +99,8 @@
 
     private predictWaitMs(classQueue: ClassQueue, position: number, slots: number, nowMs: number): number {
         const { tier, weight, floorShare } = classQueue.settings;
+        // An early refusal would give the slots to a lower tier, so count on all of them.
+        const isCautious = this.hasLowerWaiting(classQueue);
         let higherLoad = 0;
         let higherWorkMs = 0;
         let tierWorkMs = 0;
@@ -101,7 +123,8 @@
         const share = Math.min(1, position / (classQueue.queue.countWaiting() + 1));
         const ownWorkMs = (position + elsewhere * share) * classQueue.holdingMs.readMean();
         const fairWorkMs = Math.min(ownWorkMs + tierWorkMs, (ownWorkMs * tierWeight) / weight);
-        const leftSlots = Math.max(slots - higherLoad, slots * floorShare, leastSlots);
+        const residualSlots = isCautious ? slots : slots - higherLoad;
+        const leftSlots = Math.max(residualSlots, slots * floorShare, leastSlots);
         return higherWorkMs / Math.max(slots, leastSlots) + fairWorkMs / leftSlots;
     }
 }
--- a/packages/policy/src/capacity/peerDemand.ts
+++ b/packages/policy/src/capacity/peerDemand.ts
@@ -39,14 +39,17 @@
     /**
      * @param summary - A peer's summary.
      * @param nowMs - Monotonic time.
-     * @returns Slot starts of the peer since its last summary.
+     * @returns Slot starts of the peer since its last summary, by class.
      */
-    recordSummary(summary: PoolSummary, nowMs: number): number {
-        const starts = summary.starts ?? 0;
-        const before = this.reports.get(summary.node)?.summary.starts ?? starts;
+    recordSummary(summary: PoolSummary, nowMs: number): Map<string, number> {
+        const before = this.reports.get(summary.node)?.summary.starts;
+        const starts = new Map<string, number>();
+        for (const [name, count] of Object.entries(summary.starts ?? {})) {
+            starts.set(name, Math.max(0, count - (before?.[name] ?? count)));
+        }
         this.reports.set(summary.node, { summary, receivedMs: nowMs });
         this.updateSums(nowMs);
-        return Math.max(0, starts - before);
+        return starts;
     }
 
     /** @param node - A peer that is gone. */
--- a/packages/policy/src/fairness/floorKeeper.ts
+++ b/packages/policy/src/fairness/floorKeeper.ts
@@ -9,17 +9,17 @@
 /** Largest share of slot starts that all floors together may take. */
 const totalFloorShareLimit = 0.2;
 /** A waiting class is owed a start of the whole pool after this time without one. */
-const floorIntervalMs = 8_000;
+export const floorIntervalMs = 6_000;
 /** Floors never save up more starts than this. */
 const floorCreditLimit = 2;
 
 /**
- * Knows which class is owed a start. A class earns its share of each start in the pool, divided
- * between the nodes by their waiting requests; and when no node has started it for 8 s, the node with the most
- * waiting requests owes it one.
+ * Knows which class is owed a start. A class earns its share of each start in the pool while it has
+ * waiting requests anywhere, and one start when none was made for 6 s. All nodes count the same
+ * starts, and the node with the most waiting requests of the class pays.
  */
 export class FloorKeeper {
-    private starts = 0;
+    private readonly starts = new Map<string, number>();
 
     /**
      * @param node - This node.
@@ -33,77 +33,86 @@
     /**
      * @param classes - The classes of the pool.
      * @param nowMs - Monotonic time.
-     * @returns The class that is owed most, or undefined when none is owed a start.
+     * @returns The class that is owed most, or undefined when none is owed a start here.
      */
     findOwedClass(classes: readonly ClassQueue[], nowMs: number): ClassQueue | undefined {
         let owed: ClassQueue | undefined;
         for (const classQueue of classes) {
-            if (classQueue.queue.countWaiting() === 0) {
-                continue;
-            }
             const isOwed = classQueue.floorCredit >= 1 || this.isOverdue(classQueue, nowMs);
-            if (isOwed && classQueue.floorCredit > (owed?.floorCredit ?? -1)) {
+            const isMost = classQueue.floorCredit > (owed?.floorCredit ?? -1);
+            if (isOwed && isMost && this.hasMostWaiting(classQueue)) {
                 owed = classQueue;
             }
         }
         return owed;
     }
 
-    /** @returns Slot starts of this node so far. */
-    countStarts(): number {
-        return this.starts;
+    /** @returns Slot starts of this node so far, by class. */
+    summarizeStarts(): Record<string, number> {
+        return Object.fromEntries(this.starts);
     }
 
     /**
-     * Notes starts of other nodes.
+     * Notes starts of another node.
      *
-     * @param count - How many.
+     * @param starts - How many, by class.
      * @param classes - The classes of the pool.
      */
-    recordPeerStarts(count: number, classes: readonly ClassQueue[]): void {
-        this.addCredits(count, classes);
+    recordPeerStarts(starts: ReadonlyMap<string, number>, classes: readonly ClassQueue[]): void {
+        let total = 0;
+        for (const count of starts.values()) {
+            total += count;
+        }
+        this.addCredits(total, classes);
+        for (const classQueue of classes) {
+            takeCredit(classQueue, starts.get(classQueue.settings.name) ?? 0);
+        }
     }
 
     /**
-     * Notes a start of a class.
+     * Notes a start on this node.
      *
      * @param started - The class.
      * @param classes - The classes of the pool.
      * @param nowMs - Monotonic time.
      */
     recordStart(started: ClassQueue, classes: readonly ClassQueue[], nowMs: number): void {
-        this.starts += 1;
+        const { name } = started.settings;
+        this.starts.set(name, (this.starts.get(name) ?? 0) + 1);
         this.addCredits(1, classes);
-        started.floorCredit = Math.max(0, started.floorCredit - 1);
+        takeCredit(started, 1);
         started.lastStartMs = nowMs;
     }
 
     private addCredits(starts: number, classes: readonly ClassQueue[]): void {
         const scale = computeScale(classes) * starts;
         for (const classQueue of classes) {
-            const share = classQueue.settings.floorShare * scale * this.computeNodeShare(classQueue);
-            classQueue.floorCredit = Math.min(floorCreditLimit, classQueue.floorCredit + share);
+            const { settings, queue } = classQueue;
+            if (queue.countWaiting() + this.peers.readDemand(settings.name).waiting > 0) {
+                const credit = classQueue.floorCredit + settings.floorShare * scale;
+                classQueue.floorCredit = Math.min(floorCreditLimit, credit);
+            }
         }
     }
 
-    /** This node's part of the class's waiting requests in the pool. */
-    private computeNodeShare(classQueue: ClassQueue): number {
-        const own = classQueue.queue.countWaiting();
-        return own === 0 ? 0 : own / (own + this.peers.readDemand(classQueue.settings.name).waiting);
-    }
-
     private isOverdue(classQueue: ClassQueue, nowMs: number): boolean {
         const elsewhere = this.peers.readDemand(classQueue.settings.name);
         const lastStartMs = Math.max(classQueue.lastStartMs, elsewhere.lastStartMs, classQueue.activeSinceMs);
-        if (nowMs - lastStartMs < floorIntervalMs) {
-            return false;
-        }
+        return nowMs - lastStartMs >= floorIntervalMs;
+    }
+
+    private hasMostWaiting(classQueue: ClassQueue): boolean {
         const own = classQueue.queue.countWaiting();
+        const elsewhere = this.peers.readDemand(classQueue.settings.name);
         const isTie = own === elsewhere.largestWaiting && this.node < elsewhere.largestNode;
-        return own > elsewhere.largestWaiting || isTie;
+        return own > 0 && (own > elsewhere.largestWaiting || isTie);
     }
 }
 
+function takeCredit(classQueue: ClassQueue, starts: number): void {
+    classQueue.floorCredit = Math.max(0, classQueue.floorCredit - starts);
+}
+
 function computeScale(classes: readonly ClassQueue[]): number {
     const total = classes.reduce((sum, { settings }) => sum + settings.floorShare, 0);
     return total <= totalFloorShareLimit ? 1 : totalFloorShareLimit / total;
--- a/packages/policy/src/scheduling/classQueue.ts
+++ b/packages/policy/src/scheduling/classQueue.ts
@@ -5,6 +5,7 @@
  */
 import type { RequestClass } from "@pimentocleat/schema";
 import { FairQueue } from "../fairness/fairQueue.js";
+import { DeadlineHeap } from "./deadlineHeap.js";
 import { MeanEstimator, RateEstimator } from "./estimators.js";
 
 const demandMemoryMs = 2_000;
@@ -17,6 +18,7 @@
 /** Queue, order and estimates of one class. */
 export class ClassQueue {
     readonly queue: FairQueue;
+    readonly deadlines = new DeadlineHeap();
     /** Slot time used, divided by the weight; orders the classes of a tier. */
     virtualTime = 0;
     /** Slot starts that the floor owes; see {@link FloorKeeper}. */
--- a/packages/policy/src/scheduling/poolScheduler.ts
+++ b/packages/policy/src/scheduling/poolScheduler.ts
@@ -117,8 +117,8 @@
     readonly lent?: Readonly<Record<string, Readonly<Record<string, number>>>>;
     /** Slots of other nodes that this node uses, by owner and server; absent means none. */
     readonly borrowed?: Readonly<Record<string, Readonly<Record<string, number>>>>;
-    /** Slot starts since the node's start. */
-    readonly starts?: number;
+    /** Slot starts since the node's start, by class. */
+    readonly starts?: Readonly<Record<string, number>>;
     /** Time since the last start of each class with waiting requests, in milliseconds. */
     readonly sinceStartMs?: Readonly<Record<string, number>>;
     /** Tier for which the slots are lent, by node. */
--- a/packages/policy/src/scheduling/poolState.ts
+++ b/packages/policy/src/scheduling/poolState.ts
@@ -131,6 +131,28 @@
         return demand;
     }
 
+    /**
+     * @param nowMs - Monotonic time.
+     * @returns A request whose latest start has passed; it still has to be removed.
+     */
+    findDue(nowMs: number): WaitingRequest | undefined {
+        for (const { deadlines } of this.classesFromLowestTier) {
+            const entry = deadlines.takeDue(nowMs);
+            if (entry !== undefined) {
+                return this.waiting.find(entry.request.requestId);
+            }
+        }
+        return undefined;
+    }
+
+    /** @returns The earliest latest start of all waiting requests, in monotonic milliseconds. */
+    readEarliestMs(): number | undefined {
+        const earliestMs = Math.min(
+            ...this.classesFromLowestTier.map(({ deadlines }) => deadlines.readEarliestMs() ?? Infinity),
+        );
+        return Number.isFinite(earliestMs) ? earliestMs : undefined;
+    }
+
     /** Tells the slot policy what waits here. */
     updateDemand(): void {
         this.slots.updateDemand(this.findDemand(), this.order.findOwedClass() !== undefined);
--- a/packages/policy/src/scheduling/queueOrder.ts
+++ b/packages/policy/src/scheduling/queueOrder.ts
@@ -58,7 +58,8 @@
             return undefined;
         }
         const owed = this.findOwedClass();
-        const byFloor = owed !== undefined && owed !== first && hasFreeSlot(owed.settings.tier);
+        // The floor also counts when nothing better waits here, since it may wait on another node.
+        const byFloor = owed !== undefined && hasFreeSlot(owed.settings.tier);
         const classQueue = byFloor ? owed : first;
         const entry = classQueue.queue.next();
         return entry === undefined ? undefined : { classQueue, entry, byFloor };
--- a/packages/policy/src/scheduling/statusReader.ts
+++ b/packages/policy/src/scheduling/statusReader.ts
@@ -48,7 +48,7 @@
             node: this.node,
             sequence: this.sequence,
             waiting,
-            starts: this.state.floors.countStarts(),
+            starts: this.state.floors.summarizeStarts(),
             sinceStartMs,
             slackMs: requestDemand === undefined ? undefined : requestDemand.latestStartMs - nowMs,
             running: Object.fromEntries(servers.map(({ settings, running }) => [settings.name, running])),
--- a/packages/policy/src/scheduling/tieredScheduler.ts
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -175,7 +175,7 @@
 
     readNextWakeMs(): number | undefined {
         const nowMs = this.readNowMs();
-        const earliestMs = this.state.waiting.readEarliestMs();
+        const earliestMs = this.state.readEarliestMs();
         return earliestMs === undefined ? undefined : Math.min(earliestMs, nowMs + wakeIntervalMs);
     }
 
@@ -213,10 +213,10 @@
     }
 
     private expireWaiting(nowMs: number): void {
-        for (let due = this.state.waiting.findDue(nowMs); due !== undefined;) {
+        for (let due = this.state.findDue(nowMs); due !== undefined;) {
             const retryAfterMs = limitRetryAfterMs(due.classQueue.readWaitBudgetMs());
             this.refuseWaiting(due, ErrorKind.QueueDeadline, retryAfterMs);
-            due = this.state.waiting.findDue(nowMs);
+            due = this.state.findDue(nowMs);
         }
     }
 
@@ -262,6 +262,9 @@
             }
             if (!this.startChosen(chosen, nowMs)) {
                 this.passOver(chosen, passedOver);
+            } else if (chosen.byFloor) {
+                // The slot was held back from other nodes; the next one isn't.
+                this.state.updateDemand();
             }
         }
         for (const { request, classQueue, entry } of passedOver) {
--- a/packages/policy/src/scheduling/waitingRequests.ts
+++ b/packages/policy/src/scheduling/waitingRequests.ts
@@ -5,7 +5,6 @@
  */
 import type { WaitingEntry } from "../fairness/fairQueue.js";
 import type { ClassQueue } from "./classQueue.js";
-import { DeadlineHeap } from "./deadlineHeap.js";
 import type { QueuedRequest } from "./poolScheduler.js";
 
 /** A waiting request and its place. */
@@ -19,13 +18,12 @@
 /** Finds waiting requests. */
 export class WaitingRequests {
     private readonly byId = new Map<string, WaitingRequest>();
-    private readonly deadlines = new DeadlineHeap();
 
     /** @param waiting - A request that begins to wait. */
     add(waiting: WaitingRequest): void {
         this.byId.set(waiting.request.requestId, waiting);
         waiting.classQueue.queue.add(waiting.entry, waiting.isAhead);
-        this.deadlines.add(waiting.entry);
+        waiting.classQueue.deadlines.add(waiting.entry);
     }
 
     /** @param waiting - A request that waits no longer. */
@@ -67,18 +65,4 @@
     count(): number {
         return this.byId.size;
     }
-
-    /**
-     * @param nowMs - Monotonic time.
-     * @returns A request whose latest start has passed; it still has to be removed.
-     */
-    findDue(nowMs: number): WaitingRequest | undefined {
-        const entry = this.deadlines.takeDue(nowMs);
-        return entry === undefined ? undefined : this.byId.get(entry.request.requestId);
-    }
-
-    /** @returns The earliest latest start, in monotonic milliseconds. */
-    readEarliestMs(): number | undefined {
-        return this.deadlines.readEarliestMs();
-    }
 }
