--- a/packages/standins/src/__tests__/contracts/engine.test.ts
+++ b/packages/standins/src/__tests__/contracts/engine.test.ts
@@ -284,7 +284,8 @@
         const running = complete(endlessBody, "running", caller.signal);
         await waitUntil(() => findRecord("running") !== undefined);
         clock.advance(499);
-        expect(await readBackendJson(engine.address, "/load")).toMatchObject({ running: 0 });
+        const measuredAtMs = clock.wallMs() - 500;
+        expect(await readBackendJson(engine.address, "/load")).toMatchObject({ running: 0, measuredAtMs });
         clock.advance(1);
         expect(await readBackendJson(engine.address, "/load")).toMatchObject({ running: 1 });
         caller.abort();
--- a/packages/standins/src/engine/engineRoutes.ts
+++ b/packages/standins/src/engine/engineRoutes.ts
@@ -62,8 +62,8 @@
 
 function registerSteering(server: FastifyInstance, engine: Engine): void {
     server.get("/load", { config: buildConfig("load") }, async () => {
-        const { changedAtMs, value } = engine.readLoad();
-        return { ...value, measuredAtMs: changedAtMs };
+        const { measuredAtMs, value } = engine.readLoad();
+        return { ...value, measuredAtMs };
     });
     server.post("/cancel", { config: buildConfig("cancel") }, async (request) => {
         const { requestId } = cancelSchema.parse(request.body);
--- a/packages/standins/src/plainService/plainServiceRoutes.ts
+++ b/packages/standins/src/plainService/plainServiceRoutes.ts
@@ -65,8 +65,8 @@
             this.runCall(request, reply, () => findJob(request)),
         );
         server.get("/load", { config: buildConfig("load") }, async () => {
-            const { changedAtMs, value } = load.readValue();
-            return { ...value, slots, measuredAtMs: changedAtMs };
+            const { measuredAtMs, value } = load.readValue();
+            return { ...value, slots, measuredAtMs };
         });
         server.get("/counts", async () => counter.readCounts());
     }
--- a/packages/standins/src/program/laggingValue.ts
+++ b/packages/standins/src/program/laggingValue.ts
@@ -9,12 +9,13 @@
 
 /** A value as it was at some time. */
 export interface DatedValue<Value> {
-    /** Wall time of the change, in milliseconds since the Unix epoch. */
-    readonly changedAtMs: number;
+    /** Wall time at which the value was true, in milliseconds since the Unix epoch. */
+    readonly measuredAtMs: number;
     readonly value: Value;
 }
 
-interface Version<Value> extends DatedValue<Value> {
+interface Version<Value> {
+    readonly value: Value;
     readonly visibleAtMs: number;
 }
 
@@ -32,7 +33,7 @@
         private readonly lagMs: number,
         private readonly clock: Clock,
     ) {
-        this.versions = [{ value: initial, changedAtMs: clock.wallMs(), visibleAtMs: -Infinity }];
+        this.versions = [{ value: initial, visibleAtMs: -Infinity }];
     }
 
     /**
@@ -42,16 +43,17 @@
      */
     setValue(value: Value): void {
         const visibleAtMs = this.clock.monotonicMs() + this.lagMs;
-        this.versions.push({ value, changedAtMs: this.clock.wallMs(), visibleAtMs });
+        this.versions.push({ value, visibleAtMs });
         if (this.versions.length > compactionLength) {
             this.compact();
         }
     }
 
-    /** @returns The last visible value and when it was set. */
+    /** @returns The value as it was before the lag. */
     readValue(): DatedValue<Value> {
         this.compact();
-        return this.versions[0] as Version<Value>;
+        const { value } = this.versions[0] as Version<Value>;
+        return { value, measuredAtMs: this.clock.wallMs() - this.lagMs };
     }
 
     private compact(): void {
