--- /dev/null
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -0,0 +1,314 @@
+/**
+ * Slots with one owner each; owners lend what others need more. See docs/design/07-slots.md.
+ *
+ * @packageDocumentation
+ */
+import type { Clock } from "@pimentocleat/types";
+import type { LoadReport, PoolSummary } from "../scheduling/poolScheduler.js";
+import { computeHomeSlots } from "./homeSlots.js";
+import { LendingBook, lendTermMs } from "./lendingBook.js";
+import { Members } from "./members.js";
+import { ReportedLoad } from "./reportedLoad.js";
+import type { ServerSlots, SlotPolicy, SlotSummary, WaitingDemand } from "./slotPolicy.js";
+
+/** Options of {@link LentSlots}. */
+export interface LentSlotsOptions {
+    readonly clock: Clock;
+    readonly node: string;
+    /** Reads the tier of a class. */
+    readonly readTier: (requestClass: string) => number | undefined;
+}
+
+interface Loan {
+    readonly slots: Readonly<Record<string, number>>;
+    /** The slots are for requests of this tier and higher ones. */
+    readonly tier: number;
+    readonly receivedMs: number;
+}
+
+interface PeerNeed extends WaitingDemand {
+    readonly waiting: number;
+}
+
+const guardMs = 10_000;
+const summaryGapMs = 20;
+/** Of two nodes with the same tier, the slot's owner goes first unless the other is earlier by this. */
+const urgencyMarginMs = 200;
+/** Own slots are the home of a request that no loan was needed for. */
+const ownSource = "";
+
+/** Deterministic homes, lent on demand by tier; no coordinator and no agreement on the request path. */
+export class LentSlots implements SlotPolicy {
+    private readonly members: Members;
+    private readonly book = new LendingBook();
+    private readonly loads = new Map<string, ReportedLoad>();
+    private readonly loans = new Map<string, Loan>();
+    private readonly needs = new Map<string, PeerNeed>();
+    /** Owner of the slot that each running request holds, by server and request. */
+    private readonly sources = new Map<string, string>();
+    /** Running requests by owner and server. */
+    private readonly used = new Map<string, Map<string, number>>();
+    private servers: readonly ServerSlots[] = [];
+    private home: ReadonlyMap<string, number> = new Map();
+    private live: readonly string[] = [];
+    private guardUntilMs = -Infinity;
+    /** Last summary received from each node. */
+    private readonly received = new Map<string, number>();
+    private demand: WaitingDemand | undefined;
+    private spreadTier: number | undefined;
+    private hasReturns = false;
+    private summarizedMs = -Infinity;
+
+    /** @param options - Clock, node and tiers. */
+    constructor(private readonly options: LentSlotsOptions) {
+        this.members = new Members(options.node);
+    }
+
+    updateServers(servers: readonly ServerSlots[]): void {
+        this.servers = servers;
+        this.updateHome(true);
+    }
+
+    countFree(server: string, tier: number): number {
+        const nowMs = this.readNowMs();
+        const free = this.countFreeHome(server, nowMs) + this.countFreeLoans(server, tier, nowMs);
+        if (free <= 0 || nowMs >= this.guardUntilMs) {
+            return Math.max(0, free);
+        }
+        const slots = this.servers.find(({ name }) => name === server)?.slots ?? 0;
+        return Math.max(0, Math.min(free, slots - this.getLoad(server).estimateTotal(nowMs)));
+    }
+
+    readCapacity(): number {
+        return this.servers.reduce((sum, { slots }) => sum + slots, 0);
+    }
+
+    countNodes(): number {
+        return this.members.list().length;
+    }
+
+    recordStart(requestId: string, server: string, tier: number): void {
+        const nowMs = this.readNowMs();
+        this.getLoad(server).recordChange(1, nowMs);
+        const isHome = this.countFreeHome(server, nowMs) > 0;
+        const source = isHome ? ownSource : this.findLender(server, tier, nowMs);
+        this.sources.set(`${server} ${requestId}`, source ?? ownSource);
+        this.changeUsed(source ?? ownSource, server, 1);
+    }
+
+    recordEnd(requestId: string, server: string): void {
+        this.getLoad(server).recordChange(-1, this.readNowMs());
+        const key = `${server} ${requestId}`;
+        const source = this.sources.get(key);
+        if (source !== undefined) {
+            this.sources.delete(key);
+            this.changeUsed(source, server, -1);
+            this.hasReturns ||= source !== ownSource;
+        }
+    }
+
+    recordLoadReport(report: LoadReport): void {
+        this.getLoad(report.server).recordReport(report, this.readNowMs());
+    }
+
+    recordPeerSummary(summary: PoolSummary): void {
+        if (summary.sequence <= (this.received.get(summary.node) ?? 0)) {
+            return;
+        }
+        this.received.set(summary.node, summary.sequence);
+        const nowMs = this.readNowMs();
+        if (this.members.recordHeard(summary.node, nowMs)) {
+            this.updateHome(false);
+        }
+        this.needs.set(summary.node, this.readNeed(summary, nowMs));
+        this.book.recordUsed(summary.node, summary.borrowed?.[this.options.node] ?? {});
+        this.book.recordAcknowledged(summary.node, summary.acknowledged?.[this.options.node] ?? 0);
+        const slots = summary.lent?.[this.options.node] ?? {};
+        const former = this.loans.get(summary.node)?.slots ?? {};
+        this.hasReturns ||= Object.entries(former).some(([server, count]) => count > (slots[server] ?? 0));
+        const tier = summary.lentTiers?.[this.options.node] ?? 0;
+        this.loans.set(summary.node, { slots, tier, receivedMs: nowMs });
+    }
+
+    removePeer(node: string): void {
+        this.members.remove(node);
+        this.received.delete(node);
+        this.updateHome(false);
+    }
+
+    updateDemand(demand: WaitingDemand | undefined, isFloorOwed: boolean): void {
+        this.demand = demand;
+        if (this.needs.size > 0) {
+            const nowMs = this.readNowMs();
+            this.updateHome(false);
+            this.withdrawUnneeded(nowMs);
+            if (!isFloorOwed) {
+                this.lendFree(nowMs);
+            }
+        }
+    }
+
+    isSummaryDue(): boolean {
+        const isOld = this.readNowMs() - this.summarizedMs >= summaryGapMs;
+        const hasNews = this.book.hasChanges() || this.hasReturns || this.demand?.tier !== this.spreadTier;
+        return isOld && hasNews && this.members.list().length > 1;
+    }
+
+    summarizeSlots(demand: WaitingDemand | undefined, isFloorOwed: boolean, sequence: number): SlotSummary {
+        this.book.setSequence(sequence);
+        this.members.compact(this.readNowMs());
+        this.updateDemand(demand, isFloorOwed);
+        this.book.setSequence(sequence + 1);
+        this.spreadTier = demand?.tier;
+        this.hasReturns = false;
+        this.summarizedMs = this.readNowMs();
+        return {
+            lent: this.book.summarizeOffers(),
+            lentTiers: Object.fromEntries([...this.needs].map(([node, { tier }]) => [node, tier])),
+            borrowed: this.summarizeBorrowed(),
+            acknowledged: Object.fromEntries(this.received),
+        };
+    }
+
+    private readNowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+
+    private updateHome(force: boolean): void {
+        const nowMs = this.readNowMs();
+        const live = this.members.listLive(nowMs);
+        if (!force && live.join(" ") === this.live.join(" ")) {
+            return;
+        }
+        for (const node of this.live) {
+            if (!live.includes(node)) {
+                this.removeSilentPeer(node);
+            }
+        }
+        this.live = live;
+        const homes = computeHomeSlots(this.servers, this.members.list(), live);
+        this.home = homes.get(this.options.node) ?? new Map();
+        // Slots that change hands may still be in use: trust the reports for a while.
+        this.guardUntilMs = this.members.list().length > 1 ? nowMs + guardMs : this.guardUntilMs;
+    }
+
+    private removeSilentPeer(node: string): void {
+        this.book.removeNode(node);
+        this.loans.delete(node);
+        this.needs.delete(node);
+    }
+
+    private countFreeHome(server: string, nowMs: number): number {
+        const home = this.home.get(server) ?? 0;
+        return home - this.countUsed(ownSource, server) - this.book.countTaken(server, nowMs);
+    }
+
+    private countFreeLoans(server: string, tier: number, nowMs: number): number {
+        let free = 0;
+        for (const node of this.loans.keys()) {
+            free += Math.max(0, this.countLoan(node, server, tier, nowMs) - this.countUsed(node, server));
+        }
+        return free;
+    }
+
+    private countLoan(node: string, server: string, tier: number, nowMs: number): number {
+        const loan = this.loans.get(node);
+        if (loan === undefined || nowMs - loan.receivedMs > lendTermMs || tier > loan.tier) {
+            return 0;
+        }
+        return loan.slots[server] ?? 0;
+    }
+
+    private findLender(server: string, tier: number, nowMs: number): string | undefined {
+        return [...this.loans.keys()].find(
+            (node) => this.countLoan(node, server, tier, nowMs) > this.countUsed(node, server),
+        );
+    }
+
+    private countUsed(source: string, server: string): number {
+        return this.used.get(source)?.get(server) ?? 0;
+    }
+
+    private changeUsed(source: string, server: string, amount: number): void {
+        const servers = this.used.get(source) ?? new Map<string, number>();
+        this.used.set(source, servers);
+        servers.set(server, (servers.get(server) ?? 0) + amount);
+    }
+
+    private getLoad(server: string): ReportedLoad {
+        let load = this.loads.get(server);
+        if (load === undefined) {
+            load = new ReportedLoad();
+            this.loads.set(server, load);
+        }
+        return load;
+    }
+
+    private readNeed(summary: PoolSummary, nowMs: number): PeerNeed {
+        let tier = Infinity;
+        let waiting = 0;
+        for (const [name, count] of Object.entries(summary.waiting)) {
+            const classTier = this.options.readTier(name);
+            if (classTier !== undefined && count > 0 && classTier <= tier) {
+                waiting = classTier === tier ? waiting + count : count;
+                tier = classTier;
+            }
+        }
+        return { tier, waiting, latestStartMs: nowMs + (summary.slackMs ?? Infinity) };
+    }
+
+    private withdrawUnneeded(nowMs: number): void {
+        for (const node of this.book.listNodes()) {
+            const need = this.needs.get(node);
+            if (need === undefined || !this.isMoreUrgent(need)) {
+                // Own work comes first, or the borrower wants no more: keep only what is in use.
+                this.book.withdrawOffers(node, this.demand === undefined, nowMs);
+            }
+        }
+    }
+
+    /** Lends free home slots to the nodes whose waiting requests are more urgent, most urgent first. */
+    private lendFree(nowMs: number): void {
+        const needy = [...this.needs].filter(([, need]) => this.isMoreUrgent(need));
+        needy.sort(([, left], [, right]) => compareDemands(left, right));
+        const lenders = Math.max(1, this.members.list().length - 1);
+        for (const [node, need] of needy) {
+            const unused = Math.max(0, this.book.countOffered(node) - this.book.countUsed(node));
+            this.lendTo(node, Math.ceil(need.waiting / lenders) - unused, nowMs);
+        }
+    }
+
+    private isMoreUrgent(need: PeerNeed): boolean {
+        if (need.waiting === 0 || this.demand === undefined) {
+            return need.waiting > 0;
+        }
+        const isEarlier = need.latestStartMs + urgencyMarginMs < this.demand.latestStartMs;
+        return need.tier < this.demand.tier || (need.tier === this.demand.tier && isEarlier);
+    }
+
+    private lendTo(node: string, wanted: number, nowMs: number): void {
+        let left = wanted;
+        for (const { name } of this.servers) {
+            const free = Math.min(left, this.countFreeHome(name, nowMs));
+            if (free > 0) {
+                this.book.setOffered(node, name, this.book.readOffered(node, name) + free, nowMs);
+                left -= free;
+            }
+        }
+    }
+
+    private summarizeBorrowed(): Record<string, Record<string, number>> {
+        const borrowed: Record<string, Record<string, number>> = {};
+        for (const [node, servers] of this.used) {
+            const inUse = [...servers].filter(([, count]) => count > 0);
+            if (node !== ownSource && inUse.length > 0) {
+                borrowed[node] = Object.fromEntries(inUse);
+            }
+        }
+        return borrowed;
+    }
+}
+
+function compareDemands(left: WaitingDemand, right: WaitingDemand): number {
+    return left.tier - right.tier || left.latestStartMs - right.latestStartMs;
+}
--- /dev/null
+++ b/packages/policy/src/capacity/peerDemand.ts
@@ -0,0 +1,90 @@
+/**
+ * What waits and arrives at the other nodes, by class.
+ *
+ * @packageDocumentation
+ */
+import type { PoolSummary } from "../scheduling/poolScheduler.js";
+import { silenceLimitMs } from "./members.js";
+
+/** Sums over the other nodes. */
+export interface ClassDemand {
+    readonly waiting: number;
+    /** Requests a second. */
+    readonly perSecond: number;
+    /** The node with the most waiting requests, and how many. */
+    readonly largestNode: string;
+    readonly largestWaiting: number;
+    /** Last start that a node told of, in monotonic milliseconds. */
+    readonly lastStartMs: number;
+}
+
+interface PeerReport {
+    readonly summary: PoolSummary;
+    readonly receivedMs: number;
+}
+
+const noDemand: ClassDemand = {
+    waiting: 0,
+    perSecond: 0,
+    largestNode: "",
+    largestWaiting: 0,
+    lastStartMs: -Infinity,
+};
+
+/** Keeps the last summary of each other node. */
+export class PeerDemand {
+    private readonly reports = new Map<string, PeerReport>();
+    private sums = new Map<string, ClassDemand>();
+
+    /**
+     * @param summary - A peer's summary.
+     * @param nowMs - Monotonic time.
+     * @returns Slot starts of the peer since its last summary.
+     */
+    recordSummary(summary: PoolSummary, nowMs: number): number {
+        const starts = summary.starts ?? 0;
+        const before = this.reports.get(summary.node)?.summary.starts ?? starts;
+        this.reports.set(summary.node, { summary, receivedMs: nowMs });
+        this.updateSums(nowMs);
+        return Math.max(0, starts - before);
+    }
+
+    /** @param node - A peer that is gone. */
+    removePeer(node: string): void {
+        this.reports.delete(node);
+    }
+
+    /**
+     * @param requestClass - A class.
+     * @returns Its demand at the other nodes.
+     */
+    readDemand(requestClass: string): ClassDemand {
+        return this.sums.get(requestClass) ?? noDemand;
+    }
+
+    private updateSums(nowMs: number): void {
+        this.sums = new Map();
+        for (const [node, { summary, receivedMs }] of this.reports) {
+            if (nowMs - receivedMs > silenceLimitMs) {
+                this.reports.delete(node);
+                continue;
+            }
+            for (const name of Object.keys(summary.waiting)) {
+                this.sums.set(name, addReport(this.readDemand(name), name, { summary, receivedMs }));
+            }
+        }
+    }
+}
+
+function addReport(sum: ClassDemand, name: string, { summary, receivedMs }: PeerReport): ClassDemand {
+    const waiting = summary.waiting[name] ?? 0;
+    const isTie = waiting === sum.largestWaiting && summary.node < sum.largestNode;
+    const isLargest = waiting > sum.largestWaiting || isTie;
+    return {
+        waiting: sum.waiting + waiting,
+        perSecond: sum.perSecond + (summary.demand[name] ?? 0),
+        largestNode: isLargest ? summary.node : sum.largestNode,
+        largestWaiting: isLargest ? waiting : sum.largestWaiting,
+        lastStartMs: Math.max(sum.lastStartMs, receivedMs - (summary.sinceStartMs?.[name] ?? Infinity)),
+    };
+}
