Record usage in windows, seal and report them

Cause: what customers are billed must be reported once, with one figure a window, although nodes vanish and freeze and answers are lost. Ruled out: increments (a repeat counts twice); sealing with the versions of all rows (grows with the nodes and fails while they write); a row of figures (the rows of a sealed window cannot change, so the sum is repeatable without it). Change: cumulative rows of a node, written only while the window's seal is absent; a seal written under the lease's fence; what a sealed window lacks moves to the current one; copies on another node, merged by maximum, complete the row of a node that is gone; the reporter waits out the wire of an earlier one and seals only after the store has been well.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -39,3 +39,11 @@
 export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
 export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
 export { RetryBudget } from "./retries/retryBudget.js";
+export {
+    addUsage,
+    computeRemainder,
+    computeWindowStartMs,
+    isEmptyUsage,
+    mergeUsage,
+} from "./usageSealing/usageWindows.js";
+export type { UsageByCustomer, UsageCounters } from "./usageSealing/usageWindows.js";
--- /dev/null
+++ b/packages/state/src/usage/__tests__/usageWorld.ts
@@ -0,0 +1,218 @@
+/**
+ * Hosts that record usage and report it under a lease, with a receiver that records every report.
+ *
+ * @packageDocumentation
+ */
+import { PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/platform";
+import { computeWindowStartMs } from "@pimentocleat/policy";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import type { LeaseHandle } from "../../leases/heldLease.js";
+import {
+    defaultWireBoundMs,
+    LeaseWorld,
+    type LeaseNode,
+    type LeaseWorldOptions,
+} from "../../leases/__tests__/leaseWorld.js";
+import { SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
+import { UsageCopyKeeper } from "../usageCopyKeeper.js";
+import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
+import { UsageReporter, type UsageReporterOptions } from "../usageReporter.js";
+import { UsageRowWriter } from "../usageRowWriter.js";
+
+export const usageLease = "usage-reporter";
+export const windowMs = 10_000;
+const graceMs = 6_000;
+const flushIntervalMs = 3_000;
+const copyIntervalMs = 500;
+
+/** What happens to a report on the wire. */
+export type ReportFault = "none" | "lostReport" | "lostAnswer" | "slow";
+
+export interface UsageWorldOptions extends Partial<LeaseWorldOptions> {
+    readonly createLedger?: (options: UsageLedgerOptions) => UsageLedger;
+    readonly createReporter?: (options: UsageReporterOptions) => UsageReporter;
+}
+
+interface Recorded {
+    readonly ledger: UsageLedger;
+    readonly atMs: number;
+    readonly tokens: number;
+}
+
+export class UsageWorld {
+    readonly leases: LeaseWorld;
+    readonly reports: UsageReport[] = [];
+    /** Events of usage that was found too late. */
+    lostEvents = 0;
+    planReport: () => ReportFault = () => "none";
+    private readonly ledgers = new Map<LeaseNode, UsageLedger>();
+    private readonly recorded: Recorded[] = [];
+    private readonly gone = new Set<string>();
+    /** When the copy of a ledger was last complete; monotonic milliseconds. */
+    private readonly copiedMs = new Map<UsageLedger, number>();
+    private readonly keeper: UsageCopyKeeper;
+
+    constructor(private readonly options: UsageWorldOptions = {}) {
+        this.leases = new LeaseWorld({
+            nodeCount: 3,
+            ...options,
+            leases: [usageLease],
+            onNode: (node) => queueMicrotask(() => this.startNode(node)),
+        });
+        // The keeper's host never fails; losing node and keeper together is outside the bound.
+        const { clock, memory } = this.leases;
+        const writer = new UsageRowWriter({ tableService: memory, clock, callTimeoutMs: 1_000 });
+        const isGone = (incarnation: string): boolean => this.gone.has(incarnation);
+        const logger = { writeEvent: (): void => void (this.lostEvents += 1) };
+        this.keeper = new UsageCopyKeeper({ writer, clock, isGone, retentionMs: 7_200_000, logger });
+        void this.runKeeper();
+    }
+
+    /** Records usage on the node in a place. */
+    record(index: number, tokens: number): void {
+        const ledger = this.ledgers.get(this.leases.nodes[index]!);
+        ledger?.recordUsage({
+            customer: `customer-${tokens % 2}`,
+            requests: 1,
+            promptTokens: 0,
+            completionTokens: tokens,
+        });
+        if (ledger !== undefined) {
+            this.recorded.push({ ledger, atMs: this.leases.clock.monotonicMs(), tokens });
+        }
+    }
+
+    /** Notes that the node in a place was just replaced: the incarnation before it is gone. */
+    recordCrash(index: number): void {
+        const old = this.leases.allNodes.filter((node) => node.name.startsWith(`node-${index}-`)).at(-2);
+        if (old !== undefined) {
+            this.gone.add(old.name);
+        }
+    }
+
+    sumRecorded(): number {
+        return this.recorded.reduce((sum, { tokens }) => sum + tokens, 0);
+    }
+
+    /** Sums what was recorded on nodes that are gone after their last complete copy. */
+    sumAtRisk(): number {
+        const goneLedgers = [...this.ledgers].filter(([node]) => this.gone.has(node.name));
+        const risk = new Map(goneLedgers.map(([, ledger]) => [ledger, this.copiedMs.get(ledger) ?? -1]));
+        return this.recorded
+            .filter(({ ledger, atMs }) => atMs >= (risk.get(ledger) ?? Number.POSITIVE_INFINITY))
+            .reduce((sum, { tokens }) => sum + tokens, 0);
+    }
+
+    /** Sums the first report of each window. */
+    sumReported(): number {
+        const windows = new Map([...this.reports].reverse().map((report) => [report.windowStartMs, report]));
+        return [...windows.values()]
+            .flatMap((report) => report.customers)
+            .reduce((sum, { completionTokens }) => sum + completionTokens, 0);
+    }
+
+    private startNode(node: LeaseNode): void {
+        const { table: tableService, host: clock, name: incarnation } = node;
+        const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: 1_000 });
+        const options = {
+            writer,
+            clock,
+            incarnation,
+            windowMs,
+            logger: new SilentLogger(),
+            copySink: this.keeper,
+        };
+        const ledger = this.options.createLedger?.(options) ?? new UsageLedger(options);
+        this.ledgers.set(node, ledger);
+        void this.runEvery(clock, flushIntervalMs, () => ledger.flushOnce());
+        void this.runEvery(clock, copyIntervalMs, async () => {
+            const startedMs = this.leases.clock.monotonicMs();
+            if (await ledger.copyOnce()) {
+                this.copiedMs.set(ledger, startedMs);
+            }
+        });
+        void this.runReporter(node);
+    }
+
+    private async runReporter(node: LeaseNode): Promise<void> {
+        let lease: LeaseHandle | undefined;
+        let reporter: UsageReporter | undefined;
+        await this.runEvery(node.host, 1_000, async () => {
+            const current = node.manager.findHeld(usageLease);
+            if (current !== lease) {
+                lease = current;
+                reporter = current === undefined ? undefined : this.createReporter(node, current);
+            }
+            await reporter?.advanceOnce();
+        });
+    }
+
+    private createReporter(node: LeaseNode, lease: LeaseHandle): UsageReporter {
+        const options: UsageReporterOptions = {
+            tableService: node.table,
+            reportService: { reportUsage: (report, ...[, allowed]) => this.deliver(node, report, allowed) },
+            clock: node.host,
+            lease,
+            node: node.name,
+            receiver: { checksFencing: false, wireBoundMs: defaultWireBoundMs },
+            windowMs,
+            graceMs,
+            windowsPerStep: 10,
+            retentionMs: 3_600_000,
+            callTimeoutMs: 1_000,
+        };
+        return this.options.createReporter?.(options) ?? new UsageReporter(options);
+    }
+
+    private async deliver(node: LeaseNode, report: UsageReport, isAllowed?: () => boolean): Promise<void> {
+        if (isAllowed?.() === false) {
+            throw new PlatformError(PlatformErrorKind.Unavailable, "send no longer allowed");
+        }
+        const fault = this.planReport();
+        if (fault === "lostReport") {
+            throw new PlatformError(PlatformErrorKind.Ambiguous, "report lost");
+        }
+        await this.leases.clock.wait(fault === "slow" ? defaultWireBoundMs : 10);
+        this.reports.push(structuredClone(report));
+        await node.host.waitThawed();
+        if (fault === "lostAnswer") {
+            throw new PlatformError(PlatformErrorKind.Ambiguous, "answer lost");
+        }
+    }
+
+    private async runKeeper(): Promise<void> {
+        await this.runEvery(new SimulatedHost(this.leases.clock), 500, () => this.keeper.recoverOnce());
+    }
+
+    private async runEvery(
+        host: SimulatedHost,
+        intervalMs: number,
+        action: () => Promise<unknown>,
+    ): Promise<void> {
+        for (;;) {
+            await host.wait(intervalMs);
+            await action();
+        }
+    }
+}
+
+/** Throws if a window was reported with two figures, by interleaved holders, or out of its place. */
+export function findBrokenReport(reports: readonly UsageReport[]): string | undefined {
+    const figures = new Map<number, string>();
+    let highest = 0;
+    for (const report of reports) {
+        const text = JSON.stringify(report.customers);
+        if (report.fencingNumber < highest) {
+            return "holders interleaved";
+        }
+        if ((figures.get(report.windowStartMs) ?? text) !== text) {
+            return "two figures";
+        }
+        if (computeWindowStartMs(report.windowStartMs, windowMs) !== report.windowStartMs) {
+            return "no window";
+        }
+        highest = report.fencingNumber;
+        figures.set(report.windowStartMs, text);
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/state/src/usage/usageCopyKeeper.ts
@@ -0,0 +1,77 @@
+/**
+ * Copies of other nodes' usage, written to the table service when their node is gone.
+ *
+ * @packageDocumentation
+ */
+import { computeRemainder, isEmptyUsage, mergeUsage } from "@pimentocleat/policy";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { Clock } from "@pimentocleat/types";
+import type { UsageCopy, UsageCopySink } from "./usageCopySink.js";
+import { formatUsageKey, parseUsage } from "./usageRecord.js";
+import type { UsageRowWriter } from "./usageRowWriter.js";
+
+/** Options of {@link UsageCopyKeeper}. */
+export interface UsageCopyKeeperOptions {
+    readonly writer: UsageRowWriter;
+    readonly clock: Clock;
+    /** Tells whether an incarnation of a node is known to be gone. */
+    readonly isGone: (incarnation: string) => boolean;
+    /** How long copies of a live node are kept after their window began, in milliseconds. */
+    readonly retentionMs: number;
+    readonly logger: Logger;
+}
+
+/**
+ * Keeps copies and completes the rows of nodes that are gone, in windows that are not sealed. A node that
+ * was wrongly taken for gone is not harmed: its row is merged by maximum, and it merges likewise.
+ */
+export class UsageCopyKeeper implements UsageCopySink {
+    private readonly copies = new Map<string, UsageCopy>();
+
+    /** @param options - Where rows are written and who is gone. */
+    constructor(private readonly options: UsageCopyKeeperOptions) {}
+
+    storeCopy(copy: UsageCopy): Promise<void> {
+        const key = formatUsageKey(copy.windowStartMs, copy.incarnation);
+        const customers = mergeUsage(this.copies.get(key)?.customers ?? {}, copy.customers);
+        this.copies.set(key, { ...copy, customers });
+        return Promise.resolve();
+    }
+
+    /**
+     * Writes the copies of nodes that are gone and forgets old copies.
+     *
+     * @returns Whether no copy of a node that is gone is left.
+     */
+    async recoverOnce(): Promise<boolean> {
+        let succeeded = true;
+        for (const [key, copy] of [...this.copies]) {
+            if (this.options.isGone(copy.incarnation)) {
+                const isDone = await this.recoverCopy(copy).catch(() => false);
+                succeeded = succeeded && isDone;
+                if (isDone) {
+                    this.copies.delete(key);
+                }
+            } else if (copy.windowStartMs + this.options.retentionMs < this.options.clock.wallMs()) {
+                this.copies.delete(key);
+            }
+        }
+        return succeeded;
+    }
+
+    private async recoverCopy(copy: UsageCopy): Promise<boolean> {
+        const row = await this.options.writer.readUsage(copy);
+        const stored = parseUsage(row);
+        const missing = computeRemainder(copy.customers, stored);
+        if (isEmptyUsage(missing)) {
+            return true;
+        }
+        const merged = mergeUsage(stored, copy.customers);
+        const result = await this.options.writer.writeUsage(copy, row?.version ?? 0, merged);
+        if (result.type === "sealed") {
+            const { incarnation, windowStartMs } = copy;
+            this.options.logger.writeEvent("usageLost", { incarnation, windowStartMs });
+        }
+        return result.type !== "changed";
+    }
+}
--- /dev/null
+++ b/packages/state/src/usage/usageLedger.ts
@@ -0,0 +1,157 @@
+/**
+ * The usage that a node records.
+ *
+ * @packageDocumentation
+ */
+import {
+    addUsage,
+    computeRemainder,
+    computeWindowStartMs,
+    isEmptyUsage,
+    type UsageByCustomer,
+} from "@pimentocleat/policy";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { Clock } from "@pimentocleat/types";
+import type { UsageCopySink } from "./usageCopySink.js";
+import { parseUsage } from "./usageRecord.js";
+import type { UsageAmount, UsageRecorder } from "./usageRecorder.js";
+import type { UsageRowWriter } from "./usageRowWriter.js";
+
+/** Options of {@link UsageLedger}. */
+export interface UsageLedgerOptions {
+    readonly writer: UsageRowWriter;
+    readonly clock: Clock;
+    /** This node's incarnation; never used by another process. */
+    readonly incarnation: string;
+    /** Length of a window, in milliseconds; the same on all nodes. */
+    readonly windowMs: number;
+    readonly logger: Logger;
+    /** Keeps copies between writes; without it, usage since the last write is lost with the host. */
+    readonly copySink?: UsageCopySink;
+}
+
+interface UsageWindow {
+    readonly startMs: number;
+    customers: UsageByCustomer;
+    /** Version of the stored row; undefined when it has to be read. */
+    version: number | undefined;
+    /** The usage of which it is certain that it is stored. */
+    stored: UsageByCustomer;
+    /** The usage of which it is certain that the copy has it. */
+    copied: UsageByCustomer;
+}
+
+/**
+ * Keeps cumulative counters for each window and overwrites one row a window, so that a lost answer or a
+ * repeat does no harm. What a sealed window does not contain moves to the current one.
+ */
+export class UsageLedger implements UsageRecorder {
+    private readonly windows = new Map<number, UsageWindow>();
+    private earliestOpenMs = 0;
+
+    /** @param options - Where usage is written and copied. */
+    constructor(private readonly options: UsageLedgerOptions) {}
+
+    recordUsage(amount: UsageAmount): void {
+        const { customer, requests, promptTokens, completionTokens } = amount;
+        this.addToCurrent({ [customer]: { requests, promptTokens, completionTokens } });
+    }
+
+    /**
+     * Writes what is not stored yet.
+     *
+     * @returns Whether everything recorded before the call is stored.
+     */
+    async flushOnce(): Promise<boolean> {
+        let succeeded = true;
+        for (const window of [...this.windows.values()]) {
+            const isStored = await this.flushWindow(window).catch(() => {
+                window.version = undefined;
+                return false;
+            });
+            succeeded = succeeded && isStored;
+        }
+        return succeeded;
+    }
+
+    /**
+     * Copies to another node what neither the table service nor the copy has.
+     *
+     * @returns Whether the copy is complete.
+     */
+    async copyOnce(): Promise<boolean> {
+        const { copySink, incarnation } = this.options;
+        for (const window of [...this.windows.values()]) {
+            const { customers, startMs: windowStartMs } = window;
+            if (window.copied !== customers && window.stored !== customers) {
+                try {
+                    await copySink?.storeCopy({ incarnation, windowStartMs, customers });
+                    window.copied = customers;
+                } catch {
+                    return false;
+                }
+            }
+        }
+        return copySink !== undefined;
+    }
+
+    private addToCurrent(usage: UsageByCustomer): void {
+        const { clock, windowMs } = this.options;
+        // A window is never reopened, also when the wall clock goes back.
+        this.earliestOpenMs = Math.max(this.earliestOpenMs, computeWindowStartMs(clock.wallMs(), windowMs));
+        const startMs = this.earliestOpenMs;
+        const window = this.windows.get(startMs) ?? {
+            startMs,
+            customers: {},
+            version: 0,
+            stored: {},
+            copied: {},
+        };
+        this.windows.set(startMs, window);
+        window.customers = addUsage(window.customers, usage);
+    }
+
+    private async flushWindow(window: UsageWindow): Promise<boolean> {
+        const { writer, incarnation } = this.options;
+        const name = { windowStartMs: window.startMs, incarnation };
+        if (window.version === undefined) {
+            window.version = (await writer.readUsage(name))?.version ?? 0;
+        }
+        const { customers } = window;
+        if (customers === window.stored) {
+            this.forgetPast(window);
+            return true;
+        }
+        const result = await writer.writeUsage(name, window.version, customers);
+        if (result.type === "written") {
+            window.version = result.version;
+            window.stored = customers;
+            return window.customers === customers;
+        }
+        window.version = undefined;
+        if (result.type === "sealed") {
+            await this.moveRemainder(window);
+        }
+        return false;
+    }
+
+    /** The row of a sealed window cannot change: what it lacks was not sealed, whatever answers were lost. */
+    private async moveRemainder(window: UsageWindow): Promise<void> {
+        const { writer, incarnation, windowMs, logger } = this.options;
+        const sealed = parseUsage(await writer.readUsage({ windowStartMs: window.startMs, incarnation }));
+        this.windows.delete(window.startMs);
+        this.earliestOpenMs = Math.max(this.earliestOpenMs, window.startMs + windowMs);
+        const remainder = computeRemainder(window.customers, sealed);
+        if (!isEmptyUsage(remainder)) {
+            this.addToCurrent(remainder);
+            logger.writeEvent("usageMoved", { windowStartMs: window.startMs });
+        }
+    }
+
+    private forgetPast(window: UsageWindow): void {
+        if (window.startMs < computeWindowStartMs(this.options.clock.wallMs(), this.options.windowMs)) {
+            this.windows.delete(window.startMs);
+            this.earliestOpenMs = Math.max(this.earliestOpenMs, window.startMs + this.options.windowMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/state/src/usage/usageReporter.ts
@@ -0,0 +1,205 @@
+/**
+ * Seals and reports usage windows, one after the other.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type {
+    CommitResult,
+    Row,
+    RowCondition,
+    TableService,
+    UsageReportService,
+} from "@pimentocleat/platform";
+import {
+    addUsage,
+    computeWindowStartMs,
+    type ReceiverTraits,
+    type UsageByCustomer,
+} from "@pimentocleat/policy";
+import type { WaitingClock } from "@pimentocleat/types";
+import type { LeaseHandle } from "../leases/heldLease.js";
+import { runWithTimeout } from "../retrying/callTimeout.js";
+import {
+    buildOpenCondition,
+    formatWindow,
+    parseUsage,
+    parseWindowStartMs,
+    usageSealTable,
+    usageTable,
+} from "./usageRecord.js";
+
+/** Options of {@link UsageReporter}. */
+export interface UsageReporterOptions {
+    readonly tableService: TableService;
+    readonly reportService: UsageReportService;
+    readonly clock: WaitingClock;
+    /** The lease under which this reporter works; a new tenure needs a new reporter. */
+    readonly lease: LeaseHandle;
+    readonly node: string;
+    readonly receiver: ReceiverTraits;
+    readonly windowMs: number;
+    /** How long after its end, and after the last failure of the store, a window is sealed; milliseconds. */
+    readonly graceMs: number;
+    /** Most windows handled in one step. */
+    readonly windowsPerStep: number;
+    /** How long rows of reported windows are kept, in milliseconds. */
+    readonly retentionMs: number;
+    readonly callTimeoutMs: number;
+}
+
+interface Progress {
+    readonly version: number;
+    /** First window that is not known to be reported; milliseconds since the Unix epoch. */
+    readonly nextStartMs: number;
+}
+
+const progressTable = "usageProgress";
+const progressKey = "next";
+const progressSchema = z.object({ nextStartMs: z.number() });
+const pageRows = 500;
+
+/**
+ * A window is sealed by one transaction under the lease's fence; from then on its rows cannot change, so
+ * every reporter computes the same figures from them, now and in every repeat. Calls must not overlap.
+ */
+export class UsageReporter {
+    private sealNotBeforeMs = 0;
+
+    /** @param options - The services, the lease and the durations. */
+    constructor(private readonly options: UsageReporterOptions) {}
+
+    /**
+     * Seals and reports the windows that are due, and removes old rows.
+     *
+     * @returns How many windows were finished.
+     */
+    async advanceOnce(): Promise<number> {
+        let finished = 0;
+        try {
+            let progress = await this.loadProgress();
+            while (progress !== undefined && finished < this.options.windowsPerStep && this.isDue(progress)) {
+                progress = await this.finishWindow(progress);
+                finished += progress === undefined ? 0 : 1;
+            }
+            if (finished > 0 && progress !== undefined) {
+                await this.removeOldRows(progress.nextStartMs - this.options.retentionMs);
+            }
+        } catch {
+            this.sealNotBeforeMs = this.options.clock.monotonicMs() + this.options.graceMs;
+        }
+        return finished;
+    }
+
+    private isDue(progress: Progress): boolean {
+        const { clock, windowMs, graceMs } = this.options;
+        const isPast = progress.nextStartMs + windowMs + graceMs <= clock.wallMs();
+        return isPast && this.isAllowed() && clock.monotonicMs() >= this.sealNotBeforeMs;
+    }
+
+    private isAllowed(): boolean {
+        return this.options.lease.isReadyFor(this.options.receiver);
+    }
+
+    /** Returns undefined when the lease turns out to be lost or a report was not sent. */
+    private async finishWindow(progress: Progress): Promise<Progress | undefined> {
+        const { nextStartMs: windowStartMs } = progress;
+        if (!(await this.sealWindow(windowStartMs))) {
+            return undefined;
+        }
+        const usage = await this.sumWindow(windowStartMs);
+        const isReported = Object.keys(usage).length === 0 || (await this.sendReport(windowStartMs, usage));
+        return isReported
+            ? this.storeProgress(progress.version, windowStartMs + this.options.windowMs)
+            : undefined;
+    }
+
+    private async sealWindow(windowStartMs: number): Promise<boolean> {
+        const seal = { table: usageSealTable, key: formatWindow(windowStartMs) };
+        const { fencingNumber } = this.options.lease;
+        const result = await this.commit(
+            [buildOpenCondition(windowStartMs)],
+            [{ ...seal, value: { fencingNumber } }],
+        );
+        // An earlier try or holder may have sealed it already.
+        return result.outcome === "committed" || result.failed.every(({ table }) => table === usageSealTable);
+    }
+
+    private async sumWindow(windowStartMs: number): Promise<UsageByCustomer> {
+        const prefix = `${formatWindow(windowStartMs)}/`;
+        let usage: UsageByCustomer = {};
+        let rows: readonly Row[] = [];
+        do {
+            const after = rows.at(-1)?.key;
+            rows = await this.runCall("usage scan", () =>
+                this.options.tableService.scanRows(usageTable, { prefix, after, limit: pageRows }),
+            );
+            usage = rows.reduce((sum, row) => addUsage(sum, parseUsage(row)), usage);
+        } while (rows.length === pageRows);
+        return usage;
+    }
+
+    private async sendReport(windowStartMs: number, usage: UsageByCustomer): Promise<boolean> {
+        const { lease, windowMs, node: sender, receiver, reportService } = this.options;
+        const customers = Object.entries(usage)
+            .map(([customer, counters]) => ({ customer, ...counters }))
+            .sort((left, right) => (left.customer < right.customer ? -1 : 1));
+        const report = { windowStartMs, windowMs, customers, fencingNumber: lease.fencingNumber, sender };
+        if (!this.isAllowed()) {
+            return false;
+        }
+        await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isAllowed());
+        return true;
+    }
+
+    /** Starts with the earliest row, or with the current window when there is none. */
+    private async loadProgress(): Promise<Progress | undefined> {
+        const { tableService, clock, windowMs } = this.options;
+        const row = await this.runCall("usage read", () => tableService.readRow(progressTable, progressKey));
+        if (row !== undefined) {
+            return { version: row.version, ...progressSchema.parse(row.value) };
+        }
+        const [first] = await this.runCall("usage scan", () =>
+            tableService.scanRows(usageTable, { limit: 1 }),
+        );
+        const currentMs = computeWindowStartMs(clock.wallMs(), windowMs);
+        return this.storeProgress(0, first === undefined ? currentMs : parseWindowStartMs(first.key));
+    }
+
+    private async storeProgress(version: number, nextStartMs: number): Promise<Progress | undefined> {
+        const row = { table: progressTable, key: progressKey };
+        const result = await this.commit([{ ...row, version }], [{ ...row, value: { nextStartMs } }]);
+        return result.outcome === "committed" ? { version: result.version, nextStartMs } : undefined;
+    }
+
+    private async removeOldRows(beforeMs: number): Promise<void> {
+        for (const table of [usageTable, usageSealTable]) {
+            const rows = await this.runCall("usage scan", () =>
+                this.options.tableService.scanRows(table, { limit: pageRows }),
+            );
+            const old = rows.filter((row) => parseWindowStartMs(row.key) < beforeMs);
+            if (old.length > 0) {
+                await this.commit(
+                    old.map(({ key, version }) => ({ table, key, version })),
+                    old.map(({ key }) => ({ table, key })),
+                );
+            }
+        }
+    }
+
+    /** Commits under the lease's fence. */
+    private commit(
+        conditions: readonly RowCondition[],
+        writes: Parameters<TableService["commitTransaction"]>[0]["writes"],
+    ): Promise<CommitResult> {
+        const guarded = [this.options.lease.buildCondition(), ...conditions];
+        return this.runCall("usage commit", () =>
+            this.options.tableService.commitTransaction({ conditions: guarded, writes }),
+        );
+    }
+
+    private runCall<Result>(callName: string, call: () => Promise<Result>): Promise<Result> {
+        const { clock, callTimeoutMs: timeoutMs } = this.options;
+        return runWithTimeout({ clock, timeoutMs, callName }, call);
+    }
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -35,6 +35,8 @@
     claimOutcomeDelayed: defineEvent(4500, "warn", "outcome of a claim not stored yet; retrying"),
     claimOutcomeDropped: defineEvent(4501, "error", "too many outcomes wait; the oldest was dropped"),
     keyRequestsEnded: defineEvent(2003, "info", "requests of a withdrawn key ended"),
+    usageMoved: defineEvent(5000, "info", "usage not in a sealed window moved to the current one"),
+    usageLost: defineEvent(5001, "error", "usage of a node that is gone came too late for its window"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
     configurationRefused: defineEvent(3001, "error", "configuration refused; the last one stays in force"),
     storeUnreachable: defineEvent(3002, "warn", "table service not reached; asking peers"),
