--- /dev/null
+++ b/packages/cli/bin/pimentocleat.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runOperatorProcess } from "../lib/index.js";
+
+await runOperatorProcess();
--- /dev/null
+++ b/packages/cli/bin/pimentocleatd.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runDaemonProcess } from "../lib/index.js";
+
+await runDaemonProcess();
--- /dev/null
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -0,0 +1,153 @@
+/**
+ * The program `pimentocleat`.
+ *
+ * @packageDocumentation
+ */
+import { cac, type CAC } from "cac";
+import type { WaitingClock } from "@pimentocleat/types";
+import { CommandError, ExitCode } from "../output/exitCodes.js";
+import { Output, type TextSink } from "../output/output.js";
+import type { CommandContext, CommandFlags } from "./commandContext.js";
+import {
+    applyConfiguration,
+    compareConfiguration,
+    pullConfiguration,
+    showConfigurationStatus,
+    validateConfiguration,
+    watchConfiguration,
+} from "./configCommands.js";
+import { createKey, listKeys, withdrawKey } from "./keyCommands.js";
+import { explainRequest, listNodes, listPools } from "./nodeCommands.js";
+
+const programVersion = "0.1.0";
+
+/** What the program runs in. */
+export interface ProgramInput {
+    /** The command line without the interpreter and the script. */
+    readonly parameters: readonly string[];
+    readonly environment: Readonly<Record<string, string | undefined>>;
+    readonly sink: TextSink;
+    readonly clock: WaitingClock;
+    /** Ends commands that run until told to stop. */
+    readonly signal: AbortSignal;
+}
+
+type Action = (context: CommandContext, argument: string) => Promise<ExitCode>;
+
+/** An action, and what its argument is. */
+interface ActionEntry {
+    readonly run: Action;
+    /** Name of the argument that must be given; absent when there is none. */
+    readonly needs?: string;
+}
+
+const actions: Readonly<Record<string, Readonly<Record<string, ActionEntry>>>> = {
+    config: {
+        validate: { run: validateConfiguration, needs: "folder" },
+        diff: { run: compareConfiguration, needs: "folder" },
+        pull: { run: pullConfiguration, needs: "folder" },
+        apply: { run: applyConfiguration, needs: "folder" },
+        status: { run: showConfigurationStatus },
+        watch: { run: watchConfiguration, needs: "folder" },
+    },
+    key: {
+        create: { run: createKey, needs: "key" },
+        list: { run: listKeys },
+        withdraw: { run: withdrawKey, needs: "key" },
+    },
+    node: { list: { run: listNodes } },
+    pool: { list: { run: listPools } },
+};
+
+function buildProgram(runAction: (run: Action, argument: string, flags: CommandFlags) => void): CAC {
+    const program = cac("pimentocleat");
+    program.option("--json", "Print results as JSON");
+    program.option(
+        "--operator-address <ip:port>",
+        "A node's operator address (PIMENTOCLEAT_OPERATOR_ADDRESS)",
+    );
+    program.option(
+        "--operator-credential-file <path>",
+        "File with the operator credential (PIMENTOCLEAT_OPERATOR_CREDENTIAL or ..._FILE)",
+    );
+    program.option("--author <name>", "Who changes, for the history; the user when absent");
+    for (const [group, entries] of Object.entries(actions)) {
+        const names = Object.keys(entries).join("|");
+        const command = program.command(`${group} <action> [argument]`, names);
+        if (group === "config") {
+            command.option("--wait", "Wait until every node has the change in force");
+            command.option("--wait-timeout-ms <ms>", "Longest wait in milliseconds (default 15000)");
+            command.option("--overwrite", "Replace files that another operator has changed");
+        }
+        if (group === "key") {
+            command.option("--customer <name>", "Customer of a new key");
+            command.option("--class <name>", "Default class of a new key");
+        }
+        command.action((action: string, argument: string | undefined, flags: CommandFlags) => {
+            const entry = Object.hasOwn(entries, action) ? entries[action] : undefined;
+            runAction(chooseAction(`${group} ${action}`, entry, argument, names), argument ?? "", flags);
+        });
+    }
+    program
+        .command("explain <request>", "Why a request was routed, refused or retried")
+        .action((requestId: string, flags: CommandFlags) => runAction(explainRequest, requestId, flags));
+    program.help();
+    program.version(programVersion);
+    return program;
+}
+
+function chooseAction(
+    name: string,
+    entry: ActionEntry | undefined,
+    argument: string | undefined,
+    names: string,
+): Action {
+    if (entry === undefined) {
+        throw new CommandError(ExitCode.WrongUsage, `"${name}" is no command; use one of ${names}`);
+    }
+    if (entry.needs !== undefined && argument === undefined) {
+        throw new CommandError(ExitCode.WrongUsage, `"${name}" needs a ${entry.needs}`);
+    }
+    return entry.run;
+}
+
+/**
+ * Runs one command line.
+ *
+ * @param input - The command line and its surroundings.
+ * @returns The exit code.
+ */
+export async function runOperatorProgram(input: ProgramInput): Promise<ExitCode> {
+    const output = new Output(input.sink, input.parameters.includes("--json"));
+    let running: Promise<ExitCode> | undefined;
+    try {
+        const program = buildProgram((run, argument, flags) => {
+            const { environment, clock, signal } = input;
+            running = run({ flags, environment, output, clock, signal }, argument);
+        });
+        program.parse(["node", "pimentocleat", ...input.parameters]);
+        if (running === undefined) {
+            return finishWithoutCommand(program);
+        }
+        return await running;
+    } catch (error) {
+        const code = findExitCode(error);
+        output.printFailure(code, error instanceof Error ? error.message : String(error));
+        return code;
+    }
+}
+
+function finishWithoutCommand(program: CAC): ExitCode {
+    if (program.options["help"] === true || program.options["version"] === true) {
+        return ExitCode.Success;
+    }
+    program.outputHelp();
+    return ExitCode.WrongUsage;
+}
+
+function findExitCode(error: unknown): ExitCode {
+    if (error instanceof CommandError) {
+        return error.code;
+    }
+    return error instanceof Error && error.name === "CACError" ? ExitCode.WrongUsage : ExitCode.Failure;
+}
--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -191,7 +191,7 @@
             readStatus: () => this.readStatus(),
             countRequests: () => this.node?.countRequests() ?? 0,
             countUnrecordedWithdrawals: () => registry.listUnrecorded().length,
-            listNodes: () => this.directory.listNodes(this.readStatus()),
+            listNodes: () => this.directory.listNodes(this.readStatus(), this.network.listMembers()),
             listPools: () => {
                 const statuses = this.node?.listPoolStatuses();
                 const pools = configuration.readCurrent()?.configuration.pools ?? [];
--- a/packages/node/src/daemon/nodeDirectory.ts
+++ b/packages/node/src/daemon/nodeDirectory.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { MembershipState, type MemberStatement } from "@pimentocleat/policy";
 import type { NodeStatus } from "../operator/operatorBackend.js";
 
 /** The last state that each node told; soft, and late by the time that records take to spread. */
@@ -23,10 +24,23 @@
      * Lists the nodes.
      *
      * @param self - This node's own state.
+     * @param members - The other nodes that membership knows of; some may not have told their state yet.
      * @returns All known nodes, sorted by name.
      */
-    listNodes(self: NodeStatus): readonly NodeStatus[] {
-        const all = new Map(this.statuses).set(self.name, self);
-        return [...all.values()].sort((left, right) => (left.name < right.name ? -1 : 1));
+    listNodes(self: NodeStatus, members: readonly MemberStatement[]): readonly NodeStatus[] {
+        const others = members.map((member) => this.describeMember(member));
+        return [self, ...others].sort((left, right) => (left.name < right.name ? -1 : 1));
+    }
+
+    private describeMember({ name, dataCentre, state }: MemberStatement): NodeStatus {
+        const told = this.statuses.get(name) ?? {
+            name,
+            dataCentre,
+            state: "unknown",
+            revision: 0,
+            callerAddress: "",
+            operatorAddress: "",
+        };
+        return state === MembershipState.Suspect ? { ...told, state: "unreachable" } : told;
     }
 }
