--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -3,9 +3,14 @@
  *
  * @packageDocumentation
  */
-import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import type { Server as HttpServer } from "node:http";
+import { Server as NetServer, type AddressInfo } from "node:net";
 import type { FastifyInstance } from "fastify";
 import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
+import type { Configuration } from "@pimentocleat/schema";
+import { BackendPollers } from "../backends/backendPollers.js";
+import { LeavingWatcher } from "../backends/leavingWatcher.js";
 import { buildCallerServer } from "../callerApi/callerServer.js";
 import { RequestHandler } from "../callerApi/requestHandler.js";
 import { RequestRouter } from "../callerApi/requestRouter.js";
@@ -15,16 +20,20 @@
 import { RequestRunner } from "../dispatch/requestRunner.js";
 import { ExplainBuffer, type RequestTrace } from "../explain/explainBuffer.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
+import { IdleCounter } from "./idleCounter.js";
 import { ConnectionPool } from "../upstream/connectionPool.js";
 import type { NodeHandle, NodeOptions } from "./nodeOptions.js";
 
 /** One node. */
 export class Node implements NodeHandle {
     private readonly activeRequests = new ActiveRequests();
+    private readonly openAnswers = new IdleCounter();
     private readonly traces: ExplainBuffer;
     private readonly connections: ConnectionPool;
     private readonly tasks: PoolTasks;
     private readonly onceRunner: OnceRunner;
+    private readonly pollers: BackendPollers;
+    private readonly leavingWatcher: LeavingWatcher | undefined;
     private readonly server: FastifyInstance;
     private readonly unsubscribes: (() => void)[] = [];
     private readonly drainAbort = new AbortController();
@@ -45,6 +54,12 @@
         this.traces = new ExplainBuffer(limits.traces);
         this.connections = new ConnectionPool(limits);
         this.tasks = new PoolTasks({ createScheduler: options.createScheduler, clock, onError });
+        const { logger, hosts } = options;
+        const readCredential = this.readCredential();
+        this.pollers = new BackendPollers({ ...limits, tasks: this.tasks, clock, logger, readCredential });
+        const { hostPollMs } = limits;
+        this.leavingWatcher =
+            hosts && new LeavingWatcher({ hosts, tasks: this.tasks, clock, logger, hostPollMs });
         const runner = this.createRunner();
         this.onceRunner = new OnceRunner({
             runner,
@@ -74,14 +89,17 @@
         const { configuration, keys, logger } = this.options;
         const applied = configuration.readCurrent();
         if (applied !== undefined) {
-            this.tasks.applyConfiguration(applied.configuration);
+            this.applyConfiguration(applied.configuration);
         }
         this.unsubscribes.push(
-            configuration.onChange((next) => this.tasks.applyConfiguration(next.configuration)),
+            configuration.onChange((next) => this.applyConfiguration(next.configuration)),
             keys.onWithdrawal((keyId) => this.endRequestsOfKey(keyId)),
         );
-        await this.server.listen({ ...this.options.callerAddress });
-        const { address, port } = this.server.server.address() as AddressInfo;
+        void this.leavingWatcher?.run();
+        await this.server.ready();
+        this.httpServer.listen({ ...this.options.callerAddress });
+        await once(this.httpServer, "listening");
+        const { address, port } = this.httpServer.address() as AddressInfo;
         this.address = `${address}:${port}`;
         logger.writeEvent("nodeStarted", { node: this.name, address: this.address });
     }
@@ -123,28 +141,54 @@
         this.draining = true;
         this.drainAbort.abort();
         this.connections.close();
-        this.server.server.closeAllConnections();
+        this.httpServer.closeAllConnections();
         await this.stop();
     }
 
+    private applyConfiguration(configuration: Configuration): void {
+        this.tasks.applyConfiguration(configuration);
+        this.pollers.applyConfiguration(configuration);
+    }
+
+    private readCredential(): (variable: string) => string | undefined {
+        return this.options.readCredential ?? ((variable) => process.env[variable]);
+    }
+
+    private get httpServer(): HttpServer {
+        return this.server.server;
+    }
+
     private async drain(): Promise<void> {
         const { logger, clock, flushUsage } = this.options;
         this.draining = true;
         logger.writeEvent("nodeStopping", { node: this.name, requests: this.countRequests() });
         await clock.wait(this.limits.drainDelayMs, this.drainAbort.signal);
-        const closed = this.server.close();
-        await this.activeRequests.waitUntilIdle();
+        await this.closeListener();
         await this.onceRunner.waitForRecords();
-        await closed;
         this.unsubscribes.forEach((unsubscribe) => unsubscribe());
+        this.leavingWatcher?.stop();
+        this.pollers.stop();
         this.tasks.stop();
         this.connections.close();
         await flushUsage?.();
         logger.writeEvent("nodeStopped", { node: this.name });
     }
 
+    /**
+     * Stops accepting connections and waits until every answer is sent. The HTTP server's own close
+     * comes last, because it destroys connections whose answer is ended but still in their buffer.
+     */
+    private async closeListener(): Promise<void> {
+        const closed = once(this.httpServer, "close");
+        NetServer.prototype.close.call(this.httpServer);
+        await this.activeRequests.waitUntilIdle();
+        await this.openAnswers.waitUntilIdle();
+        this.httpServer.close();
+        await closed;
+    }
+
     private createRunner(): RequestRunner {
-        const { usage, metrics, logger, clock, readCredential } = this.options;
+        const { usage, metrics, logger, clock } = this.options;
         return new RequestRunner({
             tasks: this.tasks,
             connections: this.connections,
@@ -153,7 +197,7 @@
             logger,
             clock,
             limits: this.limits,
-            readCredential: readCredential ?? ((variable) => process.env[variable]),
+            readCredential: this.readCredential(),
         });
     }
 
@@ -174,14 +218,16 @@
             isDraining,
         });
         const isReady = (): boolean => this.isReady();
+        const { limits, openAnswers } = this;
         return buildCallerServer({
             router,
             handler,
             logger,
             metrics,
-            limits: this.limits,
+            limits,
             isReady,
             isDraining,
+            openAnswers,
         });
     }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -27,6 +27,8 @@
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
 export { createRandom } from "./random/random.js";
+export { ServerPlanner, defaultPlannerSettings } from "./orders/serverPlanner.js";
+export type { PlannedServers, PlannerInput, PlannerSettings, ServerOption } from "./orders/serverPlanner.js";
 export { TieredScheduler } from "./scheduling/tieredScheduler.js";
 export { QueueOrder } from "./scheduling/queueOrder.js";
 export type { ChosenEntry } from "./scheduling/queueOrder.js";
@@ -37,3 +39,11 @@
 export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
 export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
 export { RetryBudget } from "./retries/retryBudget.js";
+export {
+    addUsage,
+    computeRemainder,
+    computeWindowStartMs,
+    isEmptyUsage,
+    mergeUsage,
+} from "./usageSealing/usageWindows.js";
+export type { UsageByCustomer, UsageCounters } from "./usageSealing/usageWindows.js";
--- a/packages/policy/src/scheduling/tieredScheduler.ts
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -163,8 +163,7 @@
 
     takeDecisions(): readonly Decision[] {
         const nowMs = this.readNowMs();
-        this.state.order.advance(nowMs, this.state.slots.countNodes());
-        this.state.slots.updateDemand(this.state.findHighestWaitingTier());
+        this.state.updateDemand();
         this.state.router.updateStragglers(nowMs);
         this.expireWaiting(nowMs);
         this.shedWaiting(nowMs);
@@ -176,7 +175,7 @@
 
     readNextWakeMs(): number | undefined {
         const nowMs = this.readNowMs();
-        const earliestMs = this.state.waiting.readEarliestMs();
+        const earliestMs = this.state.readEarliestMs();
         return earliestMs === undefined ? undefined : Math.min(earliestMs, nowMs + wakeIntervalMs);
     }
 
@@ -198,8 +197,7 @@
 
     private adviseAdmission(classQueue: ClassQueue, request: QueuedRequest, nowMs: number): AdmissionAdvice {
         const capacity = this.state.slots.readCapacity();
-        const countFree = (name: string): number => this.state.slots.countFree(name);
-        const isFree = this.state.router.hasFreeServer(nowMs, countFree);
+        const isFree = this.state.hasFreeSlot(classQueue.settings.tier);
         if (isFree && !this.state.hasWaitingBefore(classQueue.settings.tier)) {
             return { admitted: true, waitMs: 0, retryAfterMs: 0 };
         }
@@ -215,10 +213,10 @@
     }
 
     private expireWaiting(nowMs: number): void {
-        for (let due = this.state.waiting.findDue(nowMs); due !== undefined;) {
+        for (let due = this.state.findDue(nowMs); due !== undefined;) {
             const retryAfterMs = limitRetryAfterMs(due.classQueue.readWaitBudgetMs());
             this.refuseWaiting(due, ErrorKind.QueueDeadline, retryAfterMs);
-            due = this.state.waiting.findDue(nowMs);
+            due = this.state.findDue(nowMs);
         }
     }
 
@@ -256,14 +254,17 @@
 
     private startWaiting(nowMs: number): void {
         const passedOver: WaitingRequest[] = [];
-        const countFree = (name: string): number => this.state.slots.countFree(name);
-        while (passedOver.length < passedOverLimit && this.state.router.hasFreeServer(nowMs, countFree)) {
-            const chosen = this.state.order.next();
+        const hasFreeSlot = (tier: number): boolean => this.state.hasFreeSlot(tier);
+        while (passedOver.length < passedOverLimit) {
+            const chosen = this.state.order.next(hasFreeSlot);
             if (chosen === undefined) {
                 break;
             }
             if (!this.startChosen(chosen, nowMs)) {
                 this.passOver(chosen, passedOver);
+            } else if (chosen.byFloor) {
+                // The slot was held back from other nodes; the next one isn't.
+                this.state.updateDemand();
             }
         }
         for (const { request, classQueue, entry } of passedOver) {
@@ -290,7 +291,8 @@
             nowMs,
             slackMs: latestStartMs - nowMs,
             targetMs: chosen.classQueue.settings.firstTokenMs,
-            countFree: (name) => this.state.slots.countFree(name),
+            tier: chosen.classQueue.settings.tier,
+            countFree: (name, tier) => this.state.slots.countFree(name, tier),
         });
         if (server === undefined) {
             return false;
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -35,6 +35,8 @@
     claimOutcomeDelayed: defineEvent(4500, "warn", "outcome of a claim not stored yet; retrying"),
     claimOutcomeDropped: defineEvent(4501, "error", "too many outcomes wait; the oldest was dropped"),
     keyRequestsEnded: defineEvent(2003, "info", "requests of a withdrawn key ended"),
+    usageMoved: defineEvent(5000, "info", "usage not in a sealed window moved to the current one"),
+    usageLost: defineEvent(5001, "error", "usage of a node that is gone came too late for its window"),
     configurationApplied: defineEvent(3000, "info", "configuration applied"),
     configurationRefused: defineEvent(3001, "error", "configuration refused; the last one stays in force"),
     storeUnreachable: defineEvent(3002, "warn", "table service not reached; asking peers"),
@@ -48,6 +50,9 @@
     hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
     peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
     peerGone: defineEvent(6002, "warn", "peer declared gone"),
+    backendPollFailed: defineEvent(7000, "warn", "poll of a backend server failed"),
+    backendLeaving: defineEvent(7001, "warn", "backend server is leaving"),
+    hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
