--- a/packages/cli/src/commands/nodeCommands.ts
+++ b/packages/cli/src/commands/nodeCommands.ts
@@ -3,29 +3,20 @@
  *
  * @packageDocumentation
  */
+import type { NodeStatus } from "@pimentocleat/node";
 import type { ExplainRequestResponse } from "@pimentocleat/schema";
 import { createOperatorClient, runCall } from "../operator/operatorClient.js";
 import { CommandError, ExitCode } from "../output/exitCodes.js";
 import { formatTable, type Table } from "../output/output.js";
 import { openClient, type CommandContext } from "./commandContext.js";
 
-/** A node as the commands show it. */
-export interface ListedNode {
-    readonly name: string;
-    readonly dataCentre: string;
-    readonly state: string;
-    readonly revision: number;
-    readonly callerAddress: string;
-    readonly operatorAddress: string;
-}
-
 /**
  * Reads the nodes that a node knows of.
  *
  * @param context - The command.
  * @returns The nodes, sorted by name.
  */
-export async function readNodes(context: CommandContext): Promise<readonly ListedNode[]> {
+export async function readNodes(context: CommandContext): Promise<readonly NodeStatus[]> {
     const { client, target } = openClient(context);
     const { nodes } = await runCall(target.address, () => client.listNodes({}));
     return nodes.map(({ name, dataCentre, state, revision, callerAddress, operatorAddress }) => ({
@@ -44,7 +35,7 @@
  * @param nodes - The nodes.
  * @returns The table.
  */
-export function formatNodes(nodes: readonly ListedNode[]): Table {
+export function formatNodes(nodes: readonly NodeStatus[]): Table {
     return {
         columns: ["NODE", "DATA CENTRE", "STATE", "REVISION", "CALLERS", "OPERATORS"],
         rows: nodes.map((node) => [
