Add the demo: the whole path with real processes

Cause: the parts ran in tests only; nobody had seen a request go through separate processes. Ruled out: a demo in one process (it would show neither signals nor ports nor the command line). Change: pimentocleat demo starts nine backend servers, the platform and three nodes, applies the example with the command line, sends one request of each class, repeats an order through another node, stops a node in mid-stream and withdraws a key.

--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -5,6 +5,7 @@
  */
 import { cac, type CAC } from "cac";
 import type { WaitingClock } from "@pimentocleat/types";
+import { runDemo } from "../demo/runDemo.js";
 import { CommandError, ExitCode } from "../output/exitCodes.js";
 import { Output, type TextSink } from "../output/output.js";
 import type { CommandContext, CommandFlags } from "./commandContext.js";
@@ -91,6 +92,9 @@
     program
         .command("explain <request>", "Why a request was routed, refused or retried")
         .action((requestId: string, flags: CommandFlags) => runAction(explainRequest, requestId, flags));
+    program
+        .command("demo", "Run the whole path with stand-ins and three nodes, in under a minute")
+        .action((flags: CommandFlags) => runAction((context) => runDemo(context.output), "", flags));
     program.help();
     program.version(programVersion);
     return program;
--- /dev/null
+++ b/packages/cli/src/demo/demoSteps.ts
@@ -0,0 +1,295 @@
+/**
+ * The steps of the demo, each with what it expects.
+ *
+ * @packageDocumentation
+ */
+import { request } from "undici";
+import type { WaitingClock } from "@pimentocleat/types";
+import { runCommandLine } from "./commandLine.js";
+import { sendCall, type DemoAnswer } from "./demoCaller.js";
+import type { DemoDeployment, DemoNode } from "./demoDeployment.js";
+
+const model = "copywriter";
+const orderId = "leaflet-42";
+const draftTokens = 40;
+/** Long enough that a node is told to stop while it streams. */
+const longDraftTokens = 150;
+const withdrawalPollMs = 50;
+
+/** What a step showed. */
+export interface StepResult {
+    readonly step: string;
+    readonly node: string;
+    readonly expected: string;
+    readonly seen: string;
+    readonly passed: boolean;
+}
+
+/** What the steps need. */
+export interface StepContext {
+    readonly deployment: DemoDeployment;
+    readonly folderPath: string;
+    readonly clock: WaitingClock;
+    /** Longest time until every node refuses a withdrawn key, in milliseconds. */
+    readonly withdrawalLimitMs: number;
+}
+
+/** Runs all steps in order. */
+export class DemoSteps {
+    private secret = "";
+
+    /** @param context - Deployment, configuration folder, clock and limit. */
+    constructor(private readonly context: StepContext) {}
+
+    /** @returns One result a step. */
+    async *run(): AsyncGenerator<StepResult> {
+        yield await this.applyConfiguration();
+        yield await this.createKey();
+        yield await this.streamDraft();
+        yield await this.askModel("proof check", "proof-checks", this.getNode(1));
+        yield await this.askModel("caption", "captions", this.getNode(2));
+        yield await this.confirmOrder(this.getNode(0), false);
+        yield await this.confirmOrder(this.getNode(1), true);
+        yield await this.countOrders();
+        yield await this.readJob();
+        yield await this.stopNodeInMidStream();
+        yield await this.withdrawKey();
+    }
+
+    private async applyConfiguration(): Promise<StepResult> {
+        const result = await this.runOperator(["config", "apply", this.context.folderPath, "--wait"]);
+        return buildResult(
+            "apply examples/volantino",
+            "entry-1",
+            "in force on every node",
+            describe(result),
+            true,
+        );
+    }
+
+    private async createKey(): Promise<StepResult> {
+        const parameters = [
+            "key",
+            "create",
+            "demo",
+            "--customer",
+            "supermarket-chain",
+            "--class",
+            "captions",
+        ];
+        const { secret, revision } = await this.runOperator(parameters);
+        this.secret = String(secret);
+        await this.waitForRevision(Number(revision));
+        return buildResult(
+            "create a key",
+            "entry-1",
+            "a secret",
+            `revision ${String(revision)}`,
+            this.secret !== "",
+        );
+    }
+
+    private async streamDraft(): Promise<StepResult> {
+        const answer = await this.askChat(this.getNode(0), "copy-drafts", draftTokens, true);
+        const tokens = countStreamTokens(answer.text);
+        const passed = answer.status === 200 && answer.streamComplete && tokens === draftTokens;
+        return buildResult(
+            "stream a copy draft",
+            "entry-1",
+            `${draftTokens} tokens, whole`,
+            describeStream(answer),
+            passed,
+        );
+    }
+
+    private async askModel(step: string, requestClass: string, node: DemoNode): Promise<StepResult> {
+        const answer = await this.askChat(node, requestClass, draftTokens, false);
+        const isWhole = answer.status === 200 && answer.text.includes('"finish_reason"');
+        return buildResult(
+            step,
+            node.name,
+            "200, whole",
+            `${answer.status}, ${answer.text.length} bytes`,
+            isWhole,
+        );
+    }
+
+    private async confirmOrder(node: DemoNode, expectReplay: boolean): Promise<StepResult> {
+        const answer = await sendCall({
+            address: node.callerAddress,
+            secret: this.secret,
+            path: "/orders",
+            requestClass: "order-confirmations",
+            body: { orderId, copies: 9_000 },
+            idempotencyKey: `confirm-${orderId}`,
+        });
+        const expected = expectReplay ? "the stored answer" : "a first answer";
+        const seen = `${answer.status}, ${answer.replayed ? "stored answer" : "first answer"}`;
+        const passed = answer.status < 300 && answer.replayed === expectReplay;
+        return buildResult("confirm an order", node.name, expected, seen, passed);
+    }
+
+    private async countOrders(): Promise<StepResult> {
+        const { configuration, serverAddresses } = this.context.deployment;
+        const pool = configuration.pools.find((candidate) => candidate.name === "orders");
+        const counts = await Promise.all(
+            (pool?.servers ?? []).map((server) =>
+                countRuns(String(serverAddresses.get(server.name)), orderId),
+            ),
+        );
+        const total = counts.reduce((sum, count) => sum + count, 0);
+        return buildResult("count the order's runs", "-", "1", String(total), total === 1);
+    }
+
+    private async readJob(): Promise<StepResult> {
+        const node = this.getNode(2);
+        const answer = await sendCall({
+            address: node.callerAddress,
+            secret: this.secret,
+            path: `/jobs/${orderId}`,
+            requestClass: "job-status",
+        });
+        return buildResult("look a job up", node.name, "200", String(answer.status), answer.status === 200);
+    }
+
+    private async stopNodeInMidStream(): Promise<StepResult> {
+        const node = this.getNode(2);
+        let isStopping = false;
+        const answer = await this.askChat(node, "copy-drafts", longDraftTokens, true, () => {
+            if (!isStopping) {
+                isStopping = true;
+                node.program.sendSignal("SIGTERM");
+            }
+        });
+        const exit = await node.program.exited;
+        const isWhole = answer.streamComplete && countStreamTokens(answer.text) === longDraftTokens;
+        const seen = `${describeStream(answer)}; exit ${String(exit.code)}`;
+        const expected = `${longDraftTokens} tokens, whole; exit 0`;
+        return buildResult(
+            "stop a node in mid-stream",
+            node.name,
+            expected,
+            seen,
+            isWhole && exit.code === 0,
+        );
+    }
+
+    private async withdrawKey(): Promise<StepResult> {
+        const { clock, withdrawalLimitMs } = this.context;
+        const startMs = clock.monotonicMs();
+        await this.runOperator(["key", "withdraw", "demo"]);
+        let refused = false;
+        while (!refused && clock.monotonicMs() - startMs < withdrawalLimitMs) {
+            const answers = await Promise.all([0, 1].map((index) => this.askJob(this.getNode(index))));
+            refused = answers.every(
+                (answer) => answer.status === 401 && answer.text.includes("key_withdrawn"),
+            );
+            await clock.wait(withdrawalPollMs);
+        }
+        const seen = refused
+            ? `refused after ${Math.round(clock.monotonicMs() - startMs)} ms`
+            : "still accepted";
+        const expected = `refused on both nodes within ${withdrawalLimitMs} ms`;
+        return buildResult("withdraw the key", "entry-1, entry-2", expected, seen, refused);
+    }
+
+    private askJob(node: DemoNode): Promise<DemoAnswer> {
+        const path = `/jobs/${orderId}`;
+        return sendCall({
+            address: node.callerAddress,
+            secret: this.secret,
+            path,
+            requestClass: "job-status",
+        });
+    }
+
+    private askChat(
+        node: DemoNode,
+        requestClass: string,
+        tokens: number,
+        stream: boolean,
+        onPart?: () => void,
+    ): Promise<DemoAnswer> {
+        const messages = [{ role: "user", content: "Write the copy for this week's leaflet." }];
+        return sendCall({
+            address: node.callerAddress,
+            secret: this.secret,
+            path: "/v1/chat/completions",
+            requestClass,
+            body: { model, messages, stream, max_tokens: tokens, ignore_eos: true },
+            ...(onPart === undefined ? {} : { onPart }),
+        });
+    }
+
+    private async waitForRevision(revision: number): Promise<void> {
+        for (const node of this.context.deployment.nodes) {
+            while ((await this.readRevision(node)) < revision) {
+                await this.context.clock.wait(withdrawalPollMs);
+            }
+        }
+    }
+
+    private async readRevision(node: DemoNode): Promise<number> {
+        const target = this.buildTarget(node);
+        const { nodes } = (await runCommandLine(target, ["config", "status"])) as {
+            nodes: readonly { name: string; revision: number }[];
+        };
+        return Number(nodes.find((entry) => entry.name === node.name)?.revision ?? 0);
+    }
+
+    private runOperator(parameters: readonly string[]): Promise<Record<string, unknown>> {
+        return runCommandLine(this.buildTarget(this.getNode(0)), parameters);
+    }
+
+    private buildTarget(node: DemoNode): { operatorAddress: string; credential: string } {
+        const credential = this.context.deployment.operatorCredential;
+        return { operatorAddress: node.operatorAddress, credential };
+    }
+
+    private getNode(index: number): DemoNode {
+        return this.context.deployment.nodes[index] as DemoNode;
+    }
+}
+
+function buildResult(
+    step: string,
+    node: string,
+    expected: string,
+    seen: string,
+    passed: boolean,
+): StepResult {
+    return { step, node, expected, seen, passed };
+}
+
+function describe(result: Record<string, unknown>): string {
+    return Object.entries(result)
+        .filter(([, value]) => typeof value === "number" || typeof value === "string")
+        .map(([name, value]) => `${name} ${String(value)}`)
+        .join(", ");
+}
+
+function describeStream(answer: DemoAnswer): string {
+    const end = answer.streamComplete ? "whole" : "cut";
+    return `${countStreamTokens(answer.text)} tokens, ${end}`;
+}
+
+function countStreamTokens(text: string): number {
+    const contents = text
+        .split("\n")
+        .filter((line) => line.startsWith("data: {"))
+        .map(
+            (line) =>
+                JSON.parse(line.slice("data: ".length)) as { choices?: { delta?: { content?: string } }[] },
+        )
+        .map((event) => event.choices?.[0]?.delta?.content ?? "");
+    return contents
+        .join("")
+        .split(/\s+/)
+        .filter((word) => word !== "").length;
+}
+
+async function countRuns(address: string, orderId: string): Promise<number> {
+    const answer = await request(`http://${address}/counts`);
+    const { orders } = (await answer.body.json()) as { orders: Record<string, number> };
+    return orders[orderId] ?? 0;
+}
--- /dev/null
+++ b/packages/cli/src/demo/runDemo.ts
@@ -0,0 +1,85 @@
+/**
+ * `pimentocleat demo`: the whole path with real processes, in under a minute.
+ *
+ * @packageDocumentation
+ */
+import { fileURLToPath } from "node:url";
+import { SystemClock } from "@pimentocleat/types";
+import { formatTable, type Output } from "../output/output.js";
+import { ExitCode } from "../output/exitCodes.js";
+import { DemoDeployment } from "./demoDeployment.js";
+import { DemoFolder } from "./demoFolder.js";
+import { DemoSteps, type StepResult } from "./demoSteps.js";
+
+const examplePath = fileURLToPath(new URL("../../../../examples/volantino", import.meta.url));
+
+/** The target for a withdrawal on every node, in milliseconds. */
+const withdrawalTargetMs = 5_000;
+
+/**
+ * Runs the demo.
+ *
+ * @param output - Where the table goes.
+ * @param withdrawalLimitMs - Longest time until every node refuses a withdrawn key, in milliseconds.
+ * @returns Success when every expectation held.
+ */
+export async function runDemo(output: Output, withdrawalLimitMs = withdrawalTargetMs): Promise<ExitCode> {
+    const folder = await DemoFolder.copyExample(examplePath);
+    const deployment = new DemoDeployment(folder.configuration);
+    const results: StepResult[] = [];
+    let failure: string | undefined;
+    try {
+        await deployment.start();
+        await folder.writeFiles(deployment.serverAddresses);
+        const clock = new SystemClock();
+        const steps = new DemoSteps({ deployment, folderPath: folder.path, clock, withdrawalLimitMs });
+        for await (const result of steps.run()) {
+            results.push(result);
+        }
+    } catch (error) {
+        failure = error instanceof Error ? error.message : String(error);
+    } finally {
+        await deployment.stop();
+        await folder.remove();
+    }
+    return printOutcome(output, results, failure, deployment);
+}
+
+function printOutcome(
+    output: Output,
+    results: readonly StepResult[],
+    failure: string | undefined,
+    deployment: DemoDeployment,
+): ExitCode {
+    const running = deployment.listProcessIds().filter(isRunning);
+    const failed = results.filter((result) => !result.passed).map((result) => result.step);
+    const problems = [
+        ...failed.map((step) => `failed: ${step}`),
+        ...(failure === undefined ? [] : [`error: ${failure}`]),
+        ...running.map((processId) => `still running: process ${processId}`),
+    ];
+    const passed = problems.length === 0;
+    const rows = results.map((result) => [
+        result.step,
+        result.node,
+        result.expected,
+        result.seen,
+        result.passed ? "ok" : "FAILED",
+    ]);
+    const table = formatTable({ columns: ["step", "node", "expected", "seen", "result"], rows });
+    output.printResult({ passed, results, problems }, [
+        ...table,
+        ...problems,
+        passed ? "demo: ok" : "demo: failed",
+    ]);
+    return passed ? ExitCode.Success : ExitCode.Failure;
+}
+
+function isRunning(processId: number): boolean {
+    try {
+        process.kill(processId, 0);
+        return true;
+    } catch {
+        return false;
+    }
+}
