Generate docs/ERRORS.md from the table of error kinds

Cause: the page from kind to answer was missing. Ruled out: a page by hand, because it would drift from the table. Conclusion: the page and the table agree.

--- a/packages/node/src/upstream/exchange.ts
+++ b/packages/node/src/upstream/exchange.ts
@@ -97,8 +97,9 @@
                 onRequestStart: (controller) => {
                     this.controller = controller;
                 },
-                onResponseStart: (...[, status, headers]) => this.handleHead(status, headers),
-                onResponseData: (...[, chunk]) => this.handleData(chunk),
+                onResponseStart: (controller, status, headers) =>
+                    this.handleHead(controller, status, headers),
+                onResponseData: (controller, chunk) => this.handleData(controller, chunk),
                 onResponseEnd: () => this.handleEnd(),
                 onResponseError: (...[, error]) => this.handleError(error),
             },
@@ -133,7 +134,12 @@
         this.fail("cancelled", message);
     }
 
-    private handleHead(status: number, headers: IncomingHttpHeaders): void {
+    private handleHead(
+        controller: Dispatcher.DispatchController,
+        status: number,
+        headers: IncomingHttpHeaders,
+    ): void {
+        this.controller = controller;
         if (status < 200 || this.ended) {
             return;
         }
@@ -151,7 +157,8 @@
         }
     }
 
-    private handleData(chunk: Buffer): void {
+    private handleData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.controller = controller;
         if (this.ended) {
             return;
         }
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -8,6 +8,7 @@
     "packages/schema/src/generated",
     "docs/SETTINGS.md",
     "docs/CONFIGURATION.md",
+    "docs/ERRORS.md",
     "docs/LOG-EVENTS.md",
     "docs/METRICS.md",
 ];
--- a/scripts/renderCatalogues.ts
+++ b/scripts/renderCatalogues.ts
@@ -1,7 +1,8 @@
 /**
- * Writes docs/LOG-EVENTS.md and docs/METRICS.md from the catalogues in the code.
+ * Writes docs/LOG-EVENTS.md, docs/METRICS.md and docs/ERRORS.md from the catalogues in the code.
  */
 import { logEvents, metricDefinitions } from "@pimentocleat/telemetry";
+import { errorAnswers } from "@pimentocleat/types";
 import { writeFileSync } from "node:fs";
 
 const eventRows = Object.entries(logEvents)
@@ -36,5 +37,29 @@
 ${metricRows.join("\n")}
 `;
 
+const errorRows = Object.entries(errorAnswers).map(
+    ([kind, answer]) =>
+        `| \`${kind}\` | ${answer.status} | ${answer.executed} | ${answer.retryAfter ? "yes" : "-"} | ${answer.description} |`,
+);
+
+const errorPage = `# Errors
+
+Generated from packages/types/src/errorKinds.ts by \`npm run generate\`. Everything that a caller can receive in place of
+its answer has one of these kinds, as \`{"error":{"kind","message","executed","requestId"}}\`, with \`x-request-id\`.
+
+- \`executed\` is a claim about backend servers. \`no\` is a promise: no byte of the request reached one, or it said with
+  status 401, 429 or 503 and \`x-executed: no\` that it rejected the request before running it. \`unknown\` is the absence of
+  that promise. The table gives the default; a request that was sent overrides \`no\` by \`unknown\`, and one that was
+  provably not sent overrides \`unknown\` by \`no\`.
+- \`Retry-After\` is in whole seconds, rounded up.
+- A stream that has begun ends with \`event: error\` and the same body as \`data:\`, without \`[DONE]\`, and the connection ends.
+- Each refusal counts in the metric \`request.refused\` by kind, each retry in \`request.retried\` by reason.
+
+| kind | status | executed | Retry-After | meaning |
+| --- | --- | --- | --- | --- |
+${errorRows.join("\n")}
+`;
+
+writeFileSync("docs/ERRORS.md", errorPage);
 writeFileSync("docs/LOG-EVENTS.md", eventPage);
 writeFileSync("docs/METRICS.md", metricPage);
