Keep moves apart from retries and free every slot

Cause: a stream moved more than twice by the scheduler would have failed at the limit of tries; an error while a try was prepared would have kept its slot for ever; an internal error of a running request was counted but its cause was not logged. Ruled out: a higher limit of tries, because it would also allow more retries. The state of a request has its own file.

--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -5,11 +5,12 @@
  */
 import type { FastifyReply, FastifyRequest } from "fastify";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
-import type { RouterError, WaitingClock } from "@pimentocleat/types";
+import { ErrorKind, type RouterError, type WaitingClock } from "@pimentocleat/types";
 import { ActiveRequest, buildCancelError, type ActiveRequests } from "../dispatch/activeRequest.js";
 import type { OnceRunner } from "../dispatch/onceRunner.js";
-import type { RequestRunner, RunContext, RunResult } from "../dispatch/requestRunner.js";
+import type { RequestRunner, RunResult } from "../dispatch/requestRunner.js";
 import type { RoutedRequest } from "../dispatch/routedRequest.js";
+import type { RunContext } from "../dispatch/runState.js";
 import { convertToRouterError, formatError } from "../errors/formatError.js";
 import { TraceRecorder, type ExplainBuffer } from "../explain/explainBuffer.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
@@ -145,6 +146,9 @@
         }
         metrics.addCount("request.refused", 1, { kind: error.kind });
         logger.writeEvent("requestRefused", { requestId, kind: error.kind, executed: error.executed });
+        if (error.kind === ErrorKind.Internal) {
+            logger.writeEvent("unexpectedError", { requestId, message: String(error.cause) });
+        }
     }
 }
 
--- a/packages/node/src/dispatch/onceRunner.ts
+++ b/packages/node/src/dispatch/onceRunner.ts
@@ -7,8 +7,9 @@
 import { createHash } from "node:crypto";
 import type { Claim, ClaimOutcome, ClaimResult, ClaimStore } from "@pimentocleat/state";
 import { ErrorKind, RouterError, type WaitingClock } from "@pimentocleat/types";
-import type { RequestRunner, RunContext } from "./requestRunner.js";
+import type { RequestRunner } from "./requestRunner.js";
 import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
+import type { RunContext } from "./runState.js";
 
 /** Longest time between claim and send; well below the time after which a claim reads as unknown. */
 const sendWindowMs = 120_000;
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -4,31 +4,31 @@
  *
  * @packageDocumentation
  */
-import type { QueuedRequest } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import type { UsageRecorder } from "@pimentocleat/state";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
-import type { TraceRecorder } from "../explain/explainBuffer.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
-import type { CallerStream } from "../streams/callerStream.js";
 import { readTokenUsage } from "../streams/streamEvent.js";
 import { StreamRelay } from "../streams/streamRelay.js";
 import type { ConnectionPool } from "../upstream/connectionPool.js";
 import type { ExchangeRequest } from "../upstream/exchange.js";
 import { UsageMeter } from "../usage/usageMeter.js";
-import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
+import { buildCancelError } from "./activeRequest.js";
 import { Attempt, type AttemptResult } from "./attempt.js";
 import { buildExchangeBody } from "./buildExchangeBody.js";
-import {
-    buildFailureError,
-    chooseFailureAction,
-    convertFailureToOutcome,
-    type FailureSituation,
-} from "./chooseFailureAction.js";
+import { buildFailureError, chooseFailureAction, convertFailureToOutcome } from "./chooseFailureAction.js";
 import type { PoolTask, StartGrant } from "./poolTask.js";
 import type { PoolTasks } from "./poolTasks.js";
 import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
+import {
+    buildQueuedRequest,
+    buildSituation,
+    findRefusal,
+    type FailedResult,
+    type RunContext,
+    type RunState,
+} from "./runState.js";
 
 /** Options of a {@link RequestRunner}. */
 export interface RequestRunnerOptions {
@@ -43,38 +43,9 @@
     readonly readCredential: (variable: string) => string | undefined;
 }
 
-/** A request that runs. */
-export interface RunContext {
-    readonly request: RoutedRequest;
-    readonly active: ActiveRequest;
-    readonly trace: TraceRecorder;
-    /** Undefined when the caller wants a whole answer. */
-    readonly caller: CallerStream | undefined;
-    /**
-     * Monotonic time after which a claimed request is no longer sent, in milliseconds; undefined
-     * without a claim.
-     */
-    readonly sendByMs: number | undefined;
-}
-
 /** The end of a request that got its answer: a whole answer, or `streamed` when the caller has it already. */
 export type RunResult = WholeAnswer | "streamed";
 
-type FailedResult = Extract<AttemptResult, { type: "failed" }>;
-
-interface RunState {
-    readonly context: RunContext;
-    readonly task: PoolTask;
-    readonly relay: StreamRelay | undefined;
-    readonly meter: UsageMeter;
-    readonly excludedServers: string[];
-    attempt: number;
-    /** Whether a try may have reached a backend server. */
-    sent: boolean;
-    /** What the caller gets when no server can take over. */
-    lastError: RouterError | undefined;
-}
-
 /** Runs requests. */
 export class RequestRunner {
     /** @param options - Pool tasks, connections and recorders. */
@@ -117,6 +88,7 @@
             meter,
             excludedServers: [],
             attempt: 1,
+            tries: 1,
             sent: false,
             lastError: undefined,
         };
@@ -137,7 +109,7 @@
     private async runAttempts(state: RunState): Promise<RunResult> {
         for (;;) {
             const grant = await this.waitForGrant(state);
-            const result = await this.runAttempt(state, grant);
+            const result = await this.runGrant(state, grant);
             if (result.type !== "failed") {
                 return this.finishAttempt(state, grant, result);
             }
@@ -155,10 +127,20 @@
         }
     }
 
+    /** Frees the slot also when the try could not be started. */
+    private async runGrant(state: RunState, grant: StartGrant): Promise<AttemptResult> {
+        try {
+            return await this.runAttempt(state, grant);
+        } catch (error) {
+            state.task.recordOutcome(state.context.request.requestId, grant.server.name, "cancelled");
+            throw error;
+        }
+    }
+
     private async runAttempt(state: RunState, grant: StartGrant): Promise<AttemptResult> {
         const { context, task, relay } = state;
         const { request, active, caller } = context;
-        this.checkSendTime(state, grant);
+        this.checkSendTime(state);
         context.trace.addStep("started", `${grant.server.name}, priority ${grant.priority}`);
         const attempt = new Attempt({
             request: this.buildExchangeRequest(state, grant),
@@ -175,10 +157,9 @@
     }
 
     /** A process that was frozen since its claim must not send: the claim may be judged dead by now. */
-    private checkSendTime(state: RunState, grant: StartGrant): void {
-        const { request, sendByMs } = state.context;
+    private checkSendTime(state: RunState): void {
+        const { sendByMs } = state.context;
         if (sendByMs !== undefined && this.options.clock.monotonicMs() > sendByMs) {
-            state.task.recordOutcome(request.requestId, grant.server.name, "cancelled");
             throw new RouterError(ErrorKind.QueueDeadline, undefined, { executed: "no" });
         }
     }
@@ -193,7 +174,7 @@
             path: request.path,
             headers: this.buildHeaders(request, pool, grant.priority),
             body: buildExchangeBody(request.body, resumePoint),
-            wireId: state.attempt === 1 ? request.requestId : `${request.requestId}.${state.attempt}`,
+            wireId: state.tries === 1 ? request.requestId : `${request.requestId}.${state.tries}`,
             answerTimeoutMs: pool.answerTimeoutMs,
             fresh: !request.repeatable,
         };
@@ -220,7 +201,7 @@
         const { context, task, relay, meter } = state;
         const { requestId } = context.request;
         if (result.type === "streamed") {
-            meter.setReportedUsage(state.attempt === 1 ? relay?.reportedUsage : undefined);
+            meter.setReportedUsage(state.tries === 1 ? relay?.reportedUsage : undefined);
             task.recordOutcome(requestId, grant.server.name, "completed");
             return "streamed";
         }
@@ -252,7 +233,8 @@
         this.recordRetry(state, moved ? "moved" : failure.type);
         state.lastError = buildFailureError(situation);
         state.excludedServers.push(grant.server.name);
-        state.attempt += 1;
+        state.attempt += moved ? 0 : 1;
+        state.tries += 1;
     }
 
     private recordRetry(state: RunState, reason: string): void {
@@ -262,44 +244,3 @@
         this.options.logger.writeEvent("requestRetried", { requestId: request.requestId, reason });
     }
 }
-
-function buildQueuedRequest(state: RunState): QueuedRequest {
-    const { request } = state.context;
-    const { modelCall } = request;
-    return {
-        requestId: request.requestId,
-        customer: request.customer,
-        requestClass: request.requestClass,
-        arrivedMs: request.arrivedMs,
-        promptTokens: modelCall?.promptTokens ?? 0,
-        maximumTokens: modelCall?.maximumTokens,
-        prefixBlocks: modelCall?.prefixBlocks ?? [],
-        repeatable: request.repeatable,
-        excludedServers: [...state.excludedServers],
-        attempt: state.attempt,
-        resumedTokens: state.relay?.streamedTokens ?? 0,
-    };
-}
-
-function buildSituation(state: RunState, result: FailedResult): FailureSituation {
-    const { context, relay } = state;
-    return {
-        failure: result.failure,
-        attempt: state.attempt,
-        sentBefore: state.sent,
-        repeatable: context.request.repeatable,
-        claimed: context.sendByMs !== undefined,
-        streamedTokens: relay?.streamedTokens ?? 0,
-        resumable: context.request.modelCall?.resumable ?? false,
-        moved: result.moved,
-    };
-}
-
-/** After a failed try, the caller hears of that failure rather than of the lack of another server. */
-function findRefusal(state: RunState, error: unknown): unknown {
-    const { active } = state.context;
-    if (active.cancelReason !== undefined) {
-        return buildCancelError(active.cancelReason, state.sent);
-    }
-    return state.lastError ?? error;
-}
--- /dev/null
+++ b/packages/node/src/dispatch/runState.ts
@@ -0,0 +1,111 @@
+/**
+ * The state of one running request over its tries.
+ *
+ * @packageDocumentation
+ */
+import type { QueuedRequest } from "@pimentocleat/policy";
+import type { RouterError } from "@pimentocleat/types";
+import type { TraceRecorder } from "../explain/explainBuffer.js";
+import type { CallerStream } from "../streams/callerStream.js";
+import type { StreamRelay } from "../streams/streamRelay.js";
+import type { UsageMeter } from "../usage/usageMeter.js";
+import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
+import type { AttemptResult } from "./attempt.js";
+import type { FailureSituation } from "./chooseFailureAction.js";
+import type { PoolTask } from "./poolTask.js";
+import type { RoutedRequest } from "./routedRequest.js";
+
+/** A request that runs. */
+export interface RunContext {
+    readonly request: RoutedRequest;
+    readonly active: ActiveRequest;
+    readonly trace: TraceRecorder;
+    /** Undefined when the caller wants a whole answer. */
+    readonly caller: CallerStream | undefined;
+    /**
+     * Monotonic time after which a claimed request is no longer sent, in milliseconds; undefined
+     * without a claim.
+     */
+    readonly sendByMs: number | undefined;
+}
+
+/** A try that failed. */
+export type FailedResult = Extract<AttemptResult, { type: "failed" }>;
+
+/** The state of a request that runs. */
+export interface RunState {
+    readonly context: RunContext;
+    readonly task: PoolTask;
+    readonly relay: StreamRelay | undefined;
+    readonly meter: UsageMeter;
+    readonly excludedServers: string[];
+    /** Tries that count towards the limit; moves do not. */
+    attempt: number;
+    /** Tries of any kind, which make the identifiers on the wire unique. */
+    tries: number;
+    /** Whether a try may have reached a backend server. */
+    sent: boolean;
+    /** What the caller gets when no server can take over. */
+    lastError: RouterError | undefined;
+}
+
+/**
+ * Describes the request for the scheduler.
+ *
+ * @param state - The running request.
+ * @returns What the scheduler needs for the next try.
+ */
+export function buildQueuedRequest(state: RunState): QueuedRequest {
+    const { request } = state.context;
+    const { modelCall } = request;
+    return {
+        requestId: request.requestId,
+        customer: request.customer,
+        requestClass: request.requestClass,
+        arrivedMs: request.arrivedMs,
+        promptTokens: modelCall?.promptTokens ?? 0,
+        maximumTokens: modelCall?.maximumTokens,
+        prefixBlocks: modelCall?.prefixBlocks ?? [],
+        repeatable: request.repeatable,
+        excludedServers: [...state.excludedServers],
+        attempt: state.attempt,
+        resumedTokens: state.relay?.streamedTokens ?? 0,
+    };
+}
+
+/**
+ * Describes a failed try.
+ *
+ * @param state - The running request, before the failure is noted.
+ * @param result - The failed try.
+ * @returns What the choice of the next step needs.
+ */
+export function buildSituation(state: RunState, result: FailedResult): FailureSituation {
+    const { context, relay } = state;
+    return {
+        failure: result.failure,
+        attempt: state.attempt,
+        sentBefore: state.sent,
+        repeatable: context.request.repeatable,
+        claimed: context.sendByMs !== undefined,
+        streamedTokens: relay?.streamedTokens ?? 0,
+        resumable: context.request.modelCall?.resumable ?? false,
+        moved: result.moved,
+    };
+}
+
+/**
+ * Finds the error for a refused request. After a failed try, the caller hears of that failure rather
+ * than of the lack of another server.
+ *
+ * @param state - The running request.
+ * @param error - The refusal.
+ * @returns The error for the caller.
+ */
+export function findRefusal(state: RunState, error: unknown): unknown {
+    const { active } = state.context;
+    if (active.cancelReason !== undefined) {
+        return buildCancelError(active.cancelReason, state.sent);
+    }
+    return state.lastError ?? error;
+}
