Let calls to the stand-ins take effect late, and use the listed verbs

Cause: a call may take effect after its sender gave up; only the table in memory could show it. Some function names began with verbs that docs/NAMING.md does not list. Ruled out: a delay in milliseconds, since tests would race it; the late effect waits for the next fault plan. Change: fault lateEffect on all stand-ins; the table service's contract runs late commits in memory and over HTTP and shows that a second commit on the same condition settles a late one; names follow the list. Conclusion: the shared table has all of the model's faults again; every fault exists in both subjects.

--- a/packages/platform/src/http/platformHttpClient.ts
+++ b/packages/platform/src/http/platformHttpClient.ts
@@ -109,7 +109,7 @@
      * @returns The answer.
      */
     async sendCall(call: PlatformCall, absentStatus?: number): Promise<CollectedAnswer> {
-        const answer = await this.collectAnswer(call).catch((error: unknown) => {
+        const answer = await this.readWholeAnswer(call).catch((error: unknown) => {
             throw this.convertFailure(call, error);
         });
         if (answer.status >= 200 && answer.status < 300) {
@@ -142,7 +142,7 @@
         await this.pool.destroy();
     }
 
-    private collectAnswer(call: PlatformCall): Promise<CollectedAnswer> {
+    private readWholeAnswer(call: PlatformCall): Promise<CollectedAnswer> {
         const timeoutMs = call.timeoutMs ?? this.timeoutMs;
         let timer: NodeJS.Timeout | undefined;
         const collected = new Promise<CollectedAnswer>((resolve, reject) => {
--- a/packages/standins/src/__tests__/contracts/plainService.test.ts
+++ b/packages/standins/src/__tests__/contracts/plainService.test.ts
@@ -29,6 +29,7 @@
     { fault: { kind: "rateLimit" }, expected: { status: 429 }, executions: undefined },
     { fault: { kind: "failAfterEffect" }, expected: { status: 503, executed: undefined }, executions: 1 },
     { fault: { kind: "dropReply" }, expected: { status: undefined, text: "" }, executions: 1 },
+    { fault: { kind: "lateEffect" }, expected: { status: undefined, text: "" }, executions: undefined },
     {
         fault: { kind: "cutMidAnswer", afterTokens: 4 },
         expected: { status: undefined },
@@ -51,6 +52,14 @@
         expect([orders["o"], requests["own"]]).toEqual([executions, executions]);
     });
 
+    test("a late order runs after its caller has seen the connection end", async () => {
+        service.switches.setPlan({ faults: [{ kind: "lateEffect", count: 1 }] });
+        expect((await sendOrder("o", "own")).status).toBeUndefined();
+        expect(service.readCounts().orders).toEqual({});
+        service.switches.clear();
+        expect(await readBackendJson(service.address, "/counts")).toMatchObject({ orders: { o: 1 } });
+    });
+
     test("a hanging order does not run", async () => {
         service.switches.setPlan({ faults: [{ kind: "hang", count: 1 }] });
         const caller = new AbortController();
--- a/packages/standins/src/__tests__/contracts/platformClients.test.ts
+++ b/packages/standins/src/__tests__/contracts/platformClients.test.ts
@@ -28,6 +28,7 @@
     },
     { fault: { kind: "hang" }, kind: PlatformErrorKind.Ambiguous, hasEffect: false },
     { fault: { kind: "dropReply" }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
+    { fault: { kind: "lateEffect" }, kind: PlatformErrorKind.Ambiguous, hasEffect: false },
     { fault: { kind: "failAfterEffect" }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
     { fault: { kind: "cutMidAnswer", afterTokens: 1 }, kind: PlatformErrorKind.Ambiguous, hasEffect: true },
 ];
--- a/packages/standins/src/__tests__/contracts/tableService.test.ts
+++ b/packages/standins/src/__tests__/contracts/tableService.test.ts
@@ -11,24 +11,31 @@
 
 interface TableSubject {
     readonly table: TableService;
-    setFault(fault: SharedFault): void;
+    setFault(fault: CallFault): void;
+    /** Lets the delayed commits take effect. */
+    applyDelayed(): void;
     close(): Promise<void>;
 }
 
-/** Faults that both subjects can show; a delayed effect is for the model alone. */
-type SharedFault = Exclude<CallFault, "delayed">;
-
-const faultInputs: Record<SharedFault, readonly FaultInput[]> = {
+const faultInputs: Record<CallFault, readonly FaultInput[]> = {
     none: [],
     unavailable: [{ kind: "refuse" }],
     lostReply: [{ kind: "dropReply" }],
+    delayed: [{ kind: "lateEffect", call: "commit", count: 1 }],
 };
 
 const subjects: Record<string, () => Promise<TableSubject>> = {
     "in memory": async () => {
         const table = new MemoryTableService();
-        const setFault = (fault: SharedFault): void => table.setFaultPlan(() => fault);
-        return { table, setFault, close: async () => {} };
+        return {
+            table,
+            setFault: (fault) => table.setFaultPlan((call) => (call === "commit" ? fault : "none")),
+            applyDelayed: () => {
+                table.setFaultPlan(() => "none");
+                table.applyDelayed();
+            },
+            close: async () => {},
+        };
     },
     "over HTTP": async () => {
         const platform = await startPlatform();
@@ -36,6 +43,7 @@
         return {
             table,
             setFault: (fault) => platform.switches.setPlan({ faults: [...faultInputs[fault]] }),
+            applyDelayed: () => platform.switches.clear(),
             close: async () => {
                 await table.close();
                 await platform.close();
@@ -140,6 +148,31 @@
         expect(await listVersions()).toEqual([["usage", 1]]);
     });
 
+    test.each(commitCases)("$name, late and with the answer lost", async ({ transaction, rows }) => {
+        subject.setFault("delayed");
+        const commit = table.commitTransaction(transaction);
+        await expect(commit).rejects.toMatchObject({ kind: PlatformErrorKind.Ambiguous });
+        expect(await listVersions()).toEqual([["usage", 1]]);
+        subject.applyDelayed();
+        expect(await listVersions()).toEqual(rows);
+    });
+
+    test("a second commit on the same condition settles a late one", async () => {
+        subject.setFault("delayed");
+        const late = { conditions: [current], writes: [change, other] };
+        await expect(table.commitTransaction(late)).rejects.toMatchObject({
+            kind: PlatformErrorKind.Ambiguous,
+        });
+        subject.setFault("none");
+        const rival = { conditions: [current], writes: [{ ...change, value: "settled" }] };
+        const results = [await table.commitTransaction(rival)];
+        subject.applyDelayed();
+        const isRivalApplied = results[0]?.outcome === "committed";
+        const expected = isRivalApplied ? "settled" : change.value;
+        expect((await table.readRow("leases", "usage"))?.value).toEqual(expected);
+        expect((await table.scanRows("intents")).length).toBe(isRivalApplied ? 0 : 1);
+    });
+
     test("a deleted row never gets an old version again", async () => {
         await table.commitTransaction({ conditions: [], writes: [removal] });
         await table.commitTransaction({ conditions: [absent], writes: [change] });
--- a/packages/standins/src/engine/answerWriter.ts
+++ b/packages/standins/src/engine/answerWriter.ts
@@ -49,9 +49,9 @@
      *
      * @param message - What happened.
      */
-    fail(message: string): void;
+    finishWithError(message: string): void;
     /** Ends the connection; what was written before still leaves. */
-    cut(): void;
+    close(): void;
 }
 
 /** Streams events, one a token, that end in `[DONE]`. */
@@ -107,11 +107,11 @@
         this.response.end(`data: ${JSON.stringify(last)}\n\ndata: [DONE]\n\n`);
     }
 
-    fail(message: string): void {
+    finishWithError(message: string): void {
         this.response.end(`data: ${JSON.stringify({ error: { message } })}\n\n`);
     }
 
-    cut(): void {
+    close(): void {
         this.response.socket?.destroySoon();
     }
 }
@@ -151,11 +151,11 @@
         });
     }
 
-    fail(message: string): void {
+    finishWithError(message: string): void {
         this.writeJson(500, { error: { message } });
     }
 
-    cut(): void {
+    close(): void {
         this.response.destroy();
     }
 
@@ -184,14 +184,14 @@
     writeTokens(): void {}
 
     finish(): void {
-        this.cut();
+        this.close();
     }
 
-    fail(): void {
-        this.cut();
+    finishWithError(): void {
+        this.close();
     }
 
-    cut(): void {
+    close(): void {
         this.response.destroy();
     }
 }
--- a/packages/standins/src/engine/batchScheduler.ts
+++ b/packages/standins/src/engine/batchScheduler.ts
@@ -76,7 +76,7 @@
         this.waiting.splice(position === -1 ? this.waiting.length : position, 0, sequence);
         this.startWaiting();
         this.options.onChange();
-        this.planStep(1);
+        this.startStepTimer(1);
     }
 
     /**
@@ -121,7 +121,7 @@
         }
     }
 
-    private planStep(emitted: number): void {
+    private startStepTimer(emitted: number): void {
         if (this.running.length === 0 || this.pendingStep !== undefined) {
             return;
         }
@@ -153,7 +153,7 @@
         if (ended) {
             this.removeEnded();
         }
-        this.planStep(emitted);
+        this.startStepTimer(emitted);
     }
 
     private takeSteps(nowMs: number): number {
--- a/packages/standins/src/engine/sequence.ts
+++ b/packages/standins/src/engine/sequence.ts
@@ -113,7 +113,7 @@
         this.state = "cancelled";
         this.options.record.outcome = "cancelled";
         if (message !== undefined) {
-            this.options.writer.fail(message);
+            this.options.writer.finishWithError(message);
         }
     }
 
@@ -126,7 +126,7 @@
         const { length, writer, finishReason, resumedTokens } = this.options;
         if (this.countUntilCut() <= 0) {
             this.cancel(undefined);
-            writer.cut();
+            writer.close();
             return;
         }
         if (this.position < length) {
--- a/packages/standins/src/faults/faultHooks.ts
+++ b/packages/standins/src/faults/faultHooks.ts
@@ -51,7 +51,7 @@
         if (waitMs > 0) {
             return sendRateLimit(reply, waitMs);
         }
-        return applyFaultsBeforeEffect(request, reply);
+        return applyFaultsBeforeEffect(request, reply, options.switches);
     });
     server.addHook("onSend", async (request, reply, payload) => {
         if (findFault(request.faults ?? [], "dropReply") !== undefined) {
@@ -61,7 +61,7 @@
             return buildFailurePayload(reply);
         }
         const cut = findFault(request.faults ?? [], "cutMidAnswer");
-        return cut === undefined ? payload : cutPayload(reply, String(payload), cut.afterTokens);
+        return cut === undefined ? payload : buildCutPayload(reply, String(payload), cut.afterTokens);
     });
 }
 
@@ -81,6 +81,7 @@
 async function applyFaultsBeforeEffect(
     request: FastifyRequest,
     reply: FastifyReply,
+    switches: FaultSwitches,
 ): Promise<FastifyReply | undefined> {
     const delay = findFault(request.faults, "delay");
     if (delay !== undefined) {
@@ -97,6 +98,10 @@
         reply.hijack();
         return reply;
     }
+    if (findFault(request.faults, "lateEffect") !== undefined) {
+        reply.raw.destroy();
+        await switches.waitForNextPlan();
+    }
     return undefined;
 }
 
@@ -107,12 +112,12 @@
     return payload;
 }
 
-function cutPayload(reply: FastifyReply, payload: string, length: number): Readable {
+function buildCutPayload(reply: FastifyReply, payload: string, length: number): Readable {
     reply.header("content-length", Buffer.byteLength(payload));
-    return Readable.from(yieldThenFail(payload.slice(0, length)));
+    return Readable.from(sendThenFail(payload.slice(0, length)));
 }
 
-async function* yieldThenFail(part: string): AsyncGenerator<Buffer> {
+async function* sendThenFail(part: string): AsyncGenerator<Buffer> {
     yield Buffer.from(part);
     throw new Error("the answer is cut by a fault switch");
 }
--- a/packages/standins/src/faults/faultSchema.ts
+++ b/packages/standins/src/faults/faultSchema.ts
@@ -22,6 +22,8 @@
 export const faultSchema = z.discriminatedUnion("kind", [
     z.strictObject({ kind: z.literal("delay"), delayMs: z.number().nonnegative(), ...commonFields }),
     z.strictObject({ kind: z.literal("dropReply"), ...commonFields }),
+    /** Cuts the connection at once; the call takes effect when the plan is replaced. */
+    z.strictObject({ kind: z.literal("lateEffect"), ...commonFields }),
     z.strictObject({ kind: z.literal("refuse"), ...commonFields }),
     z.strictObject({ kind: z.literal("hang"), ...commonFields }),
     z.strictObject({ kind: z.literal("failAfterEffect"), ...commonFields }),
--- a/packages/standins/src/faults/faultSwitches.ts
+++ b/packages/standins/src/faults/faultSwitches.ts
@@ -24,6 +24,7 @@
 export class FaultSwitches {
     private active: ActiveFault[] = [];
     private random = new SeededRandom(defaultSeed);
+    private readonly waiters: (() => void)[] = [];
 
     /**
      * Replaces all faults in force.
@@ -34,11 +35,18 @@
         const parsed = faultPlanSchema.parse(plan);
         this.random = new SeededRandom(parsed.seed);
         this.active = parsed.faults.map((fault) => ({ fault, seen: 0, struck: 0 }));
+        this.finishWaits();
     }
 
     /** Removes all faults. */
     clear(): void {
         this.active = [];
+        this.finishWaits();
+    }
+
+    /** Waits until the plan is replaced or cleared; waits end in the order in which they began. */
+    waitForNextPlan(): Promise<void> {
+        return new Promise((resolve) => this.waiters.push(resolve));
     }
 
     /**
@@ -65,6 +73,10 @@
         return entry?.fault as Extract<Fault, { kind: Kind }> | undefined;
     }
 
+    private finishWaits(): void {
+        this.waiters.splice(0).forEach((finish) => finish());
+    }
+
     private isStruck(entry: ActiveFault, target: FaultTarget): boolean {
         const { fault } = entry;
         if (!isMatch(fault.service, target.service) || !isMatch(fault.call, target.call)) {
--- a/packages/standins/src/plainService/plainServiceRoutes.ts
+++ b/packages/standins/src/plainService/plainServiceRoutes.ts
@@ -56,10 +56,10 @@
     register(server: FastifyInstance): void {
         const { load, counter, slots } = this.parts;
         server.post("/orders", { config: buildConfig("order") }, async (request, reply) =>
-            this.runCall(request, reply, () => this.confirmOrder(request)),
+            this.runCall(request, reply, () => this.handleOrderCall(request)),
         );
         server.post("/bookings", { config: buildConfig("booking") }, async (request, reply) =>
-            this.runCall(request, reply, () => this.bookSeat(request)),
+            this.runCall(request, reply, () => this.handleBooking(request)),
         );
         server.get("/jobs/:id", { config: buildConfig("job") }, async (request, reply) =>
             this.runCall(request, reply, () => findJob(request)),
@@ -100,13 +100,13 @@
         return previous;
     }
 
-    private confirmOrder(request: FastifyRequest): PlainAnswer {
+    private handleOrderCall(request: FastifyRequest): PlainAnswer {
         const { orderId } = orderSchema.parse(request.body);
         this.countExecution("orders", orderId, request);
         return { status: 200, body: { outcome: "confirmed", orderId } };
     }
 
-    private bookSeat(request: FastifyRequest): PlainAnswer {
+    private handleBooking(request: FastifyRequest): PlainAnswer {
         const { seat, holder } = bookingSchema.parse(request.body);
         if (this.holders.has(seat)) {
             this.countExecution("refusals", seat, request);
