Measure the engine stand-in's throughput by a command

Cause: the engine's throughput had been measured by a scratch script only. Ruled out: reading the child's processor time, which is not portable.

--- a/packages/standins/src/__tests__/programs.test.ts
+++ b/packages/standins/src/__tests__/programs.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, expect, test } from "vitest";
-import { launchProgram, type LaunchedProgram, type StandInName } from "../index.js";
+import { launchProgram, measureEngine, type LaunchedProgram, type StandInName } from "../index.js";
 import { readBackendJson, sendBackendCall } from "./contracts/backendCalls.js";
 
 const programNames: readonly StandInName[] = ["engine", "plainService", "platform"];
@@ -55,3 +55,8 @@
     program.sendSignal("SIGKILL");
     expect(await program.exited).toEqual({ code: undefined, signal: "SIGKILL" });
 });
+
+test("the throughput measurement counts every token of every stream", async () => {
+    const options = { streams: 3, tokens: 50, tokensPerStep: 8, tokenIntervalMs: 0 };
+    expect(await measureEngine(options)).toMatchObject({ ...options, generated: 150 });
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -26,3 +26,4 @@
 export type { ExecutionCounts } from "./plainService/executionCounts.js";
 export { launchFile, launchProgram } from "./launcher/launchProgram.js";
 export type { LaunchedProgram, LaunchOptions, ProgramExit, StandInName } from "./launcher/launchProgram.js";
+export { measureEngine, runMeasureEngine } from "./measure/measureEngine.js";
