Freeze the platform in a test, and import a cache into another engine

Cause: no test showed a call that outlives its sender's patience with a real stopped process, nor that an imported KV cache spares the other engine its prefill. Ruled out: a fault switch for the freeze; the process gets SIGSTOP and SIGCONT. Change: a commit to a frozen platform is ambiguous and takes effect once it runs again; a request to the importing engine finds its prefix cached. Conclusion: ambiguity is shown over real processes too.

--- a/packages/standins/src/__tests__/contracts/engine.test.ts
+++ b/packages/standins/src/__tests__/contracts/engine.test.ts
@@ -347,6 +347,9 @@
         expect(events).toMatchObject({
             events: [{ kind: "stored", blocks: expect.arrayContaining([...blocks]) }],
         });
+        const call = { path: "/v1/completions", body: { ...body, stream: false } };
+        const { usage } = JSON.parse((await sendBackendCall(other.address, call)).text);
+        expect(usage.prompt_tokens_details.cached_tokens).toBeGreaterThan(0);
         await other.close();
     });
 
--- a/packages/standins/src/__tests__/programs.test.ts
+++ b/packages/standins/src/__tests__/programs.test.ts
@@ -1,6 +1,8 @@
+import { HttpTableService, PlatformErrorKind } from "@pimentocleat/platform";
 import { afterEach, expect, test } from "vitest";
 import { launchProgram, measureEngine, type LaunchedProgram, type StandInName } from "../index.js";
 import { readBackendJson, sendBackendCall } from "./contracts/backendCalls.js";
+import { hangTimeoutMs, withClient } from "./contracts/platformCalls.js";
 
 const programNames: readonly StandInName[] = ["engine", "plainService", "platform"];
 let program: LaunchedProgram | undefined;
@@ -56,6 +58,24 @@
     expect(await program.exited).toEqual({ code: undefined, signal: "SIGKILL" });
 });
 
+test("a commit sent to a frozen platform is ambiguous and takes effect once it runs again", async () => {
+    program = await launchProgram("platform");
+    const { address } = program;
+    const write = { conditions: [], writes: [{ table: "leases", key: "a", value: "late" }] };
+    await withClient(new HttpTableService({ address }), async (client) => {
+        expect(await client.readRow("leases", "a")).toBeUndefined();
+        program?.sendSignal("SIGSTOP");
+        const commit = withClient(new HttpTableService({ address, timeoutMs: hangTimeoutMs }), (impatient) =>
+            impatient.commitTransaction(write),
+        );
+        await expect(commit).rejects.toMatchObject({ kind: PlatformErrorKind.Ambiguous });
+        program?.sendSignal("SIGCONT");
+        await expect
+            .poll(() => client.readRow("leases", "a"), { timeout: 30_000 })
+            .toMatchObject({ value: "late" });
+    });
+});
+
 test("the throughput measurement counts every token of every stream", async () => {
     const options = { streams: 3, tokens: 50, tokensPerStep: 8, tokenIntervalMs: 0 };
     expect(await measureEngine(options)).toMatchObject({ ...options, generated: 150 });
