Run the duties on every node: ordering, usage reports, claim cleaning

Cause: leases, orders and usage existed as parts that no node ran. Ruled out: one global duty (a pool's orders then wait for all others); releasing leases before the last order must have arrived; ordering servers for pools that did not ask for it. Change: NodeDuties holds the leases and runs the loops; a pool with `ordering` bounds gets orders by demand from the nodes' summaries, cost, and notices in the host list; usage is copied to a random peer each second, written each 5 s and reported by window; the daemon runs all this and releases its leases at a planned stop. Conclusion: bound on usage lost with a host is what it recorded since its last copy, 1.25 s at most while a peer answers.

--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import { TieredScheduler } from "@pimentocleat/policy";
 import type { Settings } from "@pimentocleat/schema";
 import { TableClaimStore } from "@pimentocleat/state";
+import { NodeDuties } from "../duties/nodeDuties.js";
 import type { NodeHandle, NodeOptions } from "../lifecycle/nodeOptions.js";
 import { startNode } from "../lifecycle/startNode.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
@@ -25,7 +26,8 @@
     private readonly network: PeerNetwork;
     private readonly operatorServer: OperatorServer;
     private readonly directory = new NodeDirectory();
-    private readonly usage: UsageParts;
+    private usage: UsageParts;
+    private duties: NodeDuties | undefined;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
     private node: NodeHandle | undefined;
@@ -55,18 +57,24 @@
         this.connectBridge();
         const peer = await this.network.open();
         await this.parts.follower.pollOnce();
+        this.duties = this.buildDuties();
+        this.usage = this.options.usage ?? this.duties.usage;
         this.node = await startNode(this.buildNodeOptions());
         this.addresses = { caller: this.node.callerAddress, operator, peer };
         this.tasks.push(
             this.parts.follower.run(this.stopping.signal),
             this.buildPublisher().run(this.stopping.signal),
+            this.duties.run(this.stopping.signal),
         );
         return this.addresses;
     }
 
     /** Stops gracefully: finishes every request, then leaves the peers and closes. */
     stop(): Promise<void> {
-        this.stopped ??= this.close(async () => this.node?.stop());
+        this.stopped ??= this.close(
+            async () => this.node?.stop(),
+            async () => this.duties?.releaseLeases(),
+        );
         return this.stopped;
     }
 
@@ -88,10 +96,14 @@
         };
     }
 
-    private async close(stopNode: () => Promise<void>): Promise<void> {
+    private async close(
+        stopNode: () => Promise<void>,
+        releaseLeases = (): Promise<void> => Promise.resolve(),
+    ): Promise<void> {
         await stopNode();
         this.stopping.abort();
         await Promise.all(this.tasks);
+        await releaseLeases();
         await this.network.close();
         await this.operatorServer.close();
         await this.options.services.close();
@@ -120,6 +132,7 @@
             requestPoll: () => follower.requestPoll(),
             readNode: () => this.node,
             storeUsageCopy: (copy) => this.usage.storeCopy(copy),
+            readDuties: () => this.duties,
         });
     }
 
@@ -139,6 +152,26 @@
         });
     }
 
+    private buildDuties(): NodeDuties {
+        const { settings, services, clock, random, logger } = this.options;
+        const { tableService, hostList, orderingService, reportService } = services;
+        return new NodeDuties({
+            name: settings.name,
+            incarnation: this.network.readIdentity()?.incarnation ?? Math.floor(clock.wallMs()),
+            tableService,
+            hostList,
+            orderingService,
+            reportService,
+            clock,
+            random,
+            logger,
+            listMembers: () => this.network.listMembers(),
+            copyUsage: (copy) => this.network.copyUsage(copy),
+            listPools: () => this.parts.configuration.readCurrent()?.configuration.pools ?? [],
+            listSummaries: () => this.node?.listPoolSummaries() ?? [],
+        });
+    }
+
     private buildPublisher(): RecordPublisher {
         return new RecordPublisher({
             clock: this.options.clock,
--- a/packages/node/src/daemon/peerBridge.ts
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -13,6 +13,7 @@
     WithdrawalFollower,
     WithdrawalPeers,
 } from "@pimentocleat/state";
+import type { NodeDuties } from "../duties/nodeDuties.js";
 import type { NodeHandle } from "../lifecycle/nodeOptions.js";
 import type { PeerConfiguration, PeerHandlers, PeerUsageCopy } from "../peers/peerHandlers.js";
 import type { PeerNetwork } from "../peers/peerNetwork.js";
@@ -42,6 +43,8 @@
     /** The request path; undefined while the node starts. */
     readonly readNode: () => NodeHandle | undefined;
     readonly storeUsageCopy: (copy: PeerUsageCopy) => void;
+    /** Control duties of the node; undefined while the node starts. */
+    readonly readDuties: () => NodeDuties | undefined;
 }
 
 /** Both sides of the exchange with peers. */
@@ -121,6 +124,7 @@
             const summary = decodeSummary(payload);
             if (summary?.node === owner) {
                 this.parts?.readNode()?.recordPeerSummary(summary);
+                this.parts?.readDuties()?.recordSummary(summary);
             }
         }
     }
@@ -128,6 +132,7 @@
     handleMemberGone(name: string): void {
         this.parts?.directory.removeNode(name);
         this.parts?.readNode()?.removePeer(name);
+        this.parts?.readDuties()?.removeNode(name);
     }
 
     private listKnown(): readonly string[] {
--- a/packages/node/src/daemon/platformServices.ts
+++ b/packages/node/src/daemon/platformServices.ts
@@ -3,7 +3,16 @@
  *
  * @packageDocumentation
  */
-import { HttpHostList, HttpTableService, type HostList, type TableService } from "@pimentocleat/platform";
+import {
+    HttpHostList,
+    HttpOrderingService,
+    HttpTableService,
+    HttpUsageReportService,
+    type HostList,
+    type OrderingService,
+    type TableService,
+    type UsageReportService,
+} from "@pimentocleat/platform";
 
 /** Bound on one call to a platform service, in milliseconds. */
 const callTimeoutMs = 2_000;
@@ -12,6 +21,10 @@
 export interface PlatformServices {
     readonly tableService: TableService;
     readonly hostList: HostList;
+    /** Absent where no backend servers are ordered. */
+    readonly orderingService?: OrderingService;
+    /** Absent where no usage is reported. */
+    readonly reportService?: UsageReportService;
     /** Closes the connections. */
     close(): Promise<void>;
 }
@@ -26,8 +39,11 @@
     const options = { address, timeoutMs: callTimeoutMs };
     const tableService = new HttpTableService(options);
     const hostList = new HttpHostList(options);
+    const orderingService = new HttpOrderingService(options);
+    const reportService = new HttpUsageReportService(options);
+    const all = [tableService, hostList, orderingService, reportService];
     const close = async (): Promise<void> => {
-        await Promise.all([tableService.close(), hostList.close()]);
+        await Promise.all(all.map((service) => service.close()));
     };
-    return { tableService, hostList, close };
+    return { tableService, hostList, orderingService, reportService, close };
 }
--- /dev/null
+++ b/packages/node/src/duties/nodeDuties.ts
@@ -0,0 +1,188 @@
+/**
+ * The task that holds a node's leases and runs the duties under them.
+ *
+ * @packageDocumentation
+ */
+import { defaultLeaseTiming, type PoolSummary } from "@pimentocleat/policy";
+import type { Pool } from "@pimentocleat/schema";
+import { defaultClaimRetentionMs, LeaseManager, removeExpiredClaims } from "@pimentocleat/state";
+import { DemandDirectory } from "./demandDirectory.js";
+import type { DutyOptions, DutySettings } from "./dutyOptions.js";
+import { findNoticedDataCentres } from "./reclaimNotices.js";
+import { formatOrderingLease, OrderingDuty } from "./orderingDuty.js";
+import { UsageDuty, usageLeaseName } from "./usageDuty.js";
+
+const cleaningLeaseName = "claim-cleaning";
+const cleaningPageRows = 200;
+
+/** Durations that hold unless overridden. */
+export const defaultDutySettings: DutySettings = {
+    leaseTiming: defaultLeaseTiming,
+    callTimeoutMs: 1_000,
+    wireBoundMs: 2_000,
+    orderIntervalMs: 1_000,
+    usageWindowMs: 60_000,
+    usageGraceMs: 20_000,
+    usageFlushMs: 5_000,
+    usageCopyMs: 1_000,
+    usageRetentionMs: 86_400_000,
+    claimRetentionMs: defaultClaimRetentionMs,
+    claimCleaningMs: 10_000,
+    flushTimeoutMs: 5_000,
+};
+
+/** Holds leases and runs duties. */
+export class NodeDuties {
+    readonly usage: UsageDuty;
+    private readonly settings: DutySettings;
+    private readonly leases: LeaseManager;
+    private readonly demand = new DemandDirectory();
+    private readonly ordering = new Map<string, OrderingDuty>();
+    private noticed: ReadonlySet<string> = new Set();
+    private cleanedAfter: string | undefined;
+
+    /** @param options - The services, the peers and the durations. */
+    constructor(private readonly options: DutyOptions) {
+        this.settings = { ...defaultDutySettings, ...options.settings };
+        const { leaseTiming: timing, callTimeoutMs, wireBoundMs } = this.settings;
+        this.usage = new UsageDuty(options, this.settings);
+        this.leases = new LeaseManager({
+            ...options,
+            node: options.name,
+            listNodes: () => options.listMembers().map((member) => member.name),
+            timing,
+            callTimeoutMs,
+            wireBoundMs,
+        });
+    }
+
+    /** @param summary - What another node told about a pool. */
+    recordSummary(summary: PoolSummary): void {
+        this.demand.setSummary(summary);
+    }
+
+    /** @param node - A node that is gone. */
+    removeNode(node: string): void {
+        this.demand.removeNode(node);
+    }
+
+    /**
+     * Runs until told to stop; leases are kept until {@link NodeDuties.releaseLeases}.
+     *
+     * @param signal - Ends the task.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        this.updateWanted();
+        const { usageFlushMs, usageCopyMs, orderIntervalMs, claimCleaningMs } = this.settings;
+        await Promise.all([
+            this.leases.run(signal),
+            this.runEvery(usageFlushMs, signal, () => this.usage.writeOnce()),
+            this.runEvery(usageCopyMs, signal, () => this.usage.copyOnce()),
+            this.runEvery(orderIntervalMs, signal, () => this.orderOnce()),
+            this.runEvery(orderIntervalMs, signal, () =>
+                this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
+            ),
+            this.runEvery(claimCleaningMs, signal, () => this.cleanOnce()),
+        ]);
+    }
+
+    /**
+     * Gives the leases up, so that other nodes need not wait for them to lapse.
+     *
+     * @returns Resolves when the last order must have arrived and the rows are released.
+     */
+    async releaseLeases(): Promise<void> {
+        await this.leases.releaseAll();
+    }
+
+    /** Waits between the end of a step and the start of the next, with jitter, so steps never overlap. */
+    private async runEvery(
+        intervalMs: number,
+        signal: AbortSignal,
+        step: () => Promise<void>,
+    ): Promise<void> {
+        const { clock, random, logger } = this.options;
+        while (!signal.aborted) {
+            await clock.wait(intervalMs * (0.75 + 0.5 * random()), signal);
+            if (!signal.aborted) {
+                await step().catch((error: unknown) => {
+                    logger.writeEvent("dutyStepFailed", { reason: String(error) });
+                });
+            }
+        }
+    }
+
+    private updateWanted(): void {
+        const { orderingService, reportService, listPools } = this.options;
+        const pools = orderingService === undefined ? [] : listPools().filter((pool) => pool.ordering);
+        this.leases.setWanted([
+            cleaningLeaseName,
+            ...(reportService === undefined ? [] : [usageLeaseName]),
+            ...pools.map((pool) => formatOrderingLease(pool.name)),
+        ]);
+    }
+
+    private async orderOnce(): Promise<void> {
+        this.updateWanted();
+        await this.refreshNotices();
+        const results = await Promise.allSettled(
+            this.options.listPools().map((pool) => this.orderForPool(pool)),
+        );
+        const failure = results.find((result) => result.status === "rejected");
+        if (failure !== undefined) {
+            throw failure.reason;
+        }
+    }
+
+    /** Only a node that orders reads the host list; while the list is out, the last notices hold. */
+    private async refreshNotices(): Promise<void> {
+        const { listPools, hostList } = this.options;
+        const pools = listPools();
+        if (pools.some((pool) => this.leases.findHeld(formatOrderingLease(pool.name)) !== undefined)) {
+            const hosts = await hostList.listHosts().catch(() => undefined);
+            this.noticed = hosts === undefined ? this.noticed : findNoticedDataCentres(hosts, pools);
+        }
+    }
+
+    private async orderForPool(pool: Pool): Promise<void> {
+        const slots = this.demand.countSlots(pool.name, this.options.listSummaries());
+        await this.ensureOrdering(pool)?.advanceOnce(pool, slots, this.noticed);
+    }
+
+    /** A new tenure needs a new duty. */
+    private ensureOrdering(pool: Pool): OrderingDuty | undefined {
+        const lease = this.leases.findHeld(formatOrderingLease(pool.name));
+        const { orderingService } = this.options;
+        if (lease === undefined || orderingService === undefined || pool.ordering === undefined) {
+            this.ordering.delete(pool.name);
+            return undefined;
+        }
+        const known = this.ordering.get(pool.name);
+        if (known?.lease === lease) {
+            return known;
+        }
+        const { settings } = this;
+        const duty = new OrderingDuty({
+            ...this.options,
+            node: this.options.name,
+            orderingService,
+            lease,
+            pool: pool.name,
+            settings,
+        });
+        this.ordering.set(pool.name, duty);
+        return duty;
+    }
+
+    private async cleanOnce(): Promise<void> {
+        if (this.leases.findHeld(cleaningLeaseName)?.isValid() !== true) {
+            return;
+        }
+        const { tableService, clock } = this.options;
+        const { claimRetentionMs: retentionMs } = this.settings;
+        const after = this.cleanedAfter;
+        const pageRows = cleaningPageRows;
+        const step = await removeExpiredClaims({ tableService, clock, retentionMs, pageRows, after });
+        this.cleanedAfter = step.after;
+    }
+}
--- /dev/null
+++ b/packages/node/src/duties/orderingDuty.ts
@@ -0,0 +1,106 @@
+/**
+ * The duty of ordering one pool's backend servers, for one tenure of its lease.
+ *
+ * @packageDocumentation
+ */
+import type { OrderingService, TableService } from "@pimentocleat/platform";
+import { defaultPlannerSettings, ServerPlanner, type ServerOption } from "@pimentocleat/policy";
+import type { Pool } from "@pimentocleat/schema";
+import { OrderSender, type LeaseHandle } from "@pimentocleat/state";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import type { DutySettings } from "./dutyOptions.js";
+
+/** Options of {@link OrderingDuty}. */
+export interface OrderingDutyOptions {
+    readonly lease: LeaseHandle;
+    /** Name of the pool. */
+    readonly pool: string;
+    readonly node: string;
+    readonly tableService: TableService;
+    readonly orderingService: OrderingService;
+    readonly clock: WaitingClock;
+    readonly logger: Logger;
+    readonly settings: DutySettings;
+}
+
+/**
+ * Formats the name of a pool's ordering lease.
+ *
+ * @param pool - Name of the pool.
+ * @returns The lease.
+ */
+export function formatOrderingLease(pool: string): string {
+    return `ordering/${pool}`;
+}
+
+/** Plans and sends orders while the lease is held. */
+export class OrderingDuty {
+    readonly lease: LeaseHandle;
+    private readonly sender: OrderSender;
+    private readonly planner = new ServerPlanner();
+    private hasLoaded = false;
+
+    /** @param options - The lease, the pool and the services. */
+    constructor(private readonly options: OrderingDutyOptions) {
+        const { lease, settings, orderingService } = options;
+        this.lease = lease;
+        this.sender = new OrderSender({
+            ...options,
+            receiver: {
+                checksFencing: orderingService.checksFencing ?? false,
+                wireBoundMs: settings.wireBoundMs,
+            },
+            marginMs: settings.leaseTiming.marginMs,
+            callTimeoutMs: settings.callTimeoutMs,
+        });
+    }
+
+    /**
+     * Plans for the present demand and sends what changed.
+     *
+     * @param pool - The pool as configured now.
+     * @param demandSlots - Slots that the demand needs.
+     * @param noticed - Data centres whose reclaimable servers are under notice.
+     */
+    async advanceOnce(pool: Pool, demandSlots: number, noticed: ReadonlySet<string>): Promise<void> {
+        const { clock, logger } = this.options;
+        this.planner.updateSettings({ ...defaultPlannerSettings, ...pool.ordering });
+        await this.ensureLoaded();
+        const options = listServerOptions(pool, noticed);
+        const slots = pool.servers.map((server) => server.slots);
+        const nowMs = clock.monotonicMs();
+        const slotsPerServer = Math.max(1, Math.min(...slots));
+        for (const servers of this.planner.planServers({ nowMs, demandSlots, slotsPerServer, options })) {
+            const result = await this.sender.sendWanted({ ...servers, pool: pool.name });
+            const fields = { pool: pool.name, dataCentre: servers.dataCentre, count: servers.count };
+            if (result.type === "accepted") {
+                this.planner.recordAccepted(servers);
+                logger.writeEvent("serversOrdered", fields);
+            }
+            if (result.type === "noneAvailable") {
+                this.planner.recordNoneAvailable(servers, clock.monotonicMs(), result.retryAfterMs);
+                logger.writeEvent("serversNotAvailable", fields);
+            }
+        }
+    }
+
+    private async ensureLoaded(): Promise<void> {
+        if (!this.hasLoaded) {
+            this.planner.recordCurrent(await this.sender.loadIntents(), this.options.clock.monotonicMs());
+            this.hasLoaded = true;
+        }
+    }
+}
+
+/** Lists the kinds of server that the configuration names, each at its lowest cost. */
+function listServerOptions(pool: Pool, noticed: ReadonlySet<string>): readonly ServerOption[] {
+    const options = new Map<string, ServerOption>();
+    for (const { dataCentre, reclaimable, costPerHour } of pool.servers) {
+        const key = `${dataCentre}/${String(reclaimable)}`;
+        const lowest = Math.min(costPerHour, options.get(key)?.costPerHour ?? costPerHour);
+        const underNotice = reclaimable && noticed.has(dataCentre);
+        options.set(key, { dataCentre, reclaimable, costPerHour: lowest, underNotice });
+    }
+    return [...options.values()];
+}
--- /dev/null
+++ b/packages/node/src/duties/reclaimNotices.ts
@@ -0,0 +1,28 @@
+/**
+ * Which data centres lose their reclaimable servers.
+ *
+ * @packageDocumentation
+ */
+import type { ListedHost } from "@pimentocleat/platform";
+import type { Pool } from "@pimentocleat/schema";
+
+/**
+ * Finds the data centres whose reclaimable servers are under notice. The platform takes such servers back a
+ * whole data centre at a time, so one leaving server is enough.
+ *
+ * @param hosts - The platform's host list.
+ * @param pools - The pools in force.
+ * @returns Names of the data centres.
+ */
+export function findNoticedDataCentres(
+    hosts: readonly ListedHost[],
+    pools: readonly Pool[],
+): ReadonlySet<string> {
+    const leaving = new Set(hosts.filter((host) => host.state === "leaving").map((host) => host.address));
+    return new Set(
+        pools
+            .flatMap((pool) => pool.servers)
+            .filter((server) => server.reclaimable && leaving.has(server.address))
+            .map((server) => server.dataCentre),
+    );
+}
--- /dev/null
+++ b/packages/node/src/duties/usageDuty.ts
@@ -0,0 +1,168 @@
+/**
+ * Recording, copying and reporting of usage on a node.
+ *
+ * @packageDocumentation
+ */
+import {
+    UsageCopyKeeper,
+    UsageLedger,
+    UsageReporter,
+    UsageRowWriter,
+    type LeaseHandle,
+    type UsageRecorder,
+} from "@pimentocleat/state";
+import type { UsageByCustomer } from "@pimentocleat/policy";
+import { z } from "zod";
+import type { UsageParts } from "../daemon/usageParts.js";
+import type { PeerUsageCopy } from "../peers/peerHandlers.js";
+import type { DutyOptions, DutySettings } from "./dutyOptions.js";
+
+/** Lease of the node that reports usage. */
+export const usageLeaseName = "usage-reporter";
+
+const windowsPerStep = 20;
+const flushRetryMs = 200;
+
+const countersSchema = z.record(
+    z.string(),
+    z.object({ requests: z.number(), promptTokens: z.number(), completionTokens: z.number() }),
+) satisfies z.ZodType<UsageByCustomer>;
+
+/** The usage side of a node. */
+export class UsageDuty implements UsageParts {
+    readonly recorder: UsageRecorder;
+    private readonly ledger: UsageLedger;
+    private readonly keeper: UsageCopyKeeper;
+    private reporter: { readonly lease: LeaseHandle; readonly reporter: UsageReporter } | undefined;
+
+    /**
+     * @param options - The services and the peers.
+     * @param settings - The durations.
+     */
+    constructor(
+        private readonly options: DutyOptions,
+        private readonly settings: DutySettings,
+    ) {
+        const { clock, logger, name, tableService } = options;
+        const { callTimeoutMs, usageWindowMs: windowMs, usageRetentionMs: retentionMs } = settings;
+        const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
+        this.keeper = new UsageCopyKeeper({
+            writer,
+            clock,
+            retentionMs,
+            logger,
+            isGone: (incarnation) => this.isGone(incarnation),
+        });
+        this.ledger = new UsageLedger({
+            writer,
+            clock,
+            incarnation: formatIncarnation(name, options.incarnation),
+            windowMs,
+            logger,
+            copySink: {
+                storeCopy: ({ windowStartMs, customers }) => this.sendCopy(windowStartMs, customers),
+            },
+        });
+        this.recorder = this.ledger;
+    }
+
+    storeCopy(copy: PeerUsageCopy): void {
+        const counters = countersSchema.safeParse(parseJson(copy.counters));
+        if (counters.success) {
+            const incarnation = formatIncarnation(copy.owner, copy.incarnation);
+            const { windowStartMs } = copy;
+            void this.keeper.storeCopy({ incarnation, windowStartMs, customers: counters.data });
+        }
+    }
+
+    /** Writes what is recorded, for as long as a stop may take; what then is left goes to a peer. */
+    async flush(): Promise<void> {
+        const { clock } = this.options;
+        const endMs = clock.monotonicMs() + this.settings.flushTimeoutMs;
+        while (!(await this.ledger.flushOnce())) {
+            if (clock.monotonicMs() >= endMs) {
+                await this.ledger.copyOnce();
+                return;
+            }
+            await clock.wait(flushRetryMs);
+        }
+    }
+
+    /** Writes usage and completes the rows of nodes that are gone. */
+    async writeOnce(): Promise<void> {
+        await this.ledger.flushOnce();
+        await this.keeper.recoverOnce();
+    }
+
+    /** Copies usage to a peer. */
+    async copyOnce(): Promise<void> {
+        await this.ledger.copyOnce();
+    }
+
+    /**
+     * Seals and reports the windows that are due.
+     *
+     * @param lease - The reporter's lease, if this node holds it.
+     */
+    async reportOnce(lease: LeaseHandle | undefined): Promise<void> {
+        const { reportService } = this.options;
+        if (lease === undefined || reportService === undefined) {
+            this.reporter = undefined;
+            return;
+        }
+        if (this.reporter?.lease !== lease) {
+            const { settings } = this;
+            const reporter = new UsageReporter({
+                ...this.options,
+                lease,
+                reportService,
+                node: this.options.name,
+                receiver: {
+                    checksFencing: reportService.checksFencing ?? false,
+                    wireBoundMs: settings.wireBoundMs,
+                },
+                windowMs: settings.usageWindowMs,
+                graceMs: settings.usageGraceMs,
+                windowsPerStep,
+                retentionMs: settings.usageRetentionMs,
+                callTimeoutMs: settings.callTimeoutMs,
+            });
+            this.reporter = { lease, reporter };
+        }
+        await this.reporter.reporter.advanceOnce();
+    }
+
+    private async sendCopy(windowStartMs: number, customers: UsageByCustomer): Promise<void> {
+        const counters = new TextEncoder().encode(JSON.stringify(customers));
+        const { name: owner, incarnation, copyUsage } = this.options;
+        if (!(await copyUsage({ owner, incarnation, windowStartMs, counters }))) {
+            throw new Error("no peer took the copy");
+        }
+    }
+
+    /** A member that started again is another incarnation; its earlier one is gone. */
+    private isGone(incarnation: string): boolean {
+        const { name, listMembers } = this.options;
+        const [owner, startedMs] = parseIncarnation(incarnation);
+        const member = listMembers().find((candidate) => candidate.name === owner);
+        return owner !== name && (member === undefined || member.incarnation > startedMs);
+    }
+}
+
+function formatIncarnation(owner: string, startedMs: number): string {
+    return `${owner}@${String(startedMs)}`;
+}
+
+function parseIncarnation(incarnation: string): [string, number] {
+    const [owner = "", startedMs] = incarnation.split("@");
+    return [owner, Number(startedMs)];
+}
+
+function parseJson(payload: Uint8Array): unknown {
+    try {
+        return JSON.parse(new TextDecoder().decode(payload));
+    } catch {
+        // A peer of another version may send what this one does not know.
+        return undefined;
+    }
+}
--- a/packages/policy/src/orders/serverPlanner.ts
+++ b/packages/policy/src/orders/serverPlanner.ts
@@ -80,7 +80,16 @@
     private readonly shortages = new Map<string, Shortage>();
 
     /** @param settings - Bounds and shares. */
-    constructor(private readonly settings: PlannerSettings = defaultPlannerSettings) {}
+    constructor(private settings: PlannerSettings = defaultPlannerSettings) {}
+
+    /**
+     * Replaces the settings; what is known of needs and shortages stays.
+     *
+     * @param settings - Bounds and shares.
+     */
+    updateSettings(settings: PlannerSettings): void {
+        this.settings = settings;
+    }
 
     /**
      * Notes what an earlier holder of the duty wanted, so that a takeover gives nothing back at once.
--- a/packages/schema/src/configuration/configurationSchema.ts
+++ b/packages/schema/src/configuration/configurationSchema.ts
@@ -78,6 +78,18 @@
         .describe("Whether the platform may take the server back at short notice."),
 });
 
+/** Bounds of the servers that the nodes order for a pool. */
+export const orderingSchema = z.strictObject({
+    minimumServers: z.int().nonnegative().default(1).describe("Least number of servers that are wanted."),
+    maximumServers: z.int().positive().max(10_000).describe("Most servers that are wanted."),
+    reclaimableShare: z
+        .number()
+        .min(0)
+        .max(1)
+        .default(0.5)
+        .describe("Most reclaimable servers, as a share of all."),
+});
+
 /** A pool of backend servers that serve the same models or the same plain service. */
 export const poolSchema = z.strictObject({
     name: name.describe("Unique name."),
@@ -103,6 +115,9 @@
         .max(1)
         .default(0.1)
         .describe("Retries and hedges as a share of first tries."),
+    ordering: orderingSchema
+        .optional()
+        .describe("Bounds of the servers that the nodes order from the platform; absent means none."),
     servers: z.array(backendServerSchema).default([]).describe("Backend servers of the pool."),
 });
 
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -30,7 +30,7 @@
 export interface LeaseManagerOptions {
     readonly tableService: TableService;
     readonly clock: WaitingClock;
-    /** This node's incarnation; never used by another process. */
+    /** This node's name, for the order of preference and the record; tokens tell holders apart. */
     readonly node: string;
     /** Lists the nodes known to be live, for the order of preference. */
     readonly listNodes: () => readonly string[];
@@ -134,6 +134,9 @@
      */
     async releaseAll(): Promise<void> {
         this.stopping = true;
+        if (this.held.size === 0) {
+            return;
+        }
         this.held.forEach((lease) => lease.end());
         await this.options.clock.wait(this.options.wireBoundMs + this.timing.marginMs);
         for (const lease of this.held.values()) {
--- a/packages/state/src/leases/leaseRecord.ts
+++ b/packages/state/src/leases/leaseRecord.ts
@@ -11,7 +11,7 @@
 
 /** The row that each renewal rewrites. */
 export const leaseRecordSchema = z.object({
-    /** Incarnation of the holding node. */
+    /** Name of the holding node. */
     holder: z.string(),
     /** Unique to each write, to resolve writes whose answer was lost. */
     token: z.string(),
