--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -197,6 +197,7 @@
                 clock,
                 random,
                 logger,
+                countNodes: () => this.network.listMembers().length + 1,
                 // A node that cannot be reached may still be running the request.
                 isOwnerGone: () => false,
             }),
--- a/packages/state/src/claims/tableClaimStore.ts
+++ b/packages/state/src/claims/tableClaimStore.ts
@@ -32,8 +32,10 @@
     readonly openClaimMs: number;
     /** Longest stored answer body, in characters of base64. */
     readonly maximumAnswerBytes: number;
-    /** Least time between two transactions. */
+    /** Least time between two transactions of this node. */
     readonly groupIntervalMs: number;
+    /** Transactions a second that all nodes together may use; with more nodes the groups get larger. */
+    readonly writesPerSecond: number;
     readonly maximumGroupRows: number;
     readonly maximumPending: number;
     readonly firstRetryMs: number;
@@ -48,6 +50,7 @@
     openClaimMs: 600_000,
     maximumAnswerBytes: 262_144,
     groupIntervalMs: 20,
+    writesPerSecond: 300,
     maximumGroupRows: 64,
     maximumPending: 10_000,
     firstRetryMs: 50,
@@ -63,9 +66,13 @@
     /** Tells whether an incarnation of a node is known to be gone for ever. */
     readonly isOwnerGone: (owner: string) => boolean;
     readonly createToken?: () => string;
+    /** Counts the nodes known to run, this one included; 1 when absent. */
+    readonly countNodes?: () => number;
     readonly settings?: Partial<ClaimStoreSettings>;
 }
 
+const millisecondsPerSecond = 1_000;
+
 /** One try to claim: its record, and what is known about its commits so far. */
 interface ClaimAttempt {
     readonly key: string;
@@ -95,7 +102,7 @@
             tableService: options.tableService,
             clock: options.clock,
             callTimeoutMs,
-            intervalMs: this.settings.groupIntervalMs,
+            readIntervalMs: () => this.computeIntervalMs(),
             maximumRows: this.settings.maximumGroupRows,
             maximumWaiting: maximumPending,
         });
@@ -144,6 +151,12 @@
         this.settler.close();
     }
 
+    private computeIntervalMs(): number {
+        const { groupIntervalMs, writesPerSecond } = this.settings;
+        const nodes = this.options.countNodes?.() ?? 1;
+        return Math.max(groupIntervalMs, (nodes * millisecondsPerSecond) / writesPerSecond);
+    }
+
     private createAttempt(request: ClaimRequest): ClaimAttempt {
         const { clock, createToken = randomUUID } = this.options;
         return {
--- a/packages/state/src/retrying/groupCommitter.ts
+++ b/packages/state/src/retrying/groupCommitter.ts
@@ -26,8 +26,8 @@
     readonly clock: WaitingClock;
     /** Bound on one transaction, in milliseconds. */
     readonly callTimeoutMs: number;
-    /** Least time between the starts of two transactions, in milliseconds. */
-    readonly intervalMs: number;
+    /** Reads the least time between the starts of two transactions, in milliseconds. */
+    readonly readIntervalMs: () => number;
     /** Most rows in one transaction. */
     readonly maximumRows: number;
     /** Most writes that wait; more are refused as `Unavailable`. */
@@ -76,7 +76,7 @@
             const startedMs = this.options.clock.monotonicMs();
             await this.commitGroup(this.takeGroup());
             const elapsedMs = this.options.clock.monotonicMs() - startedMs;
-            await this.options.clock.wait(this.options.intervalMs - elapsedMs);
+            await this.options.clock.wait(this.options.readIntervalMs() - elapsedMs);
         }
         this.running = false;
     }
