Measure how changes and withdrawals come into force on real nodes

Cause: the bounds for configuration and withdrawal were known from followers under a manual clock only. Ruled out: measuring inside the nodes (it would not see the way from the operator's call). Change: npm run slopes -- rollout starts 3 and 9 nodes as processes, applies 10 changes in calm and with 500 ms added to every call of the table service, freezes one node (SIGSTOP) across a change, withdraws 5 keys, and counts store calls in calm. The launcher of the demo moved to packages/cli/src/deployment for both.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -8,7 +8,7 @@
     state: ["types", "schema", "policy", "platform", "telemetry"],
     node: ["types", "telemetry", "schema", "policy", "platform", "state"],
     standins: ["types", "schema", "platform"],
-    bench: ["types", "telemetry", "schema", "policy", "platform", "state", "node", "standins"],
+    bench: ["types", "telemetry", "schema", "policy", "platform", "state", "node", "standins", "cli"],
     // The demo launches the stand-ins.
     cli: ["types", "telemetry", "schema", "platform", "state", "node", "standins"],
 };
--- /dev/null
+++ b/packages/bench/src/rollout/rolloutDeployment.ts
@@ -0,0 +1,212 @@
+/**
+ * Nodes as processes, steered over the operator interface, for measuring how changes come into force.
+ *
+ * @packageDocumentation
+ */
+import {
+    createOperatorClient,
+    ExampleFolder,
+    ProcessDeployment,
+    type OperatorClient,
+} from "@pimentocleat/cli";
+import { ApplyOutcome } from "@pimentocleat/schema";
+import { SystemClock } from "@pimentocleat/types";
+import { createHash } from "node:crypto";
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import { request } from "undici";
+
+const pollMs = 5;
+/** Longest wait for a change on one node, in milliseconds. */
+const waitLimitMs = 30_000;
+const scratchFile = "90-rollout.yaml";
+
+/** A fault of the platform stand-in. */
+export interface PlatformFault {
+    readonly kind: string;
+    readonly service?: string;
+    readonly call?: string;
+    readonly delayMs?: number;
+}
+
+/** Calls that the platform received, by service and call. */
+export type PlatformCalls = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
+/** A deployment of processes with a client for each node. */
+export class RolloutDeployment {
+    private readonly clock = new SystemClock();
+    private readonly clients: OperatorClient[] = [];
+    private content: string | undefined;
+    private changes = 0;
+
+    private constructor(
+        readonly processes: ProcessDeployment,
+        private readonly folder: ExampleFolder,
+    ) {}
+
+    /**
+     * Starts a deployment with the example's configuration in force.
+     *
+     * @param examplePath - Folder of the example.
+     * @param nodeCount - Number of nodes.
+     * @returns The deployment; the caller stops it.
+     */
+    static async start(examplePath: string, nodeCount: number): Promise<RolloutDeployment> {
+        const folder = await ExampleFolder.copyExample(examplePath);
+        const processes = new ProcessDeployment({ configuration: folder.configuration, nodeCount });
+        const deployment = new RolloutDeployment(processes, folder);
+        await processes.start();
+        await folder.writeFiles(processes.serverAddresses);
+        await deployment.applyFolder();
+        return deployment;
+    }
+
+    /** Stops every process. */
+    async stop(): Promise<void> {
+        await this.processes.stop();
+        await this.folder.remove();
+    }
+
+    /**
+     * Changes the configuration once.
+     *
+     * @returns The revision that the change got.
+     */
+    async applyChange(): Promise<number> {
+        this.changes += 1;
+        const content = `customers:\n    - name: rollout-${this.changes}\n`;
+        const baseDigest = this.content === undefined ? undefined : computeDigest(this.content);
+        const change = { name: scratchFile, content, ...(baseDigest === undefined ? {} : { baseDigest }) };
+        const answer = await this.getClient(0).applyConfiguration({ author: "rollout", changes: [change] });
+        if (answer.outcome !== ApplyOutcome.APPLIED) {
+            throw new Error(`the change was not applied: ${ApplyOutcome[answer.outcome]}`);
+        }
+        this.content = content;
+        return Number(answer.revision);
+    }
+
+    /**
+     * Waits until a node has a revision in force.
+     *
+     * @param node - Index of the node.
+     * @param revision - The revision.
+     * @param startMs - Monotonic time of the change, in milliseconds.
+     * @returns Time since the start, in milliseconds.
+     */
+    async waitForRevision(node: number, revision: number, startMs: number): Promise<number> {
+        return this.waitFor(startMs, async () => (await this.readRevision(node)) >= revision);
+    }
+
+    /**
+     * Waits until a node refuses a key as withdrawn.
+     *
+     * @param node - Index of the node.
+     * @param secret - The key's secret.
+     * @param startMs - Monotonic time of the withdrawal, in milliseconds.
+     * @returns Time since the start, in milliseconds.
+     */
+    async waitForRefusal(node: number, secret: string, startMs: number): Promise<number> {
+        const address = this.processes.nodes[node]?.callerAddress;
+        return this.waitFor(startMs, async () => {
+            const answer = await request(`http://${address}/v1/models`, {
+                headers: { authorization: `Bearer ${secret}` },
+            });
+            return answer.statusCode === 401 && (await answer.body.text()).includes("key_withdrawn");
+        });
+    }
+
+    /**
+     * Creates a key and waits until every node accepts it.
+     *
+     * @param keyId - Identifier of the key.
+     * @returns The secret.
+     */
+    async createKey(keyId: string): Promise<string> {
+        const customer = this.processes.configuration.customers[0]?.name ?? "";
+        const answer = await this.getClient(0).createKey({ author: "rollout", keyId, customer });
+        const revision = Number(answer.result?.revision);
+        const startMs = this.clock.monotonicMs();
+        await Promise.all(this.listNodes().map((node) => this.waitForRevision(node, revision, startMs)));
+        return answer.secret;
+    }
+
+    /**
+     * Withdraws a key.
+     *
+     * @param keyId - Identifier of the key.
+     */
+    async withdrawKey(keyId: string): Promise<void> {
+        await this.getClient(0).withdrawKey({ author: "rollout", keyId });
+    }
+
+    /**
+     * Replaces the platform's faults.
+     *
+     * @param faults - The faults; none clears them.
+     */
+    async setPlatformFaults(faults: readonly PlatformFault[]): Promise<void> {
+        const answer = await request(`http://${this.processes.platformAddress}/faults`, {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify({ faults }),
+        });
+        await answer.body.dump();
+    }
+
+    /** @returns Calls that the platform received so far. */
+    async readPlatformCalls(): Promise<PlatformCalls> {
+        const answer = await request(`http://${this.processes.platformAddress}/record`);
+        const { callCounts } = (await answer.body.json()) as { callCounts: PlatformCalls };
+        return callCounts;
+    }
+
+    /** @returns Indices of all nodes. */
+    listNodes(): readonly number[] {
+        return [...this.processes.nodes.keys()];
+    }
+
+    private async applyFolder(): Promise<void> {
+        const names = await readdir(this.folder.path);
+        const changes = await Promise.all(
+            names.map(async (name) => ({
+                name,
+                content: await readFile(join(this.folder.path, name), "utf8"),
+            })),
+        );
+        const answer = await this.getClient(0).applyConfiguration({ author: "rollout", changes });
+        const startMs = this.clock.monotonicMs();
+        await Promise.all(
+            this.processes.nodes.map((node, index) =>
+                this.waitForRevision(index, Number(answer.revision), startMs),
+            ),
+        );
+    }
+
+    private getClient(node: number): OperatorClient {
+        const address = this.processes.nodes[node]?.operatorAddress ?? "";
+        this.clients[node] ??= createOperatorClient({
+            address,
+            credential: this.processes.operatorCredential,
+        });
+        return this.clients[node];
+    }
+
+    private async readRevision(node: number): Promise<number> {
+        const answer = await this.getClient(node).getStatus({});
+        return Number(answer.node?.revision ?? 0);
+    }
+
+    private async waitFor(startMs: number, isDone: () => Promise<boolean>): Promise<number> {
+        while (!(await isDone())) {
+            if (this.clock.monotonicMs() - startMs > waitLimitMs) {
+                throw new Error(`a node did not follow within ${waitLimitMs} ms`);
+            }
+            await this.clock.wait(pollMs);
+        }
+        return this.clock.monotonicMs() - startMs;
+    }
+}
+
+function computeDigest(content: string): string {
+    return createHash("sha256").update(content).digest("hex");
+}
--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -5,9 +5,10 @@
  */
 import { cac } from "cac";
 import { PeerSlope } from "./peerSlope.js";
+import { RolloutSlope } from "../rollout/rolloutSlope.js";
 import { formatSlope, type Slope } from "./slope.js";
 
-const slopes: readonly Slope[] = [new PeerSlope()];
+const slopes: readonly Slope[] = [new PeerSlope(), new RolloutSlope()];
 const defaultDurationMs = 10_000;
 
 /**
--- a/packages/cli/src/demo/demoSteps.ts
+++ b/packages/cli/src/demo/demoSteps.ts
@@ -5,9 +5,9 @@
  */
 import { request } from "undici";
 import type { WaitingClock } from "@pimentocleat/types";
-import { runCommandLine } from "./commandLine.js";
-import { sendCall, type DemoAnswer } from "./demoCaller.js";
-import type { DemoDeployment, DemoNode } from "./demoDeployment.js";
+import { runCommandLine } from "../deployment/commandLine.js";
+import { sendCall, type CallerAnswer } from "../deployment/caller.js";
+import type { ProcessDeployment, LaunchedNode } from "../deployment/processDeployment.js";
 
 const model = "copywriter";
 const orderId = "leaflet-42";
@@ -27,7 +27,7 @@
 
 /** What the steps need. */
 export interface StepContext {
-    readonly deployment: DemoDeployment;
+    readonly deployment: ProcessDeployment;
     readonly folderPath: string;
     readonly clock: WaitingClock;
     /** Longest time until every node refuses a withdrawn key, in milliseconds. */
@@ -102,7 +102,7 @@
         );
     }
 
-    private async askModel(step: string, requestClass: string, node: DemoNode): Promise<StepResult> {
+    private async askModel(step: string, requestClass: string, node: LaunchedNode): Promise<StepResult> {
         const answer = await this.askChat(node, requestClass, draftTokens, false);
         const isWhole = answer.status === 200 && answer.text.includes('"finish_reason"');
         return buildResult(
@@ -114,7 +114,7 @@
         );
     }
 
-    private async confirmOrder(node: DemoNode, expectReplay: boolean): Promise<StepResult> {
+    private async confirmOrder(node: LaunchedNode, expectReplay: boolean): Promise<StepResult> {
         const answer = await sendCall({
             address: node.callerAddress,
             secret: this.secret,
@@ -193,7 +193,7 @@
         return buildResult("withdraw the key", "entry-1, entry-2", expected, seen, refused);
     }
 
-    private askJob(node: DemoNode): Promise<DemoAnswer> {
+    private askJob(node: LaunchedNode): Promise<CallerAnswer> {
         const path = `/jobs/${orderId}`;
         return sendCall({
             address: node.callerAddress,
@@ -204,12 +204,12 @@
     }
 
     private askChat(
-        node: DemoNode,
+        node: LaunchedNode,
         requestClass: string,
         tokens: number,
         stream: boolean,
         onPart?: () => void,
-    ): Promise<DemoAnswer> {
+    ): Promise<CallerAnswer> {
         const messages = [{ role: "user", content: "Write the copy for this week's leaflet." }];
         return sendCall({
             address: node.callerAddress,
@@ -229,7 +229,7 @@
         }
     }
 
-    private async readRevision(node: DemoNode): Promise<number> {
+    private async readRevision(node: LaunchedNode): Promise<number> {
         const target = this.buildTarget(node);
         const { nodes } = (await runCommandLine(target, ["config", "status"])) as {
             nodes: readonly { name: string; revision: number }[];
@@ -241,13 +241,13 @@
         return runCommandLine(this.buildTarget(this.getNode(0)), parameters);
     }
 
-    private buildTarget(node: DemoNode): { operatorAddress: string; credential: string } {
+    private buildTarget(node: LaunchedNode): { operatorAddress: string; credential: string } {
         const credential = this.context.deployment.operatorCredential;
         return { operatorAddress: node.operatorAddress, credential };
     }
 
-    private getNode(index: number): DemoNode {
-        return this.context.deployment.nodes[index] as DemoNode;
+    private getNode(index: number): LaunchedNode {
+        return this.context.deployment.nodes[index] as LaunchedNode;
     }
 }
 
@@ -268,7 +268,7 @@
         .join(", ");
 }
 
-function describeStream(answer: DemoAnswer): string {
+function describeStream(answer: CallerAnswer): string {
     const end = answer.streamComplete ? "whole" : "cut";
     return `${countStreamTokens(answer.text)} tokens, ${end}`;
 }
--- a/packages/cli/src/demo/runDemo.ts
+++ b/packages/cli/src/demo/runDemo.ts
@@ -7,8 +7,8 @@
 import { SystemClock } from "@pimentocleat/types";
 import { formatTable, type Output } from "../output/output.js";
 import { ExitCode } from "../output/exitCodes.js";
-import { DemoDeployment } from "./demoDeployment.js";
-import { DemoFolder } from "./demoFolder.js";
+import { ProcessDeployment } from "../deployment/processDeployment.js";
+import { ExampleFolder } from "../deployment/exampleFolder.js";
 import { DemoSteps, type StepResult } from "./demoSteps.js";
 
 const examplePath = fileURLToPath(new URL("../../../../examples/volantino", import.meta.url));
@@ -24,8 +24,8 @@
  * @returns Success when every expectation held.
  */
 export async function runDemo(output: Output, withdrawalLimitMs = withdrawalTargetMs): Promise<ExitCode> {
-    const folder = await DemoFolder.copyExample(examplePath);
-    const deployment = new DemoDeployment(folder.configuration);
+    const folder = await ExampleFolder.copyExample(examplePath);
+    const deployment = new ProcessDeployment({ configuration: folder.configuration });
     const results: StepResult[] = [];
     let failure: string | undefined;
     try {
@@ -49,7 +49,7 @@
     output: Output,
     results: readonly StepResult[],
     failure: string | undefined,
-    deployment: DemoDeployment,
+    deployment: ProcessDeployment,
 ): ExitCode {
     const running = deployment.listProcessIds().filter(isRunning);
     const failed = results.filter((result) => !result.passed).map((result) => result.step);
--- a/packages/cli/src/demo/demoCaller.ts
+++ b/packages/cli/src/deployment/caller.ts
@@ -1,12 +1,12 @@
 /**
- * A caller of the demo: one try, whole answers.
+ * A caller that tries once and reads the whole answer.
  *
  * @packageDocumentation
  */
 import { request } from "undici";
 
 /** One call. */
-export interface DemoCall {
+export interface CallerCall {
     readonly address: string;
     readonly secret: string;
     readonly path: string;
@@ -18,7 +18,7 @@
 }
 
 /** What came back. */
-export interface DemoAnswer {
+export interface CallerAnswer {
     readonly status: number;
     readonly text: string;
     readonly requestId: string;
@@ -33,7 +33,7 @@
  * @param call - The call.
  * @returns The answer.
  */
-export async function sendCall(call: DemoCall): Promise<DemoAnswer> {
+export async function sendCall(call: CallerCall): Promise<CallerAnswer> {
     const { statusCode, headers, body } = await request(`http://${call.address}${call.path}`, {
         method: call.body === undefined ? "GET" : "POST",
         headers: {
--- a/packages/cli/src/demo/demoFolder.ts
+++ b/packages/cli/src/deployment/exampleFolder.ts
@@ -11,8 +11,8 @@
 /** Addresses by the name of the backend server. */
 export type ServerAddresses = ReadonlyMap<string, string>;
 
-/** A configuration folder that the demo owns. */
-export class DemoFolder {
+/** A temporary configuration folder. */
+export class ExampleFolder {
     private constructor(
         readonly path: string,
         readonly files: readonly ConfigurationFile[],
@@ -26,7 +26,7 @@
      * @returns The copy; the caller removes it.
      * @throws Error when the example is not valid.
      */
-    static async copyExample(examplePath: string): Promise<DemoFolder> {
+    static async copyExample(examplePath: string): Promise<ExampleFolder> {
         const names = (await readdir(examplePath)).filter((name) => name.endsWith(".yaml")).sort();
         const files = await Promise.all(
             names.map(async (name) => ({ name, content: await readFile(join(examplePath, name), "utf8") })),
@@ -35,7 +35,11 @@
         if (configuration === undefined) {
             throw new Error(`the example is not valid: ${JSON.stringify(problems)}`);
         }
-        return new DemoFolder(await mkdtemp(join(tmpdir(), "pimentocleat-demo-")), files, configuration);
+        return new ExampleFolder(
+            await mkdtemp(join(tmpdir(), "pimentocleat-example-")),
+            files,
+            configuration,
+        );
     }
 
     /**
--- a/packages/cli/src/demo/demoDeployment.ts
+++ b/packages/cli/src/deployment/processDeployment.ts
@@ -1,5 +1,5 @@
 /**
- * The processes of the demo: stand-ins and nodes on ports that the system picks.
+ * Stand-ins and nodes as processes on ports that the system picks; for the demo, tests and measurements.
  *
  * @packageDocumentation
  */
@@ -8,14 +8,14 @@
 import type { Configuration, Pool } from "@pimentocleat/schema";
 import { launchFile, launchProgram, type LaunchedProgram } from "@pimentocleat/standins";
 
-const nodeCount = 3;
 const secretBytes = 24;
-/** How long a stopping node of the demo still accepts requests, in milliseconds. */
-const drainDelayMs = 300;
+const defaultNodeCount = 3;
+/** How long a stopping node still accepts requests, in milliseconds. */
+const defaultDrainDelayMs = 300;
 const daemonPath = fileURLToPath(new URL("../../bin/pimentocleatd.js", import.meta.url));
 
 /** A running node. */
-export interface DemoNode {
+export interface LaunchedNode {
     readonly name: string;
     readonly program: LaunchedProgram;
     readonly callerAddress: string;
@@ -23,29 +23,52 @@
     readonly peerAddress: string;
 }
 
-/** All processes of the demo. */
-export class DemoDeployment {
-    readonly nodes: DemoNode[] = [];
+/** Options of a {@link ProcessDeployment}. */
+export interface ProcessDeploymentOptions {
+    /** Says which backend servers to start. */
+    readonly configuration: Configuration;
+    /** Number of nodes; 3 when absent. */
+    readonly nodeCount?: number;
+    /** More flags of the platform stand-in. */
+    readonly platformParameters?: readonly string[];
+    /** More flags of every node. */
+    readonly nodeParameters?: readonly string[];
+}
+
+/** All processes of a deployment. */
+export class ProcessDeployment {
+    readonly nodes: LaunchedNode[] = [];
     readonly serverAddresses = new Map<string, string>();
     readonly operatorCredential = randomBytes(secretBytes).toString("base64url");
     private readonly peerSecret = randomBytes(secretBytes).toString("base64url");
     private readonly poolCredentials = new Map<string, string>();
     private readonly programs: LaunchedProgram[] = [];
 
-    /** @param configuration - The example; says which stand-ins to start. */
-    constructor(readonly configuration: Configuration) {}
+    private platform: LaunchedProgram | undefined;
+
+    /** @param options - What to start. */
+    constructor(private readonly options: ProcessDeploymentOptions) {}
+
+    /** The configuration whose backend servers run. */
+    get configuration(): Configuration {
+        return this.options.configuration;
+    }
+
+    /** Address of the platform stand-in; empty before {@link ProcessDeployment.start}. */
+    get platformAddress(): string {
+        return this.platform?.address ?? "";
+    }
 
     /** Starts the platform, the backend servers of all pools and the nodes. */
     async start(): Promise<void> {
-        const platform = await this.keep(launchProgram("platform"));
+        this.platform = await this.keep(launchProgram("platform", this.options.platformParameters));
         await Promise.all(this.configuration.pools.map((pool) => this.startPool(pool)));
         const dataCentres = this.configuration.pools.flatMap((pool) =>
             pool.servers.map((server) => server.dataCentre),
         );
         const distinct = [...new Set(dataCentres)];
-        for (let index = 0; index < nodeCount; index += 1) {
-            const dataCentre = distinct[index % distinct.length] ?? "local";
-            this.nodes.push(await this.startNode(index, dataCentre, platform.address));
+        for (let index = 0; index < (this.options.nodeCount ?? defaultNodeCount); index += 1) {
+            this.nodes.push(await this.startNode(index, distinct[index % distinct.length] ?? "local"));
         }
     }
 
@@ -83,15 +106,16 @@
         );
     }
 
-    private async startNode(index: number, dataCentre: string, platformAddress: string): Promise<DemoNode> {
+    private async startNode(index: number, dataCentre: string): Promise<LaunchedNode> {
         const name = `entry-${index + 1}`;
         const seeds = this.nodes.map((node) => node.peerAddress).join(",");
         const parameters = [
             ...["--name", name, "--data-centre", dataCentre],
             ...["--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0"],
-            ...["--peer-address", "127.0.0.1:0", "--platform-address", platformAddress],
-            ...["--drain-delay-ms", String(drainDelayMs)],
+            ...["--peer-address", "127.0.0.1:0", "--platform-address", this.platformAddress],
+            ...["--drain-delay-ms", String(defaultDrainDelayMs)],
             ...(seeds === "" ? [] : ["--peer-seeds", seeds]),
+            ...(this.options.nodeParameters ?? []),
         ];
         const environment = {
             ...process.env,
