--- a/packages/bench/src/rollout/rolloutDeployment.ts
+++ b/packages/bench/src/rollout/rolloutDeployment.ts
@@ -176,9 +176,7 @@
         const answer = await this.getClient(0).applyConfiguration({ author: "rollout", changes });
         const startMs = this.clock.monotonicMs();
         await Promise.all(
-            this.processes.nodes.map((node, index) =>
-                this.waitForRevision(index, Number(answer.revision), startMs),
-            ),
+            this.listNodes().map((node) => this.waitForRevision(node, Number(answer.revision), startMs)),
         );
     }
 
