Continue a moved request on the slot that the scheduler gave it

Cause: the request path offered a moved request anew, although the scheduler had already given it a slot on another server; that slot and the former one would have drifted from the truth. Ruled out: refusing moves of streams that can't continue in the scheduler, because it doesn't know what the caller has. Change: a move continues on its target without a new offer; a stream that can't continue is finished where it is, and both of its slots are freed at its end.

--- a/packages/node/src/dispatch/attempt.ts
+++ b/packages/node/src/dispatch/attempt.ts
@@ -11,7 +11,7 @@
 import { Exchange, type ExchangeReceiver, type ExchangeRequest } from "../upstream/exchange.js";
 import type { CallerStream } from "../streams/callerStream.js";
 import type { StreamRelay } from "../streams/streamRelay.js";
-import type { RunningListener } from "./poolTask.js";
+import type { RunningListener } from "./poolTaskOptions.js";
 import type { WholeAnswer } from "./routedRequest.js";
 
 /** How a try ended. */
@@ -42,6 +42,8 @@
     readonly stream: AttemptStream | undefined;
     /** Whether to go on when the caller is gone, because the request can't be repeated. */
     readonly uncancellable: boolean;
+    /** Whether a stream that has begun can continue on another server. */
+    readonly resumable: boolean;
 }
 
 /** Runs one try. */
@@ -51,6 +53,7 @@
     private streaming = false;
     private cancelReason: CancelReason | undefined;
     private moved = false;
+    private target: string | undefined;
     private resolve: (result: AttemptResult) => void = () => {};
 
     /** @param options - What to send and where the answer goes. */
@@ -77,14 +80,21 @@
         this.exchange.cancel(reason);
     }
 
-    onMove(): void {
-        if (this.options.uncancellable) {
+    onMove(server: string): void {
+        this.target = server;
+        const begun = (this.options.stream?.relay.streamedTokens ?? 0) > 0;
+        if (this.options.uncancellable || (begun && !this.options.resumable)) {
             return;
         }
         this.moved = true;
         this.exchange.cancel("moved to another server");
     }
 
+    /** Server on which the scheduler holds a slot for the request since it decided to move it. */
+    get moveTarget(): string | undefined {
+        return this.target;
+    }
+
     onHead(status: number, headers: IncomingHttpHeaders): string | undefined {
         const eventStream = headers["content-type"]?.startsWith("text/event-stream") ?? false;
         this.streaming = this.options.stream !== undefined && status === 200 && eventStream;
--- a/packages/node/src/dispatch/poolTask.ts
+++ b/packages/node/src/dispatch/poolTask.ts
@@ -19,37 +19,15 @@
     type QueuedRequest,
 } from "@pimentocleat/policy";
 import type { BackendServer, Pool } from "@pimentocleat/schema";
-import { ErrorKind, RouterError, type WaitingClock } from "@pimentocleat/types";
+import { ErrorKind, RouterError } from "@pimentocleat/types";
 import { buildCancelError, type ActiveRequest } from "./activeRequest.js";
-
-/** Permission to send a request to a server. */
-export interface StartGrant {
-    readonly server: BackendServer;
-    readonly priority: number;
-}
-
-/** Receives what happens to a running request. */
-export interface RunningListener {
-    /** The request has to stop on its server. */
-    onCancel(reason: CancelReason): void;
-    /** The request should continue on another server. */
-    onMove(): void;
-}
+import type { PoolTaskOptions, RunningListener, StartGrant } from "./poolTaskOptions.js";
 
 interface WaitingRequest {
     readonly resolve: (grant: StartGrant) => void;
     readonly reject: (error: RouterError) => void;
 }
 
-/** Options of a {@link PoolTask}. */
-export interface PoolTaskOptions {
-    readonly configuration: PoolConfiguration;
-    readonly scheduler: PoolScheduler;
-    readonly clock: WaitingClock;
-    /** Receives anything that the scheduler throws. */
-    readonly onError: (error: unknown) => void;
-}
-
 /** Dispatches the requests of one pool. */
 export class PoolTask {
     /** Bounds the retries of the pool to a share of its first tries. */
@@ -124,6 +102,16 @@
         this.running.set(requestId, listener);
     }
 
+    /**
+     * Finds a server of the pool.
+     *
+     * @param name - Name of the server.
+     * @returns The server, or undefined when the configuration no longer has it.
+     */
+    findServer(name: string): BackendServer | undefined {
+        return this.servers.get(name);
+    }
+
     /** @param requestId - A running request whose first token arrived. */
     recordFirstToken(requestId: string): void {
         this.scheduler.recordFirstToken(requestId);
@@ -255,7 +243,7 @@
                 this.running.get(decision.requestId)?.onCancel(decision.reason);
                 break;
             case "move":
-                this.running.get(decision.requestId)?.onMove();
+                this.running.get(decision.requestId)?.onMove(decision.server);
                 break;
         }
     }
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { AttemptOutcome } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import type { UsageRecorder } from "@pimentocleat/state";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
@@ -18,7 +19,8 @@
 import { Attempt, type AttemptResult } from "./attempt.js";
 import { buildExchangeBody } from "./buildExchangeBody.js";
 import { buildFailureError, chooseFailureAction, convertFailureToOutcome } from "./chooseFailureAction.js";
-import type { PoolTask, StartGrant } from "./poolTask.js";
+import type { PoolTask } from "./poolTask.js";
+import type { StartGrant } from "./poolTaskOptions.js";
 import type { PoolTasks } from "./poolTasks.js";
 import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
 import {
@@ -90,6 +92,7 @@
             attempt: 1,
             tries: 1,
             sent: false,
+            moveTarget: undefined,
             lastError: undefined,
         };
     }
@@ -107,13 +110,14 @@
     }
 
     private async runAttempts(state: RunState): Promise<RunResult> {
+        let grant = await this.waitForGrant(state);
         for (;;) {
-            const grant = await this.waitForGrant(state);
             const result = await this.runGrant(state, grant);
             if (result.type !== "failed") {
                 return this.finishAttempt(state, grant, result);
             }
             this.handleFailure(state, grant, result);
+            grant = takeMovedGrant(state, grant) ?? (await this.waitForGrant(state));
         }
     }
 
@@ -132,7 +136,7 @@
         try {
             return await this.runAttempt(state, grant);
         } catch (error) {
-            state.task.recordOutcome(state.context.request.requestId, grant.server.name, "cancelled");
+            recordOutcome(state, grant, "cancelled");
             throw error;
         }
     }
@@ -148,11 +152,13 @@
             maximumAnswerBytes: this.options.limits.maximumAnswerBytes,
             stream: relay !== undefined && caller !== undefined ? { relay, caller } : undefined,
             uncancellable: !request.repeatable,
+            resumable: request.modelCall?.resumable ?? false,
         });
         task.setRunningListener(request.requestId, attempt);
         active.setCancelListener((reason) => attempt.onCancel(reason));
         const result = await attempt.run();
         active.setCancelListener(undefined);
+        state.moveTarget = attempt.moveTarget;
         return result;
     }
 
@@ -202,7 +208,7 @@
         const { requestId } = context.request;
         if (result.type === "streamed") {
             meter.setReportedUsage(state.tries === 1 ? relay?.reportedUsage : undefined);
-            task.recordOutcome(requestId, grant.server.name, "completed");
+            recordOutcome(state, grant, "completed");
             return "streamed";
         }
         const usage = context.request.modelCall && readTokenUsage(result.parsedBody);
@@ -210,18 +216,18 @@
             meter.setReportedUsage(usage);
             task.recordTokens(requestId, usage.completionTokens);
         }
-        task.recordOutcome(requestId, grant.server.name, "completed");
+        recordOutcome(state, grant, "completed");
         return result.answer;
     }
 
     private handleFailure(state: RunState, grant: StartGrant, result: FailedResult): void {
         const { context, task } = state;
         const { failure, cancelReason, moved } = result;
-        const { request, trace } = context;
+        const { trace } = context;
         const situation = buildSituation(state, result);
         state.sent ||= failure.sent && failure.type !== "rejected";
         const outcome = cancelReason === undefined && !moved ? convertFailureToOutcome(failure) : "cancelled";
-        task.recordOutcome(request.requestId, grant.server.name, outcome);
+        recordOutcome(state, grant, outcome, moved);
         trace.addStep("failed", `${grant.server.name}: ${failure.type}, ${failure.message}`);
         if (cancelReason !== undefined) {
             throw buildCancelError(cancelReason, state.sent);
@@ -244,3 +250,31 @@
         this.options.logger.writeEvent("requestRetried", { requestId: request.requestId, reason });
     }
 }
+
+/**
+ * Records the outcome and frees the slot. A request that finished where it was, although the scheduler
+ * had decided to move it, holds a second slot.
+ */
+function recordOutcome(state: RunState, grant: StartGrant, outcome: AttemptOutcome, moved = false): void {
+    const { task, context, moveTarget } = state;
+    task.recordOutcome(context.request.requestId, grant.server.name, outcome);
+    if (moveTarget !== undefined && !moved) {
+        state.moveTarget = undefined;
+        task.recordOutcome(context.request.requestId, moveTarget, outcome);
+    }
+}
+
+/** A moved request has its slot already; it needs no other one. */
+function takeMovedGrant(state: RunState, grant: StartGrant): StartGrant | undefined {
+    const { moveTarget, task, context } = state;
+    if (moveTarget === undefined) {
+        return undefined;
+    }
+    state.moveTarget = undefined;
+    const server = task.findServer(moveTarget);
+    if (server === undefined) {
+        task.recordOutcome(context.request.requestId, moveTarget, "cancelled");
+        return undefined;
+    }
+    return { server, priority: grant.priority };
+}
--- a/packages/node/src/dispatch/runState.ts
+++ b/packages/node/src/dispatch/runState.ts
@@ -45,6 +45,8 @@
     tries: number;
     /** Whether a try may have reached a backend server. */
     sent: boolean;
+    /** Server on which the scheduler holds a slot since it decided to move the request. */
+    moveTarget: string | undefined;
     /** What the caller gets when no server can take over. */
     lastError: RouterError | undefined;
 }
