Bound callers that take nothing and count served and wasted tokens

Cause: a caller that never reads a large whole answer would have held up a planned stop for ever; an engine without the model answered the caller 404; a refused pool credential reached the caller as 401, as if its key were wrong; tokens.served and tokens.wasted were never sent. Ruled out: a timeout for every socket, because a caller may wait for minutes without any byte. Change: answers over 64 KiB end after stalledCallerMs without progress; 404 with x-executed: no from an engine is a rejection; 401 from a backend server is a failure; both token counters. Conclusion: a stop waits only for callers that make progress.

--- a/packages/node/src/__tests__/gracefulStop.test.ts
+++ b/packages/node/src/__tests__/gracefulStop.test.ts
@@ -62,4 +62,17 @@
         await stop;
         expect(received).toBeGreaterThan(body.length);
     });
+
+    it("is not held up by a caller that takes nothing", async () => {
+        const service = await bed.startBackend(answerJson("x".repeat(16_777_216)));
+        const limits = { drainDelayMs: 0, stalledCallerMs: 300 };
+        const node = await bed.startNode({ services: [service], limits });
+        const socket = connect(Number(node.handle.callerAddress.split(":")[1]), "127.0.0.1").pause();
+        socket.write(`GET /jobs/1 HTTP/1.1\r\nhost: a\r\nx-api-key: ${secret}\r\n\r\n`);
+        const finished = { class: "standard", status: "200" };
+        await expect.poll(() => node.metrics.readValue("request.finished", finished)).toBe(1);
+        await node.handle.stop();
+        expect(node.handle.countRequests()).toBe(0);
+        socket.destroy();
+    });
 });
--- a/packages/node/src/__tests__/streams.test.ts
+++ b/packages/node/src/__tests__/streams.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from "vitest";
 import { buildChat, callNode, readStreamText } from "./support/callNode.js";
 import {
+    answerJson,
     formatToken,
     listWords,
     streamWords,
@@ -44,6 +45,17 @@
 describe("streams", () => {
     const bed = createTestBed();
 
+    it("goes to another engine when one has not loaded the model", async () => {
+        const bare = await bed.startBackend(
+            answerJson({ message: "not loaded" }, 404, { "x-executed": "no" }),
+        );
+        const good = await bed.startBackend(streamWords({ words }));
+        const node = await bed.startNode({ engines: [bare, good] });
+        expect(readStreamText((await callNode(node, call)).text)).toBe(whole);
+        expect(node.metrics.readValue("tokens.served", { class: "standard" })).toBe(words.length);
+        expect(node.metrics.readValue("request.retried", { reason: "rejected" })).toBe(1);
+    });
+
     it.each(brokenStreams)(
         "$name: another engine continues without a lost or doubled token",
         async (fault) => {
@@ -68,6 +80,8 @@
         const answer = await callNode(node, { ...call, body: buildChat({ stream: true, n: 2 }) });
         expect(answer.text).toMatch(/event: error\ndata: \{"error":\{"kind":"stream_interrupted".*\n\n$/);
         expect(answer.text).not.toContain("[DONE]");
+        const wasted = node.metrics.readValue("tokens.wasted", { reason: "stream_interrupted" });
+        expect(wasted).toBe(readStreamText(answer.text.split("event: error")[0] ?? "").match(/ w/g)?.length);
         expect(good.requests).toHaveLength(0);
     });
 
--- a/packages/node/src/__tests__/support/faults.ts
+++ b/packages/node/src/__tests__/support/faults.ts
@@ -56,6 +56,11 @@
     response.writeHead(503, { "x-request-id": wireId, "x-executed": "no", "retry-after": "7" }).end();
 };
 
+/** Does not accept the pool's credential. */
+export const refuseCredential: Behavior = ({ response, wireId }) => {
+    response.writeHead(401, { "x-request-id": wireId }).end();
+};
+
 /** Refuses without saying whether it ran. */
 export const refuseUnclearly: Behavior = ({ response, wireId }) => {
     response.writeHead(503, { "x-request-id": wireId }).end();
@@ -73,5 +78,6 @@
     { name: "no length", behavior: answerWithoutLength, kind: "backend_failed", executed: "unknown" },
     { name: "server error", behavior: failWithStatus, kind: "backend_failed", executed: "unknown" },
     { name: "unclear refusal", behavior: refuseUnclearly, kind: "backend_failed", executed: "unknown" },
+    { name: "credential refused", behavior: refuseCredential, kind: "backend_failed", executed: "unknown" },
     { name: "rejection", behavior: reject, kind: "backend_refused", executed: "no" },
 ] as const;
--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -17,6 +17,9 @@
 import { CallerStream } from "../streams/callerStream.js";
 import type { AdmittedRequest, RequestRouter } from "./requestRouter.js";
 
+/** Answers that may not fit into the socket's buffer, so that a caller can hold them up. */
+const stallGuardBytes = 65_536;
+
 /** Options of a {@link RequestHandler}. */
 export interface RequestHandlerOptions {
     readonly router: RequestRouter;
@@ -110,6 +113,9 @@
         if (result.replayed) {
             reply.header("idempotent-replayed", "true");
         }
+        if (result.body.length > stallGuardBytes) {
+            reply.raw.setTimeout(this.options.limits.stalledCallerMs, () => reply.raw.destroy());
+        }
         return reply.send(result.body);
     }
 
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -7,7 +7,7 @@
 import type { AttemptOutcome } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import type { UsageRecorder } from "@pimentocleat/state";
-import type { Logger, Metrics } from "@pimentocleat/telemetry";
+import type { Logger, Metrics, MetricTags } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { readTokenUsage } from "../streams/streamEvent.js";
@@ -32,6 +32,10 @@
     type RunState,
 } from "./runState.js";
 
+const serviceRejections: ReadonlySet<number> = new Set([401, 429, 503]);
+/** An engine also rejects a model that it has not loaded. */
+const engineRejections: ReadonlySet<number> = new Set([...serviceRejections, 404]);
+
 /** Options of a {@link RequestRunner}. */
 export interface RequestRunnerOptions {
     readonly tasks: PoolTasks;
@@ -68,13 +72,26 @@
         const state = this.createState(context, task);
         task.retryBudget.recordFirstTry();
         try {
-            return await this.runAttempts(state);
+            const result = await this.runAttempts(state);
+            this.recordTokens("tokens.served", { class: context.request.requestClass }, state);
+            return result;
+        } catch (error) {
+            const reason = context.active.cancelReason ?? (error as { kind?: string }).kind ?? "internal";
+            this.recordTokens("tokens.wasted", { reason }, state);
+            throw error;
         } finally {
             context.active.setCancelListener(undefined);
             state.meter.finish();
         }
     }
 
+    private recordTokens(name: "tokens.served" | "tokens.wasted", tags: MetricTags, state: RunState): void {
+        const { completionTokens } = state.meter;
+        if (completionTokens > 0) {
+            this.options.metrics.addCount(name, completionTokens, tags);
+        }
+    }
+
     private createState(context: RunContext, task: PoolTask): RunState {
         const { request, caller } = context;
         const meter = new UsageMeter(this.options.usage, request);
@@ -183,6 +200,7 @@
             wireId: state.tries === 1 ? request.requestId : `${request.requestId}.${state.tries}`,
             answerTimeoutMs: pool.answerTimeoutMs,
             fresh: !request.repeatable,
+            rejectionStatuses: request.modelCall === undefined ? serviceRejections : engineRejections,
         };
     }
 
--- a/packages/node/src/upstream/answerCollector.ts
+++ b/packages/node/src/upstream/answerCollector.ts
@@ -8,6 +8,8 @@
 import { selectAnswerHeaders } from "./forwardedRequest.js";
 
 const firstServerErrorStatus = 500;
+/** The caller's key is not forwarded, so this status is about the pool's credential. */
+const unauthorizedStatus = 401;
 
 /** Collects one answer. */
 export class AnswerCollector {
@@ -35,7 +37,7 @@
      * @returns Why the status is a failure, or undefined.
      */
     setHead(status: number, headers: IncomingHttpHeaders): string | undefined {
-        if (status >= firstServerErrorStatus) {
+        if (status >= firstServerErrorStatus || status === unauthorizedStatus) {
             return `status ${status}`;
         }
         this.status = status;
--- a/packages/node/src/upstream/exchange.ts
+++ b/packages/node/src/upstream/exchange.ts
@@ -11,9 +11,6 @@
 
 const requestIdHeader = "x-request-id";
 const millisecondsPerSecond = 1_000;
-/** Statuses that, with `x-executed: no`, say nothing to the caller but that the server did not run the request. */
-const rejectionStatuses: ReadonlySet<number> = new Set([401, 429, 503]);
-
 /** What is sent to a backend server. */
 export interface ExchangeRequest {
     /** IP address and port. */
@@ -28,6 +25,8 @@
     readonly answerTimeoutMs: number;
     /** Whether to open a connection of its own, used once. */
     readonly fresh: boolean;
+    /** Statuses that, with `x-executed: no`, only say that the server did not run the request. */
+    readonly rejectionStatuses: ReadonlySet<number>;
 }
 
 /** Receives the answer of an exchange. Exactly one of `onEnd` and `onFailure` is called last. */
@@ -147,7 +146,7 @@
             this.fail("mismatched", "the answer does not echo the request's identifier");
             return;
         }
-        if (rejectionStatuses.has(status) && headers["x-executed"] === "no") {
+        if (this.request.rejectionStatuses.has(status) && headers["x-executed"] === "no") {
             this.fail("rejected", `status ${status}, not run`, parseRetryAfter(headers["retry-after"]));
             return;
         }
--- a/scripts/renderCatalogues.ts
+++ b/scripts/renderCatalogues.ts
@@ -48,7 +48,8 @@
 its answer has one of these kinds, as \`{"error":{"kind","message","executed","requestId"}}\`, with \`x-request-id\`.
 
 - \`executed\` is a claim about backend servers. \`no\` is a promise: no byte of the request reached one, or it said with
-  status 401, 429 or 503 and \`x-executed: no\` that it rejected the request before running it. \`unknown\` is the absence of
+  status 401, 429 or 503 (an engine also with 404, model not loaded) and \`x-executed: no\` that it rejected the request
+  before running it. \`unknown\` is the absence of
   that promise. The table gives the default; a request that was sent overrides \`no\` by \`unknown\`, and one that was
   provably not sent overrides \`unknown\` by \`no\`.
 - \`Retry-After\` is in whole seconds, rounded up.
