--- a/packages/bench/src/experiments/decisionCost.ts
+++ b/packages/bench/src/experiments/decisionCost.ts
@@ -23,6 +23,7 @@
 const slotsPerServer = 8;
 const queueLengths = [10, 100, 1_000, 10_000, 100_000];
 const rounds = 3_000;
+const warmUpRequests = 1_000;
 const customerCount = 230;
 const prefixLength = 8;
 
@@ -53,6 +54,16 @@
             }
         }
     };
+    // Short answers first, so that admission expects that even a long queue drains in time.
+    while (next < warmUpRequests) {
+        offer();
+        take();
+        clock.advance(1);
+        for (const ended of running.splice(0)) {
+            scheduler.recordOutcome(ended.requestId, ended.server, "completed");
+        }
+    }
+    next = 0;
     while (next < queued + serverCount * slotsPerServer) {
         offer();
     }
@@ -109,7 +120,7 @@
 function buildRequest(index: number, nowMs: number): QueuedRequest {
     const name = index % 2 === 0 ? "first" : "second";
     return {
-        requestId: `request-${index}`,
+        requestId: `request-${nowMs}-${index}`,
         customer: `customer-${(index * 7) % customerCount}`,
         requestClass: `${name}-${1 + (index % 3)}`,
         arrivedMs: nowMs,
--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -51,7 +51,7 @@
     private servers: readonly ServerSlots[] = [];
     private home: ReadonlyMap<string, number> = new Map();
     private live: readonly string[] = [];
-    private guardUntilMs = -Infinity;
+    private guardUntilMs: number;
     /** Last summary received from each node. */
     private readonly received = new Map<string, number>();
     private demand: WaitingDemand | undefined;
@@ -62,6 +62,8 @@
     /** @param options - Clock, node and tiers. */
     constructor(private readonly options: LentSlotsOptions) {
         this.members = new Members(options.node);
+        // A new node knows no other yet: trust the reports at first.
+        this.guardUntilMs = options.clock.monotonicMs() + guardMs;
     }
 
     updateServers(servers: readonly ServerSlots[]): void {
--- a/packages/policy/src/fairness/fairQueue.ts
+++ b/packages/policy/src/fairness/fairQueue.ts
@@ -31,6 +31,8 @@
     readonly served: number;
 }
 
+/** A customer that becomes active may be behind the least served one by this much. */
+const activationCreditTokens = 0;
 const compactionLength = 64;
 
 /**
@@ -147,7 +149,7 @@
     countAhead(customer: string, tokens: number): number {
         const own = this.getAccount(customer);
         const least = this.findLeastServed()?.served ?? this.lastMinimum;
-        const ownServed = own.waiting > 0 ? own.served : Math.max(own.served, least);
+        const ownServed = own.waiting > 0 ? own.served : Math.max(own.served, least - activationCreditTokens);
         const ownTokens = Math.max(tokens, 1) / this.readWeight(customer);
         const turn = ownServed + own.waiting * ownTokens;
         let ahead = this.first.length + own.waiting;
@@ -172,7 +174,7 @@
 
     private activateAccount(account: CustomerAccount): void {
         const least = this.findLeastServed()?.served ?? this.lastMinimum;
-        account.served = Math.max(account.served, least);
+        account.served = Math.max(account.served, least - activationCreditTokens);
         this.pushAccount(account);
     }
 
