--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -26,3 +26,6 @@
 export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
 export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
 export { RetryBudget } from "./retries/retryBudget.js";
+export { Limiter } from "./limits/limiter.js";
+export type { LimitSummary } from "./limits/limiter.js";
+export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
--- /dev/null
+++ b/packages/policy/src/limits/subjectLimits.ts
@@ -0,0 +1,183 @@
+/**
+ * The limits of one customer or key on this node.
+ *
+ * @packageDocumentation
+ */
+import type { Limits } from "@pimentocleat/schema";
+import { ErrorKind } from "@pimentocleat/types";
+import { RateEstimator } from "../scheduling/estimators.js";
+import { SharedBucket } from "./sharedBucket.js";
+
+/** What one node used of a subject's limits; totals since the node's start, but for `running`. */
+export interface SubjectUsage {
+    readonly requests: number;
+    readonly tokens: number;
+    readonly running: number;
+}
+
+/** The answer to a request that is over a limit. */
+export interface LimitRefusal {
+    readonly kind: ErrorKind;
+    readonly retryAfterMs: number;
+}
+
+const requestBurstSeconds = 1;
+const tokenBurstSeconds = 10;
+const secondsPerMinute = 60;
+const concurrencyRetryAfterMs = 500;
+const shareMemoryMs = 1_000;
+const noUsage: SubjectUsage = { requests: 0, tokens: 0, running: 0 };
+
+/** Counts requests, tokens and requests in flight of a subject over all nodes. */
+export class SubjectLimits {
+    private requests: SharedBucket | undefined;
+    private tokens: SharedBucket | undefined;
+    private concurrency: number | undefined;
+    private usage = noUsage;
+    /** Own requests in flight that the other nodes don't know yet. */
+    private newRunning = 0;
+    private readonly peers = new Map<string, SubjectUsage>();
+    /** Recent requests as the summaries tell them, so that all nodes see the same. */
+    private readonly ownRate: RateEstimator;
+    private readonly peerRate: RateEstimator;
+    private spreadRequests = 0;
+
+    /**
+     * @param limits - The limits.
+     * @param nowMs - Monotonic time.
+     */
+    constructor(limits: Limits, nowMs: number) {
+        this.updateLimits(limits, nowMs);
+        this.ownRate = new RateEstimator(shareMemoryMs, nowMs);
+        this.peerRate = new RateEstimator(shareMemoryMs, nowMs);
+    }
+
+    /**
+     * @param limits - The limits from now on.
+     * @param nowMs - Monotonic time.
+     */
+    updateLimits(limits: Limits, nowMs: number): void {
+        const { requestsPerSecond, tokensPerMinute } = limits;
+        this.concurrency = limits.concurrency;
+        this.requests = updateBucket(this.requests, requestsPerSecond, requestBurstSeconds, nowMs);
+        const tokensPerSecond =
+            tokensPerMinute === undefined ? undefined : tokensPerMinute / secondsPerMinute;
+        this.tokens = updateBucket(this.tokens, tokensPerSecond, tokenBurstSeconds, nowMs);
+    }
+
+    /**
+     * Checks all limits without taking anything.
+     *
+     * @param nodes - Nodes that share the limits.
+     * @param nowMs - Monotonic time.
+     * @returns The refusal, or undefined when the request may run.
+     */
+    check(nodes: number, nowMs: number): LimitRefusal | undefined {
+        const share = this.computeShare(nodes, nowMs);
+        if (this.requests?.hasUnit(share, nowMs) === false) {
+            return {
+                kind: ErrorKind.RequestRateLimited,
+                retryAfterMs: Math.ceil(this.requests.readWaitMs(nowMs)),
+            };
+        }
+        if (this.tokens?.hasUnit(share, nowMs) === false) {
+            return {
+                kind: ErrorKind.TokenRateLimited,
+                retryAfterMs: Math.ceil(this.tokens.readWaitMs(nowMs)),
+            };
+        }
+        if (!this.hasPlace(share)) {
+            return { kind: ErrorKind.ConcurrencyLimited, retryAfterMs: concurrencyRetryAfterMs };
+        }
+        return undefined;
+    }
+
+    /** @param nowMs - Monotonic time at which a request starts. */
+    recordStart(nowMs: number): void {
+        this.requests?.recordTaken(1, nowMs);
+        this.newRunning += 1;
+        const { requests, tokens, running } = this.usage;
+        this.usage = { requests: requests + 1, tokens, running: running + 1 };
+    }
+
+    /**
+     * @param count - Generated tokens.
+     * @param nowMs - Monotonic time.
+     */
+    recordTokens(count: number, nowMs: number): void {
+        this.tokens?.recordTaken(count, nowMs);
+        this.usage = { ...this.usage, tokens: this.usage.tokens + count };
+    }
+
+    /** Notes that a request ended. */
+    recordEnd(): void {
+        this.newRunning = Math.max(0, this.newRunning - 1);
+        this.usage = { ...this.usage, running: this.usage.running - 1 };
+    }
+
+    /**
+     * Charges what another node used since its last summary.
+     *
+     * @param node - The node.
+     * @param usage - Its totals.
+     * @param nowMs - Monotonic time.
+     */
+    recordPeerUsage(node: string, usage: SubjectUsage, nowMs: number): void {
+        const before = this.peers.get(node) ?? noUsage;
+        this.peers.set(node, usage);
+        const requests = Math.max(0, usage.requests - before.requests);
+        this.peerRate.record(requests, nowMs);
+        this.requests?.recordPeerTaken(requests, nowMs);
+        this.tokens?.recordPeerTaken(Math.max(0, usage.tokens - before.tokens), nowMs);
+    }
+
+    /** @param node - A node that is gone, with its requests in flight. */
+    removePeer(node: string): void {
+        this.peers.delete(node);
+    }
+
+    /**
+     * @param nowMs - Monotonic time.
+     * @returns What the other nodes must know.
+     */
+    summarizeUsage(nowMs: number): SubjectUsage {
+        this.ownRate.record(this.usage.requests - this.spreadRequests, nowMs);
+        this.spreadRequests = this.usage.requests;
+        this.requests?.recordSummarized();
+        this.tokens?.recordSummarized();
+        this.newRunning = 0;
+        return this.usage;
+    }
+
+    /** Most of what is left is for the nodes that the subject uses; a little is for each other one. */
+    private computeShare(nodes: number, nowMs: number): number {
+        const own = this.ownRate.readPerSecond(nowMs);
+        return (own + 1) / (own + this.peerRate.readPerSecond(nowMs) + nodes);
+    }
+
+    private hasPlace(share: number): boolean {
+        if (this.concurrency === undefined) {
+            return true;
+        }
+        let running = this.usage.running;
+        for (const peer of this.peers.values()) {
+            running += peer.running;
+        }
+        const known = this.concurrency - running + this.newRunning;
+        return running < this.concurrency && this.newRunning < Math.ceil(known * share);
+    }
+}
+
+function updateBucket(
+    bucket: SharedBucket | undefined,
+    perSecond: number | undefined,
+    burstSeconds: number,
+    nowMs: number,
+): SharedBucket | undefined {
+    if (perSecond === undefined) {
+        return undefined;
+    }
+    const settings = { perSecond, depth: Math.max(1, perSecond * burstSeconds) };
+    bucket?.updateSettings(settings);
+    return bucket ?? new SharedBucket(settings, nowMs);
+}
