Split the scheduler and the experiment runner into smaller modules

Ruled out: leaving them until the tests of the experiments stand on them. Change: ClassRegistry, QueueReview, SlotUse, RunExchange, RunContext, run faults; a server that reports again 10 s after its notice ended is back in use. Conclusion: no behaviour changed but the return of servers.

--- a/packages/bench/src/experiments/experimentRun.ts
+++ b/packages/bench/src/experiments/experimentRun.ts
@@ -3,86 +3,38 @@
  *
  * @packageDocumentation
  */
-import type { CacheEvent, Decision, LoadReport, PoolScheduler, PoolSummary } from "@pimentocleat/policy";
+import type { Decision } from "@pimentocleat/policy";
 import { RetryBudget, chooseRetryAction } from "@pimentocleat/policy";
 import { ManualClock } from "@pimentocleat/types";
 import type { RunMeasures } from "../report/measures.js";
-import type { Deployment } from "./deployments.js";
 import type { EngineEvent } from "./engineModel.js";
 import { EngineModel } from "./engineModel.js";
-import type { PolicyVariant } from "./policyVariants.js";
+import { DeliveryQueue } from "./deliveryQueue.js";
+import type { NodeState } from "./nodeState.js";
 import { RandomSource } from "./randomSource.js";
 import type { RequestRecord } from "./runRecorder.js";
+import type { RunContext, RunOptions } from "./runContext.js";
+import { RunExchange } from "./runExchange.js";
 import { RunRecorder } from "./runRecorder.js";
 import type { Arrival } from "./workload.js";
 import { engineSpeed } from "./workload.js";
 
-/** Something that happens to the run at a time. */
-export interface Fault {
-    readonly atMs: number;
-    readonly apply: (run: ExperimentRun) => void;
-}
-
-/** Options of a run. */
-export interface RunOptions {
-    readonly deployment: Deployment;
-    readonly variant: PolicyVariant;
-    readonly arrivals: readonly Arrival[];
-    readonly durationMs: number;
-    readonly seed: number;
-    readonly faults?: readonly Fault[];
-    readonly nodes?: number;
-    /** Age of load reports when they arrive. */
-    readonly reportLagMs?: number;
-    /** Share of cache events that get lost. */
-    readonly cacheEventLoss?: number;
-    readonly cacheBlocks?: number;
-    /** Time from which full use of the slots is awaited, for `strandedMs`. */
-    readonly awaitFullFromMs?: number;
-}
-
-/** A node of the run. */
-export interface NodeState {
-    readonly name: string;
-    readonly scheduler: PoolScheduler;
-    readonly budget: RetryBudget;
-    state: "live" | "frozen" | "dead";
-    /** When the balancer and the other nodes have noticed that the node is dead. */
-    noticedMs: number;
-    /** What a frozen node finds when it wakes. */
-    backlog: (() => void)[];
-}
-
-interface Delivery {
-    readonly dueMs: number;
-    readonly deliver: () => void;
-}
-
 const stepMs = 10;
-const summaryIntervalMs = 200;
-const summaryDelayMs = 5;
-const reportIntervalMs = 500;
-const defaultReportLagMs = 300;
-const cacheEventLagMs = 400;
 const drainMs = 60_000;
-/** The balancer, or the lease of a queue's owner, needs this long to notice a dead node. */
-const noticeDeadMs = 2_000;
 const fullUseShare = 0.97;
 
 /** One policy under one workload. */
-export class ExperimentRun {
+export class ExperimentRun implements RunContext {
     readonly clock = new ManualClock();
     readonly nodes: NodeState[];
     readonly engines = new Map<string, EngineModel>();
     readonly recorder: RunRecorder;
     private readonly random: RandomSource;
-    private readonly records = new Map<string, RequestRecord>();
-    private readonly deliveries: Delivery[] = [];
-    private readonly cacheSequences = new Map<string, number>();
-    private readonly knownCaches = new Map<string, Set<string>>();
+    readonly records = new Map<string, RequestRecord>();
+    readonly deliveries = new DeliveryQueue(this.clock);
+    private readonly exchange: RunExchange;
     private readonly owners = new Map<string, NodeState>();
     private readonly waitingByClass = new Map<string, number>();
-    private summaries = 0;
     private nextArrival = 0;
     private nextFault = 0;
     private strandedUntilMs: number | undefined;
@@ -105,6 +57,7 @@
             const settings = { name, slots, cacheBlocks, ...engineSpeed };
             this.engines.set(name, new EngineModel(settings, () => this.random.next()));
         }
+        this.exchange = new RunExchange(this, () => this.random.next());
     }
 
     /** @returns The measures at the end of the run. */
@@ -123,65 +76,13 @@
             availableSlotMs: slots * this.options.durationMs,
             busySlotMs,
             overrun: Math.max(...[...this.engines.values()].map(({ overrun }) => overrun)),
-            summariesPerSecond: (this.summaries * 1_000) / this.options.durationMs / this.nodes.length,
+            summariesPerSecond:
+                (this.exchange.countSummaries() * 1_000) / this.options.durationMs / this.nodes.length,
             overrunMs: this.sumEngines((engine) => engine.overrunMs),
             strandedMs: this.readStrandedMs(),
         });
     }
 
-    /**
-     * Loses a node with all its requests; the engines stop them when its connections end.
-     *
-     * @param node - The node.
-     */
-    stopNode(node: NodeState): void {
-        node.state = "dead";
-        node.noticedMs = this.clock.monotonicMs() + noticeDeadMs;
-        for (const record of this.records.values()) {
-            if (this.getNode(record) === node && !record.isEnded) {
-                this.engines.get(record.server)?.cancel(record.arrival.requestId);
-                this.recorder.recordFailure(record);
-            }
-        }
-    }
-
-    /**
-     * Freezes a node for a time; what arrives meanwhile is handled when it wakes.
-     *
-     * @param node - The node.
-     * @param durationMs - How long.
-     */
-    freezeNode(node: NodeState, durationMs: number): void {
-        node.state = "frozen";
-        this.schedule(durationMs, () => {
-            node.state = "live";
-            const { backlog } = node;
-            node.backlog = [];
-            backlog.forEach((handle) => handle());
-        });
-    }
-
-    /**
-     * Tells all nodes that servers go, and takes the servers away at that time.
-     *
-     * @param servers - Names of the servers.
-     * @param noticeMs - Time until they go.
-     */
-    reclaimServers(servers: readonly string[], noticeMs: number): void {
-        const leavesAtMs = this.clock.monotonicMs() + noticeMs;
-        for (const server of servers) {
-            for (const { scheduler } of this.nodes) {
-                scheduler.recordLeaving({ server, leavesAtMs });
-            }
-            this.schedule(noticeMs, () => {
-                const engine = this.engines.get(server);
-                if (engine !== undefined) {
-                    engine.isDown = true;
-                }
-            });
-        }
-    }
-
     private isIdle(nowMs: number): boolean {
         return nowMs > this.options.durationMs && [...this.records.values()].every(({ isEnded }) => isEnded);
     }
@@ -193,13 +94,13 @@
             this.nextFault += 1;
             fault = faults[this.nextFault];
         }
-        this.deliverDue(nowMs);
+        this.deliveries.deliverDue();
         for (let arrival = arrivals[this.nextArrival]; arrival !== undefined && arrival.atMs <= nowMs;) {
             this.offerArrival(arrival);
             this.nextArrival += 1;
             arrival = arrivals[this.nextArrival];
         }
-        this.exchange(nowMs);
+        this.exchange.spread(nowMs);
         this.nodes.forEach((node) => this.applyDecisions(node));
         this.clock.advance(stepMs);
         for (const engine of this.engines.values()) {
@@ -225,76 +126,6 @@
         return fromMs === undefined ? undefined : (this.strandedUntilMs ?? Infinity) - fromMs;
     }
 
-    /** Spreads summaries, load reports and cache events. */
-    private exchange(nowMs: number): void {
-        this.nodes.forEach((node, index) => {
-            const phaseMs = Math.floor((index * summaryIntervalMs) / this.nodes.length / stepMs) * stepMs;
-            const isPeriodic = (nowMs + phaseMs) % summaryIntervalMs === 0;
-            if (node.state === "live" && (isPeriodic || node.scheduler.isSummaryDue?.() === true)) {
-                this.summaries += 1;
-                this.spreadSummary(node, node.scheduler.summarizePool());
-            }
-        });
-        if (nowMs % reportIntervalMs === 0) {
-            for (const engine of this.engines.values()) {
-                this.reportEngine(engine);
-            }
-        }
-    }
-
-    private spreadSummary(from: NodeState, summary: PoolSummary): void {
-        this.schedule(summaryDelayMs, () => {
-            for (const node of this.nodes) {
-                if (node !== from && node.state === "live") {
-                    node.scheduler.recordPeerSummary(summary);
-                }
-            }
-        });
-    }
-
-    private reportEngine(engine: EngineModel): void {
-        const lagMs = this.options.reportLagMs ?? defaultReportLagMs;
-        const report: LoadReport = { ...engine.readLoad(), ageMs: lagMs };
-        this.schedule(lagMs, () => this.eachLive((scheduler) => scheduler.recordLoadReport(report)));
-        const event = this.buildCacheEvent(engine);
-        if (event !== undefined && this.random.next() >= (this.options.cacheEventLoss ?? 0)) {
-            this.schedule(cacheEventLagMs, () => this.eachLive((node) => node.recordCacheEvent(event)));
-        }
-    }
-
-    private buildCacheEvent(engine: EngineModel): CacheEvent | undefined {
-        const server = engine.settings.name;
-        const known = this.knownCaches.get(server) ?? new Set<string>();
-        while (engine.cache.size > engine.settings.cacheBlocks) {
-            const [oldest] = engine.cache;
-            engine.cache.delete(oldest ?? "");
-        }
-        const stored = [...engine.cache].filter((block) => !known.has(block));
-        const removed = [...known].filter((block) => !engine.cache.has(block));
-        if (stored.length === 0 && removed.length === 0) {
-            return undefined;
-        }
-        const sequence = (this.cacheSequences.get(server) ?? 0) + 1;
-        this.cacheSequences.set(server, sequence);
-        this.knownCaches.set(server, new Set(engine.cache));
-        return { server, sequence, stored, removed, cleared: false };
-    }
-
-    private eachLive(apply: (scheduler: PoolScheduler) => void): void {
-        this.nodes.filter(({ state }) => state === "live").forEach(({ scheduler }) => apply(scheduler));
-    }
-
-    private schedule(delayMs: number, deliver: () => void): void {
-        this.deliveries.push({ dueMs: this.clock.monotonicMs() + delayMs, deliver });
-    }
-
-    private deliverDue(nowMs: number): void {
-        const due = this.deliveries.filter(({ dueMs }) => dueMs <= nowMs);
-        const later = this.deliveries.filter(({ dueMs }) => dueMs > nowMs);
-        this.deliveries.splice(0, this.deliveries.length, ...later);
-        due.forEach(({ deliver }) => deliver());
-    }
-
     private chooseNode(arrival: Arrival): NodeState {
         const nowMs = this.clock.monotonicMs();
         const known = this.nodes.filter(({ noticedMs }) => nowMs < noticedMs);
@@ -306,7 +137,7 @@
         return node;
     }
 
-    private getNode(record: RequestRecord): NodeState {
+    getNode(record: RequestRecord): NodeState {
         const node = this.owners.get(record.arrival.requestId);
         if (node === undefined) {
             throw new Error(`request ${record.arrival.requestId} has no node`);
--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -6,9 +6,10 @@
 import type { Clock } from "@pimentocleat/types";
 import type { LoadReport, PoolSummary } from "../scheduling/poolScheduler.js";
 import { computeHomeSlots } from "./homeSlots.js";
-import { LendingBook, lendTermMs } from "./lendingBook.js";
+import { LendingBook } from "./lendingBook.js";
 import { Members } from "./members.js";
 import { ReportedLoad } from "./reportedLoad.js";
+import { SlotUse } from "./slotUse.js";
 import type { ServerSlots, SlotPolicy, SlotSummary, WaitingDemand } from "./slotPolicy.js";
 
 /** Options of {@link LentSlots}. */
@@ -19,13 +20,6 @@
     readonly readTier: (requestClass: string) => number | undefined;
 }
 
-interface Loan {
-    readonly slots: Readonly<Record<string, number>>;
-    /** The slots are for requests of this tier and higher ones. */
-    readonly tier: number;
-    readonly receivedMs: number;
-}
-
 interface PeerNeed extends WaitingDemand {
     readonly waiting: number;
 }
@@ -34,20 +28,14 @@
 const summaryGapMs = 20;
 /** Of two nodes with the same tier, the slot's owner goes first unless the other is earlier by this. */
 const urgencyMarginMs = 200;
-/** Own slots are the home of a request that no loan was needed for. */
-const ownSource = "";
 
 /** Deterministic homes, lent on demand by tier; no coordinator and no agreement on the request path. */
 export class LentSlots implements SlotPolicy {
     private readonly members: Members;
     private readonly book = new LendingBook();
     private readonly loads = new Map<string, ReportedLoad>();
-    private readonly loans = new Map<string, Loan>();
+    private readonly use = new SlotUse();
     private readonly needs = new Map<string, PeerNeed>();
-    /** Owner of the slot that each running request holds, by server and request. */
-    private readonly sources = new Map<string, string>();
-    /** Running requests by owner and server. */
-    private readonly used = new Map<string, Map<string, number>>();
     private servers: readonly ServerSlots[] = [];
     private home: ReadonlyMap<string, number> = new Map();
     private live: readonly string[] = [];
@@ -73,7 +61,7 @@
 
     countFree(server: string, tier: number): number {
         const nowMs = this.readNowMs();
-        const free = this.countFreeHome(server, nowMs) + this.countFreeLoans(server, tier, nowMs);
+        const free = this.countFreeHome(server, nowMs) + this.use.countFreeLoans(server, tier, nowMs);
         if (free <= 0 || nowMs >= this.guardUntilMs) {
             return Math.max(0, free);
         }
@@ -93,20 +81,14 @@
         const nowMs = this.readNowMs();
         this.getLoad(server).recordChange(1, nowMs);
         const isHome = this.countFreeHome(server, nowMs) > 0;
-        const source = isHome ? ownSource : this.findLender(server, tier, nowMs);
-        this.sources.set(`${server} ${requestId}`, source ?? ownSource);
-        this.changeUsed(source ?? ownSource, server, 1);
+        const lender = isHome ? undefined : this.use.findLender(server, tier, nowMs);
+        this.use.recordStart(requestId, server, lender);
     }
 
     recordEnd(requestId: string, server: string): void {
         this.getLoad(server).recordChange(-1, this.readNowMs());
-        const key = `${server} ${requestId}`;
-        const source = this.sources.get(key);
-        if (source !== undefined) {
-            this.sources.delete(key);
-            this.changeUsed(source, server, -1);
-            this.hasReturns ||= source !== ownSource;
-        }
+        const isReturn = this.use.recordEnd(requestId, server);
+        this.hasReturns ||= isReturn;
     }
 
     recordLoadReport(report: LoadReport): void {
@@ -126,10 +108,9 @@
         this.book.recordUsed(summary.node, summary.borrowed?.[this.options.node] ?? {});
         this.book.recordAcknowledged(summary.node, summary.acknowledged?.[this.options.node] ?? 0);
         const slots = summary.lent?.[this.options.node] ?? {};
-        const former = this.loans.get(summary.node)?.slots ?? {};
-        this.hasReturns ||= Object.entries(former).some(([server, count]) => count > (slots[server] ?? 0));
         const tier = summary.lentTiers?.[this.options.node] ?? 0;
-        this.loans.set(summary.node, { slots, tier, receivedMs: nowMs });
+        const isLess = this.use.setLoan(summary.node, { slots, tier, receivedMs: nowMs });
+        this.hasReturns ||= isLess;
     }
 
     removePeer(node: string): void {
@@ -167,7 +148,7 @@
         return {
             lent: this.book.summarizeOffers(),
             lentTiers: Object.fromEntries([...this.needs].map(([node, { tier }]) => [node, tier])),
-            borrowed: this.summarizeBorrowed(),
+            borrowed: this.use.summarizeBorrowed(),
             acknowledged: Object.fromEntries(this.received),
         };
     }
@@ -196,45 +177,13 @@
 
     private removeSilentPeer(node: string): void {
         this.book.removeNode(node);
-        this.loans.delete(node);
+        this.use.removeLoan(node);
         this.needs.delete(node);
     }
 
     private countFreeHome(server: string, nowMs: number): number {
         const home = this.home.get(server) ?? 0;
-        return home - this.countUsed(ownSource, server) - this.book.countTaken(server, nowMs);
-    }
-
-    private countFreeLoans(server: string, tier: number, nowMs: number): number {
-        let free = 0;
-        for (const node of this.loans.keys()) {
-            free += Math.max(0, this.countLoan(node, server, tier, nowMs) - this.countUsed(node, server));
-        }
-        return free;
-    }
-
-    private countLoan(node: string, server: string, tier: number, nowMs: number): number {
-        const loan = this.loans.get(node);
-        if (loan === undefined || nowMs - loan.receivedMs > lendTermMs || tier > loan.tier) {
-            return 0;
-        }
-        return loan.slots[server] ?? 0;
-    }
-
-    private findLender(server: string, tier: number, nowMs: number): string | undefined {
-        return [...this.loans.keys()].find(
-            (node) => this.countLoan(node, server, tier, nowMs) > this.countUsed(node, server),
-        );
-    }
-
-    private countUsed(source: string, server: string): number {
-        return this.used.get(source)?.get(server) ?? 0;
-    }
-
-    private changeUsed(source: string, server: string, amount: number): void {
-        const servers = this.used.get(source) ?? new Map<string, number>();
-        this.used.set(source, servers);
-        servers.set(server, (servers.get(server) ?? 0) + amount);
+        return home - this.use.countOwn(server) - this.book.countTaken(server, nowMs);
     }
 
     private getLoad(server: string): ReportedLoad {
@@ -298,17 +247,6 @@
             }
         }
     }
-
-    private summarizeBorrowed(): Record<string, Record<string, number>> {
-        const borrowed: Record<string, Record<string, number>> = {};
-        for (const [node, servers] of this.used) {
-            const inUse = [...servers].filter(([, count]) => count > 0);
-            if (node !== ownSource && inUse.length > 0) {
-                borrowed[node] = Object.fromEntries(inUse);
-            }
-        }
-        return borrowed;
-    }
 }
 
 function compareDemands(left: WaitingDemand, right: WaitingDemand): number {
--- a/packages/policy/src/routing/serverHealth.ts
+++ b/packages/policy/src/routing/serverHealth.ts
@@ -18,6 +18,8 @@
 /** It leaves probation when its pace is below this much of the median. */
 const recoveryRatio = 1.5;
 const paceGain = 0.1;
+/** A server that goes late is not taken for one that came back. */
+const returnMarginMs = 10_000;
 
 /** Follows one server. */
 export class ServerHealth {
@@ -53,6 +55,20 @@
         this.leavesAtMs = Math.min(leavesAtMs, this.leavesAtMs ?? Infinity);
     }
 
+    /**
+     * Notes a sign of life; after the notice's end it means that the server is back.
+     *
+     * @param aliveMs - When the server was alive, in monotonic milliseconds.
+     * @returns Whether the server is back.
+     */
+    recordReturn(aliveMs: number): boolean {
+        if (this.leavesAtMs === undefined || aliveMs < this.leavesAtMs + returnMarginMs) {
+            return false;
+        }
+        this.leavesAtMs = undefined;
+        return true;
+    }
+
     /** @returns When the server goes, in monotonic milliseconds. */
     readLeavesAtMs(): number | undefined {
         return this.leavesAtMs;
--- a/packages/policy/src/scheduling/poolState.ts
+++ b/packages/policy/src/scheduling/poolState.ts
@@ -6,11 +6,12 @@
 import { AdmissionController } from "../admission/admissionController.js";
 import { LentSlots } from "../capacity/lentSlots.js";
 import { PeerDemand } from "../capacity/peerDemand.js";
-import type { SlotPolicy, WaitingDemand } from "../capacity/slotPolicy.js";
+import type { SlotPolicy } from "../capacity/slotPolicy.js";
 import { FloorKeeper } from "../fairness/floorKeeper.js";
 import { PeerLedger } from "../fairness/peerLedger.js";
 import { ServerRouter } from "../routing/serverRouter.js";
-import { ClassQueue } from "./classQueue.js";
+import type { ClassQueue } from "./classQueue.js";
+import { ClassRegistry } from "./classRegistry.js";
 import type {
     AttemptOutcome,
     LoadReport,
@@ -27,6 +28,7 @@
 
 /** State of one pool on one node. */
 export class PoolState {
+    readonly classes = new ClassRegistry();
     readonly waiting = new WaitingRequests();
     readonly running = new RunningRequests();
     readonly router = new ServerRouter();
@@ -36,9 +38,6 @@
     readonly order: QueueOrder;
     readonly floors: FloorKeeper;
     readonly admission: AdmissionController;
-    private classes = new Map<string, ClassQueue>();
-    private classesFromLowestTier: readonly ClassQueue[] = [];
-    private weights = new Map<string, number>();
     private configuration: PoolConfiguration;
 
     /** @param options - Options of the scheduler. */
@@ -64,18 +63,8 @@
      */
     updateConfiguration(configuration: PoolConfiguration): WaitingRequest[] {
         this.configuration = configuration;
-        this.weights = new Map(configuration.customers.map(({ name, weight }) => [name, weight]));
-        const former = this.classes;
-        this.classes = new Map();
-        for (const settings of configuration.classes) {
-            const classQueue = former.get(settings.name) ?? this.buildClassQueue(settings);
-            classQueue.settings = settings;
-            this.classes.set(settings.name, classQueue);
-        }
-        const classes = [...this.classes.values()];
-        this.classesFromLowestTier = classes.toSorted(
-            (left, right) => right.settings.tier - left.settings.tier,
-        );
+        this.classes.updateConfiguration(configuration, this.options.clock.monotonicMs());
+        const classes = this.classes.listFromLowestTier();
         this.order.updateClasses(classes);
         this.admission.updateClasses(classes);
         this.router.updateServers(configuration.pool.servers);
@@ -95,67 +84,9 @@
         this.slots.updateServers(servers);
     }
 
-    /**
-     * @param name - A class.
-     * @returns Its state, or undefined when the configuration doesn't have it.
-     */
-    findClass(name: string): ClassQueue | undefined {
-        return this.classes.get(name);
-    }
-
-    /** @returns The classes, lowest tier first. */
-    listClassesFromLowestTier(): readonly ClassQueue[] {
-        return this.classesFromLowestTier;
-    }
-
-    /**
-     * @param tier - A tier.
-     * @returns Whether requests of this or a higher tier wait.
-     */
-    hasWaitingBefore(tier: number): boolean {
-        return this.classesFromLowestTier.some(
-            ({ settings, queue }) => settings.tier <= tier && queue.countWaiting() > 0,
-        );
-    }
-
-    /** @returns The highest tier with waiting requests, and its earliest latest start. */
-    findDemand(): WaitingDemand | undefined {
-        let demand: WaitingDemand | undefined;
-        for (const { settings, queue } of this.classesFromLowestTier) {
-            const latestStartMs = queue.next()?.latestStartMs;
-            const isHigher = settings.tier < (demand?.tier ?? Infinity);
-            if (latestStartMs !== undefined && (isHigher || latestStartMs < (demand?.latestStartMs ?? 0))) {
-                demand = { tier: settings.tier, latestStartMs };
-            }
-        }
-        return demand;
-    }
-
-    /**
-     * @param nowMs - Monotonic time.
-     * @returns A request whose latest start has passed; it still has to be removed.
-     */
-    findDue(nowMs: number): WaitingRequest | undefined {
-        for (const { deadlines } of this.classesFromLowestTier) {
-            const entry = deadlines.takeDue(nowMs);
-            if (entry !== undefined) {
-                return this.waiting.find(entry.request.requestId);
-            }
-        }
-        return undefined;
-    }
-
-    /** @returns The earliest latest start of all waiting requests, in monotonic milliseconds. */
-    readEarliestMs(): number | undefined {
-        const earliestMs = Math.min(
-            ...this.classesFromLowestTier.map(({ deadlines }) => deadlines.readEarliestMs() ?? Infinity),
-        );
-        return Number.isFinite(earliestMs) ? earliestMs : undefined;
-    }
-
     /** Tells the slot policy what waits here. */
     updateDemand(): void {
-        this.slots.updateDemand(this.findDemand(), this.order.findOwedClass() !== undefined);
+        this.slots.updateDemand(this.classes.findDemand(), this.order.findOwedClass() !== undefined);
     }
 
     /**
@@ -263,6 +194,10 @@
             return;
         }
         server.reportedWaiting = report.waitingRequests;
+        const takenAtMs = this.options.clock.monotonicMs() - report.ageMs;
+        if (server.health.recordReturn(takenAtMs)) {
+            this.updateSlots();
+        }
         this.slots.recordLoadReport(report);
         if (server.reportedSlots !== report.slots) {
             server.reportedSlots = report.slots;
@@ -274,9 +209,9 @@
     recordPeerSummary(summary: PoolSummary): void {
         this.slots.recordPeerSummary(summary);
         const starts = this.peerDemand.recordSummary(summary, this.options.clock.monotonicMs());
-        this.floors.recordPeerStarts(starts, this.classesFromLowestTier);
+        this.floors.recordPeerStarts(starts, this.classes.listFromLowestTier());
         for (const { requestClass, customer, tokens } of this.ledger.recordSummary(summary)) {
-            this.classes.get(requestClass)?.queue.recordServed(customer, tokens);
+            this.classes.find(requestClass)?.queue.recordServed(customer, tokens);
         }
     }
 
@@ -295,16 +230,11 @@
         this.slots.recordStart(requestId, server, tier);
     }
 
-    private buildClassQueue(settings: ClassQueue["settings"]): ClassQueue {
-        const nowMs = this.options.clock.monotonicMs();
-        return new ClassQueue(settings, (customer) => this.weights.get(customer) ?? 1, nowMs);
-    }
-
     private buildLentSlots(): LentSlots {
         return new LentSlots({
             clock: this.options.clock,
             node: this.options.node,
-            readTier: (name) => this.classes.get(name)?.settings.tier,
+            readTier: (name) => this.classes.find(name)?.settings.tier,
         });
     }
 }
--- /dev/null
+++ b/packages/policy/src/scheduling/queueReview.ts
@@ -0,0 +1,79 @@
+/**
+ * Waiting requests that must be answered now: too late, or hopeless under the present load.
+ *
+ * @packageDocumentation
+ */
+import { ErrorKind } from "@pimentocleat/types";
+import { limitRetryAfterMs } from "../admission/admissionController.js";
+import type { ClassQueue } from "./classQueue.js";
+import type { PoolState } from "./poolState.js";
+import type { WaitingRequest } from "./waitingRequests.js";
+
+const shedIntervalMs = 100;
+const shedLimit = 32;
+
+/** Takes a waiting request out of the queue and answers it. */
+export type RefuseWaiting = (waiting: WaitingRequest, kind: ErrorKind, retryAfterMs: number) => void;
+
+/** Reviews the queues of a pool. */
+export class QueueReview {
+    private shedAtMs = 0;
+
+    /**
+     * @param state - The pool's state.
+     * @param refuse - Answers a request.
+     */
+    constructor(
+        private readonly state: PoolState,
+        private readonly refuse: RefuseWaiting,
+    ) {}
+
+    /**
+     * Answers requests whose latest start has passed.
+     *
+     * @param nowMs - Monotonic time.
+     */
+    expireWaiting(nowMs: number): void {
+        for (let entry = this.state.classes.takeDue(nowMs); entry !== undefined;) {
+            const waiting = this.state.waiting.find(entry.request.requestId);
+            if (waiting !== undefined) {
+                const retryAfterMs = limitRetryAfterMs(waiting.classQueue.readWaitBudgetMs());
+                this.refuse(waiting, ErrorKind.QueueDeadline, retryAfterMs);
+            }
+            entry = this.state.classes.takeDue(nowMs);
+        }
+    }
+
+    /**
+     * Refuses waiting requests that became hopeless, from the lowest tier up.
+     *
+     * @param nowMs - Monotonic time.
+     */
+    shedWaiting(nowMs: number): void {
+        if (nowMs - this.shedAtMs < shedIntervalMs) {
+            return;
+        }
+        this.shedAtMs = nowMs;
+        let left = shedLimit;
+        for (const classQueue of this.state.classes.listFromLowestTier()) {
+            left -= this.shedClass(classQueue, nowMs, left);
+            if (left <= 0) {
+                return;
+            }
+        }
+    }
+
+    private shedClass(classQueue: ClassQueue, nowMs: number, limit: number): number {
+        const capacity = this.state.slots.readCapacity();
+        for (let count = 0; count < limit; count += 1) {
+            const advice = this.state.admission.adviseLast(classQueue, capacity, nowMs);
+            const last = advice.admitted ? undefined : classQueue.queue.findLast();
+            const waiting = last === undefined ? undefined : this.state.waiting.find(last.request.requestId);
+            if (waiting === undefined) {
+                return count;
+            }
+            this.refuse(waiting, ErrorKind.Shed, advice.retryAfterMs);
+        }
+        return limit;
+    }
+}
--- a/packages/policy/src/scheduling/statusReader.ts
+++ b/packages/policy/src/scheduling/statusReader.ts
@@ -33,14 +33,14 @@
         const waiting: Record<string, number> = {};
         const demand: Record<string, number> = {};
         const sinceStartMs: Record<string, number> = {};
-        for (const { settings, queue, offered, lastStartMs } of this.state.listClassesFromLowestTier()) {
+        for (const { settings, queue, offered, lastStartMs } of this.state.classes.listFromLowestTier()) {
             waiting[settings.name] = queue.countWaiting();
             if (nowMs - lastStartMs < rememberStartMs) {
                 sinceStartMs[settings.name] = nowMs - lastStartMs;
             }
             demand[settings.name] = offered.readPerSecond(nowMs);
         }
-        const requestDemand = this.state.findDemand();
+        const requestDemand = this.state.classes.findDemand();
         const isFloorOwed = this.state.order.findOwedClass() !== undefined;
         const servers = [...this.state.router.listServers()];
         return {
--- a/packages/policy/src/scheduling/tieredScheduler.ts
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -5,7 +5,6 @@
  */
 import { ErrorKind } from "@pimentocleat/types";
 import type { AdmissionAdvice } from "../admission/admissionController.js";
-import { limitRetryAfterMs } from "../admission/admissionController.js";
 import type { ClassQueue } from "./classQueue.js";
 import { PoolState } from "./poolState.js";
 import type {
@@ -23,14 +22,13 @@
     QueuedRequest,
 } from "./poolScheduler.js";
 import type { ChosenEntry } from "./queueOrder.js";
+import { QueueReview } from "./queueReview.js";
 import type { RunningRequest } from "./runningRequests.js";
 import type { SchedulerOptions } from "./schedulerOptions.js";
 import { StatusReader } from "./statusReader.js";
 import type { WaitingRequest } from "./waitingRequests.js";
 
 const noServerRetryAfterMs = 1_000;
-const shedIntervalMs = 100;
-const shedLimit = 32;
 /** Waiting requests that may be passed over in one round because no free server suits them. */
 const passedOverLimit = 16;
 /** Running work is moved so early before its server goes that the move can finish. */
@@ -42,8 +40,8 @@
 export class TieredScheduler implements PoolScheduler {
     protected readonly state: PoolState;
     private readonly status: StatusReader;
+    private readonly review: QueueReview;
     private decisions: Decision[] = [];
-    private shedAtMs = 0;
 
     /**
      * @param options - Configuration, clock, node name and optional parts.
@@ -51,6 +49,7 @@
     constructor(private readonly options: SchedulerOptions) {
         this.state = new PoolState(options);
         this.status = new StatusReader(options.node, this.state);
+        this.review = new QueueReview(this.state, (...refusal) => this.refuseWaiting(...refusal));
     }
 
     updateConfiguration(configuration: PoolConfiguration): void {
@@ -61,7 +60,7 @@
 
     offerRequest(request: QueuedRequest): OfferResult {
         const nowMs = this.readNowMs();
-        const classQueue = this.state.findClass(request.requestClass);
+        const classQueue = this.state.classes.find(request.requestClass);
         if (classQueue === undefined) {
             return { type: "refused", kind: ErrorKind.UnknownClass, retryAfterMs: 0 };
         }
@@ -165,8 +164,8 @@
         const nowMs = this.readNowMs();
         this.state.updateDemand();
         this.state.router.updateStragglers(nowMs);
-        this.expireWaiting(nowMs);
-        this.shedWaiting(nowMs);
+        this.review.expireWaiting(nowMs);
+        this.review.shedWaiting(nowMs);
         this.startWaiting(nowMs);
         const decisions = this.decisions;
         this.decisions = [];
@@ -175,7 +174,7 @@
 
     readNextWakeMs(): number | undefined {
         const nowMs = this.readNowMs();
-        const earliestMs = this.state.readEarliestMs();
+        const earliestMs = this.state.classes.readEarliestMs();
         return earliestMs === undefined ? undefined : Math.min(earliestMs, nowMs + wakeIntervalMs);
     }
 
@@ -198,7 +197,7 @@
     private adviseAdmission(classQueue: ClassQueue, request: QueuedRequest, nowMs: number): AdmissionAdvice {
         const capacity = this.state.slots.readCapacity();
         const isFree = this.state.hasFreeSlot(classQueue.settings.tier);
-        if (isFree && !this.state.hasWaitingBefore(classQueue.settings.tier)) {
+        if (isFree && !this.state.classes.hasWaitingBefore(classQueue.settings.tier)) {
             return { admitted: true, waitMs: 0, retryAfterMs: 0 };
         }
         return this.state.admission.advise(classQueue, request.customer, capacity, nowMs);
@@ -212,46 +211,6 @@
         }
     }
 
-    private expireWaiting(nowMs: number): void {
-        for (let due = this.state.findDue(nowMs); due !== undefined;) {
-            const retryAfterMs = limitRetryAfterMs(due.classQueue.readWaitBudgetMs());
-            this.refuseWaiting(due, ErrorKind.QueueDeadline, retryAfterMs);
-            due = this.state.findDue(nowMs);
-        }
-    }
-
-    /** Refuses waiting requests that became hopeless, from the lowest tier up. */
-    private shedWaiting(nowMs: number): void {
-        if (nowMs - this.shedAtMs < shedIntervalMs) {
-            return;
-        }
-        this.shedAtMs = nowMs;
-        const capacity = this.state.slots.readCapacity();
-        let left = shedLimit;
-        for (const classQueue of this.state.listClassesFromLowestTier()) {
-            left -= this.shedClass(classQueue, { capacity, nowMs, limit: left });
-            if (left <= 0) {
-                return;
-            }
-        }
-    }
-
-    private shedClass(
-        classQueue: ClassQueue,
-        options: { readonly capacity: number; readonly nowMs: number; readonly limit: number },
-    ): number {
-        for (let count = 0; count < options.limit; count += 1) {
-            const advice = this.state.admission.adviseLast(classQueue, options.capacity, options.nowMs);
-            const last = advice.admitted ? undefined : classQueue.queue.findLast();
-            const waiting = last === undefined ? undefined : this.state.waiting.find(last.request.requestId);
-            if (waiting === undefined) {
-                return count;
-            }
-            this.refuseWaiting(waiting, ErrorKind.Shed, advice.retryAfterMs);
-        }
-        return options.limit;
-    }
-
     private startWaiting(nowMs: number): void {
         const passedOver: WaitingRequest[] = [];
         const hasFreeSlot = (tier: number): boolean => this.state.hasFreeSlot(tier);
