Miss no withdrawal when polls overlap, and bound single calls of a slow store

Cause: two overlapping polls counted the same withdrawals twice and then skipped as many later ones: a withdrawn key stayed valid. A bound on operations of several calls failed all of them once a call took over 0.7 s. Ruled out: a lock around the poll (an operator's apply would wait for a slow one). Change: the follower counts from where its read began; BoundedTableService bounds each call; a poll hands its head to the read of the files, which saves a call; a withdrawn identifier cannot be created again.

--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -188,6 +188,7 @@
             withdrawKey: (keyId, author) => withdrawals.withdrawKey(keyId, author),
             listKeys: () =>
                 registry.listKeys().map((key) => ({ key, isWithdrawn: registry.isWithdrawn(key.id) })),
+            isWithdrawn: (keyId) => registry.isWithdrawn(keyId),
             readStatus: () => this.readStatus(),
             countRequests: () => this.node?.countRequests() ?? 0,
             countUnrecordedWithdrawals: () => registry.listUnrecorded().length,
--- a/packages/node/src/daemon/daemonParts.ts
+++ b/packages/node/src/daemon/daemonParts.ts
@@ -4,9 +4,11 @@
  * @packageDocumentation
  */
 import {
+    BoundedTableService,
     ConfigurationFollower,
     ConfiguredKeyRegistry,
     defaultCallerBounds,
+    defaultCallTimeoutMs,
     StoreCaller,
     StoreFollower,
     TableConfigurationStore,
@@ -40,7 +42,11 @@
  */
 export function buildFollowingParts(options: DaemonOptions, countNodes: () => number): FollowingParts {
     const { settings, services, clock, logger, random } = options;
-    const { tableService } = services;
+    const tableService = new BoundedTableService({
+        tableService: services.tableService,
+        clock,
+        callTimeoutMs: defaultCallTimeoutMs,
+    });
     const caller = new StoreCaller({ clock, random, ...defaultCallerBounds });
     const bridge = new PeerBridge();
     const store = new TableConfigurationStore({ tableService, clock, random });
@@ -56,7 +62,6 @@
     });
     const follower = new StoreFollower({
         tableService,
-        caller,
         configuration,
         withdrawals,
         clock,
--- a/packages/node/src/operator/__tests__/operatorServer.test.ts
+++ b/packages/node/src/operator/__tests__/operatorServer.test.ts
@@ -40,6 +40,7 @@
                     keyId === "k1" ? { type: "accepted", recorded: true, peers: 2 } : { type: "unknownKey" },
                 ),
             listKeys: () => [],
+            isWithdrawn: (keyId) => keyId === "gone",
             readStatus: () => status,
             countRequests: () => 4,
             countUnrecordedWithdrawals: () => 0,
@@ -132,10 +133,11 @@
         const stored = JSON.stringify((await operator.getConfiguration({})).files);
         expect(stored).toContain("key-k1.yaml");
         expect(stored + lines.join()).not.toContain(created.secret.slice(3));
-        const wrong = operator.createKey({ author: "o", keyId: "K 1", customer: "a" });
-        expect(ConnectError.from(await wrong.catch((failure: unknown) => failure)).code).toBe(
-            Code.InvalidArgument,
-        );
+        for (const keyId of ["K 1", "gone"]) {
+            const wrong = operator.createKey({ author: "o", keyId, customer: "a" });
+            const error = ConnectError.from(await wrong.catch((failure: unknown) => failure));
+            expect(error.code).toBe(Code.InvalidArgument);
+        }
     });
 
     it("withdraws keys and reports state", async () => {
--- a/packages/node/src/operator/operatorBackend.ts
+++ b/packages/node/src/operator/operatorBackend.ts
@@ -39,6 +39,8 @@
     followStore(): Promise<void>;
     withdrawKey(keyId: string, author: string): Promise<WithdrawResult>;
     listKeys(): readonly KeyReport[];
+    /** Whether a key identifier was ever withdrawn. */
+    isWithdrawn(keyId: string): boolean;
     readStatus(): NodeStatus;
     countRequests(): number;
     countUnrecordedWithdrawals(): number;
--- a/packages/node/src/operator/operatorService.ts
+++ b/packages/node/src/operator/operatorService.ts
@@ -81,6 +81,12 @@
             unrecordedWithdrawals: backend.countUnrecordedWithdrawals(),
         }),
         createKey: async (request) => {
+            if (backend.isWithdrawn(request.keyId)) {
+                throw new ConnectError(
+                    `the key ${request.keyId} was withdrawn, for ever; use another identifier`,
+                    Code.InvalidArgument,
+                );
+            }
             const created = createKeyOrRefuse(request);
             const result = await applyChanges("createKey", request.author, [created.change]);
             const encoded = encodeApplyResult(result);
--- a/packages/state/src/configuration/__tests__/cluster.ts
+++ b/packages/state/src/configuration/__tests__/cluster.ts
@@ -9,9 +9,10 @@
 import { ConfiguredKeyRegistry } from "../../keys/configuredKeyRegistry.js";
 import { WithdrawalFollower, type WithdrawalFollowerOptions } from "../../keys/withdrawalFollower.js";
 import { WithdrawalStore } from "../../keys/withdrawalStore.js";
+import { BoundedTableService } from "../../retrying/boundedTableService.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "../configurationFollower.js";
 import type { ConfigurationSnapshot } from "../configurationSnapshot.js";
-import { defaultCallerBounds, StoreCaller } from "../storeCaller.js";
+import { defaultCallerBounds, defaultCallTimeoutMs, StoreCaller } from "../storeCaller.js";
 import { StoreFollower } from "../storeFollower.js";
 import { TableConfigurationStore } from "../tableConfigurationStore.js";
 import type { KeyWithdrawal } from "../../keys/withdrawal.js";
@@ -19,7 +20,7 @@
 export const pollMs = 1_000;
 export const isolationLimitMs = 10_000;
 /** Longest time from an answer to "in force" while the store answers: a poll that just began, its wait, a poll. */
-export const convergenceBoundMs = 2 * defaultCallerBounds.callTimeoutMs + 1.5 * pollMs;
+export const convergenceBoundMs = 2 * defaultCallTimeoutMs + 1.5 * pollMs;
 
 /** What a mutant replaces. */
 export interface ClusterParts {
@@ -123,7 +124,11 @@
         const logger = new SilentLogger();
         const random = createRandom(seed);
         const caller = new StoreCaller({ clock, random, ...defaultCallerBounds });
-        const tableService = cluster.buildNodeTable(table, this);
+        const tableService = new BoundedTableService({
+            tableService: cluster.buildNodeTable(table, this),
+            clock,
+            callTimeoutMs: defaultCallTimeoutMs,
+        });
         const peers = cluster.buildPeers(this);
         const store = new TableConfigurationStore({ tableService, clock, random });
         this.configuration = cluster.parts.createConfigurationFollower({ store, peers, logger });
@@ -137,7 +142,6 @@
         });
         this.follower = new StoreFollower({
             tableService,
-            caller,
             configuration: this.configuration,
             withdrawals: this.withdrawals,
             clock,
--- a/packages/state/src/configuration/configurationFollower.ts
+++ b/packages/state/src/configuration/configurationFollower.ts
@@ -8,6 +8,7 @@
 import type { AppliedConfiguration, ConfigurationSource } from "./configurationSource.js";
 import type { ConfigurationPeers } from "./configurationPeers.js";
 import { computeFilesDigest, type ConfigurationSnapshot } from "./configurationSnapshot.js";
+import type { ConfigurationHead } from "./headTable.js";
 import type { ConfigurationStore } from "./configurationStore.js";
 
 /** Options of {@link ConfigurationFollower}. */
@@ -49,11 +50,11 @@
     /**
      * Fetches the configuration from the store if a higher revision exists.
      *
-     * @param revision - The revision that the store's head names.
+     * @param head - The store's head; undefined before the first apply.
      */
-    async followHead(revision: number): Promise<void> {
-        if (revision > this.readRevision()) {
-            this.applySnapshot(await this.options.store.readSnapshot());
+    async followHead(head: ConfigurationHead | undefined): Promise<void> {
+        if (head !== undefined && head.revision > this.readRevision()) {
+            this.applySnapshot(await this.options.store.readSnapshot(head));
         }
     }
 
--- a/packages/state/src/configuration/configurationStore.ts
+++ b/packages/state/src/configuration/configurationStore.ts
@@ -5,6 +5,7 @@
  */
 import type { ConfigurationProblem } from "@pimentocleat/schema";
 import type { ConfigurationSnapshot } from "./configurationSnapshot.js";
+import type { ConfigurationHead } from "./headTable.js";
 
 /** One file that an operator changes. */
 export interface FileChange {
@@ -46,8 +47,13 @@
 
 /** Reads and changes the stored configuration. */
 export interface ConfigurationStore {
-    /** @returns The newest revision; throws a `PlatformError` on failure. */
-    readSnapshot(): Promise<ConfigurationSnapshot>;
+    /**
+     * Reads the newest revision.
+     *
+     * @param head - The head, if it was just read; saves a call.
+     * @returns The files of that head or of a newer one; throws a `PlatformError` on failure.
+     */
+    readSnapshot(head?: ConfigurationHead): Promise<ConfigurationSnapshot>;
     /**
      * Applies changes on top of whatever other operators have applied meanwhile.
      *
--- a/packages/state/src/configuration/storeCaller.ts
+++ b/packages/state/src/configuration/storeCaller.ts
@@ -6,23 +6,23 @@
 import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
 import type { WaitingClock } from "@pimentocleat/types";
 import { computeBackoffMs } from "../retrying/backoff.js";
-import { runWithTimeout } from "../retrying/callTimeout.js";
 
 /** Options of {@link StoreCaller}; durations in milliseconds. */
 export interface StoreCallerOptions {
     readonly clock: WaitingClock;
     /** Uniform in [0, 1). */
     readonly random: () => number;
-    /** Bound on one call. */
-    readonly callTimeoutMs: number;
     readonly firstRetryMs: number;
     readonly longestRetryMs: number;
 }
 
 /** Bounds that hold unless overridden. */
-export const defaultCallerBounds = { callTimeoutMs: 2_000, firstRetryMs: 50, longestRetryMs: 1_000 };
+export const defaultCallerBounds = { firstRetryMs: 50, longestRetryMs: 1_000 };
 
-/** Calls with a timeout and, for idempotent calls, retries until a deadline. */
+/** Bound on one call to the table service unless overridden, in milliseconds. */
+export const defaultCallTimeoutMs = 2_000;
+
+/** Retries idempotent operations until a deadline. */
 export class StoreCaller {
     /** @param options - Clock, random source and bounds. */
     constructor(private readonly options: StoreCallerOptions) {}
@@ -33,35 +33,16 @@
     }
 
     /**
-     * Runs one call with a timeout.
-     *
-     * @param callName - Names the call in errors.
-     * @param call - Starts the call.
-     * @returns The call's result; throws a `PlatformError` on failure.
-     */
-    runOnce<Result>(callName: string, call: () => Promise<Result>): Promise<Result> {
-        return runWithTimeout(
-            { clock: this.options.clock, timeoutMs: this.options.callTimeoutMs, callName },
-            call,
-        );
-    }
-
-    /**
-     * Runs an idempotent call until it succeeds or the deadline has passed.
+     * Runs an idempotent operation until it succeeds or the deadline has passed.
      *
-     * @param callName - Names the call in errors.
      * @param deadlineMs - Monotonic time after which no retry starts.
-     * @param call - Starts the call.
-     * @returns The call's result; throws the last failure.
+     * @param call - Starts the operation.
+     * @returns The operation's result; throws the last failure.
      */
-    async runUntil<Result>(
-        callName: string,
-        deadlineMs: number,
-        call: () => Promise<Result>,
-    ): Promise<Result> {
+    async runUntil<Result>(deadlineMs: number, call: () => Promise<Result>): Promise<Result> {
         for (let attempt = 1; ; attempt += 1) {
             try {
-                return await this.runOnce(callName, call);
+                return await call();
             } catch (error) {
                 if (!isTemporary(error) || !(await this.waitForRetry(attempt, deadlineMs, error))) {
                     throw error;
--- a/packages/state/src/configuration/storeFollower.ts
+++ b/packages/state/src/configuration/storeFollower.ts
@@ -9,15 +9,14 @@
 import type { WithdrawalFollower } from "../keys/withdrawalFollower.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import { readHeads } from "./headTable.js";
-import type { StoreCaller } from "./storeCaller.js";
 
 /** Why a node takes no requests. */
 export type NotReadyReason = "noConfiguration" | "withdrawalsUnknown" | "isolated";
 
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
+    /** The table service; its calls must end within a bound. */
     readonly tableService: TableService;
-    readonly caller: StoreCaller;
     readonly configuration: ConfigurationFollower;
     readonly withdrawals: WithdrawalFollower;
     readonly clock: WaitingClock;
@@ -115,11 +114,11 @@
     }
 
     private async followStore(startedMs: number): Promise<void> {
-        const { caller, tableService, withdrawals, configuration } = this.options;
-        const heads = await caller.runOnce("read heads", () => readHeads(tableService));
+        const { tableService, withdrawals, configuration } = this.options;
+        const heads = await readHeads(tableService);
         await withdrawals.followHead(heads.withdrawals.head);
         this.noteContact(startedMs);
-        await configuration.followHead(heads.configuration.head?.revision ?? 0);
+        await configuration.followHead(heads.configuration.head);
         await withdrawals.recordPending();
     }
 
--- a/packages/state/src/configuration/tableConfigurationStore.ts
+++ b/packages/state/src/configuration/tableConfigurationStore.ts
@@ -4,19 +4,17 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import { parseConfiguration, type Configuration, type ConfigurationFile } from "@pimentocleat/schema";
+import { parseConfiguration, type Configuration } from "@pimentocleat/schema";
 import {
     PlatformError,
     PlatformErrorKind,
-    type Row,
-    type RowWrite,
     type TableService,
     type Transaction,
 } from "@pimentocleat/platform";
 import type { WaitingClock } from "@pimentocleat/types";
-import { z } from "zod";
 import type { KeyWithdrawal } from "../keys/withdrawal.js";
 import { buildWithdrawalAppend } from "../keys/withdrawalTable.js";
+import { BoundedTableService } from "../retrying/boundedTableService.js";
 import { isAmbiguous } from "../retrying/callTimeout.js";
 import type {
     ApplyRequest,
@@ -26,18 +24,15 @@
     FileConflict,
 } from "./configurationStore.js";
 import { buildSnapshot, computeFilesDigest, type ConfigurationSnapshot } from "./configurationSnapshot.js";
-import { buildConfigurationHeadMove, readHeads, type Heads } from "./headTable.js";
+import { buildFileWrite, listFiles, readFileRows, type FileRows } from "./fileTable.js";
+import { buildConfigurationHeadMove, readHeads, type ConfigurationHead, type Heads } from "./headTable.js";
 import { mergeChanges, type MergedChanges } from "./mergeChanges.js";
 import { buildLogWrites, readLogEntry } from "./revisionLog.js";
-import { scanAllRows } from "./scanAllRows.js";
-import { defaultCallerBounds, isTemporary, StoreCaller } from "./storeCaller.js";
+import { defaultCallerBounds, defaultCallTimeoutMs, isTemporary, StoreCaller } from "./storeCaller.js";
 
-const fileTable = "configurationFiles";
 const snapshotAttempts = 5;
 const defaultApplyTimeoutMs = 10_000;
 
-const fileRowSchema = z.object({ content: z.string(), revision: z.int(), author: z.string() });
-
 /** Options of {@link TableConfigurationStore}. */
 export interface TableConfigurationStoreOptions {
     readonly tableService: TableService;
@@ -55,7 +50,7 @@
 interface StoredState {
     readonly heads: Heads;
     readonly snapshot: ConfigurationSnapshot;
-    readonly rows: ReadonlyMap<string, z.infer<typeof fileRowSchema>>;
+    readonly rows: FileRows;
 }
 
 interface PreparedCommit {
@@ -69,6 +64,7 @@
 /** Keeps one row a file and a head with the revision; every apply is one transaction. */
 export class TableConfigurationStore implements ConfigurationStore {
     private readonly caller: StoreCaller;
+    private readonly table: TableService;
     private readonly createToken: () => string;
 
     /** @param options - The table service and bounds. */
@@ -77,12 +73,22 @@
             clock: options.clock,
             random: options.random ?? Math.random,
             ...defaultCallerBounds,
-            ...(options.callTimeoutMs === undefined ? {} : { callTimeoutMs: options.callTimeoutMs }),
+        });
+        this.table = new BoundedTableService({
+            tableService: options.tableService,
+            clock: options.clock,
+            callTimeoutMs: options.callTimeoutMs ?? defaultCallTimeoutMs,
         });
         this.createToken = options.createToken ?? randomUUID;
     }
 
-    async readSnapshot(): Promise<ConfigurationSnapshot> {
+    async readSnapshot(head?: ConfigurationHead): Promise<ConfigurationSnapshot> {
+        if (head !== undefined) {
+            const snapshot = buildSnapshot(head.revision, listFiles(await readFileRows(this.table)));
+            if (snapshot.digest === head.digest) {
+                return snapshot;
+            }
+        }
         return (await this.readState()).snapshot;
     }
 
@@ -103,7 +109,7 @@
     private async tryApply(request: ApplyRequest, deadlineMs: number): Promise<ApplyResult | undefined> {
         let state: StoredState;
         try {
-            state = await this.caller.runUntil("read configuration", deadlineMs, () => this.readState());
+            state = await this.caller.runUntil(deadlineMs, () => this.readState());
         } catch (error) {
             if (isTemporary(error)) {
                 return { type: "unavailable" };
@@ -191,9 +197,7 @@
         let mayHaveCommitted = false;
         for (let attempt = 1; ; attempt += 1) {
             try {
-                const result = await this.caller.runOnce("commit configuration", () =>
-                    this.options.tableService.commitTransaction(commit.transaction),
-                );
+                const result = await this.table.commitTransaction(commit.transaction);
                 return result.outcome === "committed"
                     ? "committed"
                     : await this.resolveCommit(commit, mayHaveCommitted, deadlineMs);
@@ -219,8 +223,8 @@
             return "lost";
         }
         try {
-            const entry = await this.caller.runUntil("read back configuration", deadlineMs, () =>
-                readLogEntry(this.options.tableService, commit.revision),
+            const entry = await this.caller.runUntil(deadlineMs, () =>
+                readLogEntry(this.table, commit.revision),
             );
             if (entry === undefined) {
                 return "unknown";
@@ -236,12 +240,11 @@
 
     /** Reads heads and files that belong together. */
     private async readState(): Promise<StoredState> {
-        const { tableService } = this.options;
+        const { table } = this;
         for (let attempt = 1; attempt <= snapshotAttempts; attempt += 1) {
-            const heads = await readHeads(tableService);
-            const rows = new Map((await scanAllRows(tableService, fileTable)).map(parseFileRow));
-            const files = [...rows].map(([name, row]): ConfigurationFile => ({ name, content: row.content }));
-            const snapshot = buildSnapshot(heads.configuration.head?.revision ?? 0, files);
+            const heads = await readHeads(table);
+            const rows = await readFileRows(this.table);
+            const snapshot = buildSnapshot(heads.configuration.head?.revision ?? 0, listFiles(rows));
             // The files may have changed between the two reads; then their digest is not the head's.
             if (snapshot.digest === (heads.configuration.head?.digest ?? computeFilesDigest([]))) {
                 return { heads, snapshot, rows };
@@ -254,17 +257,6 @@
     }
 }
 
-function parseFileRow(row: Row): [string, z.infer<typeof fileRowSchema>] {
-    return [row.key, fileRowSchema.parse(row.value)];
-}
-
-function buildFileWrite(change: FileChange, revision: number, author: string): RowWrite {
-    const place = { table: fileTable, key: change.name };
-    return change.content === undefined
-        ? place
-        : { ...place, value: { content: change.content, revision, author } };
-}
-
 function describeConflicts(state: StoredState, conflicts: readonly FileConflict[]): readonly FileConflict[] {
     return conflicts.map((conflict) => {
         const row = state.rows.get(conflict.name);
--- a/packages/state/src/keys/withdrawalFollower.ts
+++ b/packages/state/src/keys/withdrawalFollower.ts
@@ -51,9 +51,11 @@
      */
     async followHead(sequence: number): Promise<void> {
         if (sequence > this.lastSequence) {
-            const withdrawals = await this.options.store.readAfter(this.lastSequence);
+            // Polls may overlap, so the rows count from where this one began.
+            const after = this.lastSequence;
+            const withdrawals = await this.options.store.readAfter(after);
             this.options.registry.addWithdrawals(withdrawals, true);
-            this.lastSequence += withdrawals.length;
+            this.lastSequence = Math.max(this.lastSequence, after + withdrawals.length);
         }
         this.isLoaded = true;
     }
--- a/packages/state/src/keys/withdrawalStore.ts
+++ b/packages/state/src/keys/withdrawalStore.ts
@@ -14,8 +14,8 @@
 /** Appends to and reads the table of withdrawals. */
 export class WithdrawalStore {
     /**
-     * @param tableService - The table service.
-     * @param caller - Bounds the calls.
+     * @param tableService - The table service; its calls must end within a bound.
+     * @param caller - Retries.
      */
     constructor(
         private readonly tableService: TableService,
@@ -29,9 +29,7 @@
      * @returns The withdrawals in the order of their numbers; throws a `PlatformError` on failure.
      */
     readAfter(sequence: number): Promise<readonly KeyWithdrawal[]> {
-        return this.caller.runOnce("read withdrawals", () =>
-            readWithdrawalsAfter(this.tableService, sequence),
-        );
+        return readWithdrawalsAfter(this.tableService, sequence);
     }
 
     /**
@@ -44,9 +42,7 @@
      */
     async appendWithdrawals(withdrawals: readonly KeyWithdrawal[], deadlineMs: number): Promise<void> {
         for (let attempt = 1; attempt <= appendAttempts; attempt += 1) {
-            const isDone = await this.caller.runUntil("append withdrawals", deadlineMs, () =>
-                this.tryAppend(withdrawals),
-            );
+            const isDone = await this.caller.runUntil(deadlineMs, () => this.tryAppend(withdrawals));
             if (isDone) {
                 return;
             }
