Retry a watched folder while the store is out, and use the listed verbs

Cause: a save made while the table service was out never took effect until the next save; some functions began with verbs outside docs/NAMING.md. Ruled out: retrying every failure (a mistake or a conflict needs the operator). Conclusion: a save takes effect once the store is back.

--- a/packages/bench/src/spread/daemonFleet.ts
+++ b/packages/bench/src/spread/daemonFleet.ts
@@ -35,7 +35,7 @@
      * @param message - The request.
      * @returns The answer as JSON.
      */
-    async callOperator(method: string, message: unknown): Promise<Record<string, unknown>> {
+    async sendOperatorCall(method: string, message: unknown): Promise<Record<string, unknown>> {
         const answer = await this.operator.request({
             method: "POST",
             path: `/pimentocleat.v1.OperatorService/${method}`,
@@ -51,7 +51,7 @@
      * @param secret - The caller's key.
      * @returns The status and the error kind.
      */
-    async callCaller(secret: string): Promise<string> {
+    async sendCallerRequest(secret: string): Promise<string> {
         const answer = await this.caller.request({
             method: "GET",
             path: "/probe",
@@ -86,7 +86,7 @@
         for (let index = 0; index < nodeCount; index += 1) {
             const seeds = nodes.slice(0, seedNodes).map((node) => readAddress(node.program, "peer"));
             const name = `node-${String(index)}`;
-            nodes.push(new FleetNode(name, await launchDaemon(name, platform.address, seeds)));
+            nodes.push(new FleetNode(name, await startDaemonProcess(name, platform.address, seeds)));
         }
         return new DaemonFleet(platform, nodes);
     }
@@ -112,7 +112,7 @@
     }
 }
 
-function launchDaemon(
+function startDaemonProcess(
     name: string,
     platformAddress: string,
     seeds: readonly string[],
--- a/packages/bench/src/spread/measureSpread.ts
+++ b/packages/bench/src/spread/measureSpread.ts
@@ -128,7 +128,7 @@
 
 async function applyFile(fleet: DaemonFleet, name: string, content: string): Promise<number> {
     const changes = [{ name, content }];
-    const answer = await fleet.nodes[0]?.callOperator("ApplyConfiguration", { author: "bench", changes });
+    const answer = await fleet.nodes[0]?.sendOperatorCall("ApplyConfiguration", { author: "bench", changes });
     if (answer?.["outcome"] !== "APPLY_OUTCOME_APPLIED") {
         throw new Error(`apply failed: ${JSON.stringify(answer)}`);
     }
@@ -136,7 +136,7 @@
 }
 
 async function hasRevision(node: FleetNode, revision: number): Promise<boolean> {
-    const status = (await node.callOperator("GetStatus", {}))["node"] as Record<string, unknown>;
+    const status = (await node.sendOperatorCall("GetStatus", {}))["node"] as Record<string, unknown>;
     return Number(status["revision"] ?? 0) >= revision;
 }
 
@@ -167,9 +167,9 @@
         withdrawTimes.push(
             ...(await measureChange(fleet, situation, clock, {
                 change: async () => {
-                    await fleet.nodes[0]?.callOperator("WithdrawKey", { author: "bench", keyId });
+                    await fleet.nodes[0]?.sendOperatorCall("WithdrawKey", { author: "bench", keyId });
                 },
-                isInForce: async (node) => (await node.callCaller(secret)).includes("key_withdrawn"),
+                isInForce: async (node) => (await node.sendCallerRequest(secret)).includes("key_withdrawn"),
             })),
         );
     }
--- a/packages/cli/src/commands/__tests__/operatorProgram.test.ts
+++ b/packages/cli/src/commands/__tests__/operatorProgram.test.ts
@@ -220,6 +220,11 @@
         await waitForLine("weight: -4 is not allowed");
         edit(folder, customerFile, (text) => text.replace("weight: -4", "weight: 5"));
         await waitForLine("revision 2: in force on 1 of 1 nodes");
+        table.setFaultPlan(() => "unavailable");
+        edit(folder, customerFile, (text) => text.replace("weight: 5", "weight: 6"));
+        await waitForLine("the table service is out");
+        table.setFaultPlan(() => "none");
+        await waitForLine("revision 3: in force on 1 of 1 nodes");
         controller.abort();
         expect((await watching).code).toBe(ExitCode.Success);
     });
--- a/packages/cli/src/commands/configCommands.ts
+++ b/packages/cli/src/commands/configCommands.ts
@@ -17,6 +17,9 @@
 
 const defaultWaitTimeoutMs = 15_000;
 
+/** Failures that pass without a change of the folder. */
+const passingFailures: ReadonlySet<ExitCode> = new Set([ExitCode.Unreachable, ExitCode.OutcomeUnknown]);
+
 /**
  * Validates a folder without calling a node.
  *
@@ -132,7 +135,7 @@
  * @param context - The command.
  * @returns The exit code.
  */
-export async function showConfigurationStatus(context: CommandContext): Promise<ExitCode> {
+export async function printConfigurationStatus(context: CommandContext): Promise<ExitCode> {
     const { client, target } = openClient(context);
     const stored = await runCall(target.address, () => client.getConfiguration({}));
     const nodes = await readNodes(context);
@@ -153,23 +156,34 @@
  */
 export async function watchConfiguration(context: CommandContext, path: string): Promise<ExitCode> {
     const folder = new ConfigurationFolder(path);
+    let lastFailure: CommandError | undefined;
     await watchFolder(context, folder, async () => {
         try {
-            const applied = await applyFolder(context, folder);
-            const inForce = await waitForNodes(context, applied.revision, readWaitTimeoutMs(context));
-            context.output.printResult({ ...applied, ...inForce }, [
-                `revision ${String(applied.revision)}: ${formatInForce(inForce)}`,
-            ]);
+            await applyAndWait(context, folder);
+            lastFailure = undefined;
         } catch (error) {
             if (!(error instanceof CommandError)) {
                 throw error;
             }
-            context.output.printFailure(error.code, error.message);
+            // A failure that lasts is printed once.
+            if (error.message !== lastFailure?.message) {
+                context.output.printFailure(error.code, error.message);
+            }
+            lastFailure = error;
         }
+        return lastFailure === undefined || !passingFailures.has(lastFailure.code);
     });
     return ExitCode.Success;
 }
 
+async function applyAndWait(context: CommandContext, folder: ConfigurationFolder): Promise<void> {
+    const applied = await applyFolder(context, folder);
+    const inForce = await waitForNodes(context, applied.revision, readWaitTimeoutMs(context));
+    context.output.printResult({ ...applied, ...inForce }, [
+        `revision ${String(applied.revision)}: ${formatInForce(inForce)}`,
+    ]);
+}
+
 function formatInForce(result: NodesInForce): string {
     const missing = result.missing.length === 0 ? "" : `; missing: ${result.missing.join(", ")}`;
     return `in force on ${String(result.inForce)} of ${String(result.nodes)} nodes${missing}`;
--- a/packages/cli/src/commands/nodeCommands.ts
+++ b/packages/cli/src/commands/nodeCommands.ts
@@ -107,7 +107,7 @@
  * @param requestId - The identifier from the answer's `x-request-id`.
  * @returns The exit code.
  */
-export async function explainRequest(context: CommandContext, requestId: string): Promise<ExitCode> {
+export async function printRequestTrace(context: CommandContext, requestId: string): Promise<ExitCode> {
     const trace = await findTrace(context, requestId);
     if (trace === undefined) {
         throw new CommandError(
--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -13,12 +13,12 @@
     applyConfiguration,
     compareConfiguration,
     pullConfiguration,
-    showConfigurationStatus,
+    printConfigurationStatus,
     validateConfiguration,
     watchConfiguration,
 } from "./configCommands.js";
 import { createKey, listKeys, withdrawKey } from "./keyCommands.js";
-import { explainRequest, listNodes, listPools } from "./nodeCommands.js";
+import { printRequestTrace, listNodes, listPools } from "./nodeCommands.js";
 
 const programVersion = "0.1.0";
 
@@ -48,7 +48,7 @@
         diff: { run: compareConfiguration, needs: "folder" },
         pull: { run: pullConfiguration, needs: "folder" },
         apply: { run: applyConfiguration, needs: "folder" },
-        status: { run: showConfigurationStatus },
+        status: { run: printConfigurationStatus },
         watch: { run: watchConfiguration, needs: "folder" },
     },
     key: {
@@ -91,7 +91,7 @@
     }
     program
         .command("explain <request>", "Why a request was routed, refused or retried")
-        .action((requestId: string, flags: CommandFlags) => runAction(explainRequest, requestId, flags));
+        .action((requestId: string, flags: CommandFlags) => runAction(printRequestTrace, requestId, flags));
     program
         .command("demo", "Run the whole path with stand-ins and three nodes, in under a minute")
         .action((flags: CommandFlags) => runAction((context) => runDemo(context.output), "", flags));
--- a/packages/cli/src/commands/watchFolder.ts
+++ b/packages/cli/src/commands/watchFolder.ts
@@ -10,26 +10,31 @@
 /** Time between two looks at the folder, in milliseconds. */
 const watchIntervalMs = 300;
 
+/** Wait before a change that could not be applied is tried again, in milliseconds. */
+const retryWaitMs = 2_000;
+
 /**
  * Looks at a folder until told to stop. Looks rather than file events: editors replace files in many ways.
  *
  * @param context - The command; its signal ends the watch.
  * @param folder - The folder.
  * @param onChange - Called at the start and after each change that has been the same for two looks, so that
- * a file is not read while it is being written.
+ * a file is not read while it is being written. Returns whether it is done with the change; if not, it is
+ * called again.
  */
 export async function watchFolder(
     context: CommandContext,
     folder: ConfigurationFolder,
-    onChange: () => Promise<void>,
+    onChange: () => Promise<boolean>,
 ): Promise<void> {
     let handled: string | undefined;
     let previous: string | undefined;
     while (!context.signal.aborted) {
         const current = computeContentDigest(JSON.stringify(await folder.readFiles()));
         if (current === previous && current !== handled) {
-            handled = current;
-            await onChange();
+            const isDone = await onChange();
+            handled = isDone ? current : undefined;
+            await context.clock.wait(isDone ? 0 : retryWaitMs, context.signal);
         }
         previous = current;
         await context.clock.wait(watchIntervalMs, context.signal);
--- a/packages/cli/src/folder/configurationFolder.ts
+++ b/packages/cli/src/folder/configurationFolder.ts
@@ -20,7 +20,7 @@
 /** What the folder was last in step with: the digests of the files by name. */
 export type FolderBase = z.infer<typeof baseSchema>;
 
-function describeFailure(error: unknown): string {
+function formatFailure(error: unknown): string {
     return error instanceof Error ? error.message : String(error);
 }
 
@@ -37,10 +37,7 @@
                 names.map(async (name) => ({ name, content: await readFile(join(this.path, name), "utf8") })),
             );
         } catch (error) {
-            throw new CommandError(
-                ExitCode.WrongUsage,
-                `the folder cannot be read: ${describeFailure(error)}`,
-            );
+            throw new CommandError(ExitCode.WrongUsage, `the folder cannot be read: ${formatFailure(error)}`);
         }
     }
 
@@ -64,17 +61,17 @@
 
     /** @param base - What the folder is now in step with. */
     async writeBase(base: FolderBase): Promise<void> {
-        await this.replaceFile(baseFileName, `${JSON.stringify(base, undefined, 4)}\n`);
+        await this.putFile(baseFileName, `${JSON.stringify(base, undefined, 4)}\n`);
     }
 
     /** @param file - A file to write. */
     async writeFile(file: ConfigurationFile): Promise<void> {
         await mkdir(this.path, { recursive: true });
-        await this.replaceFile(file.name, file.content);
+        await this.putFile(file.name, file.content);
     }
 
     /** Writes beside the file and renames, so that a reader never sees half of it. */
-    private async replaceFile(name: string, content: string): Promise<void> {
+    private async putFile(name: string, content: string): Promise<void> {
         const path = join(this.path, name);
         const partPath = join(this.path, `.${name}.part`);
         await writeFile(partPath, content);
--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -53,8 +53,8 @@
      */
     async start(): Promise<DaemonAddresses> {
         const { settings } = this.options;
-        const operator = await this.operatorServer.open(...splitAddress(settings.operatorAddress));
-        this.connectBridge();
+        const operator = await this.operatorServer.open(...parseAddress(settings.operatorAddress));
+        this.setBridgeParts();
         const peer = await this.network.open();
         await this.parts.follower.pollOnce();
         this.duties = this.buildDuties();
@@ -121,9 +121,9 @@
         return this.node?.isReady() === true ? "ready" : "starting";
     }
 
-    private connectBridge(): void {
+    private setBridgeParts(): void {
         const { bridge, configuration, registry, withdrawals, follower } = this.parts;
-        bridge.connect({
+        bridge.setParts({
             network: this.network,
             configuration,
             registry,
@@ -183,7 +183,7 @@
 
     private buildNodeOptions(): NodeOptions {
         const { settings, services, logger, metrics, clock, random, readCredential } = this.options;
-        const [host, port] = splitAddress(settings.callerAddress);
+        const [host, port] = parseAddress(settings.callerAddress);
         const { configuration, registry, follower } = this.parts;
         const isOpen = (): boolean => follower.readNotReadyReason() === undefined;
         return {
@@ -249,7 +249,7 @@
     };
 }
 
-function splitAddress(address: string): [string, number] {
+function parseAddress(address: string): [string, number] {
     const [host = "", port = "0"] = address.split(":");
     return [host, Number(port)];
 }
--- a/packages/node/src/daemon/nodeDirectory.ts
+++ b/packages/node/src/daemon/nodeDirectory.ts
@@ -28,11 +28,11 @@
      * @returns All known nodes, sorted by name.
      */
     listNodes(self: NodeStatus, members: readonly MemberStatement[]): readonly NodeStatus[] {
-        const others = members.map((member) => this.describeMember(member));
+        const others = members.map((member) => this.buildMemberStatus(member));
         return [self, ...others].sort((left, right) => (left.name < right.name ? -1 : 1));
     }
 
-    private describeMember({ name, dataCentre, state }: MemberStatement): NodeStatus {
+    private buildMemberStatus({ name, dataCentre, state }: MemberStatement): NodeStatus {
         const told = this.statuses.get(name) ?? {
             name,
             dataCentre,
--- a/packages/node/src/daemon/peerBridge.ts
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -57,7 +57,7 @@
      *
      * @param parts - The parts of the node.
      */
-    connect(parts: PeerBridgeParts): void {
+    setParts(parts: PeerBridgeParts): void {
         this.parts = parts;
     }
 
--- a/packages/node/src/daemon/recordPublisher.ts
+++ b/packages/node/src/daemon/recordPublisher.ts
@@ -32,12 +32,12 @@
      */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.publishOnce();
+            this.spreadOnce();
             await this.options.clock.wait(publishIntervalMs, signal);
         }
     }
 
-    private publishOnce(): void {
+    private spreadOnce(): void {
         const status = this.options.readStatus();
         const text = JSON.stringify(status);
         if (text !== this.lastStatus) {
--- a/packages/schema/src/configuration/parseConfiguration.ts
+++ b/packages/schema/src/configuration/parseConfiguration.ts
@@ -42,7 +42,7 @@
     return text.length > largestShownLength ? `${text.slice(0, largestShownLength)}...` : text;
 }
 
-function describeIssue(issue: z.core.$ZodIssue, value: unknown): { message: string; mend: string } {
+function formatIssue(issue: z.core.$ZodIssue, value: unknown): { message: string; mend: string } {
     if (issue.code === "unrecognized_keys") {
         return { message: `unknown field ${issue.keys.join(", ")}`, mend: "remove it or correct its name" };
     }
@@ -79,7 +79,7 @@
         file: document.file.name,
         line: document.findLine(place),
         path: formatPath(path),
-        ...describeIssue(
+        ...formatIssue(
             issue.code === "unrecognized_keys" ? { ...issue, keys: [String(place.at(-1))] } : issue,
             readValueAt(root, path),
         ),
--- a/packages/schema/src/settings/settingDescriptions.ts
+++ b/packages/schema/src/settings/settingDescriptions.ts
@@ -36,7 +36,7 @@
     return result.data === undefined || String(result.data) === "" ? "none" : String(result.data);
 }
 
-function describeSetting(name: SettingName): SettingDescription {
+function buildDescription(name: SettingName): SettingDescription {
     const metadata = settingRegistry.get(settingsSchema.shape[name]);
     if (metadata === undefined) {
         throw new TypeError(`setting ${name} has no metadata`);
@@ -59,7 +59,7 @@
  * @returns One description a setting.
  */
 export function listSettings(): readonly SettingDescription[] {
-    return (Object.keys(settingsSchema.shape) as SettingName[]).map(describeSetting);
+    return (Object.keys(settingsSchema.shape) as SettingName[]).map(buildDescription);
 }
 
 /**
--- a/packages/schema/src/settings/settingsSchema.ts
+++ b/packages/schema/src/settings/settingsSchema.ts
@@ -42,7 +42,7 @@
     return z.string().min(shortestSecretLength);
 }
 
-function describeSecret(description: string) {
+function buildSecretMetadata(description: string) {
     return { description, allowed: secretAllowed, secret: true };
 }
 
@@ -69,11 +69,11 @@
     }),
     peerSecret: buildSecretSchema().register(
         settingRegistry,
-        describeSecret("Secret shared by all nodes; peers prove that they know it."),
+        buildSecretMetadata("Secret shared by all nodes; peers prove that they know it."),
     ),
     operatorCredential: buildSecretSchema().register(
         settingRegistry,
-        describeSecret("Credential that the operator interface asks for."),
+        buildSecretMetadata("Credential that the operator interface asks for."),
     ),
     statsdAddress: buildAddressSchema().optional().register(settingRegistry, {
         description: "Address of the StatsD server; without it no metrics are sent.",
--- a/packages/state/src/configuration/__tests__/convergence.test.ts
+++ b/packages/state/src/configuration/__tests__/convergence.test.ts
@@ -21,7 +21,9 @@
     | { readonly type: "rewriteKeys" }
     | { readonly type: "outage"; readonly isOut: boolean }
     | { readonly type: "lose"; readonly share: number }
-    | { readonly type: "pause" | "cut" | "restart"; readonly node: number }
+    | { readonly type: "slow"; readonly delayMs: number }
+    | { readonly type: "peers"; readonly areReachable: boolean }
+    | { readonly type: "pause" | "cut" | "restart" | "poll"; readonly node: number }
     | { readonly type: "wait"; readonly durationMs: number };
 
 const node = fc.nat(nodeCount - 1);
@@ -41,6 +43,8 @@
         fc.record({ type: fc.constant("rewriteKeys" as const) }),
         fc.record({ type: fc.constant("outage" as const), isOut: fc.boolean() }),
         fc.record({ type: fc.constant("lose" as const), share: fc.constantFrom(0, 0.3, 0.6) }),
+        fc.record({ type: fc.constant("slow" as const), delayMs: fc.constantFrom(0, 300, 900) }),
+        fc.record({ type: fc.constant("peers" as const), areReachable: fc.boolean() }),
         fc.record({ type: fc.constantFrom("pause" as const, "cut" as const, "restart" as const), node }),
         fc.record({ type: fc.constant("wait" as const), durationMs: fc.constantFrom(100, 2_000, 12_000) }),
     ),
@@ -96,6 +100,12 @@
             case "lose":
                 cluster.lostShare = step.share;
                 return;
+            case "slow":
+                cluster.storeDelayMs = step.delayMs;
+                return;
+            case "peers":
+                cluster.arePeersReachable = step.areReachable;
+                return;
             case "pause":
                 togglePause(cluster, step.node);
                 return;
@@ -104,6 +114,10 @@
                 return;
             case "restart":
                 return cluster.restartNode(step.node);
+            case "poll":
+                // Overlaps with the poll that may be running, as an operator's apply does.
+                void cluster.nodes[step.node]!.follower.pollOnce();
+                return;
             case "wait":
                 return cluster.advance(step.durationMs, keyIds);
         }
@@ -175,6 +189,8 @@
         const { cluster } = this;
         cluster.isOut = false;
         cluster.lostShare = 0;
+        cluster.storeDelayMs = 0;
+        cluster.arePeersReachable = true;
         cluster.nodes.forEach((node) => {
             node.isCut = false;
             node.gate.open();
--- a/packages/state/src/configuration/configurationFollower.ts
+++ b/packages/state/src/configuration/configurationFollower.ts
@@ -88,7 +88,7 @@
         this.applied = { revision, configuration };
         this.options.logger.writeEvent("configurationApplied", { revision, files: files.length });
         for (const listener of this.listeners) {
-            this.notifyListener(listener, this.applied);
+            this.handleChange(listener, this.applied);
         }
         return true;
     }
@@ -102,7 +102,7 @@
     }
 
     /** A listener that throws must not keep the others from the new configuration. */
-    private notifyListener(
+    private handleChange(
         listener: (applied: AppliedConfiguration) => void,
         applied: AppliedConfiguration,
     ): void {
--- a/packages/state/src/configuration/storeFollower.ts
+++ b/packages/state/src/configuration/storeFollower.ts
@@ -61,9 +61,9 @@
         const startedMs = this.options.clock.monotonicMs();
         try {
             await this.followStore(startedMs);
-            this.noteStore(true);
+            this.recordStoreState(true);
         } catch (error) {
-            this.noteStore(false, error);
+            this.recordStoreState(false, error);
             await this.followPeers(startedMs);
         }
         this.readNotReadyReason();
@@ -92,7 +92,7 @@
 
     /** Notes an exchange with a peer that brought this node's withdrawals up to date. */
     recordPeerContact(): void {
-        this.noteContact(this.options.clock.monotonicMs());
+        this.recordContactTime(this.options.clock.monotonicMs());
     }
 
     private async waitForPoll(signal: AbortSignal): Promise<void> {
@@ -117,7 +117,7 @@
         const { tableService, withdrawals, configuration } = this.options;
         const heads = await readHeads(tableService);
         await withdrawals.followHead(heads.withdrawals.head);
-        this.noteContact(startedMs);
+        this.recordContactTime(startedMs);
         await configuration.followHead(heads.configuration.head);
         await withdrawals.recordPending();
     }
@@ -125,7 +125,7 @@
     private async followPeers(startedMs: number): Promise<void> {
         try {
             if (await this.options.withdrawals.followPeers()) {
-                this.noteContact(startedMs);
+                this.recordContactTime(startedMs);
             }
             await this.options.configuration.followPeers();
         } catch (error) {
@@ -133,11 +133,11 @@
         }
     }
 
-    private noteContact(atMs: number): void {
+    private recordContactTime(atMs: number): void {
         this.lastContactMs = Math.max(atMs, this.lastContactMs ?? atMs);
     }
 
-    private noteStore(isReachable: boolean, error?: unknown): void {
+    private recordStoreState(isReachable: boolean, error?: unknown): void {
         if (isReachable === this.isStoreReachable) {
             return;
         }
--- a/packages/state/src/configuration/tableConfigurationStore.ts
+++ b/packages/state/src/configuration/tableConfigurationStore.ts
@@ -125,14 +125,14 @@
         if (parsed.configuration === undefined) {
             return { type: "invalid", problems: parsed.problems };
         }
-        const commit = this.prepareCommit(request, state, merged, parsed.configuration);
+        const commit = this.buildCommit(request, state, merged, parsed.configuration);
         return this.finishCommit(await this.commit(commit, deadlineMs), commit, merged.effective);
     }
 
     private checkMerge(state: StoredState, merged: MergedChanges): ApplyResult | undefined {
         const { revision } = state.snapshot;
         if (merged.conflicts.length > 0) {
-            return { type: "conflict", revision, conflicts: describeConflicts(state, merged.conflicts) };
+            return { type: "conflict", revision, conflicts: formatConflicts(state, merged.conflicts) };
         }
         return merged.effective.length === 0 ? { type: "unchanged", revision } : undefined;
     }
@@ -155,7 +155,7 @@
         }
     }
 
-    private prepareCommit(
+    private buildCommit(
         request: ApplyRequest,
         state: StoredState,
         merged: MergedChanges,
@@ -257,7 +257,7 @@
     }
 }
 
-function describeConflicts(state: StoredState, conflicts: readonly FileConflict[]): readonly FileConflict[] {
+function formatConflicts(state: StoredState, conflicts: readonly FileConflict[]): readonly FileConflict[] {
     return conflicts.map((conflict) => {
         const row = state.rows.get(conflict.name);
         return row === undefined ? conflict : { ...conflict, revision: row.revision, author: row.author };
--- a/packages/state/src/keys/configuredKeyRegistry.ts
+++ b/packages/state/src/keys/configuredKeyRegistry.ts
@@ -97,7 +97,7 @@
             if (this.withdrawals.addWithdrawal(withdrawal, isRecorded)) {
                 const sameSecret = this.listKeys().filter((key) => key.digest === withdrawal.digest);
                 const keyIds = new Set([withdrawal.keyId, ...sameSecret.map((key) => key.id)]);
-                keyIds.forEach((keyId) => this.announceWithdrawal(keyId));
+                keyIds.forEach((keyId) => this.reportWithdrawal(keyId));
             }
         }
     }
@@ -135,10 +135,10 @@
             true,
         );
         // A key that left the configuration ends like a withdrawn one, but may be defined again.
-        removed.forEach((key) => this.announceWithdrawal(key.id));
+        removed.forEach((key) => this.reportWithdrawal(key.id));
     }
 
-    private announceWithdrawal(keyId: string): void {
+    private reportWithdrawal(keyId: string): void {
         this.options.logger.writeEvent("keyWithdrawn", { keyId });
         for (const listener of this.listeners) {
             try {
