Split the peer network and bound how withdrawals are passed on

Ruled out: dropping the passing on (a cut between the first node and one peer would leave that peer to its poll). Change: exchange, calls and answers are modules of their own; the first node still calls every peer, the others pass on to three. Conclusion: calls for one withdrawal grow with n and no longer with n squared.

--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -166,7 +166,7 @@
             random,
             logger,
             listMembers: () => this.network.listMembers(),
-            copyUsage: (copy) => this.network.copyUsage(copy),
+            copyUsage: (copy) => this.network.calls.copyUsage(copy),
             listPools: () => this.parts.configuration.readCurrent()?.configuration.pools ?? [],
             listSummaries: () => this.node?.listPoolSummaries() ?? [],
         });
--- a/packages/node/src/daemon/peerBridge.ts
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -63,7 +63,7 @@
 
     async readHighestSnapshot(above: number): Promise<ConfigurationSnapshot | undefined> {
         // A starting node asks all, since it must not start from an old revision.
-        const found = await this.parts?.network.readConfiguration(
+        const found = await this.parts?.network.calls.readConfiguration(
             above,
             above === 0 ? undefined : sampledPeers,
         );
@@ -71,12 +71,12 @@
     }
 
     async spreadWithdrawals(withdrawals: readonly KeyWithdrawal[]): Promise<number> {
-        const answer = await this.parts?.network.spreadWithdrawals(withdrawals.map(encodeWithdrawal));
+        const answer = await this.parts?.network.calls.spreadWithdrawals(withdrawals.map(encodeWithdrawal));
         return answer?.peers ?? 0;
     }
 
     async readWithdrawals(): Promise<readonly KeyWithdrawal[] | undefined> {
-        const answer = await this.parts?.network.spreadWithdrawals([], sampledPeers);
+        const answer = await this.parts?.network.calls.spreadWithdrawals([], sampledPeers);
         return answer === undefined || answer.peers === 0 ? undefined : decodeWithdrawals(answer.keyIds);
     }
 
--- a/packages/node/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/node/src/peers/__tests__/peerNetwork.test.ts
@@ -127,14 +127,14 @@
             others.every((node) => node.handlers.records.has("node-0/pool:copywriting")),
         );
         await advanceUntil(() => others.every((node) => node.handlers.higherRevisions.includes(7)));
-        const held = await others[0]?.network.readConfiguration(3);
+        const held = await others[0]?.network.calls.readConfiguration(3);
         expect(held?.revision).toBe(7);
-        expect(await others[0]?.network.readConfiguration(7)).toBeUndefined();
+        expect(await others[0]?.network.calls.readConfiguration(7)).toBeUndefined();
     });
 
     it("spreads a withdrawal to every node without waiting for a probe", async () => {
         const nodes = await startNodes(4);
-        await nodes[1]?.network.spreadWithdrawals(["leaked-key"]);
+        await nodes[1]?.network.calls.spreadWithdrawals(["leaked-key"]);
         const others = nodes.filter((node) => node !== nodes[1]);
         await vi.waitFor(() =>
             expect(others.every((node) => node.handlers.withdrawals.has("leaked-key"))).toBe(true),
@@ -161,7 +161,7 @@
     it("refuses a peer with another secret in both directions", async () => {
         const first = await startNode("node-0", []);
         const stranger = await startNode("stranger", [first.address], "wrong");
-        await stranger.network.spreadWithdrawals(["some-key"]);
+        await stranger.network.calls.spreadWithdrawals(["some-key"]);
         expect(first.handlers.withdrawals.size).toBe(0);
         expect(first.network.listMembers()).toEqual([]);
         expect(stranger.network.listMembers()).toEqual([]);
@@ -170,7 +170,7 @@
     it("copies usage counters to one peer", async () => {
         const nodes = await startNodes(3);
         const copy = { owner: "node-0", incarnation: 1, windowStartMs: 0, counters: new Uint8Array([1]) };
-        expect(await nodes[0]?.network.copyUsage(copy)).toBe(true);
+        expect(await nodes[0]?.network.calls.copyUsage(copy)).toBe(true);
         expect(nodes.reduce((sum, node) => sum + node.handlers.usageCopies, 0)).toBe(1);
     });
 });
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -4,33 +4,24 @@
  *
  * @packageDocumentation
  */
-import { create } from "@bufbuild/protobuf";
 import type { ServiceImpl } from "@connectrpc/connect";
 import type { HostList } from "@pimentocleat/platform";
 import { MemberTable, RecordTable, type MemberIdentity, type MemberStatement } from "@pimentocleat/policy";
-import {
-    CopyUsageResponseSchema,
-    ExchangeResponseSchema,
-    PeerService,
-    ProbeNodeResponseSchema,
-    ReadConfigurationResponseSchema,
-    SpreadWithdrawalsResponseSchema,
-    type ExchangeRequest,
-    type ExchangeResponse,
-} from "@pimentocleat/schema";
+import type { PeerService } from "@pimentocleat/schema";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
+import { PeerCalls } from "./peerCalls.js";
 import { PeerClients } from "./peerClient.js";
-import type { PeerConfiguration, PeerHandlers, PeerUsageCopy } from "./peerHandlers.js";
-import {
-    decodeIdentity,
-    decodeRecords,
-    decodeStatements,
-    encodeIdentity,
-    encodeRecords,
-    encodeStatements,
-} from "./peerMessages.js";
+import { PeerExchange, type ExchangeFields } from "./peerExchange.js";
+import type { PeerHandlers } from "./peerHandlers.js";
 import { PeerServer } from "./peerServer.js";
+import { buildPeerService } from "./peerService.js";
+
+/**
+ * Peers to which a node passes on a withdrawal that is new to it. The node that starts it calls every
+ * peer; a larger number here would multiply the calls with the number of nodes.
+ */
+const forwardFanOut = 3;
 
 /** Timing of a {@link PeerNetwork}, in milliseconds. */
 export interface PeerNetworkSettings {
@@ -76,14 +67,6 @@
     readonly settings?: PeerNetworkSettings;
 }
 
-/** What reached peers know of withdrawals. */
-export interface PeerWithdrawals {
-    /** Peers that answered. */
-    readonly peers: number;
-    /** Withdrawals that any of them knows of. */
-    readonly keyIds: readonly string[];
-}
-
 /** Traffic of a {@link PeerNetwork}. */
 export interface PeerTraffic {
     /** Bytes received and sent on connections that peers opened. */
@@ -97,18 +80,25 @@
     private readonly settings: PeerNetworkSettings;
     private readonly clients: PeerClients;
     private readonly server: PeerServer;
+    /** Calls for other parts of the node. */
+    readonly calls: PeerCalls;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
     private members: MemberTable | undefined;
     private records: RecordTable | undefined;
-    private lastContactMs: number | undefined;
-    private exchanges = 0;
+    private exchange: PeerExchange | undefined;
 
     /** @param options - Identity, address, secret, clock, discovery and handlers. */
     constructor(private readonly options: PeerNetworkOptions) {
         this.settings = options.settings ?? defaultPeerNetworkSettings;
         const authentication = { secret: options.secret, clock: options.clock };
         this.clients = new PeerClients(authentication);
+        this.calls = new PeerCalls({
+            clients: this.clients,
+            callTimeoutMs: this.settings.callTimeoutMs,
+            copyAttempts: this.settings.relayCount,
+            chooseAddresses: (maximumPeers) => this.chooseAddresses(maximumPeers),
+        });
         this.server = new PeerServer({ authentication, service: this.buildService() });
     }
 
@@ -135,6 +125,12 @@
             onRecord: (record) =>
                 this.options.handlers.handleRecord(record.owner, record.key, record.payload),
         });
+        this.exchange = new PeerExchange({
+            members: this.members,
+            records: this.records,
+            handlers: this.options.handlers,
+            clock,
+        });
         this.members.updateDiscovered(this.listSeedHosts());
         this.tasks.push(this.runProbes(), this.runDiscovery());
         return peerAddress;
@@ -161,12 +157,12 @@
 
     /** @returns Bytes on connections that peers opened, and calls answered, since the start. */
     readTraffic(): PeerTraffic {
-        return { bytes: this.server.countBytes(), exchanges: this.exchanges };
+        return { bytes: this.server.countBytes(), exchanges: this.exchange?.countExchanges() ?? 0 };
     }
 
     /** @returns Monotonic time of the last successful exchange, in milliseconds. */
     readLastContactMs(): number | undefined {
-        return this.lastContactMs;
+        return this.exchange?.readLastContactMs();
     }
 
     /**
@@ -179,75 +175,6 @@
         this.records?.setOwnRecord(key, payload);
     }
 
-    /**
-     * Reads the highest configuration that some peers hold.
-     *
-     * @param aboveRevision - Only a higher revision is wanted.
-     * @param maximumPeers - Most peers to ask, chosen at random; all when absent.
-     * @returns The configuration, or undefined when no reached peer has a higher one.
-     */
-    async readConfiguration(
-        aboveRevision: number,
-        maximumPeers?: number,
-    ): Promise<PeerConfiguration | undefined> {
-        const answers = await this.callPeers(this.chooseAddresses(maximumPeers), async (client) => {
-            const answer = await client.readConfiguration(
-                { aboveRevision: BigInt(aboveRevision) },
-                { timeoutMs: this.settings.callTimeoutMs },
-            );
-            return { revision: Number(answer.revision), content: answer.configuration };
-        });
-        const higher = answers.filter(
-            (answer) => answer.revision > aboveRevision && answer.content.length > 0,
-        );
-        higher.sort((left, right) => right.revision - left.revision);
-        return higher[0];
-    }
-
-    /**
-     * Passes withdrawals to all known peers at once; each passes on what is new to it.
-     *
-     * @param keyIds - Identifiers of withdrawn keys.
-     * @param maximumPeers - Most peers to call, chosen at random; all when absent.
-     * @returns How many peers were reached, and the withdrawals that they know of.
-     */
-    async spreadWithdrawals(keyIds: readonly string[], maximumPeers?: number): Promise<PeerWithdrawals> {
-        const answers = await this.callPeers(this.chooseAddresses(maximumPeers), async (client) => {
-            const request = { keyIds: [...keyIds], forward: true };
-            const answer = await client.spreadWithdrawals(request, {
-                timeoutMs: this.settings.callTimeoutMs,
-            });
-            return answer.keyIds;
-        });
-        return { peers: answers.length, keyIds: [...new Set(answers.flat())] };
-    }
-
-    /**
-     * Copies usage counters to one peer, another one when the first fails.
-     *
-     * @param copy - The counters.
-     * @returns Whether a peer holds the copy.
-     */
-    async copyUsage(copy: PeerUsageCopy): Promise<boolean> {
-        const addresses = this.members?.chooseRelayAddresses("", this.settings.relayCount) ?? [];
-        for (const address of addresses) {
-            const stored = await this.callPeers([address], (client) =>
-                client.copyUsage(
-                    {
-                        ...copy,
-                        incarnation: BigInt(copy.incarnation),
-                        windowStartMs: BigInt(copy.windowStartMs),
-                    },
-                    { timeoutMs: this.settings.callTimeoutMs },
-                ),
-            );
-            if (stored.length > 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private async runProbes(): Promise<void> {
         const { clock, random } = this.options;
         while (!this.stopping.signal.aborted) {
@@ -296,11 +223,11 @@
         const receiver = this.members?.findName(address);
         try {
             const client = this.clients.getClient(address);
-            const answer = await client.exchange(this.buildExchange(receiver), {
+            const answer = await client.exchange(this.buildFields(receiver), {
                 timeoutMs: this.settings.probeTimeoutMs,
                 signal: this.stopping.signal,
             });
-            this.mergeExchange(answer);
+            this.exchange?.mergeMessage(answer);
             return true;
         } catch {
             return false;
@@ -309,7 +236,7 @@
 
     private async probeThroughRelays(address: string): Promise<boolean> {
         const relays = this.members?.chooseRelayAddresses(address, this.settings.relayCount) ?? [];
-        const answers = await this.callPeers(relays, async (client) => {
+        const answers = await this.calls.callPeers(relays, async (client) => {
             const answer = await client.probeNode(
                 { peerAddress: address },
                 { timeoutMs: 2 * this.settings.probeTimeoutMs, signal: this.stopping.signal },
@@ -334,81 +261,25 @@
         this.clients.retainClients(new Set(present));
     }
 
-    private buildExchange(receiver: string | undefined): Omit<ExchangeResponse, "$typeName" | "$unknown"> {
-        const self = this.members?.readSelf();
-        const statements = this.members?.takeUpdates(receiver) ?? [];
-        const records = this.records?.takeRecords(this.listMembers().length + 1) ?? [];
-        return {
-            sender: self === undefined ? undefined : encodeIdentity(self),
-            configurationRevision: BigInt(this.options.handlers.readConfiguration()?.revision ?? 0),
-            members: encodeStatements(statements),
-            records: encodeRecords(records),
-        };
-    }
-
-    private mergeExchange(message: ExchangeRequest | ExchangeResponse): MemberIdentity | undefined {
-        const sender = decodeIdentity(message.sender);
-        if (sender === undefined) {
-            return undefined;
-        }
-        this.exchanges += 1;
-        this.lastContactMs = this.options.clock.monotonicMs();
-        this.members?.recordContact(sender);
-        this.members?.mergeStatements(decodeStatements(message.members));
-        this.records?.mergeRecords(decodeRecords(message.records));
-        const revision = Number(message.configurationRevision);
-        if (revision > (this.options.handlers.readConfiguration()?.revision ?? 0)) {
-            this.options.handlers.handleHigherRevision(revision);
-        }
-        return sender;
-    }
-
     private buildService(): ServiceImpl<typeof PeerService> {
-        const { handlers } = this.options;
-        return {
-            exchange: (request) => {
-                const sender = this.mergeExchange(request);
-                return create(ExchangeResponseSchema, this.buildExchange(sender?.name));
-            },
-            probeNode: async (request) => {
-                const reached = await this.exchangeWith(request.peerAddress);
-                return create(ProbeNodeResponseSchema, { reached });
-            },
-            readConfiguration: (request) => {
-                const held = handlers.readConfiguration();
-                const isHigher = held !== undefined && held.revision > Number(request.aboveRevision);
-                return create(ReadConfigurationResponseSchema, {
-                    revision: BigInt(held?.revision ?? 0),
-                    configuration: isHigher ? held.content : new Uint8Array(),
-                });
-            },
-            spreadWithdrawals: (request) => {
-                const added = handlers.addWithdrawals(request.keyIds);
-                if (request.forward && added.length > 0) {
-                    void this.spreadWithdrawals(added);
-                }
-                return create(SpreadWithdrawalsResponseSchema, { keyIds: [...handlers.listWithdrawals()] });
-            },
-            copyUsage: (request) => {
-                handlers.storeUsageCopy({
-                    owner: request.owner,
-                    incarnation: Number(request.incarnation),
-                    windowStartMs: Number(request.windowStartMs),
-                    counters: request.counters,
-                });
-                return create(CopyUsageResponseSchema, {});
-            },
-        };
+        return buildPeerService({
+            handlers: this.options.handlers,
+            mergeMessage: (message) => this.exchange?.mergeMessage(message),
+            buildFields: (receiver) => this.buildFields(receiver),
+            probeAddress: (address) => this.exchangeWith(address),
+            forwardWithdrawals: (keyIds) => void this.calls.spreadWithdrawals(keyIds, forwardFanOut),
+        });
     }
 
-    private async callPeers<Answer>(
-        addresses: readonly string[],
-        call: (client: ReturnType<PeerClients["getClient"]>) => Promise<Answer>,
-    ): Promise<Answer[]> {
-        const results = await Promise.allSettled(
-            addresses.map((address) => call(this.clients.getClient(address))),
+    private buildFields(receiver: string | undefined): ExchangeFields {
+        return (
+            this.exchange?.buildFields(receiver) ?? {
+                sender: undefined,
+                configurationRevision: 0n,
+                members: [],
+                records: [],
+            }
         );
-        return results.flatMap((result) => (result.status === "fulfilled" ? [result.value] : []));
     }
 
     private listAddresses(): string[] {
