Apply the limits of customers and keys on the request path

Cause: requests, tokens and requests in flight were unlimited on the running node. Ruled out: checking before the body is read, because the class and model would then be unknown to the refusal's trace; counting replays apart, because they cost a look-up in the store too. Change: CallerLimits wraps the policy's limiter; the node's handle gives and takes the usage that the nodes tell each other.

--- a/packages/node/src/__tests__/support/testNode.ts
+++ b/packages/node/src/__tests__/support/testNode.ts
@@ -1,5 +1,5 @@
 /** A node with everything around it in memory. */
-import { configurationSchema, type Configuration, type Key } from "@pimentocleat/schema";
+import { configurationSchema, type Configuration, type Key, type Limits } from "@pimentocleat/schema";
 import { FifoScheduler } from "@pimentocleat/policy";
 import type { HostList } from "@pimentocleat/platform";
 import type {
@@ -126,6 +126,7 @@
     readonly slots?: number;
     readonly limits?: NodeOptions["limits"];
     readonly claims?: FakeClaims;
+    readonly customerLimits?: Limits;
     readonly hosts?: HostList;
     readonly createScheduler?: NodeOptions["createScheduler"];
     readonly ready?: boolean;
@@ -143,7 +144,10 @@
     const { answerTimeoutMs = 5_000 } = options;
     const credentialVariable = "POOL_CREDENTIAL";
     return configurationSchema.parse({
-        customers: [{ name: "volantino" }, { name: "limited", classes: ["standard"] }],
+        customers: [
+            { name: "volantino", limits: options.customerLimits },
+            { name: "limited", classes: ["standard"] },
+        ],
         keys: [],
         classes: [
             { name: "urgent", tier: 1, firstTokenMs: 500, completeMs: 5_000 },
--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -13,6 +13,7 @@
 import type { RunContext } from "../dispatch/runState.js";
 import { convertToRouterError, formatError } from "../errors/formatError.js";
 import { TraceRecorder, type ExplainBuffer } from "../explain/explainBuffer.js";
+import type { CallerLimits } from "../limits/callerLimits.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { CallerStream } from "../streams/callerStream.js";
 import type { AdmittedRequest, RequestRouter } from "./requestRouter.js";
@@ -26,6 +27,7 @@
     readonly runner: RequestRunner;
     readonly onceRunner: OnceRunner;
     readonly activeRequests: ActiveRequests;
+    readonly callerLimits: CallerLimits;
     readonly traces: ExplainBuffer;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -58,6 +60,7 @@
         }
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
         const routed = this.options.router.routeRequest(admitted, body);
+        this.options.callerLimits.acquire(routed);
         const active = new ActiveRequest(routed.requestId, routed.keyId);
         this.options.activeRequests.addRequest(active);
         reply.raw.on("close", () => {
@@ -89,9 +92,12 @@
 
     /** Runs the request; it stays active until its run ends, even when the caller has its answer. */
     private startRun(context: RunContext): Promise<RunResult> {
-        const { runner, onceRunner, activeRequests } = this.options;
+        const { runner, onceRunner, activeRequests, callerLimits } = this.options;
         const run = context.request.repeatable ? runner.runRequest(context) : onceRunner.runRequest(context);
-        return (run as Promise<RunResult>).finally(() => activeRequests.removeRequest(context.active));
+        return (run as Promise<RunResult>).finally(() => {
+            callerLimits.recordEnd(context.request);
+            activeRequests.removeRequest(context.active);
+        });
     }
 
     private openStream(routed: RoutedRequest, active: ActiveRequest, reply: FastifyReply): CallerStream {
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -4,11 +4,11 @@
  *
  * @packageDocumentation
  */
-import type { AttemptOutcome } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import type { UsageRecorder } from "@pimentocleat/state";
 import type { Logger, Metrics, MetricTags } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { CallerLimits } from "../limits/callerLimits.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { readTokenUsage } from "../streams/streamEvent.js";
 import { StreamRelay } from "../streams/streamRelay.js";
@@ -27,6 +27,8 @@
     buildQueuedRequest,
     buildSituation,
     findRefusal,
+    recordOutcome,
+    takeMovedGrant,
     type FailedResult,
     type RunContext,
     type RunState,
@@ -41,6 +43,7 @@
     readonly tasks: PoolTasks;
     readonly connections: ConnectionPool;
     readonly usage: UsageRecorder;
+    readonly callerLimits: CallerLimits;
     readonly metrics: Metrics;
     readonly logger: Logger;
     readonly clock: Clock;
@@ -124,6 +127,7 @@
         }
         meter.addCompletionTokens(tokens);
         task.recordTokens(request.requestId, tokens);
+        this.options.callerLimits.recordTokens(request, tokens);
     }
 
     private async runAttempts(state: RunState): Promise<RunResult> {
@@ -233,6 +237,7 @@
         if (usage !== undefined) {
             meter.setReportedUsage(usage);
             task.recordTokens(requestId, usage.completionTokens);
+            this.options.callerLimits.recordTokens(context.request, usage.completionTokens);
         }
         recordOutcome(state, grant, "completed");
         return result.answer;
@@ -268,31 +273,3 @@
         this.options.logger.writeEvent("requestRetried", { requestId: request.requestId, reason });
     }
 }
-
-/**
- * Records the outcome and frees the slot. A request that finished where it was, although the scheduler
- * had decided to move it, holds a second slot.
- */
-function recordOutcome(state: RunState, grant: StartGrant, outcome: AttemptOutcome, moved = false): void {
-    const { task, context, moveTarget } = state;
-    task.recordOutcome(context.request.requestId, grant.server.name, outcome);
-    if (moveTarget !== undefined && !moved) {
-        state.moveTarget = undefined;
-        task.recordOutcome(context.request.requestId, moveTarget, outcome);
-    }
-}
-
-/** A moved request has its slot already; it needs no other one. */
-function takeMovedGrant(state: RunState, grant: StartGrant): StartGrant | undefined {
-    const { moveTarget, task, context } = state;
-    if (moveTarget === undefined) {
-        return undefined;
-    }
-    state.moveTarget = undefined;
-    const server = task.findServer(moveTarget);
-    if (server === undefined) {
-        task.recordOutcome(context.request.requestId, moveTarget, "cancelled");
-        return undefined;
-    }
-    return { server, priority: grant.priority };
-}
--- a/packages/node/src/dispatch/runState.ts
+++ b/packages/node/src/dispatch/runState.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { QueuedRequest } from "@pimentocleat/policy";
+import type { AttemptOutcome, QueuedRequest } from "@pimentocleat/policy";
 import type { RouterError } from "@pimentocleat/types";
 import type { TraceRecorder } from "../explain/explainBuffer.js";
 import type { CallerStream } from "../streams/callerStream.js";
@@ -13,6 +13,7 @@
 import type { AttemptResult } from "./attempt.js";
 import type { FailureSituation } from "./chooseFailureAction.js";
 import type { PoolTask } from "./poolTask.js";
+import type { StartGrant } from "./poolTaskOptions.js";
 import type { RoutedRequest } from "./routedRequest.js";
 
 /** A request that runs. */
@@ -111,3 +112,47 @@
     }
     return state.lastError ?? error;
 }
+
+/**
+ * Records the outcome and frees the slot. A request that finished where it was, although the scheduler
+ * had decided to move it, holds a second slot.
+ *
+ * @param state - The running request.
+ * @param grant - The grant of the try that ended.
+ * @param outcome - How it ended.
+ * @param moved - Whether the request goes on on the server that it was moved to.
+ */
+export function recordOutcome(
+    state: RunState,
+    grant: StartGrant,
+    outcome: AttemptOutcome,
+    moved = false,
+): void {
+    const { task, context, moveTarget } = state;
+    task.recordOutcome(context.request.requestId, grant.server.name, outcome);
+    if (moveTarget !== undefined && !moved) {
+        state.moveTarget = undefined;
+        task.recordOutcome(context.request.requestId, moveTarget, outcome);
+    }
+}
+
+/**
+ * Takes the grant of a moved request, which has its slot already.
+ *
+ * @param state - The running request.
+ * @param grant - The grant that it had.
+ * @returns The grant on the new server, or undefined when the request needs another one.
+ */
+export function takeMovedGrant(state: RunState, grant: StartGrant): StartGrant | undefined {
+    const { moveTarget, task, context } = state;
+    if (moveTarget === undefined) {
+        return undefined;
+    }
+    state.moveTarget = undefined;
+    const server = task.findServer(moveTarget);
+    if (server === undefined) {
+        task.recordOutcome(context.request.requestId, moveTarget, "cancelled");
+        return undefined;
+    }
+    return { server, priority: grant.priority };
+}
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -7,7 +7,7 @@
 import type { Server as HttpServer } from "node:http";
 import { Server as NetServer, type AddressInfo } from "node:net";
 import type { FastifyInstance } from "fastify";
-import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolStatus, PoolSummary } from "@pimentocleat/policy";
 import type { Configuration } from "@pimentocleat/schema";
 import { BackendPollers } from "../backends/backendPollers.js";
 import { LeavingWatcher } from "../backends/leavingWatcher.js";
@@ -19,6 +19,7 @@
 import { PoolTasks } from "../dispatch/poolTasks.js";
 import { RequestRunner } from "../dispatch/requestRunner.js";
 import { ExplainBuffer, type RequestTrace } from "../explain/explainBuffer.js";
+import { CallerLimits } from "../limits/callerLimits.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { IdleCounter } from "./idleCounter.js";
 import { ConnectionPool } from "../upstream/connectionPool.js";
@@ -28,6 +29,7 @@
 export class Node implements NodeHandle {
     private readonly activeRequests = new ActiveRequests();
     private readonly openAnswers = new IdleCounter();
+    private readonly callerLimits: CallerLimits;
     private readonly traces: ExplainBuffer;
     private readonly connections: ConnectionPool;
     private readonly tasks: PoolTasks;
@@ -52,6 +54,7 @@
         const onError = (error: unknown): void => this.reportError(error);
         const { clock } = options;
         this.traces = new ExplainBuffer(limits.traces);
+        this.callerLimits = new CallerLimits(clock, options.name);
         this.connections = new ConnectionPool(limits);
         this.tasks = new PoolTasks({ createScheduler: options.createScheduler, clock, onError });
         const { logger, hosts } = options;
@@ -128,7 +131,16 @@
         this.tasks.findTask(summary.pool)?.recordPeerSummary(summary);
     }
 
+    summarizeLimits(): LimitSummary {
+        return this.callerLimits.summarizeUsage();
+    }
+
+    recordPeerLimits(summary: LimitSummary): void {
+        this.callerLimits.recordPeerSummary(summary);
+    }
+
     removePeer(node: string): void {
+        this.callerLimits.removePeer(node);
         this.tasks.listTasks().forEach((task) => task.removePeer(node));
     }
 
@@ -146,6 +158,7 @@
     }
 
     private applyConfiguration(configuration: Configuration): void {
+        this.callerLimits.applyConfiguration(configuration);
         this.tasks.applyConfiguration(configuration);
         this.pollers.applyConfiguration(configuration);
     }
@@ -193,6 +206,7 @@
             tasks: this.tasks,
             connections: this.connections,
             usage,
+            callerLimits: this.callerLimits,
             metrics,
             logger,
             clock,
@@ -210,6 +224,7 @@
             runner,
             onceRunner: this.onceRunner,
             activeRequests: this.activeRequests,
+            callerLimits: this.callerLimits,
             traces: this.traces,
             logger,
             metrics,
--- a/packages/node/src/lifecycle/nodeOptions.ts
+++ b/packages/node/src/lifecycle/nodeOptions.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { PoolStatus, PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolStatus, PoolSummary } from "@pimentocleat/policy";
 import type { HostList } from "@pimentocleat/platform";
 import type { ClaimStore, ConfigurationSource, KeyRegistry, UsageRecorder } from "@pimentocleat/state";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
@@ -66,6 +66,10 @@
     listPoolSummaries(): readonly PoolSummary[];
     /** @param summary - The soft state of another node. */
     recordPeerSummary(summary: PoolSummary): void;
+    /** @returns Usage of limited customers and keys, to spread to the other nodes. */
+    summarizeLimits(): LimitSummary;
+    /** @param summary - Usage on another node. */
+    recordPeerLimits(summary: LimitSummary): void;
     /** @param node - A node that is gone. */
     removePeer(node: string): void;
     /** Stops gracefully: reports unready, keeps serving, then finishes every request. */
