Use the verbs of the list of names on the request path

Ruled out: longer lists of verbs, because the listed ones say the same. Change: names only; abort of a node's handle stays, because the daemon and the tests use it.

--- a/packages/bench/src/bench/benchBackend.ts
+++ b/packages/bench/src/bench/benchBackend.ts
@@ -6,7 +6,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { BenchPlan } from "./benchOptions.js";
-import { listenAndReport } from "./benchProcess.js";
+import { startListening } from "./benchProcess.js";
 
 const usage = `"usage":{"prompt_tokens":8,"completion_tokens":1}`;
 const wholeBody = `{"choices":[{"index":0,"message":{"role":"assistant","content":"word"},"finish_reason":"stop"}],${usage}}`;
@@ -25,13 +25,13 @@
     const server = createServer((request, response) => {
         const chunks: Buffer[] = [];
         request.on("data", (chunk: Buffer) => chunks.push(chunk));
-        request.on("end", () => answerRequest(request, response, Buffer.concat(chunks).toString()));
+        request.on("end", () => serveRequest(request, response, Buffer.concat(chunks).toString()));
     });
     server.keepAliveTimeout = 60_000;
-    await listenAndReport(server);
+    await startListening(server);
 }
 
-function answerRequest(request: IncomingMessage, response: ServerResponse, text: string): void {
+function serveRequest(request: IncomingMessage, response: ServerResponse, text: string): void {
     const echo = { "x-request-id": request.headers["x-request-id"] ?? "" };
     if (request.method === "GET") {
         const load = `{"running":0,"waiting":0,"slots":100000,"events":[],"lastSequence":0}`;
@@ -41,14 +41,14 @@
     const body = JSON.parse(text) as BenchBody;
     if (body.stream && body.bench !== undefined) {
         response.writeHead(200, { ...echo, "content-type": "text/event-stream" });
-        streamTokens(response, body.bench);
+        sendTokens(response, body.bench);
         return;
     }
     const headers = { ...echo, "content-type": "application/json", "content-length": wholeBody.length };
     response.writeHead(200, headers).end(wholeBody);
 }
 
-function streamTokens(response: ServerResponse, plan: BenchPlan): void {
+function sendTokens(response: ServerResponse, plan: BenchPlan): void {
     let sent = 0;
     const timer = setInterval(() => {
         if (sent === plan.tokens) {
--- a/packages/bench/src/bench/benchClient.ts
+++ b/packages/bench/src/bench/benchClient.ts
@@ -37,7 +37,7 @@
      * @param body - Body from {@link buildBenchBody}.
      * @returns Its duration, in milliseconds.
      */
-    async callWhole(body: string): Promise<number> {
+    async sendWhole(body: string): Promise<number> {
         const startMs = performance.now();
         const answer = await this.client.request({ method: "POST", path, headers: buildHeaders(), body });
         await answer.body.text();
@@ -53,7 +53,7 @@
      * @param body - Body from {@link buildBenchBody}.
      * @returns Time to the first part and between parts, in milliseconds.
      */
-    async callStream(
+    async sendStream(
         body: string,
     ): Promise<{ readonly firstMs: number; readonly gapsMs: readonly number[] }> {
         const startMs = performance.now();
--- a/packages/bench/src/bench/benchNode.ts
+++ b/packages/bench/src/bench/benchNode.ts
@@ -16,7 +16,7 @@
 import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
 import { SystemClock } from "@pimentocleat/types";
 import { benchSecret } from "./benchOptions.js";
-import { answerMeasurements } from "./benchProcess.js";
+import { serveMeasurements } from "./benchProcess.js";
 
 const slots = 100_000;
 
@@ -53,7 +53,7 @@
         createScheduler: (part) => new TieredScheduler({ configuration: part, clock, node: "bench-1" }),
         limits: { keepAliveMs: 120_000, idleConnections: 4_096, stalledCallerMs: 120_000 },
     });
-    answerMeasurements(node.callerAddress);
+    serveMeasurements(node.callerAddress);
 }
 
 function buildConfiguration(addresses: readonly string[]): Configuration {
--- a/packages/bench/src/bench/benchOptions.ts
+++ b/packages/bench/src/bench/benchOptions.ts
@@ -15,7 +15,7 @@
     /** Pairs of calls for the latency of streams. */
     readonly streamPairs: number;
     /** Tokens of a stream in the latency measurement. */
-    readonly streamTokens: number;
+    readonly sendTokens: number;
     /** Time between two tokens in the latency measurement, in milliseconds. */
     readonly tokenIntervalMs: number;
     /** Duration of each load, in milliseconds. */
@@ -35,7 +35,7 @@
     seed: 1,
     wholePairs: 1_500,
     streamPairs: 60,
-    streamTokens: 20,
+    sendTokens: 20,
     tokenIntervalMs: 4,
     loadMs: 6_000,
     concurrency: 64,
--- a/packages/bench/src/bench/benchProcess.ts
+++ b/packages/bench/src/bench/benchProcess.ts
@@ -72,10 +72,10 @@
  *
  * @param server - The server.
  */
-export async function listenAndReport(server: Server): Promise<void> {
+export async function startListening(server: Server): Promise<void> {
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
-    answerMeasurements(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    serveMeasurements(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 }
 
 /**
@@ -83,7 +83,7 @@
  *
  * @param address - IP address and port.
  */
-export function answerMeasurements(address: string): void {
+export function serveMeasurements(address: string): void {
     process.send?.({ type: "listening", address } satisfies ChildMessage);
     process.on("disconnect", () => process.exit(0));
     process.on("message", (message) => {
--- a/packages/bench/src/bench/measureLatency.ts
+++ b/packages/bench/src/bench/measureLatency.ts
@@ -35,17 +35,17 @@
     const node = new BenchClient(addresses.node);
     const [whole, first, between] = ["whole answer", "first token", "between tokens"].map(createPair);
     for (let call = 0; call < warmUpCalls; call += 1) {
-        await direct.callWhole(buildBenchBody(undefined, 1));
-        await node.callWhole(buildBenchBody(undefined, 1));
+        await direct.sendWhole(buildBenchBody(undefined, 1));
+        await node.sendWhole(buildBenchBody(undefined, 1));
     }
     for (let pair = 0; pair < options.wholePairs; pair += 1) {
         const body = buildBenchBody(undefined, uniformInt(random, 1, longestPromptWords));
         await runInOrder(uniformInt(random, 0, 1) === 0, [
-            async () => whole!.direct.addDuration(await direct.callWhole(body)),
-            async () => whole!.node.addDuration(await node.callWhole(body)),
+            async () => whole!.direct.addDuration(await direct.sendWhole(body)),
+            async () => whole!.node.addDuration(await node.sendWhole(body)),
         ]);
     }
-    const plan = { tokens: options.streamTokens, intervalMs: options.tokenIntervalMs };
+    const plan = { tokens: options.sendTokens, intervalMs: options.tokenIntervalMs };
     for (let pair = 0; pair < options.streamPairs; pair += 1) {
         const body = buildBenchBody(plan, uniformInt(random, 1, longestPromptWords));
         await runInOrder(uniformInt(random, 0, 1) === 0, [
@@ -73,7 +73,7 @@
     first: Sample,
     between: Sample,
 ): Promise<void> {
-    const { firstMs, gapsMs } = await client.callStream(body);
+    const { firstMs, gapsMs } = await client.sendStream(body);
     first.addDuration(firstMs);
     gapsMs.forEach((gapMs) => between.addDuration(gapMs));
 }
--- a/packages/bench/src/bench/measureLoad.ts
+++ b/packages/bench/src/bench/measureLoad.ts
@@ -49,7 +49,7 @@
     const body = buildBenchBody(undefined, promptWords);
     const clients = Array.from({ length: options.concurrency }, () => new BenchClient(node.address));
     const measurement = await measureWhile(node, options.loadMs, async (endMs) => {
-        const counts = await Promise.all(clients.map((client) => callUntil(client, body, endMs)));
+        const counts = await Promise.all(clients.map((client) => sendUntil(client, body, endMs)));
         return counts.reduce((sum, count) => sum + count, 0);
     });
     await Promise.all(clients.map((client) => client.close()));
@@ -135,10 +135,10 @@
     };
 }
 
-async function callUntil(client: BenchClient, body: string, endMs: number): Promise<number> {
+async function sendUntil(client: BenchClient, body: string, endMs: number): Promise<number> {
     let count = 0;
     while (performance.now() < endMs) {
-        await client.callWhole(body);
+        await client.sendWhole(body);
         count += 1;
     }
     return count;
--- a/packages/node/src/__tests__/support/fakeBackend.ts
+++ b/packages/node/src/__tests__/support/fakeBackend.ts
@@ -56,7 +56,7 @@
 
     private handle(message: IncomingMessage, response: ServerResponse): void {
         if (/^\/(load|cache-events)\b/.test(message.url ?? "")) {
-            this.answerPoll(message, response);
+            this.servePoll(message, response);
             return;
         }
         const chunks: Buffer[] = [];
@@ -75,7 +75,7 @@
         });
     }
 
-    private answerPoll(message: IncomingMessage, response: ServerResponse): void {
+    private servePoll(message: IncomingMessage, response: ServerResponse): void {
         this.pollSockets.add(message.socket);
         const url = message.url ?? "";
         this.polls.push(url);
--- a/packages/node/src/callerApi/callerServer.ts
+++ b/packages/node/src/callerApi/callerServer.ts
@@ -58,16 +58,16 @@
             reply.header("connection", "close");
         }
     });
-    server.setErrorHandler((error, request, reply) => answerError(options, error, request, reply));
+    server.setErrorHandler((error, request, reply) => sendError(options, error, request, reply));
     server.get("/healthz", async () => ({ status: "ok" }));
-    server.get("/readyz", async (...[, reply]) => answerReadiness(options, reply));
+    server.get("/readyz", async (...[, reply]) => sendReadiness(options, reply));
     server.all(
         "*",
         {
             onRequest: async (request) => {
                 const { id, method, raw, headers } = request;
                 const head = { requestId: id, method, url: raw.url ?? "", headers };
-                admitted.set(request, options.router.admitRequest(head));
+                admitted.set(request, options.router.resolveHead(head));
             },
         },
         (request, reply) => {
@@ -96,13 +96,13 @@
             noDelay: true,
         },
         frameworkErrors: (error, request, reply) => {
-            void answerError(options, error, request as FastifyRequest, reply as unknown as FastifyReply);
+            void sendError(options, error, request as FastifyRequest, reply as unknown as FastifyReply);
         },
-        clientErrorHandler: (error, socket) => answerBrokenRequest(options, error, socket),
+        clientErrorHandler: (error, socket) => refuseBrokenRequest(options, error, socket),
     });
 }
 
-function answerError(
+function sendError(
     options: CallerServerOptions,
     thrown: unknown,
     request: FastifyRequest,
@@ -115,7 +115,7 @@
 }
 
 /** Answers bytes that never became a request: broken syntax, too large headers, slow senders. */
-function answerBrokenRequest(options: CallerServerOptions, thrown: Error, socket: Duplex): void {
+function refuseBrokenRequest(options: CallerServerOptions, thrown: Error, socket: Duplex): void {
     if (!socket.writable || (thrown as { code?: string }).code === "ECONNRESET") {
         socket.destroy();
         return;
@@ -146,7 +146,7 @@
     }
 }
 
-function answerReadiness(options: CallerServerOptions, reply: FastifyReply): FastifyReply {
+function sendReadiness(options: CallerServerOptions, reply: FastifyReply): FastifyReply {
     const ready = options.isReady();
     return reply.code(ready ? 200 : 503).send({ ready });
 }
--- a/packages/node/src/callerApi/modelCallParser.ts
+++ b/packages/node/src/callerApi/modelCallParser.ts
@@ -64,8 +64,7 @@
 }
 
 function buildModelCall(fields: ChatBody | CompletionBody, kind: ModelCall["kind"]): ModelCall {
-    const prompt =
-        "messages" in fields ? joinMessages(fields as ChatBody) : (fields as CompletionBody).prompt;
+    const prompt = "messages" in fields ? buildPrompt(fields as ChatBody) : (fields as CompletionBody).prompt;
     return {
         model: fields.model,
         streamed: fields.stream ?? false,
@@ -77,11 +76,11 @@
     };
 }
 
-function joinMessages(fields: ChatBody): string {
-    return fields.messages.map((message) => `${message.role}\n${joinContent(message.content)}\n`).join("");
+function buildPrompt(fields: ChatBody): string {
+    return fields.messages.map((message) => `${message.role}\n${buildContent(message.content)}\n`).join("");
 }
 
-function joinContent(content: ChatBody["messages"][number]["content"]): string {
+function buildContent(content: ChatBody["messages"][number]["content"]): string {
     if (typeof content === "string") {
         return content;
     }
--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -59,7 +59,7 @@
             return reply.send(buildModelList(admitted.table.listModels()));
         }
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
-        const routed = this.options.router.routeRequest(admitted, body);
+        const routed = this.options.router.resolveRequest(admitted, body);
         this.options.callerLimits.acquire(routed);
         const active = new ActiveRequest(routed.requestId, routed.keyId);
         this.options.activeRequests.addRequest(active);
@@ -82,11 +82,11 @@
         const context: RunContext = { request: routed, active, trace, caller, sendByMs: undefined };
         const run = this.startRun(context);
         try {
-            const result = await (routed.repeatable ? run : raceWithdrawal(run, active));
+            const result = await (routed.repeatable ? run : waitForAnswer(run, active));
             this.recordFinish(context, result === "streamed" ? 200 : result.status);
             return result === "streamed" ? reply.hijack() : this.sendAnswer(result, reply);
         } catch (thrown) {
-            return this.answerError(context, convertToRouterError(thrown), reply);
+            return this.sendError(context, convertToRouterError(thrown), reply);
         }
     }
 
@@ -125,10 +125,10 @@
         return reply.send(result.body);
     }
 
-    private answerError(context: RunContext, error: RouterError, reply: FastifyReply): FastifyReply {
+    private sendError(context: RunContext, error: RouterError, reply: FastifyReply): FastifyReply {
         this.recordError(context, error);
         if (context.caller?.started) {
-            context.caller.fail(error);
+            context.caller.finishWithError(error);
             return reply.hijack();
         }
         if (reply.raw.destroyed) {
@@ -165,7 +165,7 @@
 }
 
 /** Answers at once when the key is withdrawn, while the run goes on and records its outcome. */
-async function raceWithdrawal(run: Promise<RunResult>, active: ActiveRequest): Promise<RunResult> {
+async function waitForAnswer(run: Promise<RunResult>, active: ActiveRequest): Promise<RunResult> {
     const cancelled = active.waitForCancel().then((reason) => {
         throw buildCancelError(reason, true);
     });
--- a/packages/node/src/callerApi/requestRouter.ts
+++ b/packages/node/src/callerApi/requestRouter.ts
@@ -8,7 +8,7 @@
 import type { AppliedConfiguration, ConfigurationSource, KeyRegistry } from "@pimentocleat/state";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
 import type { ModelCall, RoutedRequest } from "../dispatch/routedRequest.js";
-import { containsSecret, selectQuery, selectRequestHeaders } from "../upstream/forwardedRequest.js";
+import { hasSecret, selectQuery, selectRequestHeaders } from "../upstream/forwardedRequest.js";
 import { listSecrets, readPresentedKey } from "./credentials.js";
 import { parseModelCall } from "./modelCallParser.js";
 import { RouteTable, type RouteMatch } from "./routeTable.js";
@@ -68,7 +68,7 @@
      * @returns The admitted request.
      * @throws RouterError when there is no such route or the key is not accepted.
      */
-    admitRequest(head: RequestHead): AdmittedRequest {
+    resolveHead(head: RequestHead): AdmittedRequest {
         const table = this.readTable();
         const separator = head.url.indexOf("?");
         const path = separator < 0 ? head.url : head.url.slice(0, separator);
@@ -80,7 +80,7 @@
         const key = this.findKey(secret, open);
         checkCustomer(match, key);
         const secrets = listSecrets(head.headers, secret);
-        if (containsSecret(path, secrets)) {
+        if (hasSecret(path, secrets)) {
             throw new RouterError(
                 ErrorKind.InvalidRequest,
                 "The path contains a key; send it as a header only.",
@@ -98,7 +98,7 @@
      * @returns The request to dispatch.
      * @throws RouterError when body, model or class are not accepted.
      */
-    routeRequest(admitted: AdmittedRequest, body: Buffer | undefined): RoutedRequest {
+    resolveRequest(admitted: AdmittedRequest, body: Buffer | undefined): RoutedRequest {
         const { head, key, secrets } = admitted;
         if (key !== undefined && this.options.keys.isWithdrawn(key.id)) {
             throw new RouterError(ErrorKind.KeyWithdrawn);
--- a/packages/node/src/dispatch/attempt.ts
+++ b/packages/node/src/dispatch/attempt.ts
@@ -67,7 +67,7 @@
         return new Promise((resolve) => {
             this.resolve = resolve;
             this.options.stream?.relay.startAttempt();
-            this.options.stream?.caller.setListener({ onDrain: () => this.exchange.resume() });
+            this.options.stream?.caller.setListener({ onDrain: () => this.exchange.startReading() });
             this.exchange.start();
         });
     }
@@ -107,7 +107,7 @@
             return this.collector.addChunk(chunk);
         }
         if (!stream.relay.addChunk(chunk)) {
-            this.exchange.pause();
+            this.exchange.stopReading();
         }
         return stream.relay.findFault();
     }
--- a/packages/node/src/dispatch/chooseFailureAction.ts
+++ b/packages/node/src/dispatch/chooseFailureAction.ts
@@ -54,7 +54,7 @@
  */
 export function chooseFailureAction(situation: FailureSituation, budget: RetryBudget): FailureAction {
     const { repeatable, claimed, moved, failure, streamedTokens } = situation;
-    const action = chooseRetryAction(describeAttempt(situation));
+    const action = chooseRetryAction(buildFailedAttempt(situation));
     if (action.type === "fail" || (!repeatable && !claimed)) {
         return { type: "fail", error: buildFailureError(situation) };
     }
@@ -82,14 +82,14 @@
  * @returns The error; it says "not run" only when no try may have run.
  */
 export function buildFailureError(situation: FailureSituation): RouterError {
-    const { kind, executed } = buildFailure(describeAttempt(situation));
+    const { kind, executed } = buildFailure(buildFailedAttempt(situation));
     return new RouterError(kind, undefined, {
         executed: situation.sentBefore ? "unknown" : executed,
         retryAfterMs: situation.failure.retryAfterMs,
     });
 }
 
-function describeAttempt(situation: FailureSituation): FailedAttempt {
+function buildFailedAttempt(situation: FailureSituation): FailedAttempt {
     const { failure, attempt, repeatable, streamedTokens, resumable } = situation;
     return {
         outcome: convertFailureToOutcome(failure),
--- a/packages/node/src/dispatch/poolTask.ts
+++ b/packages/node/src/dispatch/poolTask.ts
@@ -61,7 +61,7 @@
         this.retryBudget.updateShare(configuration.pool.retryShare);
         this.setServers(configuration.pool.servers);
         this.scheduler.updateConfiguration(configuration);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /**
@@ -88,7 +88,7 @@
         active.setCancelListener((reason) => this.cancelWaiting(request.requestId, reason));
         return new Promise((resolve, reject) => {
             this.waiting.set(request.requestId, { resolve, reject });
-            this.requestDecisions();
+            this.startDecisions();
         });
     }
 
@@ -137,13 +137,13 @@
     recordOutcome(requestId: string, server: string, outcome: AttemptOutcome): void {
         this.running.delete(requestId);
         this.scheduler.recordOutcome(requestId, server, outcome);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /** @param report - A load report of a server. */
     recordLoadReport(report: LoadReport): void {
         this.scheduler.recordLoadReport(report);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /** @param event - A cache event of a server. */
@@ -154,19 +154,19 @@
     /** @param notice - A server that leaves. */
     recordLeaving(notice: LeavingNotice): void {
         this.scheduler.recordLeaving(notice);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /** @param summary - The soft state of another node. */
     recordPeerSummary(summary: PoolSummary): void {
         this.scheduler.recordPeerSummary(summary);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /** @param node - A node that is gone. */
     removePeer(node: string): void {
         this.scheduler.removePeer(node);
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     /** @returns The soft state of this node about the pool. */
@@ -195,7 +195,7 @@
     private cancelWaiting(requestId: string, reason: CancelReason): void {
         this.scheduler.cancelRequest(requestId, reason);
         this.refuseWaiting(requestId, buildCancelError(reason, false));
-        this.requestDecisions();
+        this.startDecisions();
     }
 
     private refuseWaiting(requestId: string, error: RouterError): void {
@@ -204,7 +204,7 @@
         request?.reject(error);
     }
 
-    private requestDecisions(): void {
+    private startDecisions(): void {
         if (this.decisionsDue || this.stopped) {
             return;
         }
@@ -219,7 +219,7 @@
         }
         try {
             this.scheduler.takeDecisions().forEach((decision) => this.applyDecision(decision));
-            this.scheduleWake();
+            this.startWakeTimer();
         } catch (error) {
             this.options.onError(error);
         }
@@ -261,7 +261,7 @@
     }
 
     /** Keeps one timer; one that fires early only takes decisions once more. */
-    private scheduleWake(): void {
+    private startWakeTimer(): void {
         const nextMs = this.scheduler.readNextWakeMs();
         if (nextMs === undefined || nextMs >= this.wakeAtMs) {
             return;
@@ -274,7 +274,7 @@
         void this.options.clock.wait(durationMs, signal).then(() => {
             if (!signal.aborted) {
                 this.wakeAtMs = Number.POSITIVE_INFINITY;
-                this.requestDecisions();
+                this.startDecisions();
             }
         });
     }
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -96,7 +96,7 @@
         }
         this.unsubscribes.push(
             configuration.onChange((next) => this.applyConfiguration(next.configuration)),
-            keys.onWithdrawal((keyId) => this.endRequestsOfKey(keyId)),
+            keys.onWithdrawal((keyId) => this.cancelRequestsOfKey(keyId)),
         );
         void this.leavingWatcher?.run();
         await this.server.ready();
@@ -246,7 +246,7 @@
         });
     }
 
-    private endRequestsOfKey(keyId: string): void {
+    private cancelRequestsOfKey(keyId: string): void {
         const requests = this.activeRequests.cancelKey(keyId);
         this.options.logger.writeEvent("keyRequestsEnded", { keyId, requests });
     }
--- a/packages/node/src/streams/callerStream.ts
+++ b/packages/node/src/streams/callerStream.ts
@@ -73,7 +73,7 @@
      *
      * @param error - Why it failed.
      */
-    fail(error: RouterError): void {
+    finishWithError(error: RouterError): void {
         this.sendHead();
         this.stall?.abort();
         const { response, requestId } = this.options;
--- a/packages/node/src/streams/plainEvents.ts
+++ b/packages/node/src/streams/plainEvents.ts
@@ -28,7 +28,7 @@
  * @returns What they carry, or undefined when a parser is needed.
  */
 export function readPlainEvents(chunk: Buffer): PlainEvents | undefined {
-    if (!endsWithEvent(chunk)) {
+    if (!isWholeEvents(chunk)) {
         return undefined;
     }
     const text = chunk.toString("latin1", 0, chunk.length - eventSeparator.length);
@@ -52,7 +52,7 @@
  * @param chunk - The bytes.
  * @returns True when the next byte starts another event.
  */
-export function endsWithEvent(chunk: Buffer): boolean {
+export function isWholeEvents(chunk: Buffer): boolean {
     return chunk.at(-1) === lineFeed && chunk.at(-2) === lineFeed;
 }
 
--- a/packages/node/src/streams/streamRelay.ts
+++ b/packages/node/src/streams/streamRelay.ts
@@ -7,14 +7,14 @@
 import { StringDecoder } from "node:string_decoder";
 import { createParser } from "eventsource-parser";
 import type { CallerStream } from "./callerStream.js";
-import { endsWithEvent, readPlainEvents, type PlainEvents } from "./plainEvents.js";
+import { isWholeEvents, readPlainEvents, type PlainEvents } from "./plainEvents.js";
 import { parseStreamEvent, streamTerminator, type TokenUsage } from "./streamEvent.js";
 import { TextBuffer } from "./textBuffer.js";
 
 const outputAfterEnd = "the stream goes on after its terminator";
 
 interface EventParser {
-    feed(chunk: Buffer): void;
+    addBytes(chunk: Buffer): void;
 }
 
 /** Receives the progress of a stream. */
@@ -97,11 +97,11 @@
     addChunk(chunk: Buffer): boolean {
         const plain = this.withinEvent || this.finished ? undefined : readPlainEvents(chunk);
         if (plain !== undefined) {
-            return this.relayPlainEvents(chunk, plain);
+            return this.forwardPlainEvents(chunk, plain);
         }
-        this.withinEvent = !endsWithEvent(chunk);
+        this.withinEvent = !isWholeEvents(chunk);
         this.parser ??= this.createEventParser();
-        this.parser.feed(chunk);
+        this.parser.addBytes(chunk);
         if (this.output === "") {
             return true;
         }
@@ -147,7 +147,7 @@
         }
     }
 
-    private relayPlainEvents(chunk: Buffer, plain: PlainEvents): boolean {
+    private forwardPlainEvents(chunk: Buffer, plain: PlainEvents): boolean {
         if (this.invalid !== undefined || this.terminated) {
             this.invalid ??= outputAfterEnd;
             return true;
@@ -164,7 +164,7 @@
     private createEventParser(): EventParser {
         const decoder = new StringDecoder("utf8");
         const parser = createParser({ onEvent: (event) => this.handleEvent(event.data, event.event) });
-        return { feed: (chunk) => parser.feed(decoder.write(chunk)) };
+        return { addBytes: (chunk) => parser.feed(decoder.write(chunk)) };
     }
 
     private handleEvent(data: string, type: string | undefined): void {
--- a/packages/node/src/upstream/backendConnection.ts
+++ b/packages/node/src/upstream/backendConnection.ts
@@ -48,7 +48,7 @@
             keepAliveMaxTimeout: options.idleConnectionMs,
             connect: (connectOptions, callback) => this.openOnce(connectOptions, callback),
         });
-        this.client.on("disconnect", () => this.destroy());
+        this.client.on("disconnect", () => this.close());
     }
 
     /** Whether the connection can carry another request. */
@@ -77,7 +77,7 @@
     }
 
     /** Ends the connection at once; its request fails. */
-    destroy(): void {
+    close(): void {
         if (this.closed) {
             return;
         }
--- a/packages/node/src/upstream/connectionPool.ts
+++ b/packages/node/src/upstream/connectionPool.ts
@@ -46,7 +46,7 @@
     releaseConnection(connection: BackendConnection): void {
         const idle = this.idle.get(connection.address) ?? [];
         if (!connection.usable || idle.length >= this.options.idleConnections) {
-            connection.destroy();
+            connection.close();
             return;
         }
         idle.push(connection);
@@ -55,7 +55,7 @@
 
     /** Ends all connections, also those with a request in flight. */
     close(): void {
-        [...this.all].forEach((connection) => connection.destroy());
+        [...this.all].forEach((connection) => connection.close());
     }
 
     private openConnection(address: string): BackendConnection {
--- a/packages/node/src/upstream/exchange.ts
+++ b/packages/node/src/upstream/exchange.ts
@@ -105,13 +105,13 @@
         );
     }
 
-    /** Stops reading until {@link Exchange.resume}. */
-    pause(): void {
+    /** Stops reading until {@link Exchange.startReading}. */
+    stopReading(): void {
         this.controller?.pause();
     }
 
     /** Goes on reading. */
-    resume(): void {
+    startReading(): void {
         this.controller?.resume();
     }
 
@@ -130,7 +130,7 @@
      * @param message - Why.
      */
     cancel(message: string): void {
-        this.fail("cancelled", message);
+        this.finishFailed("cancelled", message);
     }
 
     private handleHead(
@@ -143,16 +143,20 @@
             return;
         }
         if (headers[requestIdHeader] !== this.request.wireId) {
-            this.fail("mismatched", "the answer does not echo the request's identifier");
+            this.finishFailed("mismatched", "the answer does not echo the request's identifier");
             return;
         }
         if (this.request.rejectionStatuses.has(status) && headers["x-executed"] === "no") {
-            this.fail("rejected", `status ${status}, not run`, parseRetryAfter(headers["retry-after"]));
+            this.finishFailed(
+                "rejected",
+                `status ${status}, not run`,
+                parseRetryAfter(headers["retry-after"]),
+            );
             return;
         }
         const refused = this.receiver.onHead(status, headers);
         if (refused !== undefined) {
-            this.fail("failedStatus", refused);
+            this.finishFailed("failedStatus", refused);
         }
     }
 
@@ -163,7 +167,7 @@
         }
         const invalid = this.receiver.onData(chunk);
         if (invalid !== undefined) {
-            this.fail("invalidAnswer", invalid);
+            this.finishFailed("invalidAnswer", invalid);
         }
     }
 
@@ -173,12 +177,12 @@
         }
         const invalid = this.receiver.onEnd();
         if (invalid !== undefined) {
-            this.fail("invalidAnswer", invalid);
+            this.finishFailed("invalidAnswer", invalid);
             return;
         }
         this.ended = true;
         if (this.request.fresh) {
-            this.connection.destroy();
+            this.connection.close();
         } else {
             this.connections.releaseConnection(this.connection);
         }
@@ -188,17 +192,17 @@
         const code = (error as { code?: string }).code ?? "";
         const sent = this.connection.hasSentBytes();
         const type = failureTypes[code] ?? (sent ? "connectionLost" : "connectFailed");
-        this.fail(type, error.message);
+        this.finishFailed(type, error.message);
     }
 
     /** Ends the exchange as failed and destroys the connection. */
-    private fail(type: AttemptFailureType, message: string, retryAfterMs?: number): void {
+    private finishFailed(type: AttemptFailureType, message: string, retryAfterMs?: number): void {
         if (this.ended) {
             return;
         }
         this.ended = true;
         const sent = this.connection.hasSentBytes();
-        this.connection.destroy();
+        this.connection.close();
         this.receiver.onFailure({ type, sent, message, retryAfterMs });
     }
 }
--- a/packages/node/src/upstream/forwardedRequest.ts
+++ b/packages/node/src/upstream/forwardedRequest.ts
@@ -43,7 +43,7 @@
     const selected: Record<string, string> = {};
     for (const name of forwardedRequestHeaders) {
         const value = headers[name];
-        if (typeof value === "string" && !containsSecret(value, secrets)) {
+        if (typeof value === "string" && !hasSecret(value, secrets)) {
             selected[name] = value;
         }
     }
@@ -88,14 +88,14 @@
  * @param secrets - The credentials.
  * @returns True when one of them occurs.
  */
-export function containsSecret(text: string, secrets: readonly string[]): boolean {
+export function hasSecret(text: string, secrets: readonly string[]): boolean {
     const decoded = decodeText(text);
     return secrets.some((secret) => text.includes(secret) || decoded.includes(secret));
 }
 
 function isForwardedParameter(parameter: string, secrets: readonly string[]): boolean {
     const name = decodeText(parameter.split("=", 1)[0] ?? "");
-    return parameter !== "" && !credentialParameter.test(name) && !containsSecret(parameter, secrets);
+    return parameter !== "" && !credentialParameter.test(name) && !hasSecret(parameter, secrets);
 }
 
 function decodeText(text: string): string {
