Know the claims of replaced incarnations as lost, and use the listed verbs

Cause: a claim of a killed node read as in progress for 10 minutes, also when its node had started again; and some functions began with verbs that the naming page does not list. Ruled out: treating an unreachable node as gone: it may be frozen and still store an answer. Change: claims carry the incarnation of their owner; a later incarnation of the same name proves the owner's end. Conclusion: hosts that are replaced under another name still leave claims in progress for 10 minutes.

--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import { TieredScheduler } from "@pimentocleat/policy";
 import type { Settings } from "@pimentocleat/schema";
 import { TableClaimStore } from "@pimentocleat/state";
+import { formatIncarnation, isReplaced, type NodeIncarnation } from "../duties/incarnation.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
 import type { NodeHandle, NodeOptions } from "../lifecycle/nodeOptions.js";
 import { startNode } from "../lifecycle/startNode.js";
@@ -152,12 +153,17 @@
         });
     }
 
+    /** This node as its peers know it; the peer network has to be open. */
+    private readIncarnation(): NodeIncarnation {
+        const incarnation = this.network.readIdentity()?.incarnation ?? 0;
+        return { name: this.options.settings.name, incarnation };
+    }
+
     private buildDuties(): NodeDuties {
-        const { settings, services, clock, random, logger } = this.options;
+        const { services, clock, random, logger } = this.options;
         const { tableService, hostList, orderingService, reportService } = services;
         return new NodeDuties({
-            name: settings.name,
-            incarnation: this.network.readIdentity()?.incarnation ?? Math.floor(clock.wallMs()),
+            ...this.readIncarnation(),
             tableService,
             hostList,
             orderingService,
@@ -198,8 +204,9 @@
                 random,
                 logger,
                 countNodes: () => this.network.listMembers().length + 1,
-                // A node that cannot be reached may still be running the request.
-                isOwnerGone: () => false,
+                owner: formatIncarnation(this.readIncarnation()),
+                isOwnerGone: (owner) =>
+                    isReplaced(owner, [this.readIncarnation(), ...this.network.listMembers()]),
             }),
             usage: this.usage.recorder,
             hosts: services.hostList,
--- a/packages/node/src/duties/dutyOptions.ts
+++ b/packages/node/src/duties/dutyOptions.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { PeerUsageCopy } from "../peers/peerHandlers.js";
+import type { NodeIncarnation } from "./incarnation.js";
 
 /** Durations of the duties, in milliseconds. */
 export interface DutySettings {
@@ -46,7 +47,7 @@
     readonly random: () => number;
     readonly logger: Logger;
     /** Names and incarnations of the nodes known to be present, without this one. */
-    readonly listMembers: () => readonly DutyMember[];
+    readonly listMembers: () => readonly NodeIncarnation[];
     /** Copies usage to a peer; tells whether one has it. */
     readonly copyUsage: (copy: PeerUsageCopy) => Promise<boolean>;
     /** The pools in force; empty before there is a configuration. */
@@ -57,9 +58,3 @@
     readonly hostList: HostList;
     readonly settings?: Partial<DutySettings>;
 }
-
-/** A node known to be present. */
-export interface DutyMember {
-    readonly name: string;
-    readonly incarnation: number;
-}
--- a/packages/node/src/duties/nodeDuties.ts
+++ b/packages/node/src/duties/nodeDuties.ts
@@ -124,7 +124,7 @@
 
     private async orderOnce(): Promise<void> {
         this.updateWanted();
-        await this.refreshNotices();
+        await this.loadNotices();
         const results = await Promise.allSettled(
             this.options.listPools().map((pool) => this.orderForPool(pool)),
         );
@@ -135,7 +135,7 @@
     }
 
     /** Only a node that orders reads the host list; while the list is out, the last notices hold. */
-    private async refreshNotices(): Promise<void> {
+    private async loadNotices(): Promise<void> {
         const { listPools, hostList } = this.options;
         const pools = listPools();
         if (pools.some((pool) => this.leases.findHeld(formatOrderingLease(pool.name)) !== undefined)) {
--- a/packages/node/src/duties/usageDuty.ts
+++ b/packages/node/src/duties/usageDuty.ts
@@ -16,6 +16,7 @@
 import type { UsageParts } from "../daemon/usageParts.js";
 import type { PeerUsageCopy } from "../peers/peerHandlers.js";
 import type { DutyOptions, DutySettings } from "./dutyOptions.js";
+import { formatIncarnation, isReplaced, parseIncarnation } from "./incarnation.js";
 
 /** Lease of the node that reports usage. */
 export const usageLeaseName = "usage-reporter";
@@ -43,7 +44,7 @@
         private readonly options: DutyOptions,
         private readonly settings: DutySettings,
     ) {
-        const { clock, logger, name, tableService } = options;
+        const { clock, logger, tableService } = options;
         const { callTimeoutMs, usageWindowMs: windowMs, usageRetentionMs: retentionMs } = settings;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
         this.keeper = new UsageCopyKeeper({
@@ -56,7 +57,7 @@
         this.ledger = new UsageLedger({
             writer,
             clock,
-            incarnation: formatIncarnation(name, options.incarnation),
+            incarnation: formatIncarnation(options),
             windowMs,
             logger,
             copySink: {
@@ -69,7 +70,7 @@
     storeCopy(copy: PeerUsageCopy): void {
         const counters = countersSchema.safeParse(parseJson(copy.counters));
         if (counters.success) {
-            const incarnation = formatIncarnation(copy.owner, copy.incarnation);
+            const incarnation = formatIncarnation({ name: copy.owner, incarnation: copy.incarnation });
             const { windowStartMs } = copy;
             void this.keeper.storeCopy({ incarnation, windowStartMs, customers: counters.data });
         }
@@ -140,24 +141,15 @@
         }
     }
 
-    /** A member that started again is another incarnation; its earlier one is gone. */
+    /** Also a node that is only cut off counts as gone here: completing its row does no harm. */
     private isGone(incarnation: string): boolean {
-        const { name, listMembers } = this.options;
-        const [owner, startedMs] = parseIncarnation(incarnation);
-        const member = listMembers().find((candidate) => candidate.name === owner);
-        return owner !== name && (member === undefined || member.incarnation > startedMs);
+        const { name: self, incarnation: ownIncarnation, listMembers } = this.options;
+        const present = [{ name: self, incarnation: ownIncarnation }, ...listMembers()];
+        const { name } = parseIncarnation(incarnation);
+        return !present.some((node) => node.name === name) || isReplaced(incarnation, present);
     }
 }
 
-function formatIncarnation(owner: string, startedMs: number): string {
-    return `${owner}@${String(startedMs)}`;
-}
-
-function parseIncarnation(incarnation: string): [string, number] {
-    const [owner = "", startedMs] = incarnation.split("@");
-    return [owner, Number(startedMs)];
-}
-
 function parseJson(payload: Uint8Array): unknown {
     try {
         return JSON.parse(new TextDecoder().decode(payload));
--- a/packages/policy/src/orders/serverPlanner.ts
+++ b/packages/policy/src/orders/serverPlanner.ts
@@ -140,10 +140,10 @@
         const cheap = shares.filter((share) => share.option.reclaimable);
         const standard = shares.filter((share) => !share.option.reclaimable);
         const wantedCheap = Math.floor(total * this.settings.reclaimableShare);
-        const missingCheap = fillShares(cheap, wantedCheap);
-        const missing = fillShares(standard, total - wantedCheap + missingCheap);
+        const missingCheap = addServers(cheap, wantedCheap);
+        const missing = addServers(standard, total - wantedCheap + missingCheap);
         // Servers that may be taken back are better than none.
-        fillShares(cheap, missing);
+        addServers(cheap, missing);
         return shares.map(({ option: { dataCentre, reclaimable }, count }) => ({
             dataCentre,
             reclaimable,
@@ -174,7 +174,7 @@
 }
 
 /** Adds servers evenly, the cheapest first; returns how many found no place. */
-function fillShares(shares: readonly Share[], wanted: number): number {
+function addServers(shares: readonly Share[], wanted: number): number {
     for (let left = wanted; left > 0; left -= 1) {
         const open = shares.filter((share) => share.count < share.limit);
         const [next] = open.sort(compareShares);
--- a/packages/state/src/claims/tableClaimStore.ts
+++ b/packages/state/src/claims/tableClaimStore.ts
@@ -66,6 +66,8 @@
     /** Tells whether an incarnation of a node is known to be gone for ever. */
     readonly isOwnerGone: (owner: string) => boolean;
     readonly createToken?: () => string;
+    /** This node's incarnation, recorded as the owner of its claims; the request's node when absent. */
+    readonly owner?: string;
     /** Counts the nodes known to run, this one included; 1 when absent. */
     readonly countNodes?: () => number;
     readonly settings?: Partial<ClaimStoreSettings>;
@@ -124,7 +126,7 @@
             }
             const waitMs = computeBackoffMs(this.createBackoff(), tries, this.options.random);
             if (this.options.clock.monotonicMs() + waitMs >= attempt.deadlineMs) {
-                return this.abandonAttempt(attempt, this.settings.retryAfterMs);
+                return this.cancelAttempt(attempt, this.settings.retryAfterMs);
             }
             await this.options.clock.wait(waitMs);
         }
@@ -165,7 +167,7 @@
                 token: createToken(),
                 requestDigest: request.requestDigest,
                 requestId: request.requestId,
-                owner: request.node,
+                owner: this.options.owner ?? request.node,
                 claimedMs: clock.wallMs(),
                 state: "claimed",
             },
@@ -219,10 +221,10 @@
             attempt.expectedVersion = row.version;
             return undefined;
         }
-        return this.interpretRecord(record, attempt.record);
+        return this.resolveRecord(record, attempt.record);
     }
 
-    private interpretRecord(record: ClaimRecord, wanted: ClaimRecord): ClaimResult {
+    private resolveRecord(record: ClaimRecord, wanted: ClaimRecord): ClaimResult {
         if (record.requestDigest !== wanted.requestDigest) {
             return { type: "conflict" };
         }
@@ -241,7 +243,7 @@
     }
 
     /** Gives up without a claim: nothing is sent, and a commit that took or takes effect is undone. */
-    private abandonAttempt(attempt: ClaimAttempt, retryAfterMs: number): ClaimResult {
+    private cancelAttempt(attempt: ClaimAttempt, retryAfterMs: number): ClaimResult {
         if (attempt.unresolved) {
             const record: ClaimRecord = { ...attempt.record, state: "released" };
             const settlement = { key: attempt.key, record, version: undefined, abandoned: true };
--- a/packages/state/src/leases/__tests__/leaseManager.test.ts
+++ b/packages/state/src/leases/__tests__/leaseManager.test.ts
@@ -42,8 +42,8 @@
 
 /** Counts the validity from the moment at which a write is known, not from before it was sent. */
 function countFromAnswer(): void {
-    const confirm = HeldLease.prototype.confirmWrite;
-    vi.spyOn(HeldLease.prototype, "confirmWrite").mockImplementation(function (
+    const confirm = HeldLease.prototype.recordWrite;
+    vi.spyOn(HeldLease.prototype, "recordWrite").mockImplementation(function (
         this: HeldLease,
         token: string,
         version: number,
--- a/packages/state/src/leases/heldLease.ts
+++ b/packages/state/src/leases/heldLease.ts
@@ -105,10 +105,10 @@
      * @param version - The row's version.
      * @returns False if the token is not of this holder; the lease is then lost.
      */
-    confirmWrite(token: string, version: number): boolean {
+    recordWrite(token: string, version: number): boolean {
         const sentMs = this.sentTimes.get(token);
         if (sentMs === undefined) {
-            this.end();
+            this.close();
             return false;
         }
         if (version !== this.version) {
@@ -123,7 +123,7 @@
     }
 
     /** Ends the validity at once and for ever. */
-    end(): void {
+    close(): void {
         this.ended = true;
     }
 }
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -115,7 +115,7 @@
         try {
             const rows = await this.scanLeases();
             for (const name of new Set([...this.wanted, ...this.held.keys()])) {
-                this.observeLease(name, findStoredLease(rows, name));
+                this.recordLease(name, findStoredLease(rows, name));
             }
             await this.renewHeld();
             for (const name of this.wanted) {
@@ -137,7 +137,7 @@
         if (this.held.size === 0) {
             return;
         }
-        this.held.forEach((lease) => lease.end());
+        this.held.forEach((lease) => lease.close());
         await this.options.clock.wait(this.options.wireBoundMs + this.timing.marginMs);
         for (const lease of this.held.values()) {
             const record = this.buildRecord(lease.fencingNumber, true);
@@ -146,15 +146,15 @@
         this.held.clear();
     }
 
-    private observeLease(name: string, stored: StoredLease): void {
+    private recordLease(name: string, stored: StoredLease): void {
         const { record, version } = stored;
         const seen = { version, released: record?.released ?? false };
         const nowMs = this.options.clock.monotonicMs();
         this.observed.set(name, updateObservation(this.observed.get(name), seen, nowMs));
         const lease = this.held.get(name);
         if (lease !== undefined) {
-            if (!lease.confirmWrite(record?.token ?? "", version)) {
-                this.dropLease(lease);
+            if (!lease.recordWrite(record?.token ?? "", version)) {
+                this.removeLease(lease);
             }
             return;
         }
@@ -176,7 +176,7 @@
             // The next scan tells which lease is lost; the others stay valid for the rest of their time.
             throw new Error("renewal conflict");
         }
-        due.forEach((lease) => lease.confirmWrite(records.get(lease)!.token, result.version));
+        due.forEach((lease) => lease.recordWrite(records.get(lease)!.token, result.version));
     }
 
     private async acquireIfDue(name: string, stored: StoredLease): Promise<void> {
@@ -237,7 +237,7 @@
         this.options.logger.writeEvent("leaseAcquired", { lease: name, fencingNumber: lease.fencingNumber });
     }
 
-    private dropLease(lease: HeldLease): void {
+    private removeLease(lease: HeldLease): void {
         this.held.delete(lease.name);
         const { name, fencingNumber } = lease;
         this.options.logger.writeEvent("leaseLost", { lease: name, fencingNumber });
--- a/packages/state/src/retrying/groupCommitter.ts
+++ b/packages/state/src/retrying/groupCommitter.ts
@@ -101,7 +101,7 @@
         let rest = group;
         while (rest.length > 0) {
             try {
-                rest = settleWrites(rest, await this.commitRows(rest));
+                rest = resolveWrites(rest, await this.commitRows(rest));
             } catch (error) {
                 rest.forEach((write) => write.reject(error));
                 return;
@@ -120,7 +120,7 @@
 }
 
 /** Resolves the writes whose fate is known and returns the others. */
-function settleWrites(group: readonly WaitingWrite[], result: CommitResult): readonly WaitingWrite[] {
+function resolveWrites(group: readonly WaitingWrite[], result: CommitResult): readonly WaitingWrite[] {
     if (result.outcome === "committed") {
         group.forEach((write) => write.resolve({ outcome: "committed", version: result.version }));
         return [];
--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -119,7 +119,7 @@
         }
         const { customers } = window;
         if (customers === window.stored) {
-            this.forgetPast(window);
+            this.removePast(window);
             return true;
         }
         const result = await writer.writeUsage(name, window.version, customers);
@@ -148,7 +148,7 @@
         }
     }
 
-    private forgetPast(window: UsageWindow): void {
+    private removePast(window: UsageWindow): void {
         if (window.startMs < computeWindowStartMs(this.options.clock.wallMs(), this.options.windowMs)) {
             this.windows.delete(window.startMs);
             this.earliestOpenMs = Math.max(this.earliestOpenMs, window.startMs + this.options.windowMs);
