--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -47,3 +47,6 @@
     mergeUsage,
 } from "./usageSealing/usageWindows.js";
 export type { UsageByCustomer, UsageCounters } from "./usageSealing/usageWindows.js";
+export { Limiter } from "./limits/limiter.js";
+export type { LimitSummary } from "./limits/limiter.js";
+export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
