Tell slot summaries to peers at once, by datagram

Cause: the slot policy was measured with a summary from every node each 200 ms; the daemon sent them with its one exchange a second, and the ordering duty took summaries too, which marks them as told. Limit usage was not spread at all, and a restarted node's summaries were ignored until their sequence passed the old run's. Change: records that must not wait go by UDP behind an HMAC to at most 16 peers; one publisher takes summaries, 200 ms apart in use, 2 s idle, at once when due; limit usage is spread whole; a newer run voids the older run's records.

--- a/packages/bench/src/slopes/peerSlope.ts
+++ b/packages/bench/src/slopes/peerSlope.ts
@@ -11,9 +11,6 @@
 import { setMaxListeners } from "node:events";
 import type { Slope, SlopeOptions, SlopePoint, SlopeResult } from "./slope.js";
 
-const nodeCounts = [3, 9, 27, 81];
-/** Time between two summaries of a pool, in milliseconds. */
-const summaryPeriodMs = 1_000;
 /** Size of a typical pool summary, in bytes. */
 const summaryBytes = 300;
 /** Time for the members to find each other before the measurement, in milliseconds. */
@@ -52,14 +49,48 @@
     readonly handlers: SlopeHandlers;
 }
 
+/** How the nodes tell each other their summaries. */
+export interface PeerLoad {
+    readonly name: string;
+    readonly description: string;
+    readonly nodeCounts: readonly number[];
+    readonly summaryPeriodMs: number;
+    /** Whether summaries are told at once, as in a pool in use, or wait for the exchanges. */
+    readonly isPushed: boolean;
+}
+
+/** Summaries ride on the exchanges: the cost that must not grow with the number of nodes. */
+export const calmPeers: PeerLoad = {
+    name: "peers",
+    description: "membership and soft state, per node and second",
+    nodeCounts: [3, 9, 27, 81],
+    summaryPeriodMs: 1_000,
+    isPushed: false,
+};
+
+/** Summaries of two pools told at once every 200 ms, as in pools in use. */
+export const busyPeers: PeerLoad = {
+    name: "busy-peers",
+    description: "summaries told at once, per node and second",
+    nodeCounts: [3, 9, 16],
+    summaryPeriodMs: 100,
+    isPushed: true,
+};
+
 /** Measures bytes, exchanges and processor time a second per node. */
 export class PeerSlope implements Slope {
-    readonly name = "peers";
-    readonly description = "membership and soft state, per node and second";
+    readonly name: string;
+    readonly description: string;
+
+    /** @param load - How the nodes tell each other their summaries. */
+    constructor(private readonly load: PeerLoad) {
+        this.name = load.name;
+        this.description = load.description;
+    }
 
     async measureSlope(options: SlopeOptions): Promise<SlopeResult> {
         const points: SlopePoint[] = [];
-        for (const size of nodeCounts) {
+        for (const size of this.load.nodeCounts) {
             points.push(await this.measurePoint(size, options));
         }
         return { name: this.name, sizeName: "nodes", seed: options.seed, points };
@@ -70,7 +101,7 @@
         const nodes = await startNodes(size, options.seed, clock);
         const stopping = new AbortController();
         setMaxListeners(size + 1, stopping.signal);
-        const publishing = nodes.map((node) => publishSummaries(node, clock, stopping.signal));
+        const publishing = nodes.map((node) => publishSummaries(node, this.load, clock, stopping.signal));
         await clock.wait(settleMs);
         const before = readTotals(nodes);
         const startMs = clock.monotonicMs();
@@ -86,6 +117,7 @@
             figures: {
                 // Each byte is sent by one node and received by another.
                 bytesPerNodeSecond: (2 * (after.bytes - before.bytes)) / nodeSeconds,
+                datagramBytesPerNodeSecond: (after.datagramBytes - before.datagramBytes) / nodeSeconds,
                 exchangesPerNodeSecond: (after.exchanges - before.exchanges) / nodeSeconds,
                 recordsPerNodeSecond: (after.records - before.records) / nodeSeconds,
                 processorPercentPerNode: (after.processorMs - before.processorMs) / nodeSeconds / 10,
@@ -120,16 +152,26 @@
     return nodes;
 }
 
-async function publishSummaries(node: MeasuredNode, clock: SystemClock, signal: AbortSignal): Promise<void> {
+async function publishSummaries(
+    node: MeasuredNode,
+    load: PeerLoad,
+    clock: SystemClock,
+    signal: AbortSignal,
+): Promise<void> {
     const payload = new Uint8Array(summaryBytes);
     while (!signal.aborted) {
-        node.network.setRecord("pool:answers", payload);
-        await clock.wait(summaryPeriodMs, signal);
+        if (load.isPushed) {
+            node.network.pushRecords(new Map([["pool:answers", payload]]));
+        } else {
+            node.network.setRecord("pool:answers", payload);
+        }
+        await clock.wait(load.summaryPeriodMs, signal);
     }
 }
 
 interface Totals {
     readonly bytes: number;
+    readonly datagramBytes: number;
     readonly exchanges: number;
     readonly records: number;
     readonly processorMs: number;
@@ -140,6 +182,7 @@
     const usage = process.cpuUsage();
     return {
         bytes: traffic.reduce((sum, entry) => sum + entry.bytes, 0),
+        datagramBytes: traffic.reduce((sum, entry) => sum + entry.datagramBytes, 0),
         exchanges: traffic.reduce((sum, entry) => sum + entry.exchanges, 0),
         records: nodes.reduce((sum, node) => sum + node.handlers.recordsReceived, 0),
         processorMs: (usage.user + usage.system) / 1_000,
--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -4,11 +4,11 @@
  * @packageDocumentation
  */
 import { cac } from "cac";
-import { PeerSlope } from "./peerSlope.js";
+import { busyPeers, calmPeers, PeerSlope } from "./peerSlope.js";
 import { RolloutSlope } from "../rollout/rolloutSlope.js";
 import { formatSlope, type Slope } from "./slope.js";
 
-const slopes: readonly Slope[] = [new PeerSlope(), new RolloutSlope()];
+const slopes: readonly Slope[] = [new PeerSlope(calmPeers), new PeerSlope(busyPeers), new RolloutSlope()];
 const defaultDurationMs = 10_000;
 
 /**
--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -26,6 +26,7 @@
     private readonly parts: FollowingParts;
     private readonly network: PeerNetwork;
     private readonly operatorServer: OperatorServer;
+    private readonly publisher: RecordPublisher;
     private readonly directory = new NodeDirectory();
     private usage: UsageParts;
     private duties: NodeDuties | undefined;
@@ -40,6 +41,7 @@
         this.usage = options.usage ?? new NoUsage();
         this.parts = buildFollowingParts(options, () => this.network.listMembers().length + 1);
         this.network = this.buildNetwork();
+        this.publisher = this.buildPublisher();
         this.operatorServer = new OperatorServer({
             backend: this.buildBackend(),
             credential: options.settings.operatorCredential,
@@ -64,7 +66,7 @@
         this.addresses = { caller: this.node.callerAddress, operator, peer };
         this.tasks.push(
             this.parts.follower.run(this.stopping.signal),
-            this.buildPublisher().run(this.stopping.signal),
+            this.publisher.run(this.stopping.signal),
             this.duties.run(this.stopping.signal),
         );
         return this.addresses;
@@ -174,16 +176,17 @@
             listMembers: () => this.network.listMembers(),
             copyUsage: (copy) => this.network.calls.copyUsage(copy),
             listPools: () => this.parts.configuration.readCurrent()?.configuration.pools ?? [],
-            listSummaries: () => this.node?.listPoolSummaries() ?? [],
+            listSummaries: () => this.publisher.listLastSummaries(),
         });
     }
 
     private buildPublisher(): RecordPublisher {
         return new RecordPublisher({
             clock: this.options.clock,
-            setRecord: (key, payload) => this.network.setRecord(key, payload),
+            pushRecords: (entries) => this.network.pushRecords(entries),
             readStatus: () => this.readStatus(),
-            listSummaries: () => this.node?.listPoolSummaries() ?? [],
+            takeSummaries: (isWanted) => this.node?.takePoolSummaries(isWanted) ?? [],
+            takeLimitUsage: () => this.node?.summarizeLimits(),
         });
     }
 
--- a/packages/node/src/daemon/peerBridge.ts
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -21,10 +21,12 @@
 import {
     decodeSnapshot,
     decodeStatus,
+    decodeLimitSummary,
     decodeSummary,
     decodeWithdrawal,
     encodeJson,
     encodeWithdrawal,
+    limitsRecordKey,
     poolRecordPrefix,
     statusRecordKey,
 } from "./peerRecords.js";
@@ -120,6 +122,11 @@
             if (status?.name === owner) {
                 this.parts?.directory.setStatus(status);
             }
+        } else if (key === limitsRecordKey) {
+            const summary = decodeLimitSummary(payload);
+            if (summary?.node === owner) {
+                this.parts?.readNode()?.recordPeerLimits(summary);
+            }
         } else if (key.startsWith(poolRecordPrefix)) {
             const summary = decodeSummary(payload);
             if (summary?.node === owner) {
--- a/packages/node/src/daemon/peerRecords.ts
+++ b/packages/node/src/daemon/peerRecords.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolSummary } from "@pimentocleat/policy";
 import { keyWithdrawalSchema, type ConfigurationSnapshot, type KeyWithdrawal } from "@pimentocleat/state";
 import { z } from "zod";
 import type { NodeStatus } from "../operator/operatorBackend.js";
@@ -14,6 +14,15 @@
 /** First part of the keys of pool summaries. */
 export const poolRecordPrefix = "pool:";
 
+/** Key of the record with a node's usage of limits. */
+export const limitsRecordKey = "limits";
+
+const limitSummarySchema = z.object({
+    node: z.string(),
+    sequence: z.number(),
+    usage: z.record(z.string(), z.object({ requests: z.number(), tokens: z.number(), running: z.number() })),
+}) satisfies z.ZodType<LimitSummary>;
+
 const statusSchema = z.object({
     name: z.string(),
     dataCentre: z.string(),
@@ -89,6 +98,16 @@
     return decodeJson(summarySchema, payload);
 }
 
+/**
+ * Decodes a node's usage of limits.
+ *
+ * @param payload - The bytes.
+ * @returns The usage, or undefined when it is not one.
+ */
+export function decodeLimitSummary(payload: Uint8Array): LimitSummary | undefined {
+    return decodeJson(limitSummarySchema, payload);
+}
+
 /**
  * Decodes a configuration snapshot.
  *
--- a/packages/node/src/daemon/recordPublisher.ts
+++ b/packages/node/src/daemon/recordPublisher.ts
@@ -3,28 +3,49 @@
  *
  * @packageDocumentation
  */
-import type { PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolSummary } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { NodeStatus } from "../operator/operatorBackend.js";
-import { encodeJson, poolRecordPrefix, statusRecordKey } from "./peerRecords.js";
+import { encodeJson, limitsRecordKey, poolRecordPrefix, statusRecordKey } from "./peerRecords.js";
 
-const publishIntervalMs = 500;
+/** Time between two looks for a summary that must not wait, in milliseconds. */
+const lookIntervalMs = 20;
+/** Time between two summaries of a pool in use, in milliseconds. */
+const busyIntervalMs = 200;
+/** Time between two summaries of an idle pool, in milliseconds. */
+const idleIntervalMs = 2_000;
 
 /** Options of {@link RecordPublisher}. */
 export interface RecordPublisherOptions {
     readonly clock: WaitingClock;
-    readonly setRecord: (key: string, payload: Uint8Array) => void;
+    /** Tells records to peers at once. */
+    readonly pushRecords: (entries: ReadonlyMap<string, Uint8Array>) => void;
     readonly readStatus: () => NodeStatus;
-    readonly listSummaries: () => readonly PoolSummary[];
+    /** Takes new summaries of the pools that the filter chooses. */
+    readonly takeSummaries: (isWanted: (pool: string, isDue: boolean) => boolean) => readonly PoolSummary[];
+    /** Takes the usage of limits that changed; undefined before the node runs. */
+    readonly takeLimitUsage: () => LimitSummary | undefined;
 }
 
-/** Sets the records of the node's state and of its pools. */
+/**
+ * Sets the records of the node's state and of its pools. It alone takes summaries, since taking one
+ * marks its content as told.
+ */
 export class RecordPublisher {
     private lastStatus = "";
+    private readonly summaries = new Map<string, PoolSummary>();
+    private readonly summarizedMs = new Map<string, number>();
+    private readonly limitUsage = new Map<string, LimitSummary["usage"][string]>();
+    private limitsTakenMs = -Infinity;
 
     /** @param options - What to publish and where. */
     constructor(private readonly options: RecordPublisherOptions) {}
 
+    /** @returns The last published summaries of this node. */
+    listLastSummaries(): readonly PoolSummary[] {
+        return [...this.summaries.values()];
+    }
+
     /**
      * Publishes until told to stop.
      *
@@ -32,20 +53,54 @@
      */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.spreadOnce();
-            await this.options.clock.wait(publishIntervalMs, signal);
+            this.publishOnce();
+            await this.options.clock.wait(lookIntervalMs, signal);
         }
     }
 
-    private spreadOnce(): void {
+    private publishOnce(): void {
+        const nowMs = this.options.clock.monotonicMs();
+        const entries = new Map<string, Uint8Array>();
         const status = this.options.readStatus();
         const text = JSON.stringify(status);
         if (text !== this.lastStatus) {
             this.lastStatus = text;
-            this.options.setRecord(statusRecordKey, encodeJson(status));
+            entries.set(statusRecordKey, encodeJson(status));
         }
-        for (const summary of this.options.listSummaries()) {
-            this.options.setRecord(`${poolRecordPrefix}${summary.pool}`, encodeJson(summary));
+        const isWanted = (pool: string, isDue: boolean): boolean => isDue || this.isOld(pool, nowMs);
+        for (const summary of this.options.takeSummaries(isWanted)) {
+            this.summaries.set(summary.pool, summary);
+            this.summarizedMs.set(summary.pool, nowMs);
+            entries.set(`${poolRecordPrefix}${summary.pool}`, encodeJson(summary));
+        }
+        this.addLimitUsage(entries, nowMs);
+        if (entries.size > 0) {
+            this.options.pushRecords(entries);
         }
     }
+
+    /** A record replaces the one before it, so it carries all usage and not only what changed. */
+    private addLimitUsage(entries: Map<string, Uint8Array>, nowMs: number): void {
+        if (nowMs - this.limitsTakenMs < busyIntervalMs) {
+            return;
+        }
+        this.limitsTakenMs = nowMs;
+        const changed = this.options.takeLimitUsage();
+        if (changed === undefined || Object.keys(changed.usage).length === 0) {
+            return;
+        }
+        Object.entries(changed.usage).forEach(([subject, usage]) => this.limitUsage.set(subject, usage));
+        entries.set(limitsRecordKey, encodeJson({ ...changed, usage: Object.fromEntries(this.limitUsage) }));
+    }
+
+    private isOld(pool: string, nowMs: number): boolean {
+        const summary = this.summaries.get(pool);
+        const ageMs = nowMs - (this.summarizedMs.get(pool) ?? -Infinity);
+        return ageMs >= (summary !== undefined && isBusy(summary) ? busyIntervalMs : idleIntervalMs);
+    }
+}
+
+function isBusy(summary: PoolSummary): boolean {
+    const counts = [...Object.values(summary.waiting), ...Object.values(summary.running)];
+    return counts.some((count) => count > 0);
 }
--- a/packages/node/src/dispatch/poolTask.ts
+++ b/packages/node/src/dispatch/poolTask.ts
@@ -169,6 +169,11 @@
         this.startDecisions();
     }
 
+    /** @returns Whether the other nodes should get a summary without delay. */
+    isSummaryDue(): boolean {
+        return this.scheduler.isSummaryDue?.() ?? false;
+    }
+
     /** @returns The soft state of this node about the pool. */
     summarizePool(): PoolSummary {
         return this.scheduler.summarizePool();
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -123,8 +123,9 @@
         return new Map(this.tasks.listTasks().map((task) => [task.pool.name, task.readStatus()]));
     }
 
-    listPoolSummaries(): readonly PoolSummary[] {
-        return this.tasks.listTasks().map((task) => task.summarizePool());
+    takePoolSummaries(isWanted: (pool: string, isDue: boolean) => boolean): readonly PoolSummary[] {
+        const wanted = this.tasks.listTasks().filter((task) => isWanted(task.pool.name, task.isSummaryDue()));
+        return wanted.map((task) => task.summarizePool());
     }
 
     recordPeerSummary(summary: PoolSummary): void {
--- a/packages/node/src/lifecycle/nodeOptions.ts
+++ b/packages/node/src/lifecycle/nodeOptions.ts
@@ -62,8 +62,13 @@
     findTrace(requestId: string): RequestTrace | undefined;
     /** @returns Status of each pool by its name. */
     listPoolStatuses(): ReadonlyMap<string, PoolStatus>;
-    /** @returns The soft state to spread to the other nodes. */
-    listPoolSummaries(): readonly PoolSummary[];
+    /**
+     * Takes new summaries of pools to spread to the other nodes. Taking one marks its content as told.
+     *
+     * @param isWanted - Chooses pools by name and by whether their summary must not wait.
+     * @returns The soft state of the chosen pools.
+     */
+    takePoolSummaries(isWanted: (pool: string, isDue: boolean) => boolean): readonly PoolSummary[];
     /** @param summary - The soft state of another node. */
     recordPeerSummary(summary: PoolSummary): void;
     /** @returns Usage of limited customers and keys, to spread to the other nodes. */
--- a/packages/node/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/node/src/peers/__tests__/peerNetwork.test.ts
@@ -132,6 +132,18 @@
         expect(await others[0]?.network.calls.readConfiguration(7)).toBeUndefined();
     });
 
+    it("tells records at once to peers with the same secret and to no other", async () => {
+        const nodes = await startNodes(3);
+        const [first, ...others] = nodes as [TestNode, ...TestNode[]];
+        const stranger = await startNode("stranger", [first.address], "wrong");
+        stranger.network.pushRecords(new Map([["pool:copywriting", new TextEncoder().encode("forged")]]));
+        first.network.pushRecords(new Map([["pool:copywriting", new TextEncoder().encode("summary")]]));
+        await vi.waitFor(() =>
+            expect(others.every((node) => node.handlers.records.has("node-0/pool:copywriting"))).toBe(true),
+        );
+        expect([...first.handlers.records.values()]).not.toContain("forged");
+    });
+
     it("spreads a withdrawal to every node without waiting for a probe", async () => {
         const nodes = await startNodes(4);
         await nodes[1]?.network.calls.spreadWithdrawals(["leaked-key"]);
--- a/packages/node/src/peers/peerExchange.ts
+++ b/packages/node/src/peers/peerExchange.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { MemberIdentity, MemberTable, RecordTable } from "@pimentocleat/policy";
-import type { ExchangeRequest, ExchangeResponse } from "@pimentocleat/schema";
+import type { ExchangeRequest, ExchangeResponse, SoftRecord } from "@pimentocleat/schema";
 import type { Clock } from "@pimentocleat/types";
 import type { PeerHandlers } from "./peerHandlers.js";
 import {
@@ -62,6 +62,15 @@
         };
     }
 
+    /**
+     * Merges records that a peer told at once.
+     *
+     * @param records - The records.
+     */
+    mergeRecords(records: readonly SoftRecord[]): void {
+        this.options.records.mergeRecords(decodeRecords(records));
+    }
+
     /**
      * Merges what a peer told.
      *
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -12,8 +12,10 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import { PeerCalls } from "./peerCalls.js";
 import { PeerClients } from "./peerClient.js";
+import { PeerDatagrams } from "./peerDatagrams.js";
 import { PeerExchange, type ExchangeFields } from "./peerExchange.js";
 import type { PeerHandlers } from "./peerHandlers.js";
+import { encodeRecords } from "./peerMessages.js";
 import { PeerServer } from "./peerServer.js";
 import { buildPeerService } from "./peerService.js";
 
@@ -23,6 +25,9 @@
  */
 const forwardFanOut = 3;
 
+/** Most peers that are told a record at once; all nodes of a deployment of today. */
+const directPeers = 16;
+
 /** Timing of a {@link PeerNetwork}, in milliseconds. */
 export interface PeerNetworkSettings {
     /** Time between two probes. */
@@ -71,6 +76,8 @@
 export interface PeerTraffic {
     /** Bytes received and sent on connections that peers opened. */
     readonly bytes: number;
+    /** Bytes of datagrams sent and received. */
+    readonly datagramBytes: number;
     /** Exchanges merged, as the caller or as the receiver. */
     readonly exchanges: number;
 }
@@ -80,6 +87,7 @@
     private readonly settings: PeerNetworkSettings;
     private readonly clients: PeerClients;
     private readonly server: PeerServer;
+    private readonly datagrams: PeerDatagrams;
     /** Calls for other parts of the node. */
     readonly calls: PeerCalls;
     private readonly stopping = new AbortController();
@@ -99,6 +107,10 @@
             copyAttempts: this.settings.relayCount,
             chooseAddresses: (maximumPeers) => this.chooseAddresses(maximumPeers),
         });
+        this.datagrams = new PeerDatagrams({
+            ...authentication,
+            onRecords: (records) => this.exchange?.mergeRecords(records),
+        });
         this.server = new PeerServer({ authentication, service: this.buildService() });
     }
 
@@ -110,6 +122,7 @@
     async open(): Promise<string> {
         const [host = "", port = "0"] = this.options.listenAddress.split(":");
         const peerAddress = await this.server.open(host, Number(port));
+        await this.openDatagrams(peerAddress);
         const { name, dataCentre, clock, random } = this.options;
         const self: MemberIdentity = {
             name,
@@ -124,6 +137,7 @@
             recordsPerMessage: this.settings.recordsPerMessage,
             onRecord: (record) =>
                 this.options.handlers.handleRecord(record.owner, record.key, record.payload),
+            onRestart: (owner) => this.options.handlers.handleMemberGone(owner),
         });
         this.exchange = new PeerExchange({
             members: this.members,
@@ -142,6 +156,7 @@
         await this.announceLeaving();
         this.stopping.abort();
         await Promise.all(this.tasks);
+        await this.datagrams.close();
         await this.server.close();
     }
 
@@ -157,7 +172,11 @@
 
     /** @returns Bytes on connections that peers opened, and calls answered, since the start. */
     readTraffic(): PeerTraffic {
-        return { bytes: this.server.countBytes(), exchanges: this.exchange?.countExchanges() ?? 0 };
+        return {
+            bytes: this.server.countBytes(),
+            datagramBytes: this.datagrams.countBytes(),
+            exchanges: this.exchange?.countExchanges() ?? 0,
+        };
     }
 
     /** @returns Monotonic time of the last successful exchange, in milliseconds. */
@@ -175,6 +194,30 @@
         this.records?.setOwnRecord(key, payload);
     }
 
+    /**
+     * Sets records of this node and tells them to peers at once, besides the exchanges. In a large
+     * deployment only some peers are told at once.
+     *
+     * @param entries - Key and content of each record.
+     */
+    pushRecords(entries: ReadonlyMap<string, Uint8Array>): void {
+        const records = [...entries].flatMap(
+            ([key, payload]) => this.records?.setOwnRecord(key, payload) ?? [],
+        );
+        if (records.length > 0) {
+            this.datagrams.sendRecords(encodeRecords(records), this.chooseAddresses(directPeers));
+        }
+    }
+
+    private async openDatagrams(peerAddress: string): Promise<void> {
+        try {
+            await this.datagrams.open(peerAddress);
+        } catch {
+            // The exchanges carry the records too, only later.
+            this.options.logger.writeEvent("peerDatagramsUnavailable", { address: peerAddress });
+        }
+    }
+
     private async runProbes(): Promise<void> {
         const { clock, random } = this.options;
         while (!this.stopping.signal.aborted) {
--- a/packages/policy/src/membership/recordTable.ts
+++ b/packages/policy/src/membership/recordTable.ts
@@ -23,12 +23,16 @@
     readonly recordsPerMessage: number;
     /** Called with each record of another node that is newer than the known one. */
     readonly onRecord: (record: NodeRecord) => void;
+    /** Called before the first record of a newer run of a node: what the older run told is void. */
+    readonly onRestart: (owner: string) => void;
 }
 
 /** The records that one node knows. */
 export class RecordTable {
     private readonly records = new Map<string, NodeRecord>();
     private readonly rumors = new RumorQueue<NodeRecord>();
+    /** Newest run of each owner that was heard of. */
+    private readonly incarnations = new Map<string, number>();
 
     /** @param options - The owner, bounds and the listener. */
     constructor(private readonly options: RecordTableOptions) {}
@@ -38,11 +42,14 @@
      *
      * @param key - The record's key.
      * @param payload - The new content.
+     * @returns The record with its new version.
      */
-    setOwnRecord(key: string, payload: Uint8Array): void {
+    setOwnRecord(key: string, payload: Uint8Array): NodeRecord {
         const { owner, incarnation } = this.options;
         const version = (this.records.get(formatRecordKey(owner, key))?.version ?? 0) + 1;
-        this.keepRecord({ owner, incarnation, key, version, payload });
+        const record = { owner, incarnation, key, version, payload };
+        this.keepRecord(record);
+        return record;
     }
 
     /**
@@ -53,6 +60,7 @@
     mergeRecords(records: readonly NodeRecord[]): void {
         for (const record of records) {
             if (record.owner !== this.options.owner && this.isNewer(record)) {
+                this.noteIncarnation(record);
                 this.keepRecord(record);
                 this.options.onRecord(record);
             }
@@ -65,6 +73,7 @@
      * @param owner - The node.
      */
     removeOwner(owner: string): void {
+        this.incarnations.delete(owner);
         for (const [key, record] of this.records) {
             if (record.owner === owner) {
                 this.records.delete(key);
@@ -88,7 +97,19 @@
         this.rumors.addRumor(key, record);
     }
 
+    private noteIncarnation(record: NodeRecord): void {
+        const known = this.incarnations.get(record.owner);
+        if (known !== undefined && record.incarnation > known) {
+            this.removeOwner(record.owner);
+            this.options.onRestart(record.owner);
+        }
+        this.incarnations.set(record.owner, record.incarnation);
+    }
+
     private isNewer(record: NodeRecord): boolean {
+        if (record.incarnation < (this.incarnations.get(record.owner) ?? -Infinity)) {
+            return false;
+        }
         const known = this.records.get(formatRecordKey(record.owner, record.key));
         if (known === undefined) {
             return true;
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -52,6 +52,11 @@
     operatorRefused: defineEvent(3101, "warn", "operator call refused"),
     hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; the last one is kept"),
     peerUnreachable: defineEvent(6001, "warn", "peer did not answer, directly or through others"),
+    peerDatagramsUnavailable: defineEvent(
+        6003,
+        "warn",
+        "the UDP port of the peer interface is not free; soft state arrives later",
+    ),
     peerGone: defineEvent(6002, "warn", "peer declared gone"),
     backendPollFailed: defineEvent(7000, "warn", "poll of a backend server failed"),
     backendLeaving: defineEvent(7001, "warn", "backend server is leaving"),
