Tell the other nodes what customers use of their limits

Cause: each node applied the whole limit by itself, so that nine nodes allowed nine times as much. Ruled out: spreading only what changed, because a record replaces the one before it on its way. Change: the daemon publishes a record "limits" when the usage changed and charges the peers' records. Conclusion: requests in flight on one node count on the others within one publishing period and the spread of records.

--- a/packages/node/src/daemon/__tests__/daemon.test.ts
+++ b/packages/node/src/daemon/__tests__/daemon.test.ts
@@ -7,6 +7,7 @@
 import { SystemClock } from "@pimentocleat/types";
 import { request } from "undici";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { answerJson, FakeBackend, type ReceivedRequest } from "../../__tests__/support/fakeBackend.js";
 import { Daemon } from "../daemon.js";
 import type { DaemonAddresses } from "../daemonOptions.js";
 
@@ -170,6 +171,29 @@
         ]);
     });
 
+    it("counts requests in flight on another node against a customer's limit", async () => {
+        const service = await new FakeBackend().start();
+        const held: ReceivedRequest[] = [];
+        const answer = answerJson({ kind: "answered" });
+        service.behavior = (received, count) =>
+            count === 1 ? void held.push(received) : answer(received, count);
+        const servers = `servers: [{name: s1, address: "${service.address}", dataCentre: catania}]`;
+        const limited = content
+            .replace("{name: chain}", "{name: chain, limits: {concurrency: 1}}")
+            .replace("kind: plain}", `kind: plain, ${servers}}`);
+        const first = await startDaemon("node-1");
+        const changes = [{ name: "a.yaml", content: limited }];
+        await first.operator.applyConfiguration({ author: "o", changes });
+        const second = await startDaemon("node-2");
+        const running = readCall(first);
+        await vi.waitFor(() => expect(held).toHaveLength(1), { timeout: 30_000 });
+        await waitForKind(second, "concurrency_limited");
+        answer(held[0]!, 1);
+        expect((await running).kind).toBe("answered");
+        await waitForKind(second, "answered");
+        await service.stop();
+    });
+
     it("writes no secret to the log", async () => {
         const first = await startConfigured();
         const created = await first.operator.createKey({ author: "o", keyId: "k2", customer: "chain" });
--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -184,6 +184,7 @@
             setRecord: (key, payload) => this.network.setRecord(key, payload),
             readStatus: () => this.readStatus(),
             listSummaries: () => this.node?.listPoolSummaries() ?? [],
+            readLimits: () => this.node?.summarizeLimits(),
         });
     }
 
--- a/packages/node/src/daemon/peerBridge.ts
+++ b/packages/node/src/daemon/peerBridge.ts
@@ -19,12 +19,14 @@
 import type { PeerNetwork } from "../peers/peerNetwork.js";
 import type { NodeDirectory } from "./nodeDirectory.js";
 import {
+    decodeLimits,
     decodeSnapshot,
     decodeStatus,
     decodeSummary,
     decodeWithdrawal,
     encodeJson,
     encodeWithdrawal,
+    limitRecordKey,
     poolRecordPrefix,
     statusRecordKey,
 } from "./peerRecords.js";
@@ -120,6 +122,11 @@
             if (status?.name === owner) {
                 this.parts?.directory.setStatus(status);
             }
+        } else if (key === limitRecordKey) {
+            const limits = decodeLimits(payload);
+            if (limits?.node === owner) {
+                this.parts?.readNode()?.recordPeerLimits(limits);
+            }
         } else if (key.startsWith(poolRecordPrefix)) {
             const summary = decodeSummary(payload);
             if (summary?.node === owner) {
--- a/packages/node/src/daemon/peerRecords.ts
+++ b/packages/node/src/daemon/peerRecords.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolSummary } from "@pimentocleat/policy";
 import { keyWithdrawalSchema, type ConfigurationSnapshot, type KeyWithdrawal } from "@pimentocleat/state";
 import { z } from "zod";
 import type { NodeStatus } from "../operator/operatorBackend.js";
@@ -11,6 +11,9 @@
 /** Key of the record with a node's state. */
 export const statusRecordKey = "status";
 
+/** Key of the record with a node's usage of limits. */
+export const limitRecordKey = "limits";
+
 /** First part of the keys of pool summaries. */
 export const poolRecordPrefix = "pool:";
 
@@ -39,6 +42,12 @@
     acknowledged: counts.optional(),
 }) satisfies z.ZodType<PoolSummary>;
 
+const limitSchema = z.object({
+    node: z.string(),
+    sequence: z.number(),
+    usage: z.record(z.string(), z.object({ requests: z.number(), tokens: z.number(), running: z.number() })),
+}) satisfies z.ZodType<LimitSummary>;
+
 const snapshotSchema = z.object({
     revision: z.int().positive(),
     digest: z.string(),
@@ -89,6 +98,16 @@
     return decodeJson(summarySchema, payload);
 }
 
+/**
+ * Decodes a node's usage of limits.
+ *
+ * @param payload - The bytes.
+ * @returns The usage, or undefined when it is not one.
+ */
+export function decodeLimits(payload: Uint8Array): LimitSummary | undefined {
+    return decodeJson(limitSchema, payload);
+}
+
 /**
  * Decodes a configuration snapshot.
  *
--- a/packages/node/src/daemon/recordPublisher.ts
+++ b/packages/node/src/daemon/recordPublisher.ts
@@ -3,10 +3,10 @@
  *
  * @packageDocumentation
  */
-import type { PoolSummary } from "@pimentocleat/policy";
+import type { LimitSummary, PoolSummary } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { NodeStatus } from "../operator/operatorBackend.js";
-import { encodeJson, poolRecordPrefix, statusRecordKey } from "./peerRecords.js";
+import { encodeJson, limitRecordKey, poolRecordPrefix, statusRecordKey } from "./peerRecords.js";
 
 const publishIntervalMs = 500;
 
@@ -16,11 +16,13 @@
     readonly setRecord: (key: string, payload: Uint8Array) => void;
     readonly readStatus: () => NodeStatus;
     readonly listSummaries: () => readonly PoolSummary[];
+    readonly readLimits: () => LimitSummary | undefined;
 }
 
 /** Sets the records of the node's state and of its pools. */
 export class RecordPublisher {
     private lastStatus = "";
+    private lastUsage = "{}";
 
     /** @param options - What to publish and where. */
     constructor(private readonly options: RecordPublisherOptions) {}
@@ -47,5 +49,15 @@
         for (const summary of this.options.listSummaries()) {
             this.options.setRecord(`${poolRecordPrefix}${summary.pool}`, encodeJson(summary));
         }
+        this.spreadLimits();
+    }
+
+    private spreadLimits(): void {
+        const limits = this.options.readLimits();
+        const usage = JSON.stringify(limits?.usage ?? {});
+        if (limits !== undefined && usage !== this.lastUsage) {
+            this.lastUsage = usage;
+            this.options.setRecord(limitRecordKey, encodeJson(limits));
+        }
     }
 }
--- a/packages/node/src/limits/callerLimits.ts
+++ b/packages/node/src/limits/callerLimits.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { Limiter, type LimitSummary } from "@pimentocleat/policy";
+import { Limiter, type LimitSummary, type SubjectUsage } from "@pimentocleat/policy";
 import type { Configuration, Limits } from "@pimentocleat/schema";
 import { RouterError, type Clock } from "@pimentocleat/types";
 
@@ -17,6 +17,8 @@
 /** Checks requests against the limits of their customer and their key, over all nodes. */
 export class CallerLimits {
     private readonly limiter: Limiter;
+    /** Last summarized usage of all limited subjects; a summary replaces the one before it on its way. */
+    private summarized: Record<string, SubjectUsage> = {};
 
     /**
      * @param clock - Source of time.
@@ -39,6 +41,9 @@
             }
         }
         this.limiter.updateLimits(limits);
+        this.summarized = Object.fromEntries(
+            Object.entries(this.summarized).filter(([subject]) => limits.has(subject)),
+        );
     }
 
     /**
@@ -72,7 +77,9 @@
 
     /** @returns What the other nodes must know. */
     summarizeUsage(): LimitSummary {
-        return this.limiter.summarizeUsage();
+        const summary = this.limiter.summarizeUsage();
+        this.summarized = { ...this.summarized, ...summary.usage };
+        return { ...summary, usage: this.summarized };
     }
 
     /** @param summary - Usage on another node. */
