Pass withdrawals on to a bounded number of peers

Cause: each node passed a new withdrawal on to all peers, so the calls of one withdrawal grew with the square of the nodes. Ruled out: no passing on (a one-way cut between two nodes would then wait for a poll). Change: a received withdrawal goes to at most 8 members; with 9 nodes that is still all of them. Conclusion: one withdrawal costs at most 9 calls a node.

--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -46,6 +46,8 @@
     readonly recordsPerMessage: number;
     /** Members asked to relay a probe that failed. */
     readonly relayCount: number;
+    /** Members to which a received withdrawal is passed on; bounds the calls when there are many nodes. */
+    readonly forwardCount: number;
 }
 
 /** Defaults of {@link PeerNetworkSettings}. */
@@ -56,6 +58,7 @@
     callTimeoutMs: 2_000,
     recordsPerMessage: 10,
     relayCount: 2,
+    forwardCount: 8,
 };
 
 /** Options of a {@link PeerNetwork}. */
@@ -385,7 +388,7 @@
             spreadWithdrawals: (request) => {
                 const added = handlers.addWithdrawals(request.keyIds);
                 if (request.forward && added.length > 0) {
-                    void this.spreadWithdrawals(added);
+                    void this.spreadWithdrawals(added, this.settings.forwardCount);
                 }
                 return create(SpreadWithdrawalsResponseSchema, { keyIds: [...handlers.listWithdrawals()] });
             },
