Never repeat a value that was given without its flag

Cause: a secret whose flag was left out was printed in the message about the unexpected argument. Ruled out: leaving out all values of wrong settings, since the value helps to find the mistake. Change: a value without a flag is not repeated; both example folders are validated by a test.

--- a/packages/cli/src/commands/__tests__/operatorProgram.test.ts
+++ b/packages/cli/src/commands/__tests__/operatorProgram.test.ts
@@ -113,6 +113,13 @@
         expect((await run(["node", "list"])).text).toMatch(/node-1 +catania +ready +1/);
     });
 
+    it.each([
+        ["volantino", "5 files with 10 customers, 11 keys, 5 classes, 2 pools, 2 routes"],
+        ["peachtree", "5 files with 10 customers, 12 keys, 4 classes, 2 pools, 2 routes"],
+    ])("finds the example %s valid", async (name, summary) => {
+        expect((await run(["config", "validate", join(examples, name)])).text).toContain(summary);
+    });
+
     it("lets two operators edit different files, and names the conflict in the same one", async () => {
         const other = copyExample();
         await run(["config", "apply", folder]);
--- a/packages/schema/src/settings/__tests__/readSettings.test.ts
+++ b/packages/schema/src/settings/__tests__/readSettings.test.ts
@@ -94,6 +94,18 @@
         ).not.toContain(secret);
     });
 
+    it.each([
+        [[secret]],
+        [["--peer-secret", secret, secret]],
+        [["--peer-secrt", secret]],
+        [[`--peer-secrt=${secret}`]],
+        [["--name", "x", "--", secret]],
+    ])("does not repeat what may be a secret: %j", (flags) => {
+        const problems = readProblems(flags);
+        expect(problems).toHaveLength(1);
+        expect(problems[0]).not.toContain(secret);
+    });
+
     it.each([
         [["--peer-secret-file", "/absent"], "cannot be read"],
         [["--peer-secret", secret, "--peer-secret-file", "/secrets/peer"], "both given"],
--- a/packages/schema/src/settings/readSettings.ts
+++ b/packages/schema/src/settings/readSettings.ts
@@ -57,11 +57,21 @@
         return parseArgs({ args: [...flags], options, strict: true, allowPositionals: false })
             .values as FlagValues;
     } catch (error) {
-        const message = error instanceof Error ? (error.message.split("\n")[0] ?? "") : String(error);
-        throw new SettingsError([`${message}; use the flags that --help lists`]);
+        throw new SettingsError([`${formatFlagError(error)}; use the flags that --help lists`]);
     }
 }
 
+function formatFlagError(error: unknown): string {
+    if (!(error instanceof Error)) {
+        return String(error);
+    }
+    if ("code" in error && error.code === "ERR_PARSE_ARGS_UNEXPECTED_POSITIONAL") {
+        // The value may be a secret whose flag was left out.
+        return "a value without a flag is not allowed";
+    }
+    return error.message.split("\n")[0] ?? "";
+}
+
 /** Collects the ways in which a setting was given, the winning way first. */
 function listGivenValues(
     setting: SettingDescription,
