--- a/packages/bench/src/experiments/engineModel.ts
+++ b/packages/bench/src/experiments/engineModel.ts
@@ -49,6 +49,8 @@
     slowness = 1;
     failShare = 0;
     isDown = false;
+    /** Whether the engine was told to go. */
+    isLeaving = false;
     readonly cache = new Set<string>();
     private running: RunningJob[] = [];
     private waiting: EngineJob[] = [];
--- a/packages/bench/src/experiments/experimentRun.ts
+++ b/packages/bench/src/experiments/experimentRun.ts
@@ -270,7 +270,7 @@
             scheduler.recordFirstToken(requestId);
         } else if (event.type === "tokens") {
             record.streamed += event.tokens;
-            record.generated += event.tokens;
+            this.recorder.recordTokens(record, event.tokens, nowMs);
             scheduler.recordTokens(requestId, event.tokens);
         } else {
             this.recorder.recordSlotTime(record, nowMs);
@@ -292,8 +292,9 @@
             tokensStreamed: record.streamed,
             resumable: true,
             attempt: record.attempts,
+            serverLeaving: this.engines.get(record.server)?.isLeaving === true,
         });
-        if (action.type === "fail" || node.state !== "live" || !node.budget.take()) {
+        if (action.type === "fail" || node.state !== "live" || (action.isBudgeted && !node.budget.take())) {
             this.recorder.recordFailure(record);
             return;
         }
--- a/packages/bench/src/experiments/runExchange.ts
+++ b/packages/bench/src/experiments/runExchange.ts
@@ -67,6 +67,9 @@
     }
 
     private reportEngine(engine: EngineModel): void {
+        if (engine.isDown) {
+            return;
+        }
         const lagMs = this.run.options.reportLagMs ?? defaultReportLagMs;
         const report: LoadReport = { ...engine.readLoad(), ageMs: lagMs };
         this.run.deliveries.add(lagMs, () =>
--- a/packages/bench/src/experiments/runFaults.ts
+++ b/packages/bench/src/experiments/runFaults.ts
@@ -53,6 +53,10 @@
 export function reclaimServers(run: RunContext, servers: readonly string[], noticeMs: number): void {
     const leavesAtMs = run.clock.monotonicMs() + noticeMs;
     for (const server of servers) {
+        const leaving = run.engines.get(server);
+        if (leaving !== undefined) {
+            leaving.isLeaving = true;
+        }
         for (const { scheduler } of run.nodes) {
             scheduler.recordLeaving({ server, leavesAtMs });
         }
--- a/packages/bench/src/experiments/runRecorder.ts
+++ b/packages/bench/src/experiments/runRecorder.ts
@@ -77,7 +77,9 @@
     /** @param arrival - An offered request. */
     recordOffer(arrival: Arrival): void {
         this.getClass(arrival).offered += 1;
-        addAmount(this.demanded.get(arrival.requestClass), arrival.customer, arrival.tokens);
+        const leftMs = this.durationMs - arrival.atMs - arrival.promptTokens / engineSpeed.prefillTokensPerMs;
+        const possible = Math.min(arrival.tokens, Math.max(0, leftMs / engineSpeed.tokenMs));
+        addAmount(this.demanded.get(arrival.requestClass), arrival.customer, possible);
     }
 
     /**
@@ -130,6 +132,22 @@
         }
     }
 
+    /**
+     * Counts tokens for the customers' shares. Those after the run's duration don't count: then
+     * nobody competes any more.
+     *
+     * @param record - The request.
+     * @param tokens - New tokens.
+     * @param nowMs - When.
+     */
+    recordTokens(record: RequestRecord, tokens: number, nowMs: number): void {
+        record.generated += tokens;
+        if (nowMs <= this.durationMs) {
+            const { requestClass, customer } = record.arrival;
+            addAmount(this.served.get(requestClass), customer, tokens);
+        }
+    }
+
     /**
      * @param record - A request whose answer is whole.
      * @param nowMs - When.
@@ -146,7 +164,6 @@
             measures.late += 1;
         }
         this.usefulTokens += arrival.tokens;
-        addAmount(this.served.get(arrival.requestClass), arrival.customer, arrival.tokens);
         this.endRequest(record);
     }
 
--- a/packages/policy/src/capacity/__tests__/lentSlots.test.ts
+++ b/packages/policy/src/capacity/__tests__/lentSlots.test.ts
@@ -36,7 +36,9 @@
 
     /** Lets a node describe itself to the nodes that `reaches` names. */
     spread(index: number, reaches: (to: number) => boolean): void {
-        const demand = this.waiting[index] ? { tier: 1, latestStartMs: 0 } : undefined;
+        const demand = this.waiting[index]
+            ? { tier: 1, latestStartMs: 0, requestClass: "urgent", served: 0, answerTokens: 1 }
+            : undefined;
         const sequence = (this.sequences[index] ?? 0) + 1;
         this.sequences[index] = sequence;
         const summary: PoolSummary = {
--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -20,7 +20,7 @@
     readonly readTier: (requestClass: string) => number | undefined;
 }
 
-interface PeerNeed extends WaitingDemand {
+interface PeerNeed extends Omit<WaitingDemand, "answerTokens"> {
     readonly waiting: number;
 }
 
@@ -28,6 +28,8 @@
 const summaryGapMs = 20;
 /** Of two nodes with the same tier, the slot's owner goes first unless the other is earlier by this. */
 const urgencyMarginMs = 200;
+/** The same between customers of one class, in mean answers. */
+const fairnessMargin = 4;
 
 /** Deterministic homes, lent on demand by tier; no coordinator and no agreement on the request path. */
 export class LentSlots implements SlotPolicy {
@@ -205,7 +207,13 @@
                 tier = classTier;
             }
         }
-        return { tier, waiting, latestStartMs: nowMs + (summary.slackMs ?? Infinity) };
+        return {
+            tier,
+            waiting,
+            latestStartMs: nowMs + (summary.slackMs ?? Infinity),
+            requestClass: summary.urgentClass ?? "",
+            served: summary.urgentServed ?? Infinity,
+        };
     }
 
     private withdrawUnneeded(nowMs: number): void {
@@ -233,8 +241,12 @@
         if (need.waiting === 0 || this.demand === undefined) {
             return need.waiting > 0;
         }
-        const isEarlier = need.latestStartMs + urgencyMarginMs < this.demand.latestStartMs;
-        return need.tier < this.demand.tier || (need.tier === this.demand.tier && isEarlier);
+        if (need.tier !== this.demand.tier) {
+            return need.tier < this.demand.tier;
+        }
+        return need.requestClass === this.demand.requestClass
+            ? need.served + fairnessMargin * this.demand.answerTokens < this.demand.served
+            : need.latestStartMs + urgencyMarginMs < this.demand.latestStartMs;
     }
 
     private lendTo(node: string, wanted: number, nowMs: number): void {
@@ -249,6 +261,6 @@
     }
 }
 
-function compareDemands(left: WaitingDemand, right: WaitingDemand): number {
+function compareDemands(left: PeerNeed, right: PeerNeed): number {
     return left.tier - right.tier || left.latestStartMs - right.latestStartMs;
 }
--- a/packages/policy/src/capacity/slotPolicy.ts
+++ b/packages/policy/src/capacity/slotPolicy.ts
@@ -31,6 +31,11 @@
     readonly tier: number;
     /** Latest start, in monotonic milliseconds. */
     readonly latestStartMs: number;
+    readonly requestClass: string;
+    /** Tokens served to its customer, divided by the customer's weight. */
+    readonly served: number;
+    /** Mean tokens of an answer of the class. */
+    readonly answerTokens: number;
 }
 
 /** Decides how many requests this node may start on a server. */
--- a/packages/policy/src/fairness/fairQueue.ts
+++ b/packages/policy/src/fairness/fairQueue.ts
@@ -134,6 +134,11 @@
         }
     }
 
+    /** @returns Tokens served to the least served waiting customer, divided by its weight. */
+    readLeastServed(): number {
+        return this.findLeastServed()?.served ?? this.lastMinimum;
+    }
+
     /** @returns Waiting requests of the class. */
     countWaiting(): number {
         return this.waiting;
--- a/packages/policy/src/retries/__tests__/retries.test.ts
+++ b/packages/policy/src/retries/__tests__/retries.test.ts
@@ -11,13 +11,17 @@
     tokensStreamed: 0,
     resumable: true,
     attempt: 1,
+    serverLeaving: false,
 };
 const outcomes = ["failed", "rejected", "timedOut", "mismatched"] as const;
 const flags = [false, true];
 
 describe("chooseRetryAction", () => {
     test.each([
-        [{ bytesSent: false, repeatable: false }, { type: "retryElsewhere" }],
+        [
+            { bytesSent: false, repeatable: false },
+            { type: "retryElsewhere", isBudgeted: true },
+        ],
         [{ repeatable: false }, { type: "fail", kind: ErrorKind.BackendFailed, executed: "unknown" }],
         [
             { repeatable: false, outcome: "rejected" },
@@ -27,9 +31,10 @@
             { repeatable: false, outcome: "timedOut" },
             { type: "fail", kind: ErrorKind.BackendTimeout, executed: "unknown" },
         ],
-        [{}, { type: "retryElsewhere" }],
-        [{ outcome: "mismatched" }, { type: "retryElsewhere" }],
-        [{ tokensStreamed: 4 }, { type: "resumeElsewhere" }],
+        [{}, { type: "retryElsewhere", isBudgeted: true }],
+        [{ serverLeaving: true }, { type: "retryElsewhere", isBudgeted: false }],
+        [{ outcome: "mismatched" }, { type: "retryElsewhere", isBudgeted: true }],
+        [{ tokensStreamed: 4 }, { type: "resumeElsewhere", isBudgeted: true }],
         [
             { tokensStreamed: 4, resumable: false },
             { type: "fail", kind: ErrorKind.StreamInterrupted, executed: "unknown" },
--- a/packages/policy/src/retries/retryTable.ts
+++ b/packages/policy/src/retries/retryTable.ts
@@ -23,12 +23,18 @@
     readonly resumable: boolean;
     /** 1 for the first try. */
     readonly attempt: number;
+    /** Whether the server had announced that it goes. */
+    readonly serverLeaving: boolean;
 }
 
-/** What to do after a failed try. */
+/**
+ * What to do after a failed try. A budgeted action needs a unit of the retry budget, and without one
+ * the request fails as {@link buildFailure} says. Work displaced by an announced departure is not
+ * budgeted: it doesn't grow with failures, and waits for free slots like any other work.
+ */
 export type RetryAction =
-    | { readonly type: "retryElsewhere" }
-    | { readonly type: "resumeElsewhere" }
+    | { readonly type: "retryElsewhere"; readonly isBudgeted: boolean }
+    | { readonly type: "resumeElsewhere"; readonly isBudgeted: boolean }
     | { readonly type: "fail"; readonly kind: ErrorKind; readonly executed: Executed };
 
 /** Tries of a request, the first included. */
@@ -57,13 +63,14 @@
  */
 export function chooseRetryAction(failed: FailedAttempt): RetryAction {
     const failure = buildFailure(failed);
+    const isBudgeted = !failed.serverLeaving;
     if (failed.attempt >= attemptLimit || (failed.bytesSent && !failed.repeatable)) {
         return failure;
     }
     if (failed.tokensStreamed === 0) {
-        return { type: "retryElsewhere" };
+        return { type: "retryElsewhere", isBudgeted };
     }
-    return failed.repeatable && failed.resumable ? { type: "resumeElsewhere" } : failure;
+    return failed.repeatable && failed.resumable ? { type: "resumeElsewhere", isBudgeted } : failure;
 }
 
 /**
--- a/packages/policy/src/routing/__tests__/routing.test.ts
+++ b/packages/policy/src/routing/__tests__/routing.test.ts
@@ -52,6 +52,15 @@
         expect(health.readCondition(3_100)).toBe("normal");
     });
 
+    test("takes a server back that reports again well after its notice ended", () => {
+        const health = new ServerHealth();
+        health.recordLeaving(5_000);
+        expect(health.recordReturn(5_500)).toBe(false);
+        expect(health.readCondition(6_000)).toBe("leaving");
+        expect(health.recordReturn(600_000)).toBe(true);
+        expect(health.readCondition(600_000)).toBe("normal");
+    });
+
     test("is on probation as a straggler until its pace recovers", () => {
         const health = new ServerHealth();
         const recordPaces = (paceMs: number): void => {
--- a/packages/policy/src/scheduling/classRegistry.ts
+++ b/packages/policy/src/scheduling/classRegistry.ts
@@ -60,11 +60,17 @@
     /** @returns The highest tier with waiting requests, and the earliest latest start of those in turn. */
     findDemand(): WaitingDemand | undefined {
         let demand: WaitingDemand | undefined;
-        for (const { settings, queue } of this.fromLowestTier) {
+        for (const { settings, queue, tokens } of this.fromLowestTier) {
             const latestStartMs = queue.next()?.latestStartMs;
             const isHigher = settings.tier < (demand?.tier ?? Infinity);
             if (latestStartMs !== undefined && (isHigher || latestStartMs < (demand?.latestStartMs ?? 0))) {
-                demand = { tier: settings.tier, latestStartMs };
+                demand = {
+                    tier: settings.tier,
+                    latestStartMs,
+                    requestClass: settings.name,
+                    served: queue.readLeastServed(),
+                    answerTokens: tokens.readMean(),
+                };
             }
         }
         return demand;
--- a/packages/policy/src/scheduling/poolScheduler.ts
+++ b/packages/policy/src/scheduling/poolScheduler.ts
@@ -125,6 +125,10 @@
     readonly lentTiers?: Readonly<Record<string, number>>;
     /** Time left until the latest start of the most urgent waiting request, in milliseconds. */
     readonly slackMs?: number;
+    /** Class of the most urgent waiting request. */
+    readonly urgentClass?: string;
+    /** Tokens served to its customer, divided by the customer's weight. */
+    readonly urgentServed?: number;
     /** Sequence of the last summary received from each node; lets owners reuse withdrawn slots early. */
     readonly acknowledged?: Readonly<Record<string, number>>;
 }
--- a/packages/policy/src/scheduling/statusReader.ts
+++ b/packages/policy/src/scheduling/statusReader.ts
@@ -48,6 +48,8 @@
             node: this.node,
             sequence: this.sequence,
             waiting,
+            urgentClass: requestDemand?.requestClass,
+            urgentServed: requestDemand?.served,
             starts: this.state.floors.summarizeStarts(),
             sinceStartMs,
             slackMs: requestDemand === undefined ? undefined : requestDemand.latestStartMs - nowMs,
