--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -8,8 +8,9 @@
     state: ["types", "schema", "policy", "platform", "telemetry"],
     node: ["types", "telemetry", "schema", "policy", "platform", "state"],
     standins: ["types", "schema", "platform"],
-    bench: ["types", "telemetry", "schema", "policy", "platform", "state", "node", "standins"],
-    cli: ["types", "telemetry", "schema", "platform", "state", "node"],
+    bench: ["types", "telemetry", "schema", "policy", "platform", "state", "node", "standins", "cli"],
+    // The demo launches the stand-ins.
+    cli: ["types", "telemetry", "schema", "platform", "state", "node", "standins"],
 };
 
 const layerRules = Object.entries(layers).map(([name, allowed]) => ({
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,14 @@
-export {};
+export { runDaemonProgram } from "./commands/daemonProgram.js";
+export type { DaemonInput } from "./commands/daemonProgram.js";
+export { runOperatorProgram } from "./commands/operatorProgram.js";
+export type { ProgramInput } from "./commands/operatorProgram.js";
+export { runDaemonProcess, runOperatorProcess } from "./commands/processSurroundings.js";
+export { CommandError, ExitCode } from "./output/exitCodes.js";
+export { ExampleFolder } from "./deployment/exampleFolder.js";
+export type { ServerAddresses } from "./deployment/exampleFolder.js";
+export { ProcessDeployment } from "./deployment/processDeployment.js";
+export type { LaunchedNode, ProcessDeploymentOptions } from "./deployment/processDeployment.js";
+export { sendCall } from "./deployment/caller.js";
+export type { CallerAnswer, CallerCall } from "./deployment/caller.js";
+export { createOperatorClient } from "./operator/operatorClient.js";
+export type { OperatorClient, OperatorTarget } from "./operator/operatorClient.js";
--- /dev/null
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -0,0 +1,275 @@
+/**
+ * Runs a routed request: waits for a slot, tries a backend server, and tries again where that is
+ * allowed.
+ *
+ * @packageDocumentation
+ */
+import type { Pool } from "@pimentocleat/schema";
+import type { UsageRecorder } from "@pimentocleat/state";
+import type { Logger, Metrics, MetricTags } from "@pimentocleat/telemetry";
+import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { CallerLimits } from "../limits/callerLimits.js";
+import type { NodeLimits } from "../limits/nodeLimits.js";
+import { readTokenUsage } from "../streams/streamEvent.js";
+import { StreamRelay } from "../streams/streamRelay.js";
+import type { ConnectionPool } from "../upstream/connectionPool.js";
+import type { ExchangeRequest } from "../upstream/exchange.js";
+import { UsageMeter } from "../usage/usageMeter.js";
+import { buildCancelError } from "./activeRequest.js";
+import { Attempt, type AttemptResult } from "./attempt.js";
+import { buildExchangeBody } from "./buildExchangeBody.js";
+import { buildFailureError, chooseFailureAction, convertFailureToOutcome } from "./chooseFailureAction.js";
+import type { PoolTask } from "./poolTask.js";
+import type { StartGrant } from "./poolTaskOptions.js";
+import type { PoolTasks } from "./poolTasks.js";
+import type { RoutedRequest, WholeAnswer } from "./routedRequest.js";
+import {
+    buildQueuedRequest,
+    buildSituation,
+    findRefusal,
+    recordOutcome,
+    takeMovedGrant,
+    type FailedResult,
+    type RunContext,
+    type RunState,
+} from "./runState.js";
+
+const serviceRejections: ReadonlySet<number> = new Set([401, 429, 503]);
+/** An engine also rejects a model that it has not loaded. */
+const engineRejections: ReadonlySet<number> = new Set([...serviceRejections, 404]);
+
+/** Options of a {@link RequestRunner}. */
+export interface RequestRunnerOptions {
+    readonly tasks: PoolTasks;
+    readonly connections: ConnectionPool;
+    readonly usage: UsageRecorder;
+    readonly callerLimits: CallerLimits;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly clock: Clock;
+    readonly limits: NodeLimits;
+    /** Reads the credential from an environment variable by its name. */
+    readonly readCredential: (variable: string) => string | undefined;
+}
+
+/** The end of a request that got its answer: a whole answer, or `streamed` when the caller has it already. */
+export type RunResult = WholeAnswer | "streamed";
+
+/** Runs requests. */
+export class RequestRunner {
+    /** @param options - Pool tasks, connections and recorders. */
+    constructor(private readonly options: RequestRunnerOptions) {}
+
+    /**
+     * Runs a request to its end.
+     *
+     * @param context - The request and its caller.
+     * @returns The answer.
+     * @throws RouterError when the caller gets no whole answer.
+     */
+    async runRequest(context: RunContext): Promise<RunResult> {
+        const task = this.options.tasks.findTask(context.request.pool);
+        if (task === undefined) {
+            throw new RouterError(ErrorKind.NoBackendServer);
+        }
+        const state = this.createState(context, task);
+        task.retryBudget.recordFirstTry();
+        try {
+            const result = await this.runAttempts(state);
+            this.recordTokens("tokens.served", { class: context.request.requestClass }, state);
+            return result;
+        } catch (error) {
+            const reason = context.active.cancelReason ?? (error as { kind?: string }).kind ?? "internal";
+            this.recordTokens("tokens.wasted", { reason }, state);
+            throw error;
+        } finally {
+            context.active.setCancelListener(undefined);
+            state.meter.finish();
+        }
+    }
+
+    private recordTokens(name: "tokens.served" | "tokens.wasted", tags: MetricTags, state: RunState): void {
+        const { completionTokens } = state.meter;
+        if (completionTokens > 0) {
+            this.options.metrics.addCount(name, completionTokens, tags);
+        }
+    }
+
+    private createState(context: RunContext, task: PoolTask): RunState {
+        const { request, caller } = context;
+        const meter = new UsageMeter(this.options.usage, request);
+        const progress = {
+            onTokens: (tokens: number): void => this.recordStreamTokens(context, task, meter, tokens),
+        };
+        const resumable = request.modelCall?.resumable ?? false;
+        const relay = caller === undefined ? undefined : new StreamRelay({ caller, resumable, progress });
+        return {
+            context,
+            task,
+            relay,
+            meter,
+            excludedServers: [],
+            attempt: 1,
+            tries: 1,
+            sent: false,
+            moveTarget: undefined,
+            lastError: undefined,
+        };
+    }
+
+    private recordStreamTokens(context: RunContext, task: PoolTask, meter: UsageMeter, tokens: number): void {
+        const { request, trace } = context;
+        if (meter.completionTokens === 0) {
+            const elapsedMs = this.options.clock.monotonicMs() - request.arrivedMs;
+            trace.addStep("firstToken", "");
+            task.recordFirstToken(request.requestId);
+            this.options.metrics.recordTime("request.firstToken", elapsedMs, { class: request.requestClass });
+        }
+        meter.addCompletionTokens(tokens);
+        task.recordTokens(request.requestId, tokens);
+        this.options.callerLimits.recordTokens(request, tokens);
+    }
+
+    private async runAttempts(state: RunState): Promise<RunResult> {
+        let grant = await this.waitForGrant(state);
+        for (;;) {
+            const result = await this.runGrant(state, grant);
+            if (result.type !== "failed") {
+                return this.finishAttempt(state, grant, result);
+            }
+            this.handleFailure(state, grant, result);
+            grant = takeMovedGrant(state, grant) ?? (await this.waitForGrant(state));
+        }
+    }
+
+    private async waitForGrant(state: RunState): Promise<StartGrant> {
+        const { context, task } = state;
+        context.trace.addStep("queued", `attempt ${state.attempt}`);
+        try {
+            return await task.waitForStart(buildQueuedRequest(state), context.active);
+        } catch (error) {
+            throw findRefusal(state, error);
+        }
+    }
+
+    /** Frees the slot also when the try could not be started. */
+    private async runGrant(state: RunState, grant: StartGrant): Promise<AttemptResult> {
+        try {
+            return await this.runAttempt(state, grant);
+        } catch (error) {
+            recordOutcome(state, grant, "cancelled");
+            throw error;
+        }
+    }
+
+    private async runAttempt(state: RunState, grant: StartGrant): Promise<AttemptResult> {
+        const { context, task, relay } = state;
+        const { request, active, caller } = context;
+        this.checkSendTime(state);
+        context.trace.addStep("started", `${grant.server.name}, priority ${grant.priority}`);
+        const attempt = new Attempt({
+            request: this.buildExchangeRequest(state, grant),
+            connections: this.options.connections,
+            maximumAnswerBytes: this.options.limits.maximumAnswerBytes,
+            stream: relay !== undefined && caller !== undefined ? { relay, caller } : undefined,
+            uncancellable: !request.repeatable,
+            resumable: request.modelCall?.resumable ?? false,
+        });
+        task.setRunningListener(request.requestId, attempt);
+        active.setCancelListener((reason) => attempt.onCancel(reason));
+        const result = await attempt.run();
+        active.setCancelListener(undefined);
+        state.moveTarget = attempt.moveTarget;
+        return result;
+    }
+
+    /** A process that was frozen since its claim must not send: the claim may be judged dead by now. */
+    private checkSendTime(state: RunState): void {
+        const { sendByMs } = state.context;
+        if (sendByMs !== undefined && this.options.clock.monotonicMs() > sendByMs) {
+            throw new RouterError(ErrorKind.QueueDeadline, undefined, { executed: "no" });
+        }
+    }
+
+    private buildExchangeRequest(state: RunState, grant: StartGrant): ExchangeRequest {
+        const { request } = state.context;
+        const { pool } = state.task;
+        const resumePoint = state.relay?.streamedTokens ? state.relay.readResumePoint() : undefined;
+        return {
+            address: grant.server.address,
+            method: request.method,
+            path: request.path,
+            headers: this.buildHeaders(request, pool, grant.priority),
+            body: buildExchangeBody(request.body, resumePoint),
+            wireId: state.tries === 1 ? request.requestId : `${request.requestId}.${state.tries}`,
+            answerTimeoutMs: pool.answerTimeoutMs,
+            fresh: !request.repeatable,
+            rejectionStatuses: request.modelCall === undefined ? serviceRejections : engineRejections,
+        };
+    }
+
+    private buildHeaders(request: RoutedRequest, pool: Pool, priority: number): Record<string, string> {
+        const headers: Record<string, string> = { ...request.headers };
+        if (request.modelCall !== undefined) {
+            headers["x-priority"] = String(priority);
+        }
+        const variable = pool.credentialVariable;
+        const credential = variable === undefined ? undefined : this.options.readCredential(variable);
+        if (credential !== undefined) {
+            headers["authorization"] = `Bearer ${credential}`;
+        }
+        return headers;
+    }
+
+    private finishAttempt(
+        state: RunState,
+        grant: StartGrant,
+        result: Exclude<AttemptResult, FailedResult>,
+    ): RunResult {
+        const { context, task, relay, meter } = state;
+        const { requestId } = context.request;
+        if (result.type === "streamed") {
+            meter.setReportedUsage(state.tries === 1 ? relay?.reportedUsage : undefined);
+            recordOutcome(state, grant, "completed");
+            return "streamed";
+        }
+        const usage = context.request.modelCall && readTokenUsage(result.parsedBody);
+        if (usage !== undefined) {
+            meter.setReportedUsage(usage);
+            task.recordTokens(requestId, usage.completionTokens);
+            this.options.callerLimits.recordTokens(context.request, usage.completionTokens);
+        }
+        recordOutcome(state, grant, "completed");
+        return result.answer;
+    }
+
+    private handleFailure(state: RunState, grant: StartGrant, result: FailedResult): void {
+        const { context, task } = state;
+        const { failure, cancelReason, moved } = result;
+        const { trace } = context;
+        const situation = buildSituation(state, result);
+        state.sent ||= failure.sent && failure.type !== "rejected";
+        const outcome = cancelReason === undefined && !moved ? convertFailureToOutcome(failure) : "cancelled";
+        recordOutcome(state, grant, outcome, moved);
+        trace.addStep("failed", `${grant.server.name}: ${failure.type}, ${failure.message}`);
+        if (cancelReason !== undefined) {
+            throw buildCancelError(cancelReason, state.sent);
+        }
+        const action = chooseFailureAction(situation, task.retryBudget);
+        if (action.type === "fail") {
+            throw action.error;
+        }
+        this.recordRetry(state, moved ? "moved" : failure.type);
+        state.lastError = buildFailureError(situation);
+        state.excludedServers.push(grant.server.name);
+        state.attempt += moved ? 0 : 1;
+        state.tries += 1;
+    }
+
+    private recordRetry(state: RunState, reason: string): void {
+        const { request, trace } = state.context;
+        trace.addStep("retried", reason);
+        this.options.metrics.addCount("request.retried", 1, { reason });
+        this.options.logger.writeEvent("requestRetried", { requestId: request.requestId, reason });
+    }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,12 @@
+export { computePreferenceRank } from "./leases/dutyPlacement.js";
+export {
+    computeFirstSendMs,
+    computeValidUntilMs,
+    defaultLeaseTiming,
+    isTakeoverDue,
+    updateObservation,
+} from "./leases/leaseTiming.js";
+export type { LeaseTiming, ObservedLease, ReceiverTraits } from "./leases/leaseTiming.js";
 export { compareServers, selectPoolConfiguration } from "./scheduling/poolScheduler.js";
 export type {
     AttemptOutcome,
@@ -14,8 +23,12 @@
     QueuedRequest,
     ServerStatus,
 } from "./scheduling/poolScheduler.js";
+export * from "./membership/index.js";
 export { FifoScheduler } from "./scheduling/fifoScheduler.js";
 export type { SchedulerOptions } from "./scheduling/schedulerOptions.js";
+export { createRandom } from "./random/random.js";
+export { ServerPlanner, defaultPlannerSettings } from "./orders/serverPlanner.js";
+export type { PlannedServers, PlannerInput, PlannerSettings, ServerOption } from "./orders/serverPlanner.js";
 export { TieredScheduler } from "./scheduling/tieredScheduler.js";
 export { QueueOrder } from "./scheduling/queueOrder.js";
 export type { ChosenEntry } from "./scheduling/queueOrder.js";
@@ -26,6 +39,14 @@
 export { attemptLimit, buildFailure, chooseRetryAction } from "./retries/retryTable.js";
 export type { FailedAttempt, FailedOutcome, RetryAction } from "./retries/retryTable.js";
 export { RetryBudget } from "./retries/retryBudget.js";
+export {
+    addUsage,
+    computeRemainder,
+    computeWindowStartMs,
+    isEmptyUsage,
+    mergeUsage,
+} from "./usageSealing/usageWindows.js";
+export type { UsageByCustomer, UsageCounters } from "./usageSealing/usageWindows.js";
 export { Limiter } from "./limits/limiter.js";
 export type { LimitSummary } from "./limits/limiter.js";
 export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
