--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -110,7 +110,8 @@
         this.book.recordUsed(summary.node, summary.borrowed?.[this.options.node] ?? {});
         this.book.recordAcknowledged(summary.node, summary.acknowledged?.[this.options.node] ?? 0);
         const slots = summary.lent?.[this.options.node] ?? {};
-        const tier = summary.lentTiers?.[this.options.node] ?? 0;
+        // A peer that names no tier lends for any.
+        const tier = summary.lentTiers?.[this.options.node] ?? Infinity;
         const isLess = this.use.setLoan(summary.node, { slots, tier, receivedMs: nowMs });
         this.hasReturns ||= isLess;
     }
--- a/packages/policy/src/retries/retryTable.ts
+++ b/packages/policy/src/retries/retryTable.ts
@@ -24,7 +24,7 @@
     /** 1 for the first try. */
     readonly attempt: number;
     /** Whether the server had announced that it goes. */
-    readonly serverLeaving: boolean;
+    readonly serverLeaving?: boolean;
 }
 
 /**
@@ -63,7 +63,7 @@
  */
 export function chooseRetryAction(failed: FailedAttempt): RetryAction {
     const failure = buildFailure(failed);
-    const isBudgeted = !failed.serverLeaving;
+    const isBudgeted = failed.serverLeaving !== true;
     if (failed.attempt >= attemptLimit || (failed.bytesSent && !failed.repeatable)) {
         return failure;
     }
