Tell the last words of daemons that do not stop with code 0

Cause: one of six runs of the frozen-holder test ended with exit code 1 of one daemon, and its reason was not shown. Ruled out: taking the exit code out of the test: a planned stop must end with 0. Change: the shared cluster returns name, code, signal and the end of the logs of each daemon that failed. Conclusion: the next failure will name its reason.

--- a/packages/node/src/duties/__tests__/daemonCluster.ts
+++ b/packages/node/src/duties/__tests__/daemonCluster.ts
@@ -16,6 +16,7 @@
 
 const daemonPath = fileURLToPath(new URL("../../../../cli/bin/pimentocleatd.js", import.meta.url));
 const secret = "a-secret-for-these-tests-alone";
+const lastWordsLength = 3_000;
 const fileName = "all.yaml";
 
 export class DaemonCluster {
@@ -66,12 +67,20 @@
         return (await this.store.applyChanges({ author: "test", changes })).type;
     }
 
-    /** Stops all daemons gracefully; returns their exit codes. */
-    async close(): Promise<readonly (number | undefined)[]> {
+    /** Stops all daemons gracefully; returns the last words of those that failed. */
+    async close(): Promise<readonly string[]> {
         this.daemons.forEach((daemon) => daemon.sendSignal("SIGCONT"));
-        const exits = await Promise.all([...this.daemons.values()].map((daemon) => daemon.stop()));
+        const failures = await Promise.all(
+            [...this.daemons].map(([name, daemon]) => stopDaemon(name, daemon)),
+        );
         await this.table.close();
         await this.platform.close();
-        return exits.map((exit) => exit.code);
+        return failures.flat();
     }
 }
+
+async function stopDaemon(name: string, daemon: LaunchedProgram): Promise<readonly string[]> {
+    const { code, signal } = await daemon.stop();
+    const lastWords = daemon.readStderr().slice(-lastWordsLength);
+    return code === 0 ? [] : [`${name}: code ${String(code)}, signal ${String(signal)}: ${lastWords}`];
+}
--- a/packages/node/src/duties/__tests__/frozenHolder.test.ts
+++ b/packages/node/src/duties/__tests__/frozenHolder.test.ts
@@ -21,7 +21,7 @@
 });
 
 afterAll(async () => {
-    expect(await cluster.close()).toEqual([0, 0, 0]);
+    expect(await cluster.close()).toEqual([]);
 });
 
 /** Changes the wanted state again and again, so that there are orders at each moment. */
