--- a/packages/node/src/callerApi/requestHandler.ts
+++ b/packages/node/src/callerApi/requestHandler.ts
@@ -13,6 +13,7 @@
 import type { RunContext } from "../dispatch/runState.js";
 import { convertToRouterError, formatError } from "../errors/formatError.js";
 import { TraceRecorder, type ExplainBuffer } from "../explain/explainBuffer.js";
+import type { CallerLimits } from "../limits/callerLimits.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { CallerStream } from "../streams/callerStream.js";
 import type { AdmittedRequest, RequestRouter } from "./requestRouter.js";
@@ -26,6 +27,7 @@
     readonly runner: RequestRunner;
     readonly onceRunner: OnceRunner;
     readonly activeRequests: ActiveRequests;
+    readonly callerLimits: CallerLimits;
     readonly traces: ExplainBuffer;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -57,7 +59,8 @@
             return reply.send(buildModelList(admitted.table.listModels()));
         }
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
-        const routed = this.options.router.routeRequest(admitted, body);
+        const routed = this.options.router.resolveRequest(admitted, body);
+        this.options.callerLimits.acquire(routed);
         const active = new ActiveRequest(routed.requestId, routed.keyId);
         this.options.activeRequests.addRequest(active);
         reply.raw.on("close", () => {
@@ -79,19 +82,22 @@
         const context: RunContext = { request: routed, active, trace, caller, sendByMs: undefined };
         const run = this.startRun(context);
         try {
-            const result = await (routed.repeatable ? run : raceWithdrawal(run, active));
+            const result = await (routed.repeatable ? run : waitForAnswer(run, active));
             this.recordFinish(context, result === "streamed" ? 200 : result.status);
             return result === "streamed" ? reply.hijack() : this.sendAnswer(result, reply);
         } catch (thrown) {
-            return this.answerError(context, convertToRouterError(thrown), reply);
+            return this.sendError(context, convertToRouterError(thrown), reply);
         }
     }
 
     /** Runs the request; it stays active until its run ends, even when the caller has its answer. */
     private startRun(context: RunContext): Promise<RunResult> {
-        const { runner, onceRunner, activeRequests } = this.options;
+        const { runner, onceRunner, activeRequests, callerLimits } = this.options;
         const run = context.request.repeatable ? runner.runRequest(context) : onceRunner.runRequest(context);
-        return (run as Promise<RunResult>).finally(() => activeRequests.removeRequest(context.active));
+        return (run as Promise<RunResult>).finally(() => {
+            callerLimits.recordEnd(context.request);
+            activeRequests.removeRequest(context.active);
+        });
     }
 
     private openStream(routed: RoutedRequest, active: ActiveRequest, reply: FastifyReply): CallerStream {
@@ -119,10 +125,10 @@
         return reply.send(result.body);
     }
 
-    private answerError(context: RunContext, error: RouterError, reply: FastifyReply): FastifyReply {
+    private sendError(context: RunContext, error: RouterError, reply: FastifyReply): FastifyReply {
         this.recordError(context, error);
         if (context.caller?.started) {
-            context.caller.fail(error);
+            context.caller.finishWithError(error);
             return reply.hijack();
         }
         if (reply.raw.destroyed) {
@@ -159,7 +165,7 @@
 }
 
 /** Answers at once when the key is withdrawn, while the run goes on and records its outcome. */
-async function raceWithdrawal(run: Promise<RunResult>, active: ActiveRequest): Promise<RunResult> {
+async function waitForAnswer(run: Promise<RunResult>, active: ActiveRequest): Promise<RunResult> {
     const cancelled = active.waitForCancel().then((reason) => {
         throw buildCancelError(reason, true);
     });
