Run the stateful tests with another seed and more runs

Cause: npm run fuzz was listed in the README and in package.json, but had no program behind it. Ruled out: reading the environment in the tests or in a product package; the tests would then differ by host, and test support would ship. vitest's provide and inject carry the overrides instead. Change: a launcher that finds the tests using fast-check and hands seed and runs on; the tests' own fixed seeds and runs stay in force in an ordinary run, and the broken versions always keep theirs. Conclusion: found seeds can be repeated with one command.

--- /dev/null
+++ b/packages/bench/src/fuzz/fuzzCommand.ts
@@ -0,0 +1,69 @@
+/**
+ * The program `npm run fuzz`: runs the stateful tests with another seed and another number of runs.
+ *
+ * @packageDocumentation
+ */
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { cac } from "cac";
+import { findStatefulTests } from "./findStatefulTests.js";
+
+const repositoryRoot = fileURLToPath(new URL("../../../../", import.meta.url));
+const vitestProgram = join(repositoryRoot, "node_modules/vitest/vitest.mjs");
+const maximumSeed = 0x7fff_ffff;
+/** Bound on one test, in milliseconds; long runs take longer than the tests' own bound. */
+const testTimeoutMs = 3_600_000;
+const usageExitCode = 2;
+
+/**
+ * Runs the stateful tests named on the command line, or all.
+ *
+ * @param parameters - The process's arguments.
+ * @returns The exit code of the test run, or 2 for wrong arguments.
+ */
+export async function runFuzzCommand(parameters: readonly string[]): Promise<number> {
+    const program = cac("fuzz");
+    program.usage("[options] [NAME...]  (NAME is a part of a test file's path)");
+    program.option("--seed <number>", "seed of the histories", { default: 1 });
+    program.option("--runs <number>", "histories for each test", { default: 1_000 });
+    program.help();
+    const { args, options } = program.parse([...parameters]);
+    if (options.help) {
+        return 0;
+    }
+    const seed = Number(options.seed);
+    const runs = Number(options.runs);
+    const files = findStatefulTests(repositoryRoot, args);
+    const problem = findProblem(seed, runs, files);
+    if (problem !== undefined) {
+        process.stderr.write(`${problem}\n`);
+        return usageExitCode;
+    }
+    process.stdout.write(`seed ${seed}, ${runs} runs, ${files.length} files\n`);
+    return runVitest(files, { PIMENTOCLEAT_FUZZ_SEED: String(seed), PIMENTOCLEAT_FUZZ_RUNS: String(runs) });
+}
+
+function findProblem(seed: number, runs: number, files: readonly string[]): string | undefined {
+    if (!Number.isInteger(seed) || Math.abs(seed) > maximumSeed) {
+        return "--seed must be an integer of 32 bits";
+    }
+    if (!Number.isInteger(runs) || runs < 1) {
+        return "--runs must be a positive integer";
+    }
+    return files.length === 0 ? "no stateful test has such a name" : undefined;
+}
+
+async function runVitest(
+    files: readonly string[],
+    variables: Readonly<Record<string, string>>,
+): Promise<number> {
+    const child = spawn(
+        process.execPath,
+        [vitestProgram, "run", `--testTimeout=${testTimeoutMs}`, ...files],
+        { cwd: repositoryRoot, stdio: "inherit", env: { ...process.env, ...variables } },
+    );
+    const [code] = (await once(child, "exit")) as [number | undefined];
+    return code ?? 1;
+}
--- a/packages/node/src/streams/__tests__/streamRelay.test.ts
+++ b/packages/node/src/streams/__tests__/streamRelay.test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import type { CallerStream } from "../callerStream.js";
 import { StreamRelay } from "../streamRelay.js";
 
@@ -68,6 +68,6 @@
                 expect(tokens).toBe(pieces.filter((piece) => piece !== "").length);
             },
         );
-        fc.assert(property, { seed, numRuns: 2_000 });
+        fc.assert(property, { seed, numRuns: 2_000, ...inject("fuzz") });
     });
 });
--- a/packages/policy/src/capacity/__tests__/lentSlots.test.ts
+++ b/packages/policy/src/capacity/__tests__/lentSlots.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@pimentocleat/types";
 import fc from "fast-check";
-import { describe, expect, test } from "vitest";
+import { describe, expect, inject, test } from "vitest";
 import type { PoolSummary } from "../../scheduling/poolScheduler.js";
 import { computeHomeSlots } from "../homeSlots.js";
 import { LendingBook } from "../lendingBook.js";
@@ -181,7 +181,7 @@
     test("never overruns a server with summaries that are late or lost for less than the limit", () => {
         fc.assert(
             buildOverrunProperty((options) => new LentSlots(options)),
-            { seed: 11, numRuns: 300 },
+            { seed: 11, numRuns: 300, ...inject("fuzz") },
         );
     });
 
--- a/packages/policy/src/membership/__tests__/membershipStateful.test.ts
+++ b/packages/policy/src/membership/__tests__/membershipStateful.test.ts
@@ -1,6 +1,6 @@
 import { ManualClock } from "@pimentocleat/types";
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { createRandom } from "../../random/random.js";
 import { MembershipState, type MemberIdentity, type MemberStatement } from "../member.js";
 import { defaultMemberTableSettings, MemberTable } from "../memberTable.js";
@@ -152,7 +152,7 @@
 
 describe("membership under random cuts and restarts", () => {
     it("converges to the living after the cuts heal", () => {
-        fc.assert(buildProperty(createSound), { seed, numRuns: runs });
+        fc.assert(buildProperty(createSound), { seed, numRuns: runs, ...inject("fuzz") });
     });
 
     const mutants: readonly { readonly name: string; readonly factory: TableFactory }[] = [
--- a/packages/policy/src/scheduling/__tests__/tieredScheduler.test.ts
+++ b/packages/policy/src/scheduling/__tests__/tieredScheduler.test.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "@pimentocleat/types";
 import { ErrorKind, ManualClock } from "@pimentocleat/types";
 import fc from "fast-check";
-import { describe, expect, test } from "vitest";
+import { describe, expect, inject, test } from "vitest";
 import { LocalSlots } from "../../capacity/localSlots.js";
 import type { ClassQueue } from "../classQueue.js";
 import { QueueOrder } from "../queueOrder.js";
@@ -87,7 +87,7 @@
             fc.property(fc.array(step, { maxLength: 150 }), (steps) => {
                 expect(runSteps({}, steps)).toEqual([]);
             }),
-            { seed: 7, numRuns: 150 },
+            { seed: 7, numRuns: 150, ...inject("fuzz") },
         );
     });
 
--- a/packages/standins/src/__tests__/contracts/tableServiceModel.test.ts
+++ b/packages/standins/src/__tests__/contracts/tableServiceModel.test.ts
@@ -6,7 +6,7 @@
     type TableService,
 } from "@pimentocleat/platform";
 import fc from "fast-check";
-import { expect, test } from "vitest";
+import { expect, inject, test } from "vitest";
 import { startPlatform, type FaultInput, type RunningPlatform } from "../../index.js";
 
 const seed = 20_261_203;
@@ -156,7 +156,7 @@
             }
         },
     );
-    await fc.assert(property, { seed, numRuns: runs, endOnFailure: true });
+    await fc.assert(property, { seed, numRuns: runs, endOnFailure: true, ...inject("fuzz") });
     expect(totals.applied).toBeGreaterThan(0);
     expect(totals.ambiguous).toBeGreaterThan(totals.applied);
 });
--- a/packages/state/src/claims/__tests__/claimsStateful.test.ts
+++ b/packages/state/src/claims/__tests__/claimsStateful.test.ts
@@ -2,7 +2,7 @@
  * Random faults, freezes, crashes and repeats against the oracle: no key runs twice, no key stays blocked.
  */
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import type { CallFault, Row, TableService, Transaction } from "@pimentocleat/platform";
 import { settleTasks } from "../../retrying/__tests__/simulatedHost.js";
 import type { ClaimOutcome, ClaimRequest, ClaimResult, ClaimStore } from "../claimStore.js";
@@ -199,7 +199,7 @@
 describe("claims under random faults", () => {
     it("runs each key at most once and leaves none blocked", async () => {
         const property = fc.asyncProperty(steps, (history) => checkHistory(createStore, history));
-        await fc.assert(property, { seed, numRuns: 300 });
+        await fc.assert(property, { seed, numRuns: 300, ...inject("fuzz") });
     });
 
     it.each(mutants)("catches a store that $name", async ({ factory, failure }) => {
--- a/packages/state/src/configuration/__tests__/convergence.test.ts
+++ b/packages/state/src/configuration/__tests__/convergence.test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { PlatformError, PlatformErrorKind, type TableService } from "@pimentocleat/platform";
 import { WithdrawalFollower } from "../../keys/withdrawalFollower.js";
 import { ConfigurationFollower } from "../configurationFollower.js";
@@ -232,10 +232,10 @@
     }
 }
 
-function checkSteps(parts: ClusterParts): Promise<void> {
+function checkSteps(parts: ClusterParts, overrides: fc.Parameters<[Step[]]> = {}): Promise<void> {
     return fc.assert(
         fc.asyncProperty(steps, async (list) => new Run(parts).runSteps(list)),
-        { seed, numRuns: runs, endOnFailure: true },
+        { seed, numRuns: runs, endOnFailure: true, ...overrides },
     );
 }
 
@@ -322,7 +322,7 @@
 
 describe("configuration and withdrawals under faults", () => {
     it("never reverts, loses no accepted edit and converges within the bound", async () => {
-        await checkSteps(soundParts);
+        await checkSteps(soundParts, inject("fuzz"));
     });
 
     it.each(mutants)("notices a version that $title", async ({ parts, notice }) => {
--- a/packages/state/src/leases/__tests__/leaseManager.test.ts
+++ b/packages/state/src/leases/__tests__/leaseManager.test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import { afterEach, describe, expect, it, vi } from "vitest";
+import { afterEach, describe, expect, inject, it, vi } from "vitest";
 import type { TableService } from "@pimentocleat/platform";
 import { defaultLeaseTiming } from "@pimentocleat/policy";
 import { HeldLease } from "../heldLease.js";
@@ -72,7 +72,7 @@
 
     it("never has two valid holders under random faults", async () => {
         const property = fc.asyncProperty(steps, (history) => checkHistory(history, {}));
-        await fc.assert(property, { seed, numRuns: 150 });
+        await fc.assert(property, { seed, numRuns: 150, ...inject("fuzz") });
     });
 
     it.each(mutants)("catches a manager that $name", async ({ options, prepare }) => {
--- a/packages/state/src/orders/__tests__/orderSender.test.ts
+++ b/packages/state/src/orders/__tests__/orderSender.test.ts
@@ -1,5 +1,5 @@
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { runLeaseStep, stepArbitrary, type LeaseStep } from "../../leases/__tests__/leaseSteps.js";
 import type { LeaseHandle } from "../../leases/heldLease.js";
 import { orderTable } from "../orderRecord.js";
@@ -81,7 +81,7 @@
     it.each([{ checksFencing: true }, { checksFencing: false }])(
         "keeps holders apart: %o",
         async (options) => {
-            await fc.assert(createProperty(options), { seed, numRuns: 100 });
+            await fc.assert(createProperty(options), { seed, numRuns: 100, ...inject("fuzz") });
         },
     );
 
--- a/packages/state/src/usage/__tests__/usageStateful.test.ts
+++ b/packages/state/src/usage/__tests__/usageStateful.test.ts
@@ -2,7 +2,7 @@
  * Random faults against the oracle: one figure a window, and reported equals recorded less the stated loss.
  */
 import fc from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { nodeCount, runLeaseStep, stepArbitrary, type LeaseStep } from "../../leases/__tests__/leaseSteps.js";
 import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
 import { UsageRowWriter, type UsageRowName, type UsageWriteResult } from "../usageRowWriter.js";
@@ -125,7 +125,7 @@
 
 describe("usage under random faults", () => {
     it("is reported once, with one figure a window", async () => {
-        await fc.assert(createProperty({}), { seed, numRuns: 100 });
+        await fc.assert(createProperty({}), { seed, numRuns: 100, ...inject("fuzz") });
     });
 
     it.each(mutants)("catches a node that $name", async ({ options, failure }) => {
