Send nothing that waited for a slot while the node lost touch, and fuzz the whole system

Cause: the single-module tests never ran scheduling, claims, keys, leases and reports in one history. A new whole-system test found that a request admitted in time was still sent up to 30 s later by a node cut off from store and peers for more than 10 s, although its key may have been withdrawn meanwhile. Ruled out: cancelling all waiting requests when a node finds itself out of touch; a frozen process would still send first, so the check has to stand in the tick of the send. Change: the request runner checks before each try that the node is in touch and answers not_ready, executed "no" (or the failure of the try before). Real router, runner, schedulers, claims, followers, leases, orders and usage run on a manual clock with servers that record their runs; one history has callers, operators and faults. The test cluster's secrets became valid keys. Conclusion: a withdrawn key stops on a node that is cut off also for what waits.

--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/fakeBackend.ts
@@ -0,0 +1,100 @@
+/**
+ * Backend servers without sockets: a connection pool whose servers record each run and answer on a manual clock.
+ *
+ * @packageDocumentation
+ */
+import type { Dispatcher } from "undici";
+import type { ManualClock } from "@pimentocleat/types";
+import type { BackendConnection } from "../../../../node/src/upstream/backendConnection.js";
+import { ConnectionPool } from "../../../../node/src/upstream/connectionPool.js";
+
+/** What happens to one exchange with a backend server. */
+export type BackendFault =
+    "none" | "connectFailed" | "rejected" | "lostBefore" | "lostAfter" | "failedStatus";
+
+/** One request that a backend server began to run. */
+export interface Run {
+    readonly requestId: string;
+    readonly path: string;
+    readonly address: string;
+    /** Incarnation of the node that sent it. */
+    readonly node: string;
+}
+
+/** All backend servers, as the oracle sees them. */
+export interface FakeBackend {
+    readonly clock: ManualClock;
+    planFault(): BackendFault;
+    readDurationMs(): number;
+    recordRun(run: Run): void;
+}
+
+const connectionLostError = Object.assign(new Error("connection lost"), { code: "ECONNRESET" });
+const controller = {
+    pause: () => {},
+    resume: () => {},
+} as Partial<Dispatcher.DispatchController> as Dispatcher.DispatchController;
+
+/** Gives connections to the fake servers; what a paused node would receive waits for it. */
+export class FakeConnectionPool extends ConnectionPool {
+    constructor(
+        private readonly backend: FakeBackend,
+        private readonly node: string,
+        private readonly pass: (wait: Promise<void>) => Promise<void>,
+    ) {
+        super({ connectTimeoutMs: 1, idleConnectionMs: 1, idleConnections: 1 });
+    }
+
+    override takeConnection(address: string): BackendConnection {
+        let sent = false;
+        let destroyed = false;
+        const dispatchRequest = async (
+            request: Dispatcher.DispatchOptions,
+            handler: Dispatcher.DispatchHandler,
+        ): Promise<void> => {
+            const fault = this.backend.planFault();
+            sent = fault !== "connectFailed";
+            const wireId = (request.headers as Record<string, string>)["x-request-id"]!;
+            if (!["connectFailed", "rejected", "lostBefore"].includes(fault)) {
+                const requestId = wireId.split(".")[0]!;
+                this.backend.recordRun({ requestId, path: request.path, address, node: this.node });
+            }
+            await this.pass(this.backend.clock.wait(this.backend.readDurationMs()));
+            if (!destroyed) {
+                answerRequest(fault, wireId, request.path, handler);
+            }
+        };
+        return {
+            address,
+            usable: true,
+            hasSentBytes: () => sent,
+            dispatchRequest: (...call: Parameters<typeof dispatchRequest>) => void dispatchRequest(...call),
+            destroy: () => (destroyed = true),
+        } as unknown as BackendConnection;
+    }
+
+    override releaseConnection(): void {}
+}
+
+function answerRequest(
+    fault: BackendFault,
+    wireId: string,
+    path: string,
+    handler: Dispatcher.DispatchHandler,
+): void {
+    if (fault === "connectFailed" || fault === "lostBefore" || fault === "lostAfter") {
+        handler.onResponseError?.(controller, connectionLostError);
+        return;
+    }
+    const status = { none: 200, rejected: 503, failedStatus: 500 }[fault];
+    const body = Buffer.from(JSON.stringify(path));
+    const headers = {
+        "x-request-id": wireId,
+        "content-type": "application/json",
+        "content-length": String(body.length),
+        ...(fault === "rejected" ? { "x-executed": "no" } : {}),
+    };
+    handler.onResponseStart?.(controller, status, headers, "");
+    handler.onResponseData?.(controller, body);
+    handler.onResponseEnd?.(controller, {});
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/systemHistory.ts
@@ -0,0 +1,124 @@
+/**
+ * One history of the whole system: what callers and operators did, and what must hold in the end.
+ *
+ * @packageDocumentation
+ */
+import { convergenceBoundMs } from "../../../../state/src/configuration/__tests__/cluster.js";
+import { computeContentDigest, type ApplyResult } from "@pimentocleat/state";
+import type { SystemMutant } from "./systemMutant.js";
+import { runStep, type SystemStep } from "./systemSteps.js";
+import { baseFiles, keyIds, SystemWorld } from "./systemWorld.js";
+
+const worldSeed = 20_261_203;
+/** Time after the last fault within which everything must settle: leases, windows, their grace and reports. */
+const calmMs = 45_000;
+
+export class SystemHistory {
+    readonly world: SystemWorld;
+    private sent = 0;
+    private edits = 0;
+    private hasCrashed = false;
+
+    constructor(mutant: SystemMutant) {
+        this.world = new SystemWorld(mutant, worldSeed);
+    }
+
+    async runSteps(steps: readonly SystemStep[]): Promise<void> {
+        const { world } = this;
+        const request = { author: "o", changes: baseFiles };
+        const result = await world.finish(world.createOperator().applyChanges(request));
+        if (result.type !== "applied") {
+            throw new Error(`the base configuration was not applied: ${JSON.stringify(result)}`);
+        }
+        await world.advance(convergenceBoundMs, keyIds);
+        for (const step of steps) {
+            this.hasCrashed ||= step.type === "crash";
+            await runStep(this, step);
+            world.noteHealth();
+        }
+        await this.checkEnd();
+    }
+
+    sendRequests(node: number, key: number, route: string, count: number): void {
+        for (let left = count; left > 0; left -= 1) {
+            this.sent += 1;
+            const requestId = `request-${this.sent}`;
+            const path = `${route}/${requestId}`;
+            void this.world.request(node, {
+                requestId,
+                keyId: keyIds[key]!,
+                path,
+                idempotencyKey: undefined,
+            });
+        }
+    }
+
+    /** Sends a request that may not be repeated, under a key that may have been used before. */
+    sendOrder(node: number, key: number, id: number): void {
+        this.sent += 1;
+        const keyId = keyIds[key]!;
+        const path = `/orders/${keyId}/${id}`;
+        const idempotencyKey = `id-${id}`;
+        void this.world.request(node, { requestId: `request-${this.sent}`, keyId, path, idempotencyKey });
+    }
+
+    /** Edits files; operators race when there are several. */
+    async edit(files: readonly number[]): Promise<void> {
+        const { world } = this;
+        const results = await world.finish(Promise.all(files.map((file) => this.applyEdit(file))), keyIds);
+        results.forEach((result) => result.type === "applied" && world.acceptRevision(result.revision));
+    }
+
+    async withdraw(node: number, keyId: string): Promise<void> {
+        const { world } = this;
+        const withdrawing = world.nodes[node]!;
+        if (withdrawing.gate.isClosed) {
+            return;
+        }
+        const result = await world.finish(withdrawing.withdrawals.withdrawKey(keyId, "o"), keyIds);
+        if (result.type === "accepted" && !world.withdrawn.has(keyId)) {
+            world.withdrawn.set(keyId, world.clock.monotonicMs());
+        }
+    }
+
+    private async applyEdit(file: number): Promise<ApplyResult> {
+        this.edits += 1;
+        const operator = this.world.createOperator();
+        const name = `file${file}.yaml`;
+        const content = `customers: [{name: c${file}-${this.edits}}]\n`;
+        try {
+            const { files } = await operator.readSnapshot();
+            const before = files.find((stored) => stored.name === name)?.content;
+            const base = before === undefined ? {} : { baseDigest: computeContentDigest(before) };
+            return await operator.applyChanges({ author: "o", changes: [{ name, content, ...base }] });
+        } catch {
+            return { type: "unavailable" };
+        }
+    }
+
+    private async checkEnd(): Promise<void> {
+        const { world } = this;
+        world.calm();
+        await world.advance(calmMs, keyIds);
+        const head = await world.finish(world.createOperator().readSnapshot());
+        for (const node of world.nodes) {
+            if (node.configuration.readRevision() !== head.revision) {
+                throw new Error(`${node.name} has not the revision ${head.revision}`);
+            }
+        }
+        if (world.receiver.accepted.at(-1)?.count !== world.wantedCount) {
+            throw new Error("the wanted servers were not ordered");
+        }
+        this.checkUsage();
+    }
+
+    private checkUsage(): void {
+        const missing = this.world.recordedRequests - this.world.sumReported();
+        if (missing < 0) {
+            throw new Error(`${-missing} requests were reported twice`);
+        }
+        if (missing > 0 && !this.hasCrashed) {
+            throw new Error(`the usage of ${missing} requests was not reported`);
+        }
+    }
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/systemNode.ts
@@ -0,0 +1,255 @@
+/**
+ * One node of the whole system: real modules from routing to reports, on a manual clock and without sockets.
+ *
+ * @packageDocumentation
+ */
+import { defaultLeaseTiming } from "@pimentocleat/policy";
+import { LeaseManager, OrderSender, UsageLedger, UsageReporter, UsageRowWriter } from "@pimentocleat/state";
+import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
+import { RequestRouter } from "../../../../node/src/callerApi/requestRouter.js";
+import { GatedConfiguration } from "../../../../node/src/daemon/gatedConfiguration.js";
+import { LeavingWatcher } from "../../../../node/src/backends/leavingWatcher.js";
+import { ActiveRequest, ActiveRequests } from "../../../../node/src/dispatch/activeRequest.js";
+import { OnceRunner } from "../../../../node/src/dispatch/onceRunner.js";
+import { PoolTasks } from "../../../../node/src/dispatch/poolTasks.js";
+import { RequestRunner, type RunResult } from "../../../../node/src/dispatch/requestRunner.js";
+import { TraceRecorder } from "../../../../node/src/explain/explainBuffer.js";
+import { defaultNodeLimits } from "../../../../node/src/limits/nodeLimits.js";
+import { buildSecret, ClusterNode } from "../../../../state/src/configuration/__tests__/cluster.js";
+import { windowMs } from "../../../../state/src/usage/__tests__/usageWorld.js";
+import { FakeConnectionPool } from "./fakeBackend.js";
+import type { SystemWorld } from "./systemWorld.js";
+import { WatchedScheduler } from "./watchedScheduler.js";
+
+export const poolName = "pool";
+export const orderLease = "ordering/pool";
+export const usageLease = "usage-reporter";
+export const wireBoundMs = 500;
+const callTimeoutMs = 1_000;
+const receiver = { checksFencing: false, wireBoundMs };
+const logger = new SilentLogger();
+
+/** One caller's request. */
+export interface CallerRequest {
+    readonly requestId: string;
+    readonly keyId: string;
+    readonly path: string;
+    readonly idempotencyKey: string | undefined;
+}
+
+export class SystemNode extends ClusterNode {
+    readonly schedulers: WatchedScheduler[] = [];
+    readonly tasks: PoolTasks;
+    readonly manager: LeaseManager;
+    /** Since when the node has been neither paused nor cut off, for the oracle. */
+    inTouchSinceMs: number;
+    private readonly active = new ActiveRequests();
+    private readonly router: RequestRouter;
+    private readonly runner: RequestRunner;
+    private readonly onceRunner: OnceRunner;
+    private readonly ledger: UsageLedger;
+    private readonly knownPeers = new Set<string>();
+
+    constructor(
+        private readonly world: SystemWorld,
+        index: number,
+        seed: number,
+        readonly name: string,
+    ) {
+        super(world, index, seed);
+        const { clock, tableService } = this;
+        this.inTouchSinceMs = world.clock.monotonicMs();
+        this.tasks = new PoolTasks({
+            clock,
+            createScheduler: (configuration) => this.createScheduler(configuration),
+            onError: (error) => world.recordBreach(`the scheduler threw ${String(error)}`),
+        });
+        const isOpen = (): boolean => this.follower.readNotReadyReason() === undefined;
+        const configuration = new GatedConfiguration({ source: this.configuration, isOpen });
+        this.configuration.onChange(({ configuration: next }) => this.tasks.applyConfiguration(next));
+        this.registry.onWithdrawal((keyId) => this.active.cancelKey(keyId));
+        this.router = new RequestRouter({ configuration, keys: this.registry, clock });
+        const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
+        this.ledger = new UsageLedger({ writer, clock, incarnation: name, windowMs, logger });
+        this.runner = this.createRunner();
+        this.onceRunner = this.createOnceRunner();
+        this.manager = this.createManager();
+        this.manager.setWanted([orderLease, usageLease]);
+        this.startTasks();
+    }
+
+    /** Serves a caller's request as the request handler does; a paused node reads it when it goes on. */
+    async serve(request: CallerRequest): Promise<RunResult> {
+        await this.gate.pass(Promise.resolve());
+        const headers = {
+            authorization: `Bearer ${buildSecret(request.keyId)}`,
+            ...(request.idempotencyKey === undefined ? {} : { "idempotency-key": request.idempotencyKey }),
+        };
+        const head = { requestId: request.requestId, method: "POST", url: request.path, headers };
+        const routed = this.router.routeRequest(this.router.admitRequest(head), undefined);
+        this.world.checkCustomer(request, routed.customer);
+        const active = new ActiveRequest(routed.requestId, routed.keyId);
+        this.active.addRequest(active);
+        const trace = new TraceRecorder(routed, this.clock);
+        const context = { request: routed, active, trace, caller: undefined, sendByMs: undefined };
+        const runner = routed.repeatable ? this.runner : this.onceRunner;
+        return await (runner.runRequest(context) as Promise<RunResult>).finally(() =>
+            this.active.removeRequest(active),
+        );
+    }
+
+    private createScheduler(
+        configuration: ConstructorParameters<typeof WatchedScheduler>[0]["configuration"],
+    ) {
+        const options = { configuration, clock: this.clock, node: this.name };
+        const scheduler = new WatchedScheduler(
+            { ...options, ...this.world.mutant.schedulerOptions?.(this.clock) },
+            (breach) => this.world.recordBreach(breach),
+        );
+        this.schedulers.push(scheduler);
+        return scheduler;
+    }
+
+    private createRunner(): RequestRunner {
+        const { world, clock, ledger, tasks } = this;
+        return new RequestRunner({
+            tasks,
+            connections: new FakeConnectionPool(world, this.name, (wait) => this.gate.pass(wait)),
+            usage: { recordUsage: (amount) => world.recordUsage(ledger, amount) },
+            metrics: new MemoryMetrics(),
+            logger,
+            clock,
+            limits: defaultNodeLimits,
+            readCredential: () => undefined,
+            isOpen: () => world.mutant.sendsWhileCutOff || this.isReady,
+        });
+    }
+
+    private createOnceRunner(): OnceRunner {
+        const { clock, tableService, runner, world } = this;
+        const claims = world.mutant.createClaims({
+            tableService,
+            clock,
+            random: world.random,
+            logger,
+            isOwnerGone: () => false,
+            createToken: () => world.createToken(),
+        });
+        return new OnceRunner({
+            runner,
+            claims,
+            clock,
+            node: this.name,
+            outcomeRecordWaitMs: 500,
+            onError: (error) => world.recordBreach(String(error)),
+        });
+    }
+
+    private createManager(): LeaseManager {
+        const { world, clock, name } = this;
+        return new LeaseManager({
+            tableService: world.mutant.wrapLeaseTable(this.tableService),
+            clock,
+            node: name,
+            listNodes: () => world.nodes.map((node) => node.name),
+            logger,
+            random: world.random,
+            createToken: () => world.createToken(),
+            timing: defaultLeaseTiming,
+            wireBoundMs,
+        });
+    }
+
+    private startTasks(): void {
+        const { world, clock, tasks } = this;
+        const hosts = world.mutant.hidesLeaving ? { listHosts: () => Promise.resolve([]) } : world;
+        const watcher = new LeavingWatcher({ hosts, tasks, clock, logger, hostPollMs: 1_000 });
+        void watcher.run();
+        this.controller.signal.addEventListener("abort", () => watcher.stop());
+        void this.manager.run(this.controller.signal);
+        void this.runEvery(100, () => this.exchangeSummaries());
+        void this.runEvery(3_000, () => this.ledger.flushOnce());
+        void this.runOrders();
+        void this.runReports();
+    }
+
+    private exchangeSummaries(): Promise<void> {
+        const others = this.world.listReachable(this);
+        for (const other of others) {
+            this.knownPeers.add(other.name);
+            const summary = other.tasks.findTask(poolName)?.summarizePool();
+            if (summary !== undefined) {
+                this.tasks.findTask(poolName)?.recordPeerSummary(summary);
+            }
+        }
+        const names = new Set(this.world.nodes.map((node) => node.name));
+        const gone = [...this.knownPeers].filter((name) => !names.has(name));
+        gone.forEach((name) => {
+            this.knownPeers.delete(name);
+            this.tasks.findTask(poolName)?.removePeer(name);
+        });
+        return Promise.resolve();
+    }
+
+    private runOrders(): Promise<void> {
+        const { world, clock, name: node, tableService } = this;
+        return this.runHolding(orderLease, 300, (lease) => {
+            const orderingService = world.buildOrderingService(this);
+            const options = { tableService, orderingService, clock, lease: world.mutant.wrapLease(lease) };
+            const sender = new OrderSender({
+                ...options,
+                node,
+                pool: poolName,
+                receiver,
+                marginMs: 1_000,
+                callTimeoutMs,
+            });
+            const wanted = { pool: poolName, dataCentre: "one", reclaimable: false };
+            return () => sender.sendWanted({ ...wanted, count: world.wantedCount });
+        });
+    }
+
+    private runReports(): Promise<void> {
+        const { world, clock, name: node } = this;
+        return this.runHolding(usageLease, 1_000, (lease) => {
+            const reporter = new UsageReporter({
+                tableService: world.mutant.wrapReportTable(this.tableService),
+                reportService: world.buildReportService(this),
+                clock,
+                lease: world.mutant.wrapLease(lease),
+                node,
+                receiver,
+                windowMs,
+                graceMs: 6_000,
+                windowsPerStep: 10,
+                retentionMs: 3_600_000,
+                callTimeoutMs,
+            });
+            return () => reporter.advanceOnce();
+        });
+    }
+
+    private async runHolding(
+        name: string,
+        intervalMs: number,
+        start: (lease: NonNullable<ReturnType<LeaseManager["findHeld"]>>) => () => Promise<unknown>,
+    ): Promise<void> {
+        let lease: ReturnType<LeaseManager["findHeld"]>;
+        let act: (() => Promise<unknown>) | undefined;
+        await this.runEvery(intervalMs, async () => {
+            const current = this.manager.findHeld(name);
+            if (current !== lease) {
+                lease = current;
+                act = current === undefined ? undefined : start(current);
+            }
+            await act?.();
+        });
+    }
+
+    private async runEvery(intervalMs: number, act: () => Promise<unknown>): Promise<void> {
+        while (!this.controller.signal.aborted) {
+            await this.clock.wait(intervalMs);
+            await act();
+        }
+    }
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/systemWorld.ts
@@ -0,0 +1,363 @@
+/**
+ * Several nodes of the whole system over one table service, with an oracle that records what reached the outside.
+ *
+ * @packageDocumentation
+ */
+import {
+    PlatformError,
+    PlatformErrorKind,
+    type ListedHost,
+    type OrderingService,
+    type UsageReport,
+    type UsageReportService,
+} from "@pimentocleat/platform";
+import type { UsageAmount, UsageRecorder } from "@pimentocleat/state";
+import { RouterError } from "@pimentocleat/types";
+import {
+    buildDigest,
+    Cluster,
+    convergenceBoundMs,
+    isolationLimitMs,
+} from "../../../../state/src/configuration/__tests__/cluster.js";
+import { RecordingReceiver, type WireFault } from "../../../../state/src/orders/__tests__/orderWorld.js";
+import { findBrokenReport } from "../../../../state/src/usage/__tests__/usageWorld.js";
+import type { BackendFault, FakeBackend, Run } from "./fakeBackend.js";
+import type { SystemMutant } from "./systemMutant.js";
+import { poolName, SystemNode, wireBoundMs, type CallerRequest } from "./systemNode.js";
+
+export const nodeCount = 3;
+export const keyIds = ["k0", "k1", "k2"];
+export const serverCount = 3;
+export const routes = ["/first", "/second", "/third"];
+/** Longest time from a server's notice to the last request sent to it: two polls of the host list. */
+const leavingBoundMs = 2_500;
+
+/** The configuration that every history begins with. */
+export const baseFiles = [
+    {
+        name: "base.yaml",
+        content: JSON.stringify({
+            customers: keyIds.map((id) => ({ name: `customer-${id}` })),
+            classes: [1, 2, 3].map((tier) => ({
+                name: `tier-${tier}`,
+                tier,
+                firstTokenMs: [4_000, 8_000, 30_000][tier - 1],
+                completeMs: 60_000,
+                floorShare: 0.02,
+            })),
+            pools: [{ name: poolName, kind: "plain", retryShare: 1, servers: buildServers() }],
+            routes: [
+                ...routes.map((path, index) => ({
+                    path: `${path}/*`,
+                    methods: ["POST"],
+                    pool: poolName,
+                    repeatable: true,
+                    class: `tier-${index + 1}`,
+                })),
+                {
+                    path: "/orders/*",
+                    methods: ["POST"],
+                    pool: poolName,
+                    repeatable: false,
+                    class: "tier-1",
+                },
+            ],
+        }),
+    },
+    {
+        name: "keys.yaml",
+        content: JSON.stringify({
+            keys: keyIds.map((id) => ({ id, customer: `customer-${id}`, digest: buildDigest(id) })),
+        }),
+    },
+];
+
+function buildServers(): object[] {
+    return Array.from({ length: serverCount }, (...[, index]) => ({
+        name: `server-${index}`,
+        address: `127.0.0.1:${9_000 + index}`,
+        dataCentre: "one",
+        slots: 2,
+    }));
+}
+
+interface Leaving {
+    readonly sinceMs: number;
+    readonly host: ListedHost;
+}
+
+export class SystemWorld extends Cluster<SystemNode> implements FakeBackend {
+    readonly reports: UsageReport[] = [];
+    readonly runs: Run[] = [];
+    readonly receiver: RecordingReceiver;
+    readonly answered = { whole: 0, refused: 0 };
+    wantedCount = 1;
+    runMs = 200;
+    planBackend: () => BackendFault = () => "none";
+    planReport: () => WireFault = () => "none";
+    /** Since when the store has answered every call, for the oracle. */
+    healthySinceMs = 0;
+    readonly withdrawn = new Map<string, number>();
+    acceptedRevision = { revision: 0, atMs: 0 };
+    recordedRequests = 0;
+    protected override readonly stepMs = 100;
+    private readonly breaches: string[] = [];
+    private readonly notRun = new Set<string>();
+    private readonly leaving = new Map<string, Leaving>();
+    private tokens = 0;
+    private wasHealthy = true;
+
+    constructor(
+        readonly mutant: SystemMutant,
+        seed: number,
+    ) {
+        super(mutant.parts, 0, seed);
+        this.receiver = new RecordingReceiver(this.clock, false, wireBoundMs);
+        for (let index = 0; index < nodeCount; index += 1) {
+            this.nodes.push(this.createNode(index));
+        }
+    }
+
+    override createNode(index: number): SystemNode {
+        this.incarnations += 1;
+        const incarnationSeed = this.seed * 1_000 + this.incarnations;
+        return new SystemNode(this, index, incarnationSeed, `node-${index}-${this.incarnations}`);
+    }
+
+    /** Ends a node without any last act and starts another one in its place. */
+    crashNode(index: number): void {
+        this.nodes[index]!.gate.close();
+        this.restartNode(index);
+    }
+
+    freezeNode(index: number): void {
+        if (!this.nodes[index]!.gate.isClosed) {
+            this.nodes[index]!.gate.close();
+        }
+    }
+
+    /** Ends all faults. */
+    calm(): void {
+        this.isOut = false;
+        this.lostShare = 0;
+        this.delayedShare = 0;
+        this.table.applyDelayed();
+        this.planBackend = () => "none";
+        this.planReport = () => "none";
+        this.receiver.planWire = () => "none";
+        this.runMs = 200;
+        this.nodes.forEach((node) => {
+            node.isCut = false;
+            node.gate.open();
+        });
+        this.noteHealth();
+    }
+
+    /** Notes since when the store answers; to be called when its faults may have changed. */
+    noteHealth(): void {
+        const isHealthy = !this.isOut && this.lostShare + this.delayedShare === 0;
+        if (isHealthy !== this.wasHealthy) {
+            this.wasHealthy = isHealthy;
+            this.healthySinceMs = isHealthy ? this.clock.monotonicMs() : Number.POSITIVE_INFINITY;
+        }
+    }
+
+    acceptRevision(revision: number): void {
+        if (revision > this.acceptedRevision.revision) {
+            this.acceptedRevision = { revision, atMs: this.clock.monotonicMs() };
+        }
+    }
+
+    createToken(): string {
+        this.tokens += 1;
+        return `token-${this.tokens}`;
+    }
+
+    recordBreach(breach: string): void {
+        this.breaches.push(`${breach} at ${this.clock.monotonicMs()} ms`);
+    }
+
+    listReachable(self: SystemNode): readonly SystemNode[] {
+        const others = this.nodes.filter((node) => node !== self && !node.isCut && !node.gate.isClosed);
+        return self.isCut || !this.arePeersReachable ? [] : others;
+    }
+
+    /** Sends a request through a node and checks what its caller hears. */
+    async request(index: number, request: CallerRequest): Promise<void> {
+        try {
+            const answer = await this.nodes[index]!.serve(request);
+            this.answered.whole += 1;
+            if (answer === "streamed" || answer.body.toString() !== JSON.stringify(request.path)) {
+                this.recordBreach("a caller got another answer");
+            }
+        } catch (error) {
+            if (!(error instanceof RouterError)) {
+                this.recordBreach(`not an error for callers: ${String(error)}`);
+                return;
+            }
+            this.answered.refused += 1;
+            if (error.executed === "no") {
+                this.notRun.add(request.requestId);
+                this.checkNotRun(request.requestId);
+            }
+        }
+    }
+
+    checkCustomer(request: CallerRequest, customer: string): void {
+        if (customer !== `customer-${request.keyId}`) {
+            this.recordBreach("a request runs for another customer");
+        }
+    }
+
+    recordUsage(recorder: UsageRecorder, amount: UsageAmount): void {
+        this.recordedRequests += amount.requests;
+        recorder.recordUsage(amount);
+    }
+
+    planFault(): BackendFault {
+        return this.planBackend();
+    }
+
+    readDurationMs(): number {
+        return this.runMs;
+    }
+
+    recordRun(run: Run): void {
+        this.runs.push(run);
+        this.checkNotRun(run.requestId);
+        this.checkOnce(run.path);
+        const nowMs = this.clock.monotonicMs();
+        const node = this.nodes.find(({ name }) => name === run.node);
+        const { sinceMs } = this.leaving.get(run.address) ?? { sinceMs: Number.POSITIVE_INFINITY };
+        if (node === undefined) {
+            this.recordBreach("a node that crashed sent a request");
+            return;
+        }
+        if (nowMs - Math.max(sinceMs, node.inTouchSinceMs) > leavingBoundMs) {
+            this.recordBreach("a leaving server got work");
+        }
+        if (nowMs - node.touchableMs > isolationLimitMs + this.stepMs) {
+            this.recordBreach("a node sent a request although it was cut off");
+        }
+    }
+
+    /** Announces that a server leaves; the last one stays. */
+    startLeaving(index: number): void {
+        if (this.leaving.size + 1 < serverCount) {
+            const address = `127.0.0.1:${9_000 + index}`;
+            const host = { name: `server-${index}`, dataCentre: "one", address, role: "backend" } as const;
+            const leavesAtMs = this.clock.wallMs() + 20_000;
+            const sinceMs = this.clock.monotonicMs();
+            this.leaving.set(address, { sinceMs, host: { ...host, state: "leaving", leavesAtMs } });
+        }
+    }
+
+    listHosts(): Promise<readonly ListedHost[]> {
+        return Promise.resolve([...this.leaving.values()].map(({ host }) => host));
+    }
+
+    buildOrderingService(node: SystemNode): OrderingService {
+        return {
+            orderServers: async (...[order, , isSendAllowed]) => {
+                checkSend(isSendAllowed);
+                return node.gate.pass(this.receiver.deliver(order));
+            },
+        };
+    }
+
+    buildReportService(node: SystemNode): UsageReportService {
+        return {
+            reportUsage: async (...[report, , isSendAllowed]) => {
+                checkSend(isSendAllowed);
+                await node.gate.pass(this.deliverReport(report));
+            },
+        };
+    }
+
+    override check(keys: readonly string[]): void {
+        super.check(keys);
+        const nowMs = this.clock.monotonicMs();
+        for (const node of this.nodes) {
+            if (node.isCut || node.gate.isClosed) {
+                node.inTouchSinceMs = nowMs;
+                node.schedulers.forEach((scheduler) => scheduler.resetFloors());
+            } else {
+                node.schedulers.forEach((scheduler) => scheduler.checkFloors());
+                this.checkInForce(node);
+            }
+        }
+        this.checkOrders();
+        const broken = findBrokenReport(this.reports);
+        if (broken !== undefined) {
+            this.recordBreach(`usage reports: ${broken}`);
+        }
+        if (this.breaches.length > 0) {
+            throw new Error(this.breaches.join("\n"));
+        }
+    }
+
+    /** Sums the requests in the first report of each window. */
+    sumReported(): number {
+        const windows = new Map([...this.reports].reverse().map((report) => [report.windowStartMs, report]));
+        const customers = [...windows.values()].flatMap((report) => report.customers);
+        return customers.reduce((sum, { requests }) => sum + requests, 0);
+    }
+
+    private async deliverReport(report: UsageReport): Promise<void> {
+        const fault = this.planReport();
+        if (fault === "lostOrder") {
+            throw new PlatformError(PlatformErrorKind.Ambiguous, "report lost");
+        }
+        await this.clock.wait(fault === "slow" ? wireBoundMs : 10);
+        this.reports.push(structuredClone(report));
+        if (fault === "lostAnswer") {
+            throw new PlatformError(PlatformErrorKind.Ambiguous, "answer lost");
+        }
+    }
+
+    private checkNotRun(requestId: string): void {
+        if (this.notRun.has(requestId) && this.runs.some((run) => run.requestId === requestId)) {
+            this.recordBreach(`request ${requestId} ran although its caller heard "not run"`);
+        }
+    }
+
+    private checkOnce(path: string): void {
+        if (path.startsWith("/orders/") && this.runs.filter((run) => run.path === path).length > 1) {
+            this.recordBreach(`${path} ran twice`);
+        }
+    }
+
+    /** Checks that what was accepted is in force on a node that has been in touch for the bound. */
+    private checkInForce(node: SystemNode): void {
+        const nowMs = this.clock.monotonicMs();
+        const sinceMs = Math.max(this.healthySinceMs, node.inTouchSinceMs);
+        const isDue = (atMs: number): boolean =>
+            nowMs - Math.max(sinceMs, atMs) > convergenceBoundMs + this.stepMs;
+        const { revision, atMs } = this.acceptedRevision;
+        if (isDue(atMs) && node.configuration.readRevision() < revision) {
+            this.recordBreach(`revision ${revision} is not in force on ${node.name}`);
+        }
+        for (const [keyId, withdrawnMs] of this.withdrawn) {
+            if (isDue(withdrawnMs) && node.accepts(keyId)) {
+                this.recordBreach(`withdrawn key ${keyId} works on ${node.name}`);
+            }
+        }
+    }
+
+    private checkOrders(): void {
+        const { accepted } = this.receiver;
+        const [before, last] = accepted.slice(-2);
+        if (before === undefined || last === undefined) {
+            return;
+        }
+        if (last.fencingNumber < before.fencingNumber || last.generation < before.generation) {
+            this.recordBreach("orders of two holders interleaved");
+        }
+    }
+}
+
+function checkSend(isSendAllowed?: () => boolean): void {
+    if (isSendAllowed?.() === false) {
+        throw new PlatformError(PlatformErrorKind.Unavailable, "send no longer allowed");
+    }
+}
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -26,6 +26,7 @@
 import {
     buildQueuedRequest,
     buildSituation,
+    checkSendAllowed,
     findRefusal,
     type FailedResult,
     type RunContext,
@@ -47,6 +48,8 @@
     readonly limits: NodeLimits;
     /** Reads the credential from an environment variable by its name. */
     readonly readCredential: (variable: string) => string | undefined;
+    /** Whether the node may serve requests; false when it may have missed withdrawals of keys. */
+    readonly isOpen: () => boolean;
 }
 
 /** The end of a request that got its answer: a whole answer, or `streamed` when the caller has it already. */
@@ -161,7 +164,7 @@
     private async runAttempt(state: RunState, grant: StartGrant): Promise<AttemptResult> {
         const { context, task, relay } = state;
         const { request, active, caller } = context;
-        this.checkSendTime(state);
+        checkSendAllowed(state, this.options.isOpen(), this.options.clock.monotonicMs());
         context.trace.addStep("started", `${grant.server.name}, priority ${grant.priority}`);
         const attempt = new Attempt({
             request: this.buildExchangeRequest(state, grant),
@@ -179,14 +182,6 @@
         return result;
     }
 
-    /** A process that was frozen since its claim must not send: the claim may be judged dead by now. */
-    private checkSendTime(state: RunState): void {
-        const { sendByMs } = state.context;
-        if (sendByMs !== undefined && this.options.clock.monotonicMs() > sendByMs) {
-            throw new RouterError(ErrorKind.QueueDeadline, undefined, { executed: "no" });
-        }
-    }
-
     private buildExchangeRequest(state: RunState, grant: StartGrant): ExchangeRequest {
         const { request } = state.context;
         const { pool } = state.task;
--- a/packages/node/src/dispatch/runState.ts
+++ b/packages/node/src/dispatch/runState.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { QueuedRequest } from "@pimentocleat/policy";
-import type { RouterError } from "@pimentocleat/types";
+import { ErrorKind, RouterError } from "@pimentocleat/types";
 import type { TraceRecorder } from "../explain/explainBuffer.js";
 import type { CallerStream } from "../streams/callerStream.js";
 import type { StreamRelay } from "../streams/streamRelay.js";
@@ -111,3 +111,22 @@
     }
     return state.lastError ?? error;
 }
+
+/**
+ * Checks that a request which waited for its slot may still be sent. While the node was out of touch, the
+ * request's key may have been withdrawn; while it was frozen, its claim may have been judged dead.
+ *
+ * @param state - The running request.
+ * @param isOpen - Whether the node may serve requests.
+ * @param nowMs - Monotonic time, in milliseconds.
+ * @throws RouterError when the request must not be sent.
+ */
+export function checkSendAllowed(state: RunState, isOpen: boolean, nowMs: number): void {
+    if (!isOpen) {
+        throw state.lastError ?? new RouterError(ErrorKind.NotReady, undefined, { executed: "no" });
+    }
+    const { sendByMs } = state.context;
+    if (sendByMs !== undefined && nowMs > sendByMs) {
+        throw new RouterError(ErrorKind.QueueDeadline, undefined, { executed: "no" });
+    }
+}
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -188,8 +188,9 @@
     }
 
     private createRunner(): RequestRunner {
-        const { usage, metrics, logger, clock } = this.options;
+        const { usage, metrics, logger, clock, configuration } = this.options;
         return new RequestRunner({
+            isOpen: () => configuration.readCurrent() !== undefined,
             tasks: this.tasks,
             connections: this.connections,
             usage,
--- a/packages/state/src/configuration/__tests__/cluster.ts
+++ b/packages/state/src/configuration/__tests__/cluster.ts
@@ -38,7 +38,7 @@
 };
 
 export function buildSecret(keyId: string): string {
-    return `secret of ${keyId}`;
+    return `secret-of-${keyId}`;
 }
 
 export function buildDigest(keyId: string): string {
@@ -104,6 +104,9 @@
     readonly withdrawals: WithdrawalFollower;
     readonly follower: StoreFollower;
     readonly controller = new AbortController();
+    /** The node's own view of time and store, which stop while it is paused. */
+    readonly clock: WaitingClock;
+    readonly tableService: TableService;
     isCut = false;
     /** When the node last could have reached the store or a peer, for the oracle. */
     touchableMs: number;
@@ -115,20 +118,22 @@
         readonly index: number,
         seed: number,
     ) {
-        const clock: WaitingClock = {
+        this.clock = {
             monotonicMs: () => cluster.clock.monotonicMs(),
             wallMs: () => cluster.clock.wallMs(),
             wait: (durationMs, signal) => this.gate.pass(cluster.clock.wait(durationMs, signal)),
         };
+        const { clock } = this;
         const table = new GatedTable(cluster.table, this.gate);
         const logger = new SilentLogger();
         const random = createRandom(seed);
         const caller = new StoreCaller({ clock, random, ...defaultCallerBounds });
-        const tableService = new BoundedTableService({
+        this.tableService = new BoundedTableService({
             tableService: cluster.buildNodeTable(table, this),
             clock,
             callTimeoutMs: defaultCallTimeoutMs,
         });
+        const { tableService } = this;
         const peers = cluster.buildPeers(this);
         const store = new TableConfigurationStore({ tableService, clock, random });
         this.configuration = cluster.parts.createConfigurationFollower({ store, peers, logger });
@@ -182,22 +187,26 @@
     }
 }
 
-export class Cluster {
+export class Cluster<Node extends ClusterNode = ClusterNode> {
     readonly table = new MemoryTableService();
     readonly clock = new ManualClock();
     readonly random: () => number;
-    readonly nodes: ClusterNode[] = [];
+    readonly nodes: Node[] = [];
     isOut = false;
     arePeersReachable = true;
     lostShare = 0;
+    /** Share of the calls whose effect waits for `table.applyDelayed`. */
+    delayedShare = 0;
     /** Extra time that each call of the store takes, in milliseconds. */
     storeDelayMs = 0;
-    private incarnations = 0;
+    incarnations = 0;
+    /** Step by which time moves, in milliseconds. */
+    protected readonly stepMs: number = 50;
 
     constructor(
         readonly parts: ClusterParts,
         nodeCount: number,
-        private readonly seed: number,
+        protected readonly seed: number,
     ) {
         this.random = createRandom(seed);
         this.table.setFaultPlan(() => this.chooseFault());
@@ -206,9 +215,9 @@
         }
     }
 
-    createNode(index: number): ClusterNode {
+    createNode(index: number): Node {
         this.incarnations += 1;
-        return new ClusterNode(this, index, this.seed * 1_000 + this.incarnations);
+        return new ClusterNode(this, index, this.seed * 1_000 + this.incarnations) as Node;
     }
 
     createOperator(): TableConfigurationStore {
@@ -271,9 +280,8 @@
 
     /** Moves time in small steps and checks every node after each. */
     async advance(durationMs: number, keyIds: readonly string[] = []): Promise<void> {
-        const stepMs = 50;
-        for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
-            this.clock.advance(stepMs);
+        for (let passedMs = 0; passedMs < durationMs; passedMs += this.stepMs) {
+            this.clock.advance(this.stepMs);
             await settle();
             this.check(keyIds);
         }
@@ -285,7 +293,7 @@
         done.catch(() => {});
         await settle();
         while (!isDone) {
-            await this.advance(50, keyIds);
+            await this.advance(this.stepMs, keyIds);
         }
         return done;
     }
@@ -307,7 +315,11 @@
         if (this.isOut) {
             return "unavailable";
         }
-        return this.random() < this.lostShare ? "lostReply" : "none";
+        const drawn = this.random();
+        if (drawn < this.lostShare) {
+            return "lostReply";
+        }
+        return drawn < this.lostShare + this.delayedShare ? "delayed" : "none";
     }
 }
 
--- a/packages/state/src/configuration/__tests__/convergence.test.ts
+++ b/packages/state/src/configuration/__tests__/convergence.test.ts
@@ -202,7 +202,7 @@
             expect(node.isReady).toBe(true);
             expect(node.configuration.readSnapshot()).toEqual(snapshot);
             for (const keyId of this.acceptedWithdrawals) {
-                expect(node.registry.findKey(`secret of ${keyId}`)).toEqual({ type: "withdrawn", keyId });
+                expect(node.registry.findKey(`secret-of-${keyId}`)).toEqual({ type: "withdrawn", keyId });
             }
         }
         cluster.close();
