--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/runHistory.ts
@@ -0,0 +1,24 @@
+/**
+ * Runs one history of the whole system.
+ *
+ * @packageDocumentation
+ */
+import { SystemHistory } from "./systemHistory.js";
+import type { SystemMutant } from "./systemMutant.js";
+import { runStep, type SystemStep } from "./systemSteps.js";
+
+/** Throws when something that must hold does not. */
+export async function runHistory(mutant: SystemMutant, steps: readonly SystemStep[]): Promise<SystemHistory> {
+    const history = new SystemHistory(mutant);
+    try {
+        await history.start();
+        for (const step of steps) {
+            await runStep(history, step);
+            history.world.noteHealth();
+        }
+        await history.checkEnd();
+    } finally {
+        history.world.close();
+    }
+    return history;
+}
--- a/packages/bench/src/__tests__/fuzz/systemSteps.ts
+++ b/packages/bench/src/__tests__/fuzz/systemSteps.ts
@@ -7,7 +7,7 @@
 import type { WireFault } from "../../../../state/src/orders/__tests__/orderWorld.js";
 import type { BackendFault } from "./fakeBackend.js";
 import type { SystemHistory } from "./systemHistory.js";
-import { keyIds, nodeCount, routes, serverCount } from "./systemWorld.js";
+import { keyIds, nodeCount, routes, serverCount } from "./baseConfiguration.js";
 
 const backendFaults: readonly BackendFault[] = [
     "none",
