Let no field of a pool summary get lost between nodes

Cause: the schema of received summaries drops fields that the slot policy gained later (lent tiers, slack, urgent class, starts), so lending by deadline and pool-wide floors did not work between real nodes. Ruled out: a loose schema (a peer's message is untrusted input). Change: the schema names the fields.

--- a/packages/node/src/daemon/peerRecords.ts
+++ b/packages/node/src/daemon/peerRecords.ts
@@ -46,6 +46,12 @@
     lent: z.record(z.string(), counts).optional(),
     borrowed: z.record(z.string(), counts).optional(),
     acknowledged: counts.optional(),
+    lentTiers: counts.optional(),
+    slackMs: z.number().optional(),
+    urgentClass: z.string().optional(),
+    urgentServed: z.number().optional(),
+    starts: counts.optional(),
+    sinceStartMs: counts.optional(),
 }) satisfies z.ZodType<PoolSummary>;
 
 const snapshotSchema = z.object({
