Use the verbs of the list of names in the policy and the experiments

Cause: functions began with verbs that docs/NAMING.md doesn't list. Ruled out: adding twenty verbs to the list. Change: renames only, such as shedWaiting to refuseHopeless and lendFree to offerFree. Conclusion: no behaviour changed.

--- a/packages/bench/src/experiments/deliveryQueue.ts
+++ b/packages/bench/src/experiments/deliveryQueue.ts
@@ -26,7 +26,7 @@
     }
 
     /** Delivers what is due, in the order in which it was sent. */
-    deliverDue(): void {
+    sendDue(): void {
         const nowMs = this.clock.monotonicMs();
         const due = this.deliveries.filter(({ dueMs }) => dueMs <= nowMs);
         this.deliveries = this.deliveries.filter(({ dueMs }) => dueMs > nowMs);
--- a/packages/bench/src/experiments/engineModel.ts
+++ b/packages/bench/src/experiments/engineModel.ts
@@ -84,11 +84,11 @@
      */
     advance(durationMs: number): EngineEvent[] {
         if (this.isDown) {
-            return this.failAll();
+            return this.closeAll();
         }
         const events: EngineEvent[] = [];
         while (this.running.length < this.settings.slots && this.waiting.length > 0) {
-            this.admit(this.waiting.shift(), events);
+            this.addRunning(this.waiting.shift(), events);
         }
         this.overrunMs += this.waiting.length * durationMs;
         this.busySlotMs += this.running.length * durationMs;
@@ -115,14 +115,14 @@
         return this.running.length + this.waiting.length;
     }
 
-    private failAll(): EngineEvent[] {
+    private closeAll(): EngineEvent[] {
         const jobs = [...this.running.map(({ job }) => job), ...this.waiting];
         this.running = [];
         this.waiting = [];
         return jobs.map((job) => ({ type: "failed", job, tokens: 0 }));
     }
 
-    private admit(job: EngineJob | undefined, events: EngineEvent[]): void {
+    private addRunning(job: EngineJob | undefined, events: EngineEvent[]): void {
         if (job === undefined) {
             return;
         }
--- a/packages/bench/src/experiments/experimentRun.ts
+++ b/packages/bench/src/experiments/experimentRun.ts
@@ -67,10 +67,10 @@
         for (let nowMs = 0; nowMs < endMs && !this.isIdle(nowMs); nowMs += stepMs) {
             this.advanceStep(nowMs);
             if (nowMs < this.options.durationMs) {
-                busySlotMs = this.sumEngines((engine) => engine.busySlotMs);
+                busySlotMs = this.computeEngineTotal((engine) => engine.busySlotMs);
             }
         }
-        const slots = this.sumEngines((engine) => engine.settings.slots);
+        const slots = this.computeEngineTotal((engine) => engine.settings.slots);
         return this.recorder.buildMeasures({
             policy: this.options.variant.name,
             availableSlotMs: slots * this.options.durationMs,
@@ -78,7 +78,7 @@
             overrun: Math.max(...[...this.engines.values()].map(({ overrun }) => overrun)),
             summariesPerSecond:
                 (this.exchange.countSummaries() * 1_000) / this.options.durationMs / this.nodes.length,
-            overrunMs: this.sumEngines((engine) => engine.overrunMs),
+            overrunMs: this.computeEngineTotal((engine) => engine.overrunMs),
             strandedMs: this.readStrandedMs(),
         });
     }
@@ -94,7 +94,7 @@
             this.nextFault += 1;
             fault = faults[this.nextFault];
         }
-        this.deliveries.deliverDue();
+        this.deliveries.sendDue();
         for (let arrival = arrivals[this.nextArrival]; arrival !== undefined && arrival.atMs <= nowMs;) {
             this.offerArrival(arrival);
             this.nextArrival += 1;
@@ -106,17 +106,17 @@
         for (const engine of this.engines.values()) {
             engine.advance(stepMs).forEach((event) => this.receiveEngineEvent(engine, event));
         }
-        this.observe(nowMs);
+        this.recordState(nowMs);
     }
 
-    private observe(nowMs: number): void {
+    private recordState(nowMs: number): void {
         for (const { name } of this.options.deployment.configuration.classes) {
             this.recorder.floors.recordWaiting(name, this.waitingByClass.get(name) ?? 0, nowMs);
         }
         const fromMs = this.options.awaitFullFromMs;
         if (fromMs !== undefined && nowMs >= fromMs && this.strandedUntilMs === undefined) {
-            const slots = this.sumEngines(({ isDown, settings }) => (isDown ? 0 : settings.slots));
-            const running = this.sumEngines((engine) => engine.readLoad().runningRequests);
+            const slots = this.computeEngineTotal(({ isDown, settings }) => (isDown ? 0 : settings.slots));
+            const running = this.computeEngineTotal((engine) => engine.readLoad().runningRequests);
             this.strandedUntilMs = running >= slots * fullUseShare ? nowMs : undefined;
         }
     }
@@ -303,7 +303,7 @@
         this.offerRequest(node, record, [record.server]);
     }
 
-    private sumEngines(read: (engine: EngineModel) => number): number {
+    private computeEngineTotal(read: (engine: EngineModel) => number): number {
         return [...this.engines.values()].reduce((sum, engine) => sum + read(engine), 0);
     }
 }
--- a/packages/bench/src/experiments/floorMonitor.ts
+++ b/packages/bench/src/experiments/floorMonitor.ts
@@ -72,15 +72,18 @@
         for (let step = 0; steps !== undefined && step <= last; step += 1) {
             const waiting = steps.leastWaiting.slice(step, step + stepsPerWindow);
             if (waiting.length === stepsPerWindow && waiting.every((count) => count > 0)) {
-                const floor = Math.max(1, Math.floor(steps.floorShare * sumSteps(this.totalStarts, step)));
-                least = Math.min(least ?? Infinity, sumSteps(steps.starts, step) / floor);
+                const floor = Math.max(
+                    1,
+                    Math.floor(steps.floorShare * computeStepTotal(this.totalStarts, step)),
+                );
+                least = Math.min(least ?? Infinity, computeStepTotal(steps.starts, step) / floor);
             }
         }
         return least;
     }
 }
 
-function sumSteps(counts: readonly number[], step: number): number {
+function computeStepTotal(counts: readonly number[], step: number): number {
     let sum = 0;
     for (let index = step; index < step + stepsPerWindow; index += 1) {
         sum += counts[index] ?? 0;
--- a/packages/bench/src/experiments/runExchange.ts
+++ b/packages/bench/src/experiments/runExchange.ts
@@ -73,12 +73,12 @@
         const lagMs = this.run.options.reportLagMs ?? defaultReportLagMs;
         const report: LoadReport = { ...engine.readLoad(), ageMs: lagMs };
         this.run.deliveries.add(lagMs, () =>
-            this.eachLive((scheduler) => scheduler.recordLoadReport(report)),
+            this.runOnLive((scheduler) => scheduler.recordLoadReport(report)),
         );
         const event = this.buildCacheEvent(engine);
         if (event !== undefined && this.random() >= (this.run.options.cacheEventLoss ?? 0)) {
             this.run.deliveries.add(cacheEventLagMs, () =>
-                this.eachLive((node) => node.recordCacheEvent(event)),
+                this.runOnLive((node) => node.recordCacheEvent(event)),
             );
         }
     }
@@ -101,7 +101,7 @@
         return { server, sequence, stored, removed, cleared: false };
     }
 
-    private eachLive(apply: (scheduler: PoolScheduler) => void): void {
+    private runOnLive(apply: (scheduler: PoolScheduler) => void): void {
         this.run.nodes.filter(({ state }) => state === "live").forEach(({ scheduler }) => apply(scheduler));
     }
 }
--- a/packages/bench/src/experiments/runFaults.ts
+++ b/packages/bench/src/experiments/runFaults.ts
@@ -33,7 +33,7 @@
  * @param node - The node.
  * @param durationMs - How long.
  */
-export function freezeNode(run: RunContext, node: NodeState, durationMs: number): void {
+export function stopNodeBriefly(run: RunContext, node: NodeState, durationMs: number): void {
     node.state = "frozen";
     run.deliveries.add(durationMs, () => {
         node.state = "live";
@@ -50,7 +50,7 @@
  * @param servers - Names of the servers.
  * @param noticeMs - Time until they go.
  */
-export function reclaimServers(run: RunContext, servers: readonly string[], noticeMs: number): void {
+export function withdrawServers(run: RunContext, servers: readonly string[], noticeMs: number): void {
     const leavesAtMs = run.clock.monotonicMs() + noticeMs;
     for (const server of servers) {
         const leaving = run.engines.get(server);
--- a/packages/bench/src/experiments/runRecorder.ts
+++ b/packages/bench/src/experiments/runRecorder.ts
@@ -91,7 +91,7 @@
         const { arrival } = record;
         this.getClass(arrival).refused += 1;
         this.refusals[kind] = (this.refusals[kind] ?? 0) + 1;
-        this.endRequest(record);
+        this.closeRequest(record);
         const { tier, firstTokenMs } = this.getSettings(arrival);
         const leastMs = arrival.promptTokens / engineSpeed.prefillTokensPerMs + engineSpeed.tokenMs;
         this.oracle.recordRefusal({ tier, fromMs: nowMs, untilMs: arrival.atMs + firstTokenMs - leastMs });
@@ -164,13 +164,13 @@
             measures.late += 1;
         }
         this.usefulTokens += arrival.tokens;
-        this.endRequest(record);
+        this.closeRequest(record);
     }
 
     /** @param record - A request that ends without its answer. */
     recordFailure(record: RequestRecord): void {
         this.getClass(record.arrival).failed += 1;
-        this.endRequest(record);
+        this.closeRequest(record);
     }
 
     /**
@@ -201,7 +201,7 @@
         };
     }
 
-    private endRequest(record: RequestRecord): void {
+    private closeRequest(record: RequestRecord): void {
         record.isEnded = true;
         this.generatedTokens += record.generated;
     }
--- a/packages/bench/src/experiments/scenarios.ts
+++ b/packages/bench/src/experiments/scenarios.ts
@@ -5,7 +5,7 @@
  */
 import type { Deployment } from "./deployments.js";
 import type { Fault, RunOptions } from "./runContext.js";
-import { freezeNode, reclaimServers, stopNode } from "./runFaults.js";
+import { stopNodeBriefly, withdrawServers, stopNode } from "./runFaults.js";
 import type { WorkloadOptions } from "./workload.js";
 import { buildArrivals } from "./workload.js";
 
@@ -132,7 +132,7 @@
     buildOptions: (deployment) => {
         const { servers } = deployment.configuration.pool;
         const cheap = servers.filter(({ reclaimable }) => reclaimable).map(({ name }) => name);
-        return { faults: [{ atMs: 20_000, apply: (run) => reclaimServers(run, cheap, 5_000) }] };
+        return { faults: [{ atMs: 20_000, apply: (run) => withdrawServers(run, cheap, 5_000) }] };
     },
 };
 
@@ -160,7 +160,7 @@
             { atMs: 20_000, apply: (run) => run.nodes.slice(0, 1).forEach((node) => stopNode(run, node)) },
             {
                 atMs: 30_000,
-                apply: (run) => run.nodes.slice(1, 2).forEach((node) => freezeNode(run, node, 8_000)),
+                apply: (run) => run.nodes.slice(1, 2).forEach((node) => stopNodeBriefly(run, node, 8_000)),
             },
         ],
     }),
--- a/packages/policy/src/admission/admissionController.ts
+++ b/packages/policy/src/admission/admissionController.ts
@@ -56,7 +56,7 @@
         return {
             admitted: waitMs <= budgetMs * refusalMargin || this.hasFloorPlace(classQueue, budgetMs),
             waitMs,
-            retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
+            retryAfterMs: computeRetryAfterMs(waitMs - budgetMs),
         };
     }
 
@@ -93,7 +93,7 @@
                 this.hasLowerWaiting(classQueue) ||
                 this.hasFloorPlace(classQueue, budgetMs + floorIntervalMs),
             waitMs,
-            retryAfterMs: limitRetryAfterMs(waitMs - budgetMs),
+            retryAfterMs: computeRetryAfterMs(waitMs - budgetMs),
         };
     }
 
@@ -135,6 +135,6 @@
  * @param retryAfterMs - The computed time, in milliseconds.
  * @returns The time to send.
  */
-export function limitRetryAfterMs(retryAfterMs: number): number {
+export function computeRetryAfterMs(retryAfterMs: number): number {
     return Math.round(Math.min(Math.max(retryAfterMs, leastRetryAfterMs), greatestRetryAfterMs));
 }
--- a/packages/policy/src/capacity/lentSlots.ts
+++ b/packages/policy/src/capacity/lentSlots.ts
@@ -129,7 +129,7 @@
             this.updateHome(false);
             this.withdrawUnneeded(nowMs);
             if (!isFloorOwed) {
-                this.lendFree(nowMs);
+                this.offerFree(nowMs);
             }
         }
     }
@@ -228,13 +228,13 @@
     }
 
     /** Lends free home slots to the nodes whose waiting requests are more urgent, most urgent first. */
-    private lendFree(nowMs: number): void {
+    private offerFree(nowMs: number): void {
         const needy = [...this.needs].filter(([, need]) => this.isMoreUrgent(need));
         needy.sort(([, left], [, right]) => compareDemands(left, right));
         const lenders = Math.max(1, this.members.list().length - 1);
         for (const [node, need] of needy) {
             const unused = Math.max(0, this.book.countOffered(node) - this.book.countUsed(node));
-            this.lendTo(node, Math.ceil(need.waiting / lenders) - unused, nowMs);
+            this.offerTo(node, Math.ceil(need.waiting / lenders) - unused, nowMs);
         }
     }
 
@@ -250,7 +250,7 @@
             : need.latestStartMs + urgencyMarginMs < this.demand.latestStartMs;
     }
 
-    private lendTo(node: string, wanted: number, nowMs: number): void {
+    private offerTo(node: string, wanted: number, nowMs: number): void {
         let left = wanted;
         for (const { name } of this.servers) {
             const free = Math.min(left, this.countFreeHome(name, nowMs));
--- a/packages/policy/src/capacity/slotUse.ts
+++ b/packages/policy/src/capacity/slotUse.ts
@@ -73,7 +73,7 @@
     recordStart(requestId: string, server: string, lender: string | undefined): void {
         const source = lender ?? ownSource;
         this.sources.set(formatKey(requestId, server), source);
-        this.changeUsed(source, server, 1);
+        this.updateUsed(source, server, 1);
     }
 
     /**
@@ -90,7 +90,7 @@
             return false;
         }
         this.sources.delete(key);
-        this.changeUsed(source, server, -1);
+        this.updateUsed(source, server, -1);
         return source !== ownSource;
     }
 
@@ -130,7 +130,7 @@
         return this.used.get(source)?.get(server) ?? 0;
     }
 
-    private changeUsed(source: string, server: string, amount: number): void {
+    private updateUsed(source: string, server: string, amount: number): void {
         const servers = this.used.get(source) ?? new Map<string, number>();
         this.used.set(source, servers);
         servers.set(server, (servers.get(server) ?? 0) + amount);
--- a/packages/policy/src/fairness/fairQueue.ts
+++ b/packages/policy/src/fairness/fairQueue.ts
@@ -66,7 +66,7 @@
         }
         const account = this.getAccount(entry.request.customer);
         if (account.waiting === 0) {
-            this.activateAccount(account);
+            this.setActiveAccount(account);
         }
         account.waiting += 1;
         account.entries.push(entry);
@@ -86,7 +86,7 @@
         }
         const account = this.getAccount(entry.request.customer);
         account.waiting -= 1;
-        this.deactivateEmptyAccount(account);
+        this.clearEmptyAccount(account);
     }
 
     /**
@@ -130,7 +130,7 @@
         const account = this.getAccount(customer);
         account.served += tokens / this.readWeight(customer);
         if (tokens < 0 && account.waiting > 0) {
-            this.pushAccount(account);
+            this.putAccount(account);
         }
     }
 
@@ -177,13 +177,13 @@
         return account;
     }
 
-    private activateAccount(account: CustomerAccount): void {
+    private setActiveAccount(account: CustomerAccount): void {
         const least = this.findLeastServed()?.served ?? this.lastMinimum;
         account.served = Math.max(account.served, least - activationCreditTokens);
-        this.pushAccount(account);
+        this.putAccount(account);
     }
 
-    private deactivateEmptyAccount(account: CustomerAccount): void {
+    private clearEmptyAccount(account: CustomerAccount): void {
         if (account.waiting > 0) {
             return;
         }
@@ -192,7 +192,7 @@
         account.head = 0;
     }
 
-    private pushAccount(account: CustomerAccount): void {
+    private putAccount(account: CustomerAccount): void {
         account.version += 1;
         this.heap.push({ account, version: account.version, served: account.served });
     }
@@ -206,7 +206,7 @@
             }
             this.heap.pop();
             if (key.version === account.version) {
-                this.pushAccount(account);
+                this.putAccount(account);
             }
         }
         return undefined;
--- a/packages/policy/src/limits/sharedBucket.ts
+++ b/packages/policy/src/limits/sharedBucket.ts
@@ -42,7 +42,7 @@
      * @returns Whether this node may take a unit now.
      */
     hasUnit(share: number, nowMs: number): boolean {
-        this.refill(nowMs);
+        this.updateLevel(nowMs);
         return this.taken < Math.ceil((this.level + this.taken) * share) && this.level > 0;
     }
 
@@ -51,7 +51,7 @@
      * @param nowMs - Monotonic time.
      */
     recordTaken(units: number, nowMs: number): void {
-        this.refill(nowMs);
+        this.updateLevel(nowMs);
         this.level -= units;
         this.taken += units;
     }
@@ -61,7 +61,7 @@
      * @param nowMs - Monotonic time.
      */
     recordPeerTaken(units: number, nowMs: number): void {
-        this.refill(nowMs);
+        this.updateLevel(nowMs);
         this.level -= units;
     }
 
@@ -75,11 +75,11 @@
      * @returns When a unit will be there, in milliseconds from now.
      */
     readWaitMs(nowMs: number): number {
-        this.refill(nowMs);
+        this.updateLevel(nowMs);
         return Math.max(0, ((1 - this.level) / this.settings.perSecond) * 1_000);
     }
 
-    private refill(nowMs: number): void {
+    private updateLevel(nowMs: number): void {
         const gain = ((nowMs - this.updatedMs) * this.settings.perSecond) / 1_000;
         this.level = Math.min(this.settings.depth, this.level + gain);
         this.updatedMs = nowMs;
--- a/packages/policy/src/routing/serverRouter.ts
+++ b/packages/policy/src/routing/serverRouter.ts
@@ -95,7 +95,7 @@
         let best: RoutedServer | undefined;
         let bestScore = Infinity;
         for (const server of this.servers.values()) {
-            if (!this.canStart(server, request, context)) {
+            if (!this.isStartable(server, request, context)) {
                 continue;
             }
             const score = this.computeScore(server, request, context);
@@ -186,7 +186,7 @@
         return server;
     }
 
-    private canStart(server: RoutedServer, request: QueuedRequest, context: RoutingContext): boolean {
+    private isStartable(server: RoutedServer, request: QueuedRequest, context: RoutingContext): boolean {
         if (context.countFree(server.settings.name, context.tier) < 1 || isExcluded(request, server)) {
             return false;
         }
--- a/packages/policy/src/scheduling/estimators.ts
+++ b/packages/policy/src/scheduling/estimators.ts
@@ -69,7 +69,7 @@
      * @param nowMs - Monotonic time.
      */
     record(amount: number, nowMs: number): void {
-        this.decay(nowMs);
+        this.applyDecay(nowMs);
         this.weight += amount;
     }
 
@@ -78,13 +78,13 @@
      * @returns Units a second.
      */
     readPerSecond(nowMs: number): number {
-        this.decay(nowMs);
+        this.applyDecay(nowMs);
         const ageMs = nowMs - this.startMs;
         const spanMs = this.memoryMs * (1 - Math.exp(-ageMs / this.memoryMs));
         return spanMs <= 0 ? 0 : (this.weight * 1_000) / Math.max(spanMs, this.memoryMs / 10);
     }
 
-    private decay(nowMs: number): void {
+    private applyDecay(nowMs: number): void {
         this.weight *= Math.exp((this.lastMs - nowMs) / this.memoryMs);
         this.lastMs = nowMs;
     }
--- a/packages/policy/src/scheduling/fifoScheduler.ts
+++ b/packages/policy/src/scheduling/fifoScheduler.ts
@@ -91,7 +91,7 @@
     takeDecisions(): readonly Decision[] {
         const kept: QueuedRequest[] = [];
         for (const request of this.queue) {
-            this.decideRequest(request, kept);
+            this.handleRequest(request, kept);
         }
         this.queue = kept;
         const decisions = this.decisions;
@@ -138,7 +138,7 @@
         };
     }
 
-    private decideRequest(request: QueuedRequest, kept: QueuedRequest[]): void {
+    private handleRequest(request: QueuedRequest, kept: QueuedRequest[]): void {
         const server = this.chooseServer(request);
         if (server !== undefined) {
             this.startRequest(request, server);
--- a/packages/policy/src/scheduling/poolState.ts
+++ b/packages/policy/src/scheduling/poolState.ts
@@ -113,7 +113,7 @@
         isAhead: boolean,
     ): void {
         if (classQueue.queue.countWaiting() === 0) {
-            this.order.activateClass(classQueue);
+            this.order.updateActiveClass(classQueue);
             classQueue.activeSinceMs = this.options.clock.monotonicMs();
         }
         const entry = { request, latestStartMs, removed: false };
--- a/packages/policy/src/scheduling/queueOrder.ts
+++ b/packages/policy/src/scheduling/queueOrder.ts
@@ -81,7 +81,7 @@
      *
      * @param classQueue - A class without waiting requests.
      */
-    activateClass(classQueue: ClassQueue): void {
+    updateActiveClass(classQueue: ClassQueue): void {
         const least = this.findLeastVirtualTime(classQueue.settings.tier);
         if (least !== undefined) {
             classQueue.virtualTime = Math.max(classQueue.virtualTime, least);
--- a/packages/policy/src/scheduling/queueReview.ts
+++ b/packages/policy/src/scheduling/queueReview.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { ErrorKind } from "@pimentocleat/types";
-import { limitRetryAfterMs } from "../admission/admissionController.js";
+import { computeRetryAfterMs } from "../admission/admissionController.js";
 import type { ClassQueue } from "./classQueue.js";
 import type { PoolState } from "./poolState.js";
 import type { WaitingRequest } from "./waitingRequests.js";
@@ -33,11 +33,11 @@
      *
      * @param nowMs - Monotonic time.
      */
-    expireWaiting(nowMs: number): void {
+    refuseExpired(nowMs: number): void {
         for (let entry = this.state.classes.takeDue(nowMs); entry !== undefined;) {
             const waiting = this.state.waiting.find(entry.request.requestId);
             if (waiting !== undefined) {
-                const retryAfterMs = limitRetryAfterMs(waiting.classQueue.readWaitBudgetMs());
+                const retryAfterMs = computeRetryAfterMs(waiting.classQueue.readWaitBudgetMs());
                 this.refuse(waiting, ErrorKind.QueueDeadline, retryAfterMs);
             }
             entry = this.state.classes.takeDue(nowMs);
@@ -49,21 +49,21 @@
      *
      * @param nowMs - Monotonic time.
      */
-    shedWaiting(nowMs: number): void {
+    refuseHopeless(nowMs: number): void {
         if (nowMs - this.shedAtMs < shedIntervalMs) {
             return;
         }
         this.shedAtMs = nowMs;
         let left = shedLimit;
         for (const classQueue of this.state.classes.listFromLowestTier()) {
-            left -= this.shedClass(classQueue, nowMs, left);
+            left -= this.refuseHopelessOf(classQueue, nowMs, left);
             if (left <= 0) {
                 return;
             }
         }
     }
 
-    private shedClass(classQueue: ClassQueue, nowMs: number, limit: number): number {
+    private refuseHopelessOf(classQueue: ClassQueue, nowMs: number, limit: number): number {
         const capacity = this.state.slots.readCapacity();
         for (let count = 0; count < limit; count += 1) {
             const advice = this.state.admission.adviseLast(classQueue, capacity, nowMs);
--- a/packages/policy/src/scheduling/runningRequests.ts
+++ b/packages/policy/src/scheduling/runningRequests.ts
@@ -57,7 +57,7 @@
             reservedTokens,
             reservedMs: classQueue.holdingMs.readMean(),
         });
-        this.chargeTokens(classQueue, request.customer, reservedTokens + promptCost);
+        this.recordCharge(classQueue, request.customer, reservedTokens + promptCost);
     }
 
     /**
@@ -87,7 +87,7 @@
         running.tokens += tokens;
         const excess = Math.max(running.tokens, running.reservedTokens) - before;
         if (excess > 0) {
-            this.chargeTokens(running.classQueue, running.request.customer, excess);
+            this.recordCharge(running.classQueue, running.request.customer, excess);
         }
     }
 
@@ -102,7 +102,7 @@
         this.running.delete(request.requestId);
         const unused = running.reservedTokens - running.tokens;
         if (unused > 0) {
-            this.chargeTokens(classQueue, request.customer, -unused);
+            this.recordCharge(classQueue, request.customer, -unused);
         }
         const extraMs = nowMs - running.startedMs - running.reservedMs;
         classQueue.virtualTime += extraMs / classQueue.settings.weight;
@@ -123,7 +123,7 @@
         return tokens;
     }
 
-    private chargeTokens(classQueue: ClassQueue, customer: string, tokens: number): void {
+    private recordCharge(classQueue: ClassQueue, customer: string, tokens: number): void {
         classQueue.queue.recordServed(customer, tokens);
         const name = `${classQueue.settings.name}/${customer}`;
         this.served.set(name, (this.served.get(name) ?? 0) + tokens);
--- a/packages/policy/src/scheduling/tieredScheduler.ts
+++ b/packages/policy/src/scheduling/tieredScheduler.ts
@@ -164,8 +164,8 @@
         const nowMs = this.readNowMs();
         this.state.updateDemand();
         this.state.router.updateStragglers(nowMs);
-        this.review.expireWaiting(nowMs);
-        this.review.shedWaiting(nowMs);
+        this.review.refuseExpired(nowMs);
+        this.review.refuseHopeless(nowMs);
         this.startWaiting(nowMs);
         const decisions = this.decisions;
         this.decisions = [];
@@ -220,7 +220,7 @@
                 break;
             }
             if (!this.startChosen(chosen, nowMs)) {
-                this.passOver(chosen, passedOver);
+                this.handlePassedOver(chosen, passedOver);
             } else if (chosen.byFloor) {
                 // The slot was held back from other nodes; the next one isn't.
                 this.state.updateDemand();
@@ -231,7 +231,7 @@
         }
     }
 
-    private passOver(chosen: ChosenEntry, passedOver: WaitingRequest[]): void {
+    private handlePassedOver(chosen: ChosenEntry, passedOver: WaitingRequest[]): void {
         const waiting = this.state.waiting.find(chosen.entry.request.requestId);
         if (waiting === undefined) {
             throw new Error(`request ${chosen.entry.request.requestId} is queued but unknown`);
