Make the type check name fields that a summary's schema lacks

Cause: a field missing from the schema was dropped without a trace. Ruled out: a test of examples only (it would not know of new fields). Change: the schema's fields must name every field of PoolSummary. Conclusion: the next field cannot be forgotten.

--- a/packages/node/src/daemon/peerRecords.ts
+++ b/packages/node/src/daemon/peerRecords.ts
@@ -34,7 +34,8 @@
 
 const counts = z.record(z.string(), z.number());
 
-const summarySchema = z.object({
+/** Names every field of a summary: a field that the schema lacks would be dropped without a trace. */
+const summaryFields = {
     pool: z.string(),
     node: z.string(),
     sequence: z.number(),
@@ -52,7 +53,9 @@
     urgentServed: z.number().optional(),
     starts: counts.optional(),
     sinceStartMs: counts.optional(),
-}) satisfies z.ZodType<PoolSummary>;
+} satisfies Record<keyof PoolSummary, z.ZodType>;
+
+const summarySchema = z.object(summaryFields) satisfies z.ZodType<PoolSummary>;
 
 const snapshotSchema = z.object({
     revision: z.int().positive(),
