Tell pools and servers that come later of leaving hosts, and break the whole system on purpose

Ruled out: announcing at every poll; the time at which a server goes is derived anew each time and the event would be logged each second. Change: the watcher remembers what each pool's task was told, by server. The named history startedWhileLeaving shows it. Eleven broken versions, one at least for each of eleven things that must hold, are shown caught, by random histories or a named one; the named histories pass with the sound system. Conclusion: a leaving server gets nothing new, also on a node that starts during the notice.

--- a/packages/bench/src/__tests__/fuzz/fakeBackend.ts
+++ b/packages/bench/src/__tests__/fuzz/fakeBackend.ts
@@ -24,6 +24,8 @@
 /** All backend servers, as the oracle sees them. */
 export interface FakeBackend {
     readonly clock: ManualClock;
+    /** Whether a server runs what it says that it did not; a broken version only. */
+    readonly runsRejected: boolean;
     planFault(): BackendFault;
     readDurationMs(): number;
     recordRun(run: Run): void;
@@ -55,7 +57,8 @@
             const fault = this.backend.planFault();
             sent = fault !== "connectFailed";
             const wireId = (request.headers as Record<string, string>)["x-request-id"]!;
-            if (!["connectFailed", "rejected", "lostBefore"].includes(fault)) {
+            const isRejected = fault === "rejected" && !this.backend.runsRejected;
+            if (!isRejected && fault !== "connectFailed" && fault !== "lostBefore") {
                 const requestId = wireId.split(".")[0]!;
                 this.backend.recordRun({ requestId, path: request.path, address, node: this.node });
             }
--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/mutants.ts
@@ -0,0 +1,168 @@
+/**
+ * Deliberately broken versions of the system, one for each thing that must hold, and what the oracle says.
+ *
+ * @packageDocumentation
+ */
+import { QueueOrder } from "@pimentocleat/policy";
+import {
+    ConfigurationFollower,
+    TableClaimStore,
+    WithdrawalFollower,
+    type KeyLookup,
+    type LeaseHandle,
+} from "@pimentocleat/state";
+import type { ClassQueue } from "../../../../policy/src/scheduling/classQueue.js";
+import { soundParts } from "../../../../state/src/configuration/__tests__/cluster.js";
+import { holdersFrozen, laggingPeer, overload } from "./namedHistories.js";
+import { soundSystem, type SystemMutant } from "./systemMutant.js";
+import type { SystemStep } from "./systemSteps.js";
+
+class RevertingFollower extends ConfigurationFollower {
+    override readRevision(): number {
+        return 0;
+    }
+}
+
+/** Follows only the first revision. */
+class DeafFollower extends ConfigurationFollower {
+    override followHead(...call: Parameters<ConfigurationFollower["followHead"]>): Promise<void> {
+        return this.readRevision() > 0 ? Promise.resolve() : super.followHead(...call);
+    }
+}
+
+/** Neither reads the withdrawals of others nor takes those of peers. */
+class DeafWithdrawals extends WithdrawalFollower {
+    override followHead(): Promise<void> {
+        return super.followHead(0);
+    }
+    override receiveWithdrawals(): void {}
+}
+
+class LowestTierFirst extends QueueOrder {
+    protected override findClassByTier(): ClassQueue | undefined {
+        const active = this.classes.filter(({ queue }) => queue.countWaiting() > 0);
+        return active.toSorted((left, right) => right.settings.tier - left.settings.tier)[0];
+    }
+}
+
+class WithoutFloors extends QueueOrder {
+    override findOwedClass(): ClassQueue | undefined {
+        return undefined;
+    }
+}
+
+/** Neither checks its validity nor carries the fence. */
+function withoutCheck(lease: LeaseHandle): LeaseHandle {
+    return {
+        name: lease.name,
+        fencingNumber: lease.fencingNumber,
+        isValid: () => true,
+        isReadyFor: () => true,
+        buildCondition: () => ({ table: "absent", key: "absent", version: 0 }),
+    };
+}
+
+/** A broken version. */
+export interface NamedMutant {
+    readonly name: string;
+    readonly replaced: Partial<SystemMutant>;
+    /** What the oracle says. */
+    readonly notice: RegExp;
+    /** A history that shows the breach; absent when random ones do. */
+    readonly history?: readonly SystemStep[];
+}
+
+/** All broken versions. */
+export const mutants: readonly NamedMutant[] = [
+    {
+        name: "starts the lowest tier first",
+        replaced: {
+            schedulerOptions: (clock) => ({ createOrder: (floors) => new LowestTierFirst(floors, clock) }),
+        },
+        notice: /started before a higher tier/,
+    },
+    {
+        name: "knows no floors",
+        replaced: {
+            schedulerOptions: (clock) => ({ createOrder: (floors) => new WithoutFloors(floors, clock) }),
+        },
+        notice: /starves/,
+        history: overload,
+    },
+    {
+        name: "takes any key for that of one customer",
+        replaced: {
+            wrapKeys: (keys) => ({
+                findKey: (secret): KeyLookup => {
+                    const lookup = keys.findKey(secret);
+                    const customer = "customer-k0";
+                    return lookup.type === "valid" ? { ...lookup, key: { ...lookup.key, customer } } : lookup;
+                },
+                isWithdrawn: (keyId) => keys.isWithdrawn(keyId),
+                onWithdrawal: (listener) => keys.onWithdrawal(listener),
+            }),
+        },
+        notice: /runs for another customer/,
+    },
+    {
+        name: "hears of no withdrawals",
+        replaced: {
+            parts: {
+                ...soundParts,
+                createWithdrawalFollower: (options) => new DeafWithdrawals(options),
+            },
+        },
+        notice: /withdrawn key .* works/,
+    },
+    {
+        name: "takes requests while it is cut off",
+        replaced: { parts: { ...soundParts, isolationLimitMs: Number.POSITIVE_INFINITY } },
+        notice: /although it (is|was) cut off/,
+    },
+    {
+        name: "orders and reports without its lease",
+        replaced: { wrapLease: withoutCheck },
+        notice: /holders/,
+        history: holdersFrozen,
+    },
+    {
+        name: "shares one claim token",
+        replaced: {
+            createClaims: (options) => new TableClaimStore({ ...options, createToken: () => "token" }),
+        },
+        notice: /ran twice/,
+    },
+    {
+        name: "says not run of what ran",
+        replaced: { runsRejected: true },
+        notice: /although its caller heard "not run"|ran twice/,
+    },
+    {
+        name: "never hears of leaving servers",
+        replaced: { hidesLeaving: true },
+        notice: /a leaving server got work/,
+    },
+    {
+        name: "reverts to an older configuration",
+        replaced: {
+            parts: {
+                ...soundParts,
+                createConfigurationFollower: (options) => new RevertingFollower(options),
+            },
+        },
+        notice: /reverted from/,
+        history: laggingPeer,
+    },
+    {
+        name: "follows only the first configuration",
+        replaced: {
+            parts: { ...soundParts, createConfigurationFollower: (options) => new DeafFollower(options) },
+        },
+        notice: /is not in force/,
+    },
+];
+
+/** Builds the system with some parts replaced. */
+export function buildMutant(replaced: Partial<SystemMutant>): SystemMutant {
+    return { ...soundSystem, ...replaced };
+}
--- /dev/null
+++ b/packages/bench/src/__tests__/fuzz/namedHistories.ts
@@ -0,0 +1,77 @@
+/**
+ * Histories that were found by seeds or that drive one broken version into its breach.
+ *
+ * @packageDocumentation
+ */
+import type { SystemStep } from "./systemSteps.js";
+
+const allNodes = [0, 1, 2];
+
+function wait(durationMs: Extract<SystemStep, { type: "wait" }>["durationMs"]): SystemStep {
+    return { type: "wait", durationMs };
+}
+
+function repeat(count: number, steps: readonly SystemStep[]): readonly SystemStep[] {
+    return Array.from({ length: count }, () => steps).flat();
+}
+
+/** Found by seed 20261203: requests that waited for slots were sent after the node had lost touch. */
+export const waitingWhileCutOff: readonly SystemStep[] = [
+    { type: "wire", backend: ["none", "lostBefore"], wire: ["none"] },
+    { type: "cut", node: 0 },
+    { type: "burst", node: 0, runMs: 2_000 },
+    { type: "request", node: 0, key: 0, tier: 1, count: 3 },
+    wait(13_000),
+];
+
+/** Found by seeds 20261203 and 3: a node that started while a server was leaving never heard of it. */
+export const startedWhileLeaving: readonly SystemStep[] = [
+    { type: "leave", server: 0 },
+    { type: "crash", node: 0 },
+    wait(13_000),
+    { type: "burst", node: 0, runMs: 100 },
+    wait(1_000),
+];
+
+/** The highest tier fills the servers while the lowest one waits. */
+export const overload: readonly SystemStep[] = [
+    { type: "burst", node: 0, runMs: 500 },
+    ...repeat(30, [
+        { type: "request", node: 0, key: 0, tier: 0, count: 12 },
+        { type: "request", node: 0, key: 1, tier: 2, count: 1 },
+        ...repeat(5, [wait(100)]),
+    ]),
+];
+
+/** Each node in turn is frozen for longer than its leases, and the wanted servers change as it goes on. */
+export const holdersFrozen: readonly SystemStep[] = allNodes.flatMap((node) => [
+    { type: "want" as const, count: 2 },
+    wait(6_000),
+    { type: "freeze" as const, node },
+    ...repeat(2, [wait(13_000)]),
+    { type: "want" as const, count: 4 },
+    { type: "thaw" as const, node },
+    wait(6_000),
+]);
+
+/** Nodes are frozen with unwritten usage until its window is sealed, while answers to reports are lost. */
+export const usageLate: readonly SystemStep[] = allNodes.flatMap((frozen) => [
+    wait(1_000),
+    { type: "wire" as const, backend: ["none" as const], wire: ["lostAnswer" as const] },
+    ...allNodes.map((node) => ({ type: "request" as const, node, key: 0, tier: 0, count: 3 })),
+    ...repeat(3, [wait(100)]),
+    { type: "freeze" as const, node: frozen },
+    ...repeat(2, [wait(13_000)]),
+    { type: "thaw" as const, node: frozen },
+    wait(13_000),
+]);
+
+/** During an outage of the store, a peer comes back that missed an edit. */
+export const laggingPeer: readonly SystemStep[] = [
+    { type: "freeze", node: 2 },
+    { type: "edit", files: [0] },
+    wait(6_000),
+    { type: "outage", isOut: true },
+    { type: "thaw", node: 2 },
+    wait(13_000),
+];
--- a/packages/bench/src/__tests__/fuzz/systemHistory.ts
+++ b/packages/bench/src/__tests__/fuzz/systemHistory.ts
@@ -96,7 +96,7 @@
         await world.advance(calmMs, keyIds);
         const head = await world.finish(world.createOperator().readSnapshot());
         for (const node of world.nodes) {
-            if (node.configuration.readRevision() !== head.revision) {
+            if ((node.configuration.readCurrent()?.revision ?? 0) !== head.revision) {
                 throw new Error(`${node.name} has not the revision ${head.revision}`);
             }
         }
--- a/packages/bench/src/__tests__/fuzz/systemMutant.ts
+++ b/packages/bench/src/__tests__/fuzz/systemMutant.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 import type { SchedulerOptions } from "@pimentocleat/policy";
-import type { TableService } from "@pimentocleat/platform";
 import {
     TableClaimStore,
     type ClaimStore,
+    type KeyRegistry,
     type LeaseHandle,
     type TableClaimStoreOptions,
 } from "@pimentocleat/state";
@@ -19,8 +19,6 @@
     readonly parts: ClusterParts;
     readonly createClaims: (options: TableClaimStoreOptions) => ClaimStore;
     readonly wrapLease: (lease: LeaseHandle) => LeaseHandle;
-    readonly wrapLeaseTable: (table: TableService) => TableService;
-    readonly wrapReportTable: (table: TableService) => TableService;
     readonly schedulerOptions?: (clock: Clock) => Partial<SchedulerOptions>;
     /** Whether a request that waited is sent although the node lost touch meanwhile. */
     readonly sendsWhileCutOff: boolean;
@@ -28,8 +26,7 @@
     readonly hidesLeaving: boolean;
     /** Whether backend servers run a request although they answer that they did not. */
     readonly runsRejected: boolean;
-    /** Whether every node takes any key for that of the first customer. */
-    readonly confusesCustomers: boolean;
+    readonly wrapKeys: (keys: KeyRegistry) => KeyRegistry;
 }
 
 /** The system as it is. */
@@ -37,10 +34,8 @@
     parts: soundParts,
     createClaims: (options) => new TableClaimStore(options),
     wrapLease: (lease) => lease,
-    wrapLeaseTable: (table) => table,
-    wrapReportTable: (table) => table,
     sendsWhileCutOff: false,
     hidesLeaving: false,
     runsRejected: false,
-    confusesCustomers: false,
+    wrapKeys: (keys) => keys,
 };
--- a/packages/bench/src/__tests__/fuzz/systemNode.ts
+++ b/packages/bench/src/__tests__/fuzz/systemNode.ts
@@ -60,7 +60,7 @@
         const configuration = new GatedConfiguration({ source: this.configuration, isOpen });
         this.configuration.onChange(({ configuration: next }) => this.tasks.applyConfiguration(next));
         this.registry.onWithdrawal((keyId) => this.active.cancelKey(keyId));
-        this.router = new RequestRouter({ configuration, keys: this.registry, clock });
+        this.router = new RequestRouter({ configuration, keys: world.mutant.wrapKeys(this.registry), clock });
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
         this.ledger = new UsageLedger({ writer, clock, incarnation: name, windowMs, logger });
         this.runner = this.createRunner();
@@ -140,7 +140,7 @@
     private createManager(): LeaseManager {
         const { world, clock, name } = this;
         return new LeaseManager({
-            tableService: world.mutant.wrapLeaseTable(this.tableService),
+            tableService: this.tableService,
             clock,
             node: name,
             listNodes: () => world.nodes.map((node) => node.name),
@@ -205,7 +205,7 @@
         const { world, clock, name: node } = this;
         return this.runHolding(usageLease, 1_000, (lease) => {
             const reporter = new UsageReporter({
-                tableService: world.mutant.wrapReportTable(this.tableService),
+                tableService: this.tableService,
                 reportService: world.buildReportService(this),
                 clock,
                 lease: world.mutant.wrapLease(lease),
--- a/packages/bench/src/__tests__/fuzz/systemWorld.ts
+++ b/packages/bench/src/__tests__/fuzz/systemWorld.ts
@@ -77,6 +77,10 @@
         return new SystemNode(this, index, incarnationSeed, `node-${index}-${this.incarnations}`);
     }
 
+    get runsRejected(): boolean {
+        return this.mutant.runsRejected;
+    }
+
     /** Ends a node without any last act and starts another one in its place. */
     crashNode(index: number): void {
         this.hasCrashed = true;
@@ -303,7 +307,7 @@
         const isDue = (atMs: number): boolean =>
             nowMs - Math.max(sinceMs, atMs) > convergenceBoundMs + this.stepMs;
         const { revision, atMs } = this.acceptedRevision;
-        if (isDue(atMs) && node.configuration.readRevision() < revision) {
+        if (isDue(atMs) && (node.configuration.readCurrent()?.revision ?? 0) < revision) {
             this.recordBreach(`revision ${revision} is not in force on ${node.name}`);
         }
         for (const [keyId, withdrawnMs] of this.withdrawn) {
--- a/packages/node/src/backends/leavingWatcher.ts
+++ b/packages/node/src/backends/leavingWatcher.ts
@@ -6,6 +6,7 @@
 import type { HostList, ListedHost } from "@pimentocleat/platform";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
+import type { PoolTask } from "../dispatch/poolTask.js";
 import type { PoolTasks } from "../dispatch/poolTasks.js";
 
 /** Options of a {@link LeavingWatcher}. */
@@ -20,7 +21,8 @@
 /** Polls the host list until it is stopped. */
 export class LeavingWatcher {
     private readonly abort = new AbortController();
-    private readonly noticed = new Map<string, number | undefined>();
+    /** What each task was told; a task or server that is configured later is told then. */
+    private readonly noticed = new WeakMap<PoolTask, Map<string, number | undefined>>();
 
     /** @param options - The list and the receivers of notices. */
     constructor(private readonly options: LeavingWatcherOptions) {}
@@ -57,19 +59,31 @@
     }
 
     private recordLeaving(host: ListedHost): void {
-        const { tasks, clock, logger } = this.options;
-        if (this.noticed.has(host.address) && this.noticed.get(host.address) === host.leavesAtMs) {
-            return;
-        }
-        this.noticed.set(host.address, host.leavesAtMs);
-        const wallMs = clock.wallMs();
-        const leavesAtMs = clock.monotonicMs() + Math.max(0, (host.leavesAtMs ?? wallMs) - wallMs);
-        for (const task of tasks.listTasks()) {
+        for (const task of this.options.tasks.listTasks()) {
             const server = task.pool.servers.find((candidate) => candidate.address === host.address);
-            if (server !== undefined) {
-                logger.writeEvent("backendLeaving", { server: server.name, pool: task.pool.name });
-                task.recordLeaving({ server: server.name, leavesAtMs });
+            if (server !== undefined && this.addNotice(task, server.name, host)) {
+                this.reportLeaving(task, server.name, host);
             }
         }
     }
+
+    /** Returns whether the notice is new to the task. */
+    private addNotice(task: PoolTask, server: string, host: ListedHost): boolean {
+        const noticed = this.noticed.get(task) ?? new Map<string, number | undefined>();
+        this.noticed.set(task, noticed);
+        const key = `${server} ${host.address}`;
+        if (noticed.has(key) && noticed.get(key) === host.leavesAtMs) {
+            return false;
+        }
+        noticed.set(key, host.leavesAtMs);
+        return true;
+    }
+
+    private reportLeaving(task: PoolTask, server: string, host: ListedHost): void {
+        const { clock, logger } = this.options;
+        const wallMs = clock.wallMs();
+        const leavesAtMs = clock.monotonicMs() + Math.max(0, (host.leavesAtMs ?? wallMs) - wallMs);
+        logger.writeEvent("backendLeaving", { server, pool: task.pool.name });
+        task.recordLeaving({ server, leavesAtMs });
+    }
 }
