Measure memory of members and schedulers, and what an idle node uses

Ruled out: reading the sizes off the code. Change: npm run slopes -- state; the rollout slope reports processor time and resident memory of idle nodes.

--- a/packages/bench/src/rollout/rolloutSlope.ts
+++ b/packages/bench/src/rollout/rolloutSlope.ts
@@ -7,6 +7,7 @@
 import { SystemClock } from "@pimentocleat/types";
 import { fileURLToPath } from "node:url";
 import type { Slope, SlopeOptions, SlopePoint, SlopeResult } from "../slopes/slope.js";
+import { readProcessUse, type ProcessUse } from "./processUse.js";
 import { RolloutDeployment, type PlatformCalls } from "./rolloutDeployment.js";
 
 const examplePath = fileURLToPath(new URL("../../../../examples/volantino", import.meta.url));
@@ -16,6 +17,17 @@
 const frozenMs = 3_000;
 const slowStoreDelayMs = 500;
 
+/** Figures of a deployment without requests. */
+interface CalmFigures {
+    /** Reads and writes of all nodes. */
+    readonly reads: number;
+    readonly writes: number;
+    /** Share of a core that a node uses on average. */
+    readonly processorPercent: number;
+    /** Resident memory of the largest node. */
+    readonly residentMegabytes: number;
+}
+
 /** Measures rollouts with nodes as processes. */
 export class RolloutSlope implements Slope {
     readonly name = "rollout";
@@ -57,6 +69,8 @@
             withdrawalWorstMs: Math.max(...withdrawals),
             readsPerSecond: calls.reads,
             writesPerSecond: calls.writes,
+            idlePercentOfCore: calls.processorPercent,
+            residentMegabytes: calls.residentMegabytes,
         };
     }
 
@@ -101,13 +115,14 @@
         return times;
     }
 
-    private async measureCalls(
-        deployment: RolloutDeployment,
-        durationMs: number,
-    ): Promise<{ readonly reads: number; readonly writes: number }> {
+    private async measureCalls(deployment: RolloutDeployment, durationMs: number): Promise<CalmFigures> {
+        const usesBefore = await this.readNodeUses(deployment);
         const before = await deployment.readPlatformCalls();
         await this.clock.wait(durationMs);
         const after = await deployment.readPlatformCalls();
+        const uses = await this.readNodeUses(deployment);
+        const usedMs = uses.reduce((sum, use) => sum + use.processorMs, 0);
+        const usedBeforeMs = usesBefore.reduce((sum, use) => sum + use.processorMs, 0);
         const countPerSecond = (service: string, call: string): number =>
             (readCount(after, service, call) - readCount(before, service, call)) / (durationMs / 1_000);
         return {
@@ -116,9 +131,15 @@
                 countPerSecond("table", "scan") +
                 countPerSecond("objects", "get"),
             writes: countPerSecond("table", "commit") + countPerSecond("objects", "put"),
+            processorPercent: (100 * (usedMs - usedBeforeMs)) / durationMs / uses.length,
+            residentMegabytes: Math.max(...uses.map((use) => use.residentMegabytes)),
         };
     }
 
+    private readNodeUses(deployment: RolloutDeployment): Promise<ProcessUse[]> {
+        return Promise.all(deployment.processes.nodes.map((node) => readProcessUse(node.program.processId)));
+    }
+
     private async waitForAll(
         deployment: RolloutDeployment,
         revision: number,
--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -6,9 +6,15 @@
 import { cac } from "cac";
 import { busyPeers, calmPeers, PeerSlope } from "./peerSlope.js";
 import { RolloutSlope } from "../rollout/rolloutSlope.js";
+import { StateSlope } from "./stateSlope.js";
 import { formatSlope, type Slope } from "./slope.js";
 
-const slopes: readonly Slope[] = [new PeerSlope(calmPeers), new PeerSlope(busyPeers), new RolloutSlope()];
+const slopes: readonly Slope[] = [
+    new PeerSlope(calmPeers),
+    new PeerSlope(busyPeers),
+    new StateSlope(),
+    new RolloutSlope(),
+];
 const defaultDurationMs = 10_000;
 
 /**
