Measure parsing with the other slopes

Cause: the parse measurement had a program of its own that read a compiled file by path. Ruled out: leaving it (the move of its module broke it at once). Change: npm run slopes -- parse.

--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -5,6 +5,7 @@
  */
 import { cac } from "cac";
 import { busyPeers, calmPeers, PeerSlope } from "./peerSlope.js";
+import { ParseSlope } from "../parsing/parseSlope.js";
 import { RolloutSlope } from "../rollout/rolloutSlope.js";
 import { StateSlope } from "./stateSlope.js";
 import { formatSlope, type Slope } from "./slope.js";
@@ -13,6 +14,7 @@
     new PeerSlope(calmPeers),
     new PeerSlope(busyPeers),
     new StateSlope(),
+    new ParseSlope(),
     new RolloutSlope(),
 ];
 const defaultDurationMs = 10_000;
