--- a/packages/bench/src/slopes/peerSlope.ts
+++ b/packages/bench/src/slopes/peerSlope.ts
@@ -101,7 +101,7 @@
         const nodes = await startNodes(size, options.seed, clock);
         const stopping = new AbortController();
         setMaxListeners(size + 1, stopping.signal);
-        const publishing = nodes.map((node) => publishSummaries(node, this.load, clock, stopping.signal));
+        const publishing = nodes.map((node) => spreadSummaries(node, this.load, clock, stopping.signal));
         await clock.wait(settleMs);
         const before = readTotals(nodes);
         const startMs = clock.monotonicMs();
@@ -152,7 +152,7 @@
     return nodes;
 }
 
-async function publishSummaries(
+async function spreadSummaries(
     node: MeasuredNode,
     load: PeerLoad,
     clock: SystemClock,
@@ -161,7 +161,7 @@
     const payload = new Uint8Array(summaryBytes);
     while (!signal.aborted) {
         if (load.isPushed) {
-            node.network.pushRecords(new Map([["pool:answers", payload]]));
+            node.network.spreadRecords(new Map([["pool:answers", payload]]));
         } else {
             node.network.setRecord("pool:answers", payload);
         }
--- a/packages/cli/src/demo/demoSteps.ts
+++ b/packages/cli/src/demo/demoSteps.ts
@@ -45,11 +45,11 @@
     async *run(): AsyncGenerator<StepResult> {
         yield await this.applyConfiguration();
         yield await this.createKey();
-        yield await this.streamDraft();
-        yield await this.askModel("proof check", "proof-checks", this.getNode(1));
-        yield await this.askModel("caption", "captions", this.getNode(2));
-        yield await this.confirmOrder(this.getNode(0), false);
-        yield await this.confirmOrder(this.getNode(1), true);
+        yield await this.checkDraft();
+        yield await this.checkModel("proof check", "proof-checks", this.getNode(1));
+        yield await this.checkModel("caption", "captions", this.getNode(2));
+        yield await this.checkOrder(this.getNode(0), false);
+        yield await this.checkOrder(this.getNode(1), true);
         yield await this.countOrders();
         yield await this.readJob();
         yield await this.stopNodeInMidStream();
@@ -62,7 +62,7 @@
             "apply examples/volantino",
             "entry-1",
             "in force on every node",
-            describe(result),
+            formatFields(result),
             true,
         );
     }
@@ -89,21 +89,21 @@
         );
     }
 
-    private async streamDraft(): Promise<StepResult> {
-        const answer = await this.askChat(this.getNode(0), "copy-drafts", draftTokens, true);
+    private async checkDraft(): Promise<StepResult> {
+        const answer = await this.sendChat(this.getNode(0), "copy-drafts", draftTokens, true);
         const tokens = countStreamTokens(answer.text);
         const passed = answer.status === 200 && answer.streamComplete && tokens === draftTokens;
         return buildResult(
             "stream a copy draft",
             "entry-1",
             `${draftTokens} tokens, whole`,
-            describeStream(answer),
+            formatStream(answer),
             passed,
         );
     }
 
-    private async askModel(step: string, requestClass: string, node: LaunchedNode): Promise<StepResult> {
-        const answer = await this.askChat(node, requestClass, draftTokens, false);
+    private async checkModel(step: string, requestClass: string, node: LaunchedNode): Promise<StepResult> {
+        const answer = await this.sendChat(node, requestClass, draftTokens, false);
         const isWhole = answer.status === 200 && answer.text.includes('"finish_reason"');
         return buildResult(
             step,
@@ -114,7 +114,7 @@
         );
     }
 
-    private async confirmOrder(node: LaunchedNode, expectReplay: boolean): Promise<StepResult> {
+    private async checkOrder(node: LaunchedNode, expectReplay: boolean): Promise<StepResult> {
         const answer = await sendCall({
             address: node.callerAddress,
             secret: this.secret,
@@ -155,7 +155,7 @@
     private async stopNodeInMidStream(): Promise<StepResult> {
         const node = this.getNode(2);
         let isStopping = false;
-        const answer = await this.askChat(node, "copy-drafts", longDraftTokens, true, () => {
+        const answer = await this.sendChat(node, "copy-drafts", longDraftTokens, true, () => {
             if (!isStopping) {
                 isStopping = true;
                 node.program.sendSignal("SIGTERM");
@@ -163,7 +163,7 @@
         });
         const exit = await node.program.exited;
         const isWhole = answer.streamComplete && countStreamTokens(answer.text) === longDraftTokens;
-        const seen = `${describeStream(answer)}; exit ${String(exit.code)}`;
+        const seen = `${formatStream(answer)}; exit ${String(exit.code)}`;
         const expected = `${longDraftTokens} tokens, whole; exit 0`;
         return buildResult(
             "stop a node in mid-stream",
@@ -180,7 +180,7 @@
         await this.runOperator(["key", "withdraw", "demo"]);
         let refused = false;
         while (!refused && clock.monotonicMs() - startMs < withdrawalLimitMs) {
-            const answers = await Promise.all([0, 1].map((index) => this.askJob(this.getNode(index))));
+            const answers = await Promise.all([0, 1].map((index) => this.sendJobCall(this.getNode(index))));
             refused = answers.every(
                 (answer) => answer.status === 401 && answer.text.includes("key_withdrawn"),
             );
@@ -193,7 +193,7 @@
         return buildResult("withdraw the key", "entry-1, entry-2", expected, seen, refused);
     }
 
-    private askJob(node: LaunchedNode): Promise<CallerAnswer> {
+    private sendJobCall(node: LaunchedNode): Promise<CallerAnswer> {
         const path = `/jobs/${orderId}`;
         return sendCall({
             address: node.callerAddress,
@@ -203,7 +203,7 @@
         });
     }
 
-    private askChat(
+    private sendChat(
         node: LaunchedNode,
         requestClass: string,
         tokens: number,
@@ -261,14 +261,14 @@
     return { step, node, expected, seen, passed };
 }
 
-function describe(result: Record<string, unknown>): string {
+function formatFields(result: Record<string, unknown>): string {
     return Object.entries(result)
         .filter(([, value]) => typeof value === "number" || typeof value === "string")
         .map(([name, value]) => `${name} ${String(value)}`)
         .join(", ");
 }
 
-function describeStream(answer: CallerAnswer): string {
+function formatStream(answer: CallerAnswer): string {
     const end = answer.streamComplete ? "whole" : "cut";
     return `${countStreamTokens(answer.text)} tokens, ${end}`;
 }
--- a/packages/cli/src/deployment/exampleFolder.ts
+++ b/packages/cli/src/deployment/exampleFolder.ts
@@ -54,7 +54,7 @@
             ),
         );
         for (const file of this.files) {
-            const content = replaceAddresses(file.content, replacements);
+            const content = convertAddresses(file.content, replacements);
             await writeFile(join(this.path, file.name), content);
         }
     }
@@ -65,7 +65,7 @@
     }
 }
 
-function replaceAddresses(content: string, replacements: readonly (readonly [string, string])[]): string {
+function convertAddresses(content: string, replacements: readonly (readonly [string, string])[]): string {
     const byPlaceholder = new Map(replacements);
     return content.replace(/\d+\.\d+\.\d+\.\d+:\d+/g, (address) => byPlaceholder.get(address) ?? address);
 }
--- a/packages/cli/src/deployment/processDeployment.ts
+++ b/packages/cli/src/deployment/processDeployment.ts
@@ -61,7 +61,7 @@
 
     /** Starts the platform, the backend servers of all pools and the nodes. */
     async start(): Promise<void> {
-        this.platform = await this.keep(launchProgram("platform", this.options.platformParameters));
+        this.platform = await this.addProgram(launchProgram("platform", this.options.platformParameters));
         await Promise.all(this.configuration.pools.map((pool) => this.startPool(pool)));
         const dataCentres = this.configuration.pools.flatMap((pool) =>
             pool.servers.map((server) => server.dataCentre),
@@ -91,7 +91,7 @@
         await Promise.all(
             pool.servers.map(async (server) => {
                 const slots = ["--slots", String(server.slots)];
-                const program = await this.keep(
+                const program = await this.addProgram(
                     pool.kind === "model"
                         ? launchProgram("engine", [
                               ...parameters,
@@ -123,7 +123,7 @@
             PIMENTOCLEAT_PEER_SECRET: this.peerSecret,
             PIMENTOCLEAT_OPERATOR_CREDENTIAL: this.operatorCredential,
         };
-        const program = await this.keep(launchFile(daemonPath, parameters, { environment }));
+        const program = await this.addProgram(launchFile(daemonPath, parameters, { environment }));
         return {
             name,
             program,
@@ -133,7 +133,7 @@
         };
     }
 
-    private async keep(launching: Promise<LaunchedProgram>): Promise<LaunchedProgram> {
+    private async addProgram(launching: Promise<LaunchedProgram>): Promise<LaunchedProgram> {
         const program = await launching;
         this.programs.push(program);
         return program;
--- a/packages/node/src/backends/backendPoller.ts
+++ b/packages/node/src/backends/backendPoller.ts
@@ -79,12 +79,12 @@
                 }
                 pauseMs = Math.min(pauseMs * 2, longestPauseMs);
             }
-            await clock.wait(this.adaptPause(pauseMs), this.abort.signal);
+            await clock.wait(this.computePause(pauseMs), this.abort.signal);
         }
     }
 
     /** An idle pool starts nothing, and its first request corrects an older report by the node's own dispatches. */
-    private adaptPause(pauseMs: number): number {
+    private computePause(pauseMs: number): number {
         return this.options.task.isIdle() ? Math.max(pauseMs, idlePollMs) : pauseMs;
     }
 
--- a/packages/node/src/daemon/daemon.ts
+++ b/packages/node/src/daemon/daemon.ts
@@ -199,7 +199,7 @@
     private buildPublisher(): RecordPublisher {
         return new RecordPublisher({
             clock: this.options.clock,
-            pushRecords: (entries) => this.network.pushRecords(entries),
+            spreadRecords: (entries) => this.network.spreadRecords(entries),
             readStatus: () => this.readStatus(),
             takeSummaries: (isWanted) => this.node?.takePoolSummaries(isWanted) ?? [],
             takeLimitUsage: () => this.node?.summarizeLimits(),
--- a/packages/node/src/daemon/recordPublisher.ts
+++ b/packages/node/src/daemon/recordPublisher.ts
@@ -19,7 +19,7 @@
 export interface RecordPublisherOptions {
     readonly clock: WaitingClock;
     /** Tells records to peers at once. */
-    readonly pushRecords: (entries: ReadonlyMap<string, Uint8Array>) => void;
+    readonly spreadRecords: (entries: ReadonlyMap<string, Uint8Array>) => void;
     readonly readStatus: () => NodeStatus;
     /** Takes new summaries of the pools that the filter chooses. */
     readonly takeSummaries: (isWanted: (pool: string, isDue: boolean) => boolean) => readonly PoolSummary[];
@@ -53,12 +53,12 @@
      */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            this.publishOnce();
+            this.spreadOnce();
             await this.options.clock.wait(lookIntervalMs, signal);
         }
     }
 
-    private publishOnce(): void {
+    private spreadOnce(): void {
         const nowMs = this.options.clock.monotonicMs();
         const entries = new Map<string, Uint8Array>();
         const status = this.options.readStatus();
@@ -75,7 +75,7 @@
         }
         this.addLimitUsage(entries, nowMs);
         if (entries.size > 0) {
-            this.options.pushRecords(entries);
+            this.options.spreadRecords(entries);
         }
     }
 
--- a/packages/node/src/duties/nodeDuties.ts
+++ b/packages/node/src/duties/nodeDuties.ts
@@ -82,7 +82,7 @@
             this.runEvery(orderIntervalMs, signal, () =>
                 this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
             ),
-            this.runEvery(claimCleaningMs, signal, () => this.cleanOnce()),
+            this.runEvery(claimCleaningMs, signal, () => this.runCleaning()),
         ]);
     }
 
@@ -174,7 +174,7 @@
         return duty;
     }
 
-    private async cleanOnce(): Promise<void> {
+    private async runCleaning(): Promise<void> {
         if (this.leases.findHeld(cleaningLeaseName)?.isValid() !== true) {
             return;
         }
--- a/packages/node/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/node/src/peers/__tests__/peerNetwork.test.ts
@@ -136,8 +136,8 @@
         const nodes = await startNodes(3);
         const [first, ...others] = nodes as [TestNode, ...TestNode[]];
         const stranger = await startNode("stranger", [first.address], "wrong");
-        stranger.network.pushRecords(new Map([["pool:copywriting", new TextEncoder().encode("forged")]]));
-        first.network.pushRecords(new Map([["pool:copywriting", new TextEncoder().encode("summary")]]));
+        stranger.network.spreadRecords(new Map([["pool:copywriting", new TextEncoder().encode("forged")]]));
+        first.network.spreadRecords(new Map([["pool:copywriting", new TextEncoder().encode("summary")]]));
         await vi.waitFor(() =>
             expect(others.every((node) => node.handlers.records.has("node-0/pool:copywriting"))).toBe(true),
         );
--- a/packages/node/src/peers/peerClient.ts
+++ b/packages/node/src/peers/peerClient.ts
@@ -48,7 +48,7 @@
      *
      * @param addresses - Addresses to keep.
      */
-    retainClients(addresses: ReadonlySet<string>): void {
+    removeOtherClients(addresses: ReadonlySet<string>): void {
         for (const address of this.clients.keys()) {
             if (!addresses.has(address)) {
                 this.clients.delete(address);
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -153,7 +153,7 @@
     /** Tells some peers that this node leaves, then stops. */
     async close(): Promise<void> {
         this.members?.recordOwnLeaving();
-        await this.announceLeaving();
+        await this.spreadLeaving();
         this.stopping.abort();
         await Promise.all(this.tasks);
         await this.datagrams.close();
@@ -200,7 +200,7 @@
      *
      * @param entries - Key and content of each record.
      */
-    pushRecords(entries: ReadonlyMap<string, Uint8Array>): void {
+    spreadRecords(entries: ReadonlyMap<string, Uint8Array>): void {
         const records = [...entries].flatMap(
             ([key, payload]) => this.records?.setOwnRecord(key, payload) ?? [],
         );
@@ -231,13 +231,13 @@
     private async runDiscovery(): Promise<void> {
         const { clock, random } = this.options;
         while (!this.stopping.signal.aborted) {
-            await this.refreshDiscovered();
+            await this.loadDiscovered();
             const jitteredMs = this.settings.discoveryPeriodMs * (0.75 + 0.5 * random());
             await clock.wait(jitteredMs, this.stopping.signal);
         }
     }
 
-    private async refreshDiscovered(): Promise<void> {
+    private async loadDiscovered(): Promise<void> {
         try {
             const hosts = await this.options.hostList.listHosts();
             const entryHosts = hosts.filter((host) => host.role === "entry");
@@ -253,7 +253,7 @@
         if (address === undefined) {
             return;
         }
-        if (await this.exchangeWith(address)) {
+        if (await this.probeAddress(address)) {
             return;
         }
         if (!(await this.probeThroughRelays(address))) {
@@ -262,7 +262,7 @@
         }
     }
 
-    private async exchangeWith(address: string): Promise<boolean> {
+    private async probeAddress(address: string): Promise<boolean> {
         const receiver = this.members?.findName(address);
         try {
             const client = this.clients.getClient(address);
@@ -289,9 +289,9 @@
         return answers.includes(true);
     }
 
-    private async announceLeaving(): Promise<void> {
+    private async spreadLeaving(): Promise<void> {
         const addresses = this.members?.chooseRelayAddresses("", this.settings.relayCount) ?? [];
-        await Promise.all(addresses.map((address) => this.exchangeWith(address)));
+        await Promise.all(addresses.map((address) => this.probeAddress(address)));
     }
 
     private removeGoneMembers(): void {
@@ -301,7 +301,7 @@
             this.options.handlers.handleMemberGone(name);
         }
         const present = [...this.listAddresses(), ...this.options.seedAddresses];
-        this.clients.retainClients(new Set(present));
+        this.clients.removeOtherClients(new Set(present));
     }
 
     private buildService(): ServiceImpl<typeof PeerService> {
@@ -309,7 +309,7 @@
             handlers: this.options.handlers,
             mergeMessage: (message) => this.exchange?.mergeMessage(message),
             buildFields: (receiver) => this.buildFields(receiver),
-            probeAddress: (address) => this.exchangeWith(address),
+            probeAddress: (address) => this.probeAddress(address),
             forwardWithdrawals: (keyIds) => void this.calls.spreadWithdrawals(keyIds, forwardFanOut),
         });
     }
--- a/packages/policy/src/membership/memberTable.ts
+++ b/packages/policy/src/membership/memberTable.ts
@@ -93,7 +93,7 @@
         }
         this.probeOrder = this.probeOrder.filter((address) => candidates.has(address));
         if (this.probeOrder.length === 0) {
-            this.probeOrder = this.shuffleAddresses([...candidates]);
+            this.probeOrder = this.orderRandomly([...candidates]);
         }
         return this.probeOrder.pop();
     }
@@ -107,7 +107,7 @@
      */
     chooseRelayAddresses(exceptAddress: string, count: number): readonly string[] {
         const alive = this.listAlive().map((member) => member.peerAddress);
-        return this.shuffleAddresses(alive.filter((address) => address !== exceptAddress)).slice(0, count);
+        return this.orderRandomly(alive.filter((address) => address !== exceptAddress)).slice(0, count);
     }
 
     /**
@@ -268,7 +268,7 @@
         this.rumors.addRumor(this.self.name, this.self);
     }
 
-    private shuffleAddresses(addresses: readonly string[]): string[] {
+    private orderRandomly(addresses: readonly string[]): string[] {
         const shuffled = [...addresses];
         for (let index = shuffled.length - 1; index > 0; index -= 1) {
             const other = Math.floor(this.random() * (index + 1));
--- a/packages/policy/src/membership/recordTable.ts
+++ b/packages/policy/src/membership/recordTable.ts
@@ -48,7 +48,7 @@
         const { owner, incarnation } = this.options;
         const version = (this.records.get(formatRecordKey(owner, key))?.version ?? 0) + 1;
         const record = { owner, incarnation, key, version, payload };
-        this.keepRecord(record);
+        this.storeRecord(record);
         return record;
     }
 
@@ -60,8 +60,8 @@
     mergeRecords(records: readonly NodeRecord[]): void {
         for (const record of records) {
             if (record.owner !== this.options.owner && this.isNewer(record)) {
-                this.noteIncarnation(record);
-                this.keepRecord(record);
+                this.recordIncarnation(record);
+                this.storeRecord(record);
                 this.options.onRecord(record);
             }
         }
@@ -91,13 +91,13 @@
         return this.rumors.takeRumors(this.options.recordsPerMessage, memberCount);
     }
 
-    private keepRecord(record: NodeRecord): void {
+    private storeRecord(record: NodeRecord): void {
         const key = formatRecordKey(record.owner, record.key);
         this.records.set(key, record);
         this.rumors.addRumor(key, record);
     }
 
-    private noteIncarnation(record: NodeRecord): void {
+    private recordIncarnation(record: NodeRecord): void {
         const known = this.incarnations.get(record.owner);
         if (known !== undefined && record.incarnation > known) {
             this.removeOwner(record.owner);
--- a/packages/policy/src/usageSealing/usageWindows.ts
+++ b/packages/policy/src/usageSealing/usageWindows.ts
@@ -37,7 +37,7 @@
  * @returns The sum by customer.
  */
 export function addUsage(left: UsageByCustomer, right: UsageByCustomer): UsageByCustomer {
-    return combineUsage(left, right, (one, other) => one + other);
+    return mergeCounters(left, right, (one, other) => one + other);
 }
 
 /**
@@ -48,7 +48,7 @@
  * @returns The larger figure of each counter.
  */
 export function mergeUsage(left: UsageByCustomer, right: UsageByCustomer): UsageByCustomer {
-    return combineUsage(left, right, Math.max);
+    return mergeCounters(left, right, Math.max);
 }
 
 /**
@@ -59,7 +59,7 @@
  * @returns The difference, without customers that have none.
  */
 export function computeRemainder(whole: UsageByCustomer, part: UsageByCustomer): UsageByCustomer {
-    const difference = combineUsage(whole, part, (one, other) => Math.max(0, one - other));
+    const difference = mergeCounters(whole, part, (one, other) => Math.max(0, one - other));
     return Object.fromEntries(Object.entries(difference).filter(([, counters]) => hasUsage(counters)));
 }
 
@@ -77,7 +77,7 @@
     return counters.requests > 0 || counters.promptTokens > 0 || counters.completionTokens > 0;
 }
 
-function combineUsage(
+function mergeCounters(
     left: UsageByCustomer,
     right: UsageByCustomer,
     combine: CombineFigures,
