--- a/packages/cli/src/deployment/processDeployment.ts
+++ b/packages/cli/src/deployment/processDeployment.ts
@@ -39,8 +39,8 @@
 export class ProcessDeployment {
     readonly nodes: LaunchedNode[] = [];
     readonly serverAddresses = new Map<string, string>();
-    readonly operatorCredential = randomBytes(secretBytes).toString("base64url");
-    private readonly peerSecret = randomBytes(secretBytes).toString("base64url");
+    readonly operatorCredential = randomBytes(secretBytes).toString("hex");
+    private readonly peerSecret = randomBytes(secretBytes).toString("hex");
     private readonly poolCredentials = new Map<string, string>();
     private readonly programs: LaunchedProgram[] = [];
 
@@ -83,7 +83,7 @@
     }
 
     private async startPool(pool: Pool): Promise<void> {
-        const credential = randomBytes(secretBytes).toString("base64url");
+        const credential = randomBytes(secretBytes).toString("hex");
         if (pool.credentialVariable !== undefined) {
             this.poolCredentials.set(pool.credentialVariable, credential);
         }
