Gather limit usage once, and send it when it changed

Ruled out: gathering in the publisher alone (CallerLimits knows which limits were removed). Change: the publisher sends what CallerLimits gives, at once when it changed and each 2 s otherwise, for nodes that come later. Conclusion: one place gathers.

--- a/packages/node/src/daemon/recordPublisher.ts
+++ b/packages/node/src/daemon/recordPublisher.ts
@@ -14,6 +14,8 @@
 const busyIntervalMs = 200;
 /** Time between two summaries of an idle pool, in milliseconds; well under the silence that makes a node count as gone. */
 const idleIntervalMs = 500;
+/** Time between two repeats of limit usage that did not change, in milliseconds. */
+const limitRepeatMs = 2_000;
 
 /** Options of {@link RecordPublisher}. */
 export interface RecordPublisherOptions {
@@ -23,7 +25,7 @@
     readonly readStatus: () => NodeStatus;
     /** Takes new summaries of the pools that the filter chooses. */
     readonly takeSummaries: (isWanted: (pool: string, isDue: boolean) => boolean) => readonly PoolSummary[];
-    /** Takes the usage of limits that changed; undefined before the node runs. */
+    /** Takes the usage of all limits; undefined before the node runs. */
     readonly takeLimitUsage: () => LimitSummary | undefined;
 }
 
@@ -35,8 +37,9 @@
     private lastStatus = "";
     private readonly summaries = new Map<string, PoolSummary>();
     private readonly summarizedMs = new Map<string, number>();
-    private readonly limitUsage = new Map<string, LimitSummary["usage"][string]>();
+    private lastUsage = "{}";
     private limitsTakenMs = -Infinity;
+    private limitsSentMs = -Infinity;
 
     /** @param options - What to publish and where. */
     constructor(private readonly options: RecordPublisherOptions) {}
@@ -79,18 +82,21 @@
         }
     }
 
-    /** A record replaces the one before it, so it carries all usage and not only what changed. */
+    /** Usage goes out when it changed, and seldom when not, for nodes that came later. */
     private addLimitUsage(entries: Map<string, Uint8Array>, nowMs: number): void {
         if (nowMs - this.limitsTakenMs < busyIntervalMs) {
             return;
         }
         this.limitsTakenMs = nowMs;
-        const changed = this.options.takeLimitUsage();
-        if (changed === undefined || Object.keys(changed.usage).length === 0) {
-            return;
+        const summary = this.options.takeLimitUsage();
+        const usage = JSON.stringify(summary?.usage ?? {});
+        const isDue =
+            usage !== this.lastUsage || (usage !== "{}" && nowMs - this.limitsSentMs >= limitRepeatMs);
+        if (summary !== undefined && isDue) {
+            this.lastUsage = usage;
+            this.limitsSentMs = nowMs;
+            entries.set(limitsRecordKey, encodeJson(summary));
         }
-        Object.entries(changed.usage).forEach(([subject, usage]) => this.limitUsage.set(subject, usage));
-        entries.set(limitsRecordKey, encodeJson({ ...changed, usage: Object.fromEntries(this.limitUsage) }));
     }
 
     private isOld(pool: string, nowMs: number): boolean {
