Close peer connections without GOAWAY

Cause: a stopping node sent GOAWAY to idle connections; the client library then emitted an error without a listener, and the other node ended with code 1 (stack seen in frozenHolder.test.ts). Ruled out: a handler for all uncaught errors (it would hide others). Change: the peer server destroys its sockets.

--- a/packages/node/src/peers/peerServer.ts
+++ b/packages/node/src/peers/peerServer.ts
@@ -7,7 +7,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { PeerService } from "@pimentocleat/schema";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createCallVerifier, type PeerAuthenticationOptions } from "./peerAuthentication.js";
 
 /** Largest message of a peer, in bytes; bounds what an unauthenticated sender can make the node read. */
@@ -23,6 +23,7 @@
 export class PeerServer {
     private readonly server: Http2Server;
     private readonly sessions = new Set<ServerHttp2Session>();
+    private readonly sockets = new Set<Socket>();
     private closedSessionBytes = 0;
 
     /** @param options - Authentication and the implementation of the calls. */
@@ -33,6 +34,10 @@
             readMaxBytes: maximumMessageBytes,
         });
         this.server = createServer(adapter);
+        this.server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         this.server.on("session", (session) => {
             this.sessions.add(session);
             session.socket.once("close", () => this.removeSession(session));
@@ -65,9 +70,8 @@
 
     /** Stops listening and closes all connections. */
     close(): Promise<void> {
-        for (const session of this.sessions) {
-            session.destroy();
-        }
+        // A GOAWAY would make the client library of an idle peer emit an error that nothing can handle.
+        this.sockets.forEach((socket) => socket.destroy());
         return new Promise((resolve) => {
             this.server.close(() => resolve());
         });
