Name the package of service interfaces for what it holds, and share the backend connections

Cause: the adapter to the users' platform gets the name platform; the package of that name holds interfaces and clients of services. Connections that carry one request at a time are needed by a second engine of requests. Ruled out: importing the whole node package for its connections (it loads the operator and peer libraries, which a node on the platform pays for at each start). Change: packages/platform is now packages/services; backendConnection and connectionPool move from node to packages/upstream. No behaviour changes. Conclusion: the name is free for the adapter.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -4,13 +4,15 @@
     telemetry: ["types"],
     schema: ["types"],
     policy: ["types", "schema"],
-    platform: ["types", "schema"],
-    state: ["types", "schema", "policy", "platform", "telemetry"],
-    node: ["types", "telemetry", "schema", "policy", "platform", "state"],
-    standins: ["types", "schema", "platform"],
-    bench: ["types", "telemetry", "schema", "policy", "platform", "state", "node", "standins", "cli"],
+    services: ["types", "schema"],
+    state: ["types", "schema", "policy", "services", "telemetry"],
+    upstream: [],
+    gateway: ["types", "telemetry", "policy", "services", "state", "upstream"],
+    node: ["types", "telemetry", "schema", "policy", "services", "state", "upstream"],
+    standins: ["types", "schema", "services"],
+    bench: ["types", "telemetry", "schema", "policy", "services", "state", "node", "standins", "cli"],
     // The demo launches the stand-ins.
-    cli: ["types", "telemetry", "schema", "platform", "state", "node", "standins"],
+    cli: ["types", "telemetry", "schema", "services", "state", "node", "standins"],
 };
 
 const layerRules = Object.entries(layers).map(([name, allowed]) => ({
--- a/packages/bench/src/__tests__/fuzz/systemSurroundings.ts
+++ b/packages/bench/src/__tests__/fuzz/systemSurroundings.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { HostList, OrderingService, UsageReportService } from "@pimentocleat/platform";
+import type { HostList, OrderingService, UsageReportService } from "@pimentocleat/services";
 import type { UsageAmount, UsageRecorder } from "@pimentocleat/state";
 import type { PoolTasks } from "../../../../node/src/dispatch/poolTasks.js";
 import type { Cluster, ClusterNode } from "../../../../state/src/configuration/__tests__/cluster.js";
--- a/packages/bench/src/__tests__/fuzz/systemWorld.ts
+++ b/packages/bench/src/__tests__/fuzz/systemWorld.ts
@@ -11,7 +11,7 @@
     type TableService,
     type UsageReport,
     type UsageReportService,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import type { UsageAmount, UsageRecorder } from "@pimentocleat/state";
 import { RouterError } from "@pimentocleat/types";
 import {
--- a/packages/bench/src/__tests__/support/testDeployment.ts
+++ b/packages/bench/src/__tests__/support/testDeployment.ts
@@ -1,6 +1,6 @@
 /** Nodes before stand-ins, in one process over real sockets, with one table service in memory. */
 import { startNode, type NodeHandle } from "@pimentocleat/node";
-import { MemoryTableService } from "@pimentocleat/platform";
+import { MemoryTableService } from "@pimentocleat/services";
 import { createRandom, TieredScheduler } from "@pimentocleat/policy";
 import { configurationSchema, type Configuration, type Key } from "@pimentocleat/schema";
 import {
--- a/packages/bench/src/slopes/peerSlope.ts
+++ b/packages/bench/src/slopes/peerSlope.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { defaultPeerNetworkSettings, PeerNetwork, type PeerHandlers } from "@pimentocleat/node";
-import type { HostList } from "@pimentocleat/platform";
+import type { HostList } from "@pimentocleat/services";
 import { createRandom } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { SystemClock } from "@pimentocleat/types";
--- a/packages/cli/src/commands/__tests__/operatorProgram.test.ts
+++ b/packages/cli/src/commands/__tests__/operatorProgram.test.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Daemon } from "@pimentocleat/node";
-import { MemoryTableService } from "@pimentocleat/platform";
+import { MemoryTableService } from "@pimentocleat/services";
 import { settingsSchema } from "@pimentocleat/schema";
 import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
 import { SystemClock } from "@pimentocleat/types";
--- a/packages/node/src/__tests__/moves.test.ts
+++ b/packages/node/src/__tests__/moves.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import type { ListedHost } from "@pimentocleat/platform";
+import type { ListedHost } from "@pimentocleat/services";
 import { TieredScheduler } from "@pimentocleat/policy";
 import { SystemClock } from "@pimentocleat/types";
 import { buildChat, callNode, readStreamText } from "./support/callNode.js";
--- a/packages/node/src/__tests__/support/testNode.ts
+++ b/packages/node/src/__tests__/support/testNode.ts
@@ -1,7 +1,7 @@
 /** A node with everything around it in memory. */
 import { configurationSchema, type Configuration, type Key, type Limits } from "@pimentocleat/schema";
 import { FifoScheduler } from "@pimentocleat/policy";
-import type { HostList } from "@pimentocleat/platform";
+import type { HostList } from "@pimentocleat/services";
 import type {
     AppliedConfiguration,
     Claim,
--- a/packages/node/src/__tests__/upstreamFaults.test.ts
+++ b/packages/node/src/__tests__/upstreamFaults.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { BackendConnection } from "../upstream/backendConnection.js";
+import { BackendConnection } from "@pimentocleat/upstream";
 import { callNode } from "./support/callNode.js";
 import { answerJson, type ReceivedRequest } from "./support/fakeBackend.js";
 import { answerBrokenJson, echoWrongId, failWithStatus, faultTable } from "./support/faults.js";
--- a/packages/node/src/backends/leavingWatcher.ts
+++ b/packages/node/src/backends/leavingWatcher.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { HostList, ListedHost } from "@pimentocleat/platform";
+import type { HostList, ListedHost } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { PoolTask } from "../dispatch/poolTask.js";
--- a/packages/node/src/daemon/__tests__/daemon.test.ts
+++ b/packages/node/src/daemon/__tests__/daemon.test.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import { createClient, type Client } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { MemoryTableService } from "@pimentocleat/platform";
+import { MemoryTableService } from "@pimentocleat/services";
 import { ApplyOutcome, OperatorService, settingsSchema, WithdrawOutcome } from "@pimentocleat/schema";
 import { ConsolaLogger, MemoryMetrics } from "@pimentocleat/telemetry";
 import { SystemClock } from "@pimentocleat/types";
--- a/packages/node/src/daemon/platformServices.ts
+++ b/packages/node/src/daemon/platformServices.ts
@@ -12,7 +12,7 @@
     type OrderingService,
     type TableService,
     type UsageReportService,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 
 /** Bound on one call to a platform service, in milliseconds. */
 const callTimeoutMs = 2_000;
--- a/packages/node/src/dispatch/attempt.ts
+++ b/packages/node/src/dispatch/attempt.ts
@@ -7,7 +7,7 @@
 import type { CancelReason } from "@pimentocleat/policy";
 import { AnswerCollector } from "../upstream/answerCollector.js";
 import type { AttemptFailure } from "../upstream/attemptFailure.js";
-import type { ConnectionPool } from "../upstream/connectionPool.js";
+import type { ConnectionPool } from "@pimentocleat/upstream";
 import { Exchange, type ExchangeReceiver, type ExchangeRequest } from "../upstream/exchange.js";
 import { hasEncoding } from "../upstream/forwardedRequest.js";
 import type { CallerStream } from "../streams/callerStream.js";
--- a/packages/node/src/dispatch/requestRunner.ts
+++ b/packages/node/src/dispatch/requestRunner.ts
@@ -12,7 +12,7 @@
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { readTokenUsage } from "../streams/streamEvent.js";
 import { StreamRelay } from "../streams/streamRelay.js";
-import type { ConnectionPool } from "../upstream/connectionPool.js";
+import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { ExchangeRequest } from "../upstream/exchange.js";
 import { UsageMeter } from "../usage/usageMeter.js";
 import { buildCancelError } from "./activeRequest.js";
--- a/packages/node/src/duties/__tests__/daemonCluster.ts
+++ b/packages/node/src/duties/__tests__/daemonCluster.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { fileURLToPath } from "node:url";
-import { HttpTableService } from "@pimentocleat/platform";
+import { HttpTableService } from "@pimentocleat/services";
 import {
     launchFile,
     startPlatform,
--- a/packages/node/src/duties/__tests__/nodeDuties.test.ts
+++ b/packages/node/src/duties/__tests__/nodeDuties.test.ts
@@ -3,7 +3,7 @@
     type ListedHost,
     type ServerOrder,
     type UsageReport,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import type { PoolSummary } from "@pimentocleat/policy";
 import { poolSchema } from "@pimentocleat/schema";
 import { SilentLogger } from "@pimentocleat/telemetry";
--- a/packages/node/src/duties/__tests__/storeBudget.test.ts
+++ b/packages/node/src/duties/__tests__/storeBudget.test.ts
@@ -1,7 +1,7 @@
 /**
  * Calls of the table service by duties and claims of all nodes, against a share of the platform's budget.
  */
-import { MemoryTableService, type TableCallCounts } from "@pimentocleat/platform";
+import { MemoryTableService, type TableCallCounts } from "@pimentocleat/services";
 import { poolSchema } from "@pimentocleat/schema";
 import { TableClaimStore } from "@pimentocleat/state";
 import { SilentLogger } from "@pimentocleat/telemetry";
--- a/packages/node/src/duties/dutyOptions.ts
+++ b/packages/node/src/duties/dutyOptions.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { HostList, OrderingService, TableService, UsageReportService } from "@pimentocleat/platform";
+import type { HostList, OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
 import type { LeaseTiming, PoolSummary } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import type { Logger } from "@pimentocleat/telemetry";
--- a/packages/node/src/duties/orderingDuty.ts
+++ b/packages/node/src/duties/orderingDuty.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { OrderingService, TableService } from "@pimentocleat/platform";
+import type { OrderingService, TableService } from "@pimentocleat/services";
 import { defaultPlannerSettings, ServerPlanner, type ServerOption } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
 import { OrderSender, type LeaseHandle } from "@pimentocleat/state";
--- a/packages/node/src/duties/reclaimNotices.ts
+++ b/packages/node/src/duties/reclaimNotices.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedHost } from "@pimentocleat/platform";
+import type { ListedHost } from "@pimentocleat/services";
 import type { Pool } from "@pimentocleat/schema";
 
 /**
--- a/packages/node/src/lifecycle/node.ts
+++ b/packages/node/src/lifecycle/node.ts
@@ -22,7 +22,7 @@
 import { CallerLimits } from "../limits/callerLimits.js";
 import type { NodeLimits } from "../limits/nodeLimits.js";
 import { IdleCounter } from "./idleCounter.js";
-import { ConnectionPool } from "../upstream/connectionPool.js";
+import { ConnectionPool } from "@pimentocleat/upstream";
 import type { NodeHandle, NodeOptions } from "./nodeOptions.js";
 
 /** One node. */
--- a/packages/node/src/lifecycle/nodeOptions.ts
+++ b/packages/node/src/lifecycle/nodeOptions.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { LimitSummary, PoolStatus, PoolSummary } from "@pimentocleat/policy";
-import type { HostList } from "@pimentocleat/platform";
+import type { HostList } from "@pimentocleat/services";
 import type { ClaimStore, ConfigurationSource, KeyRegistry, UsageRecorder } from "@pimentocleat/state";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
--- a/packages/node/src/operator/__tests__/operatorServer.test.ts
+++ b/packages/node/src/operator/__tests__/operatorServer.test.ts
@@ -1,6 +1,6 @@
 import { Code, ConnectError, createClient, type Client } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
-import { MemoryTableService } from "@pimentocleat/platform";
+import { MemoryTableService } from "@pimentocleat/services";
 import { ApplyOutcome, OperatorService, WithdrawOutcome } from "@pimentocleat/schema";
 import { TableConfigurationStore } from "@pimentocleat/state";
 import { ConsolaLogger } from "@pimentocleat/telemetry";
--- a/packages/node/src/peers/__tests__/peerNetwork.test.ts
+++ b/packages/node/src/peers/__tests__/peerNetwork.test.ts
@@ -1,4 +1,4 @@
-import { PlatformError, PlatformErrorKind, type HostList } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind, type HostList } from "@pimentocleat/services";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { afterEach, describe, expect, it, vi } from "vitest";
--- a/packages/node/src/peers/peerNetwork.ts
+++ b/packages/node/src/peers/peerNetwork.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import type { ServiceImpl } from "@connectrpc/connect";
-import type { HostList } from "@pimentocleat/platform";
+import type { HostList } from "@pimentocleat/services";
 import { MemberTable, RecordTable, type MemberIdentity, type MemberStatement } from "@pimentocleat/policy";
 import type { PeerService } from "@pimentocleat/schema";
 import type { Logger } from "@pimentocleat/telemetry";
--- a/packages/node/src/upstream/exchange.ts
+++ b/packages/node/src/upstream/exchange.ts
@@ -6,8 +6,8 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import type { AttemptFailure, AttemptFailureType } from "./attemptFailure.js";
-import type { BackendConnection } from "./backendConnection.js";
-import type { ConnectionPool } from "./connectionPool.js";
+import type { BackendConnection } from "@pimentocleat/upstream";
+import type { ConnectionPool } from "@pimentocleat/upstream";
 
 const requestIdHeader = "x-request-id";
 const millisecondsPerSecond = 1_000;
--- a/packages/standins/src/__tests__/contracts/platformCalls.ts
+++ b/packages/standins/src/__tests__/contracts/platformCalls.ts
@@ -13,7 +13,7 @@
     type PlatformHttpOptions,
     type ServerOrder,
     type UsageReport,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import type { RunningPlatform } from "../../index.js";
 
 /** Bound on a call that is to get no answer, in milliseconds. */
--- a/packages/standins/src/__tests__/contracts/platformClients.test.ts
+++ b/packages/standins/src/__tests__/contracts/platformClients.test.ts
@@ -1,4 +1,4 @@
-import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind } from "@pimentocleat/services";
 import { createServer, type AddressInfo, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, test, vi } from "vitest";
 import { startPlatform, type FaultInput, type RunningPlatform } from "../../index.js";
--- a/packages/standins/src/__tests__/contracts/platformServices.test.ts
+++ b/packages/standins/src/__tests__/contracts/platformServices.test.ts
@@ -3,7 +3,7 @@
     type ListedHost,
     type OrderResult,
     type ServerOrder,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import { ManualClock } from "@pimentocleat/types";
 import { afterEach, expect, test } from "vitest";
 import { startPlatform, type PlatformOptions, type RunningPlatform } from "../../index.js";
--- a/packages/standins/src/__tests__/contracts/tableService.test.ts
+++ b/packages/standins/src/__tests__/contracts/tableService.test.ts
@@ -5,7 +5,7 @@
     type CallFault,
     type TableService,
     type Transaction,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import { afterEach, beforeEach, describe, expect, test } from "vitest";
 import { startPlatform, type FaultInput } from "../../index.js";
 
--- a/packages/standins/src/__tests__/contracts/tableServiceModel.test.ts
+++ b/packages/standins/src/__tests__/contracts/tableServiceModel.test.ts
@@ -4,7 +4,7 @@
     PlatformErrorKind,
     type JsonValue,
     type TableService,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import fc from "fast-check";
 import { expect, inject, test } from "vitest";
 import { startPlatform, type FaultInput, type RunningPlatform } from "../../index.js";
--- a/packages/standins/src/__tests__/programs.test.ts
+++ b/packages/standins/src/__tests__/programs.test.ts
@@ -1,4 +1,4 @@
-import { PlatformErrorKind } from "@pimentocleat/platform";
+import { PlatformErrorKind } from "@pimentocleat/services";
 import { afterEach, expect, test } from "vitest";
 import { launchProgram, measureEngine, type LaunchedProgram, type StandInName } from "../index.js";
 import { readBackendJson, sendBackendCall } from "./contracts/backendCalls.js";
--- a/packages/standins/src/platform/orderBook.ts
+++ b/packages/standins/src/platform/orderBook.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { OrderResult, ServerOrder } from "@pimentocleat/platform";
+import type { OrderResult, ServerOrder } from "@pimentocleat/services";
 import type { Clock } from "@pimentocleat/types";
 
 /** An order and what became of it. */
--- a/packages/standins/src/platform/platformStandIn.ts
+++ b/packages/standins/src/platform/platformStandIn.ts
@@ -13,7 +13,7 @@
     type ListedHost,
     type OrderResult,
     type WeightEntry,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import { SystemClock, type Clock } from "@pimentocleat/types";
 import type { CallCounts } from "../faults/callCounter.js";
 import { findFault } from "../faults/faultSwitches.js";
--- a/packages/standins/src/platform/tableRoutes.ts
+++ b/packages/standins/src/platform/tableRoutes.ts
@@ -9,7 +9,7 @@
     scanRequestSchema,
     transactionSchema,
     type TableService,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import type { TokenBucket } from "../faults/tokenBucket.js";
 
 /** What the routes need. */
--- a/packages/standins/src/platform/usageReportBook.ts
+++ b/packages/standins/src/platform/usageReportBook.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { UsageReport } from "@pimentocleat/platform";
+import type { UsageReport } from "@pimentocleat/services";
 import type { Clock } from "@pimentocleat/types";
 
 /** A usage report as it arrived. */
--- a/packages/state/src/claims/__tests__/claimWorld.ts
+++ b/packages/state/src/claims/__tests__/claimWorld.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import { MemoryTableService } from "@pimentocleat/platform";
-import type { TableService } from "@pimentocleat/platform";
+import { MemoryTableService } from "@pimentocleat/services";
+import type { TableService } from "@pimentocleat/services";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import {
--- a/packages/state/src/claims/__tests__/claimsStateful.test.ts
+++ b/packages/state/src/claims/__tests__/claimsStateful.test.ts
@@ -3,7 +3,7 @@
  */
 import fc from "fast-check";
 import { describe, expect, inject, it } from "vitest";
-import type { CallFault, Row, TableService, Transaction } from "@pimentocleat/platform";
+import type { CallFault, Row, TableService, Transaction } from "@pimentocleat/services";
 import { settleTasks } from "../../retrying/__tests__/simulatedHost.js";
 import type { ClaimOutcome, ClaimRequest, ClaimResult, ClaimStore } from "../claimStore.js";
 import { TableClaimStore, type TableClaimStoreOptions } from "../tableClaimStore.js";
--- a/packages/state/src/claims/__tests__/tableClaimStore.test.ts
+++ b/packages/state/src/claims/__tests__/tableClaimStore.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import type { CallFault } from "@pimentocleat/platform";
+import type { CallFault } from "@pimentocleat/services";
 import { settleTasks } from "../../retrying/__tests__/simulatedHost.js";
 import type { ClaimResult } from "../claimStore.js";
 import { ClaimWorld, storedAnswer, type Attempt } from "./claimWorld.js";
--- a/packages/state/src/claims/claimCleaner.ts
+++ b/packages/state/src/claims/claimCleaner.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Row, TableService } from "@pimentocleat/platform";
+import type { Row, TableService } from "@pimentocleat/services";
 import type { Clock } from "@pimentocleat/types";
 import { claimRecordSchema, claimTable } from "./claimRecord.js";
 
--- a/packages/state/src/claims/claimSettler.ts
+++ b/packages/state/src/claims/claimSettler.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Row, TableService } from "@pimentocleat/platform";
+import type { Row, TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { computeBackoffMs, type BackoffOptions } from "../retrying/backoff.js";
--- a/packages/state/src/claims/tableClaimStore.ts
+++ b/packages/state/src/claims/tableClaimStore.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import { PlatformError, type Row, type TableService } from "@pimentocleat/platform";
+import { PlatformError, type Row, type TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { computeBackoffMs } from "../retrying/backoff.js";
--- a/packages/state/src/configuration/__tests__/cluster.ts
+++ b/packages/state/src/configuration/__tests__/cluster.ts
@@ -3,7 +3,7 @@
  * cuts and restarts. The oracle checks what must hold after every step.
  */
 import { createHash } from "node:crypto";
-import { MemoryTableService, type CallFault, type TableService } from "@pimentocleat/platform";
+import { MemoryTableService, type CallFault, type TableService } from "@pimentocleat/services";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock, type WaitingClock } from "@pimentocleat/types";
 import { ConfiguredKeyRegistry } from "../../keys/configuredKeyRegistry.js";
--- a/packages/state/src/configuration/__tests__/convergence.test.ts
+++ b/packages/state/src/configuration/__tests__/convergence.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { describe, expect, inject, it } from "vitest";
-import { PlatformError, PlatformErrorKind, type TableService } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind, type TableService } from "@pimentocleat/services";
 import { WithdrawalFollower } from "../../keys/withdrawalFollower.js";
 import { ConfigurationFollower } from "../configurationFollower.js";
 import { computeContentDigest } from "../configurationSnapshot.js";
--- a/packages/state/src/configuration/__tests__/tableConfigurationStore.test.ts
+++ b/packages/state/src/configuration/__tests__/tableConfigurationStore.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { MemoryTableService, type CallFault } from "@pimentocleat/platform";
+import { MemoryTableService, type CallFault } from "@pimentocleat/services";
 import { ManualClock } from "@pimentocleat/types";
 import { readWithdrawalsAfter } from "../../keys/withdrawalTable.js";
 import { computeContentDigest } from "../configurationSnapshot.js";
--- a/packages/state/src/configuration/changedFiles.ts
+++ b/packages/state/src/configuration/changedFiles.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { TableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/services";
 import { buildSnapshot, type ConfigurationSnapshot } from "./configurationSnapshot.js";
 import { readFileRow } from "./fileTable.js";
 import type { ConfigurationHead } from "./headTable.js";
--- a/packages/state/src/configuration/fileTable.ts
+++ b/packages/state/src/configuration/fileTable.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RowWrite, TableService } from "@pimentocleat/platform";
+import type { RowWrite, TableService } from "@pimentocleat/services";
 import type { ConfigurationFile } from "@pimentocleat/schema";
 import { z } from "zod";
 import type { FileChange } from "./configurationStore.js";
--- a/packages/state/src/configuration/headTable.ts
+++ b/packages/state/src/configuration/headTable.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RowCondition, RowWrite, TableService } from "@pimentocleat/platform";
+import type { RowCondition, RowWrite, TableService } from "@pimentocleat/services";
 import { z } from "zod";
 
 const headTableName = "heads";
--- a/packages/state/src/configuration/revisionLog.ts
+++ b/packages/state/src/configuration/revisionLog.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RowWrite, TableService } from "@pimentocleat/platform";
+import type { RowWrite, TableService } from "@pimentocleat/services";
 import { z } from "zod";
 
 const revisionTable = "configurationRevisions";
--- a/packages/state/src/configuration/storeCaller.ts
+++ b/packages/state/src/configuration/storeCaller.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind } from "@pimentocleat/services";
 import type { WaitingClock } from "@pimentocleat/types";
 import { computeBackoffMs } from "../retrying/backoff.js";
 
--- a/packages/state/src/configuration/storeFollower.ts
+++ b/packages/state/src/configuration/storeFollower.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { TableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { WithdrawalFollower } from "../keys/withdrawalFollower.js";
--- a/packages/state/src/configuration/tableConfigurationStore.ts
+++ b/packages/state/src/configuration/tableConfigurationStore.ts
@@ -10,7 +10,7 @@
     PlatformErrorKind,
     type TableService,
     type Transaction,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { KeyWithdrawal } from "../keys/withdrawal.js";
 import { buildWithdrawalAppend } from "../keys/withdrawalTable.js";
--- a/packages/state/src/keys/withdrawalStore.ts
+++ b/packages/state/src/keys/withdrawalStore.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { TableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/services";
 import { readHeads } from "../configuration/headTable.js";
 import type { StoreCaller } from "../configuration/storeCaller.js";
 import { formatWithdrawalIdentity, type KeyWithdrawal } from "./withdrawal.js";
--- a/packages/state/src/keys/withdrawalTable.ts
+++ b/packages/state/src/keys/withdrawalTable.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RowCondition, RowWrite, TableService } from "@pimentocleat/platform";
+import type { RowCondition, RowWrite, TableService } from "@pimentocleat/services";
 import { buildWithdrawalHeadMove, type VersionedHead } from "../configuration/headTable.js";
 import { formatSequenceKey } from "../configuration/revisionLog.js";
 import { scanAllRows } from "../configuration/scanAllRows.js";
--- a/packages/state/src/leases/__tests__/leaseManager.test.ts
+++ b/packages/state/src/leases/__tests__/leaseManager.test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { afterEach, describe, expect, inject, it, vi } from "vitest";
-import type { TableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/services";
 import { defaultLeaseTiming } from "@pimentocleat/policy";
 import { HeldLease } from "../heldLease.js";
 import { leaseTable } from "../leaseRecord.js";
--- a/packages/state/src/leases/__tests__/leaseSteps.ts
+++ b/packages/state/src/leases/__tests__/leaseSteps.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import fc from "fast-check";
-import type { CallFault } from "@pimentocleat/platform";
+import type { CallFault } from "@pimentocleat/services";
 import type { LeaseWorld } from "./leaseWorld.js";
 
 export const nodeCount = 3;
--- a/packages/state/src/leases/__tests__/leaseWorld.ts
+++ b/packages/state/src/leases/__tests__/leaseWorld.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { MemoryTableService, type TableService } from "@pimentocleat/platform";
+import { MemoryTableService, type TableService } from "@pimentocleat/services";
 import { defaultLeaseTiming, type LeaseTiming } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
--- a/packages/state/src/leases/heldLease.ts
+++ b/packages/state/src/leases/heldLease.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RowCondition } from "@pimentocleat/platform";
+import type { RowCondition } from "@pimentocleat/services";
 import { computeFirstSendMs, computeValidUntilMs } from "@pimentocleat/policy";
 import type { LeaseTiming, ReceiverTraits } from "@pimentocleat/policy";
 import type { Clock } from "@pimentocleat/types";
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import type { CommitResult, Row, TableService, Transaction } from "@pimentocleat/platform";
+import type { CommitResult, Row, TableService, Transaction } from "@pimentocleat/services";
 import {
     computePreferenceRank,
     defaultLeaseTiming,
--- a/packages/state/src/leases/leaseRecord.ts
+++ b/packages/state/src/leases/leaseRecord.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type { Row, RowCondition } from "@pimentocleat/platform";
+import type { Row, RowCondition } from "@pimentocleat/services";
 
 /** Table that holds the leases and their fences. */
 export const leaseTable = "leases";
--- a/packages/state/src/orders/__tests__/orderWorld.ts
+++ b/packages/state/src/orders/__tests__/orderWorld.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
-import type { OrderingService, OrderResult, ServerOrder } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind } from "@pimentocleat/services";
+import type { OrderingService, OrderResult, ServerOrder } from "@pimentocleat/services";
 import type { ManualClock } from "@pimentocleat/types";
 import type { LeaseHandle } from "../../leases/heldLease.js";
 import {
--- a/packages/state/src/orders/orderRecord.ts
+++ b/packages/state/src/orders/orderRecord.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type { ServerOrder } from "@pimentocleat/platform";
+import type { ServerOrder } from "@pimentocleat/services";
 
 /** Table that holds the intents. */
 export const orderTable = "orders";
--- a/packages/state/src/orders/orderSender.ts
+++ b/packages/state/src/orders/orderSender.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { OrderingService, OrderResult, TableService } from "@pimentocleat/platform";
+import type { OrderingService, OrderResult, TableService } from "@pimentocleat/services";
 import type { ReceiverTraits } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { LeaseHandle } from "../leases/heldLease.js";
--- a/packages/state/src/retrying/__tests__/simulatedHost.ts
+++ b/packages/state/src/retrying/__tests__/simulatedHost.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { CommitResult, Row, ScanOptions, TableService, Transaction } from "@pimentocleat/platform";
+import type { CommitResult, Row, ScanOptions, TableService, Transaction } from "@pimentocleat/services";
 import type { ManualClock, WaitingClock } from "@pimentocleat/types";
 
 /** Lets the microtasks and immediates that are due run. */
--- a/packages/state/src/retrying/boundedTableService.ts
+++ b/packages/state/src/retrying/boundedTableService.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { CommitResult, Row, ScanOptions, TableService, Transaction } from "@pimentocleat/platform";
+import type { CommitResult, Row, ScanOptions, TableService, Transaction } from "@pimentocleat/services";
 import type { WaitingClock } from "@pimentocleat/types";
 import { runWithTimeout } from "./callTimeout.js";
 
--- a/packages/state/src/retrying/groupCommitter.ts
+++ b/packages/state/src/retrying/groupCommitter.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import { PlatformError, PlatformErrorKind } from "@pimentocleat/platform";
-import type { CommitResult, JsonValue, RowCondition, TableService } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind } from "@pimentocleat/services";
+import type { CommitResult, JsonValue, RowCondition, TableService } from "@pimentocleat/services";
 import type { WaitingClock } from "@pimentocleat/types";
 import { runWithTimeout } from "./callTimeout.js";
 
--- a/packages/state/src/usage/__tests__/usageReporter.test.ts
+++ b/packages/state/src/usage/__tests__/usageReporter.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import type { TableService } from "@pimentocleat/platform";
+import type { TableService } from "@pimentocleat/services";
 import { usageSealTable } from "../usageRecord.js";
 import { findBrokenReport, UsageWorld, usageLease, windowMs, type ReportFault } from "./usageWorld.js";
 
--- a/packages/state/src/usage/__tests__/usageWorld.ts
+++ b/packages/state/src/usage/__tests__/usageWorld.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/platform";
+import { PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/services";
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import type { LeaseHandle } from "../../leases/heldLease.js";
--- a/packages/state/src/usage/usageRecord.ts
+++ b/packages/state/src/usage/usageRecord.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type { Row, RowCondition } from "@pimentocleat/platform";
+import type { Row, RowCondition } from "@pimentocleat/services";
 import type { UsageByCustomer } from "@pimentocleat/policy";
 
 /** Table with one row for each window and incarnation of a node. */
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -10,7 +10,7 @@
     RowCondition,
     TableService,
     UsageReportService,
-} from "@pimentocleat/platform";
+} from "@pimentocleat/services";
 import {
     addUsage,
     computeWindowStartMs,
--- a/packages/state/src/usage/usageRowWriter.ts
+++ b/packages/state/src/usage/usageRowWriter.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Row, TableService } from "@pimentocleat/platform";
+import type { Row, TableService } from "@pimentocleat/services";
 import type { UsageByCustomer } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import { runWithTimeout } from "../retrying/callTimeout.js";
--- /dev/null
+++ b/packages/upstream/src/index.ts
@@ -0,0 +1,4 @@
+export { BackendConnection, ConnectionClosedError } from "./backendConnection.js";
+export type { BackendConnectionOptions } from "./backendConnection.js";
+export { ConnectionPool } from "./connectionPool.js";
+export type { ConnectionPoolOptions } from "./connectionPool.js";
