--- /dev/null
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -0,0 +1,157 @@
+/**
+ * The HTTP servers for callers and for the balancer's readiness checks.
+ *
+ * @packageDocumentation
+ */
+import type { Duplex } from "node:stream";
+import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import type { Logger } from "@pimentocleat/telemetry";
+import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { RequestRunner } from "../dispatch/requestRunner.js";
+import { CallerAnswer } from "./callerAnswer.js";
+import type { CallerProtocol } from "./callerProtocol.js";
+import type { RequestAdmission } from "./requestAdmission.js";
+
+/** Options of the caller server. */
+export interface CallerServerOptions {
+    readonly protocol: CallerProtocol;
+    readonly admission: RequestAdmission;
+    readonly runner: RequestRunner;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Whether answers tell callers to open another connection. */
+    readonly isDraining: () => boolean;
+    /** Counts requests in progress. */
+    readonly onActive: (change: 1 | -1) => void;
+}
+
+/** Largest head that is read at all, in bytes; the configuration's bound is below it. */
+const mostHeaderBytes = 65_536;
+/** Largest body that is read at all, in bytes; the configuration's bound is below it. */
+const mostBodyBytes = 8 * 1_024 * 1_024;
+/** Longest time in which a caller may send a head, in milliseconds. */
+const headersTimeoutMs = 10_000;
+/** Longest time in which a caller may send a whole request, in milliseconds. */
+const requestTimeoutMs = 60_000;
+/** Until the configuration tells how long callers keep idle connections, in milliseconds. */
+const firstKeepAliveMs = 60_000;
+/** Every path is routed alike; the caller's own path is forwarded unchanged. */
+const internalPath = "/";
+
+/**
+ * Builds the server for callers; it does not listen yet.
+ *
+ * @param options - The parts behind it.
+ * @returns The server.
+ */
+export function buildCallerServer(options: CallerServerOptions): FastifyInstance {
+    const server = fastify({
+        logger: false,
+        bodyLimit: mostBodyBytes,
+        requestTimeout: requestTimeoutMs,
+        keepAliveTimeout: firstKeepAliveMs,
+        exposeHeadRoutes: false,
+        rewriteUrl: () => internalPath,
+        http: { maxHeaderSize: mostHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
+        clientErrorHandler: (error, socket) => refuseBrokenRequest(options, error, socket),
+    });
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser("*", { parseAs: "buffer" }, async (...parameters: [FastifyRequest, Buffer]) => parameters[1]);
+    const arrivals = new WeakMap<FastifyRequest, number>();
+    server.addHook("onRequest", async (request) => {
+        arrivals.set(request, options.clock.monotonicMs());
+    });
+    server.setErrorHandler((error, request, reply) => {
+        const answer = new CallerAnswer(reply.raw, options.isDraining);
+        reply.hijack();
+        sendRefusal(options, request, answer, convertError(error), 0);
+    });
+    server.all(internalPath, (request, reply) => {
+        reply.hijack();
+        void serveRequest(options, request, reply, arrivals.get(request) ?? options.clock.monotonicMs());
+    });
+    return server;
+}
+
+/**
+ * Builds the server for readiness checks; it does not listen yet.
+ *
+ * @param path - Path of the check.
+ * @param isReady - Whether the node takes new callers.
+ * @returns The server.
+ */
+export function buildReadinessServer(path: string, isReady: () => boolean): FastifyInstance {
+    const server = fastify({ logger: false, exposeHeadRoutes: false });
+    server.get(path, async (...[, reply]) => {
+        return reply.code(isReady() ? 200 : 503).send("");
+    });
+    return server;
+}
+
+async function serveRequest(
+    options: CallerServerOptions,
+    request: FastifyRequest,
+    reply: FastifyReply,
+    arrivedMs: number,
+): Promise<void> {
+    const answer = new CallerAnswer(reply.raw, options.isDraining);
+    let endsAtMs = arrivedMs;
+    options.onActive(1);
+    try {
+        const head = options.protocol.readHead(request.raw, request.originalUrl);
+        const body = Buffer.isBuffer(request.body) ? request.body : undefined;
+        endsAtMs = arrivedMs + (head.waitMs ?? 0);
+        const admitted = options.admission.admitRequest(head, body, arrivedMs);
+        await options.runner.runRequest(admitted, answer);
+    } catch (error) {
+        const remainingMs = endsAtMs - options.clock.monotonicMs();
+        sendRefusal(options, request, answer, convertError(error), remainingMs);
+    } finally {
+        options.onActive(-1);
+    }
+}
+
+function sendRefusal(
+    options: CallerServerOptions,
+    request: FastifyRequest,
+    answer: CallerAnswer,
+    error: RouterError,
+    remainingMs: number,
+): void {
+    const header = request.headers["x-request-id"];
+    const requestId = typeof header === "string" ? header : undefined;
+    const { kind, executed, message } = error;
+    options.logger.writeEvent("requestRefused", { requestId, kind, executed, message });
+    if (kind === ErrorKind.Internal) {
+        options.logger.writeEvent("unexpectedError", { requestId, message: String(error.cause) });
+    }
+    const refusal = options.protocol.formatRefusal(error, requestId, remainingMs);
+    if (answer.isStarted) {
+        answer.breakOff();
+        return;
+    }
+    answer.sendWhole(refusal.status, refusal.headers, Buffer.from(refusal.body));
+}
+
+function convertError(error: unknown): RouterError {
+    if (error instanceof RouterError) {
+        return error;
+    }
+    const code = (error as { code?: string }).code ?? "";
+    const kinds: Readonly<Record<string, ErrorKind>> = {
+        FST_ERR_CTP_BODY_TOO_LARGE: ErrorKind.BodyTooLarge,
+        FST_ERR_CTP_INVALID_CONTENT_LENGTH: ErrorKind.InvalidRequest,
+    };
+    return new RouterError(kinds[code] ?? ErrorKind.Internal, undefined, { cause: error });
+}
+
+/** Answers bytes that never became a request, and closes the connection. */
+function refuseBrokenRequest(options: CallerServerOptions, error: Error & { code?: string }, socket: Duplex): void {
+    const status = error.code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
+    options.logger.writeEvent("callerConnectionBroken", { reason: error.code ?? error.message });
+    if (!socket.writable || error.code === "ECONNRESET" || error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        socket.destroy();
+        return;
+    }
+    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () => socket.destroy());
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -0,0 +1,244 @@
+/**
+ * One send of a request to one backend server, up to its result.
+ *
+ * @packageDocumentation
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Placement, PlacementOutcome, PlacementRequest, ServerPlacement } from "@pimentocleat/policy";
+import type { ConnectionPool } from "@pimentocleat/upstream";
+import type { BackendProtocol } from "../backends/backendProtocol.js";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
+import { BackendExchange } from "./backendExchange.js";
+import { EventSplitter } from "./eventSplitter.js";
+import type { GatewayRequest } from "./gatewayRequest.js";
+
+/** A whole answer of a backend server. */
+export interface WholeBackendAnswer {
+    readonly status: number;
+    readonly headers: AnswerHeaders;
+    readonly body: Buffer;
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+    /** A whole answer, not yet passed on. */
+    | { readonly type: "answer"; readonly answer: WholeBackendAnswer }
+    /** A stream that was passed on to its end. */
+    | { readonly type: "streamed" }
+    /** The server said that it did not run the request. */
+    | { readonly type: "notRun"; readonly reason: string }
+    /** No byte reached a server. */
+    | { readonly type: "notSent"; readonly reason: string }
+    /** The request may have run. */
+    | { readonly type: "lost"; readonly reason: string; readonly streamed: boolean }
+    /** The server was silent for too long. */
+    | { readonly type: "silent"; readonly streamed: boolean }
+    /** The caller left, or the request's time is over. */
+    | { readonly type: "cancelled" };
+
+/** Options of an {@link Attempt}. */
+export interface AttemptOptions {
+    readonly request: GatewayRequest;
+    readonly server: RegisteredServer;
+    readonly placement: ServerPlacement;
+    readonly placementRequest: PlacementRequest;
+    readonly protocol: BackendProtocol;
+    readonly connections: ConnectionPool;
+    readonly answer: CallerAnswer;
+    readonly remainingMs: number;
+    /** Identifier of the last event that was passed on before. */
+    readonly lastEventId: string | undefined;
+    /** Silence after which the attempt ends; undefined when silence is no reason to end it. */
+    readonly silenceMs: number | undefined;
+    /** Called when the server began to run the request. */
+    readonly onRunning: () => void;
+}
+
+/** Answers larger than this are passed on as they come; smaller ones are checked whole first. */
+const wholeAnswerBytes = 256 * 1_024;
+
+/** Sends a request once. */
+export class Attempt {
+    /** Identifier of the last event that was passed on. */
+    lastEventId: string | undefined;
+    private readonly exchange: BackendExchange;
+    private readonly placed: Placement;
+    private readonly splitter = new EventSplitter();
+    private resolve: (result: AttemptResult) => void = () => undefined;
+    private status = 0;
+    private headers: AnswerHeaders = {};
+    private isStream = false;
+    private chunks: Buffer[] = [];
+    private bytes = 0;
+    private hadFirstEvent = false;
+    private passedOn = false;
+    private ended = false;
+    private silenceTimer: NodeJS.Timeout | undefined;
+
+    /** @param options - The request, the server and the caller. */
+    constructor(private readonly options: AttemptOptions) {
+        const { request, server, placement, placementRequest, protocol, connections } = options;
+        this.lastEventId = options.lastEventId;
+        this.placed = placement.recordSent(server.id, placementRequest);
+        const { head, body } = request;
+        const headers = protocol.buildHeaders({
+            request,
+            serverId: server.id,
+            remainingMs: options.remainingMs,
+            lastEventId: options.lastEventId,
+        });
+        const { method, path } = head;
+        this.exchange = new BackendExchange(
+            { connections, address: server.address, method, path, headers, body },
+            {
+                onHead: (status, answerHeaders) => this.handleHead(status, answerHeaders),
+                onData: (chunk) => this.handleData(chunk),
+                onEnd: () => this.handleEnd(),
+                onFailure: (message, sent) => this.handleFailure(message, sent),
+            },
+        );
+    }
+
+    /**
+     * Sends the request.
+     *
+     * @returns How the attempt ended; resolves once.
+     */
+    run(): Promise<AttemptResult> {
+        return new Promise((resolve) => {
+            this.resolve = resolve;
+            this.startSilenceTimer();
+            this.exchange.start();
+        });
+    }
+
+    /** Whether a byte of the request may have reached the server. */
+    hasSentBytes(): boolean {
+        return this.exchange.hasSentBytes();
+    }
+
+    /** Ends the attempt because the caller left or its time is over. */
+    cancel(): void {
+        if (!this.ended) {
+            this.exchange.cancel();
+            this.finish({ type: "cancelled" }, "cancelled");
+        }
+    }
+
+    private handleHead(status: number, headers: IncomingHttpHeaders): void {
+        const { protocol, request, placement, server } = this.options;
+        const load = protocol.readLoad(headers);
+        if (load !== undefined) {
+            placement.recordLoad(server.id, load.running, load.waiting);
+        }
+        switch (protocol.classifyAnswer(status, headers, request)) {
+            case "notRun":
+                this.abandon({ type: "notRun", reason: `status ${String(status)}, not run` }, "rejected");
+                return;
+            case "otherServer":
+                this.abandon({ type: "notRun", reason: "another server has the address" }, "broken");
+                return;
+            case "mismatched":
+                this.abandon(
+                    { type: "lost", reason: `status ${String(status)} that does not fit the request`, streamed: this.passedOn },
+                    "broken",
+                );
+                return;
+            case "answer":
+                break;
+        }
+        this.status = status;
+        this.headers = protocol.selectAnswerHeaders(headers);
+        this.isStream = request.route.kind === "stream" && status === 200;
+        this.startSilenceTimer();
+    }
+
+    private handleData(chunk: Buffer): void {
+        this.recordRunning();
+        this.startSilenceTimer();
+        if (this.isStream) {
+            const events = this.splitter.takeEvents(chunk);
+            if (events !== undefined) {
+                this.lastEventId = events.lastId ?? this.lastEventId;
+                this.passOn(events.bytes);
+            }
+            return;
+        }
+        this.chunks.push(chunk);
+        this.bytes += chunk.length;
+        if (this.bytes > wholeAnswerBytes) {
+            const bytes = Buffer.concat(this.chunks.splice(0));
+            this.passOn(bytes);
+        }
+    }
+
+    private passOn(bytes: Buffer): void {
+        const { answer } = this.options;
+        answer.startStream(this.status, this.headers);
+        this.passedOn = true;
+        if (!answer.writeBytes(bytes)) {
+            this.exchange.stopReading();
+            answer.waitForSpace(() => this.exchange.startReading());
+        }
+    }
+
+    private handleEnd(): void {
+        if (this.isStream && this.splitter.countHeldBytes() > 0) {
+            this.finish({ type: "lost", reason: "the stream ended within an event", streamed: this.passedOn }, "broken");
+            return;
+        }
+        this.recordRunning();
+        if (this.passedOn) {
+            this.passOn(Buffer.concat(this.chunks));
+            this.options.answer.finishStream();
+            this.finish({ type: "streamed" }, "answered");
+            return;
+        }
+        const answer = { status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) };
+        this.finish({ type: "answer", answer }, this.status >= 500 ? "failedStatus" : "answered");
+    }
+
+    private handleFailure(message: string, sent: boolean): void {
+        const result: AttemptResult = sent
+            ? { type: "lost", reason: message, streamed: this.passedOn }
+            : { type: "notSent", reason: message };
+        this.finish(result, "broken");
+    }
+
+    private recordRunning(): void {
+        if (!this.hadFirstEvent) {
+            this.hadFirstEvent = true;
+            this.options.placement.recordFirstEvent(this.placed);
+            this.options.onRunning();
+        }
+    }
+
+    private startSilenceTimer(): void {
+        clearTimeout(this.silenceTimer);
+        const { silenceMs } = this.options;
+        if (silenceMs !== undefined) {
+            this.silenceTimer = setTimeout(
+                () => this.abandon({ type: "silent", streamed: this.passedOn }, "broken"),
+                silenceMs,
+            );
+        }
+    }
+
+    private abandon(result: AttemptResult, outcome: PlacementOutcome): void {
+        if (!this.ended) {
+            this.exchange.cancel();
+            this.finish(result, outcome);
+        }
+    }
+
+    private finish(result: AttemptResult, outcome: PlacementOutcome): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        clearTimeout(this.silenceTimer);
+        this.options.placement.recordEnd(this.placed, this.hadFirstEvent, outcome);
+        this.resolve(result);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -0,0 +1,127 @@
+/**
+ * One request on one connection to a backend server.
+ *
+ * @packageDocumentation
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { BackendConnection, ConnectionPool } from "@pimentocleat/upstream";
+import type { Dispatcher } from "undici";
+
+/** What is sent. */
+export interface ExchangeOptions {
+    readonly connections: ConnectionPool;
+    /** IP address and port. */
+    readonly address: string;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values in turn. */
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+}
+
+/** Receives the answer; `onEnd` or `onFailure` is called once and last. */
+export interface ExchangeReceiver {
+    onHead(status: number, headers: IncomingHttpHeaders): void;
+    onData(chunk: Buffer): void;
+    onEnd(): void;
+    /**
+     * @param message - What failed.
+     * @param sent - Whether a byte of the request may have reached the server.
+     */
+    onFailure(message: string, sent: boolean): void;
+}
+
+/** Sends a request and receives its answer. */
+export class BackendExchange {
+    private readonly connection: BackendConnection;
+    private controller: Dispatcher.DispatchController | undefined;
+    private ended = false;
+
+    /**
+     * @param options - What is sent.
+     * @param receiver - Receives the answer.
+     */
+    constructor(
+        private readonly options: ExchangeOptions,
+        private readonly receiver: ExchangeReceiver,
+    ) {
+        this.connection = options.connections.takeConnection(options.address, false);
+    }
+
+    /** Sends the request. */
+    start(): void {
+        const { method, path, headers, body } = this.options;
+        this.connection.dispatchRequest(
+            {
+                method: method as Dispatcher.HttpMethod,
+                path,
+                headers,
+                body,
+                idempotent: false,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            },
+            {
+                onRequestStart: (controller) => {
+                    this.controller = controller;
+                },
+                onResponseStart: (controller, status, answerHeaders) => {
+                    this.controller = controller;
+                    if (status >= 200 && !this.ended) {
+                        this.receiver.onHead(status, answerHeaders);
+                    }
+                },
+                onResponseData: (controller, chunk) => {
+                    this.controller = controller;
+                    if (!this.ended) {
+                        this.receiver.onData(chunk);
+                    }
+                },
+                onResponseEnd: () => this.handleEnd(),
+                onResponseError: (...[, error]) => this.handleError(error),
+            },
+        );
+    }
+
+    /** Stops reading until {@link BackendExchange.startReading}. */
+    stopReading(): void {
+        this.controller?.pause();
+    }
+
+    /** Goes on reading. */
+    startReading(): void {
+        this.controller?.resume();
+    }
+
+    /** @returns Whether a byte of the request may have reached the server. */
+    hasSentBytes(): boolean {
+        return this.connection.hasSentBytes();
+    }
+
+    /** Ends the exchange without telling the receiver; the closed connection tells the server to stop. */
+    cancel(): void {
+        if (!this.ended) {
+            this.ended = true;
+            this.connection.close();
+        }
+    }
+
+    private handleEnd(): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        this.options.connections.releaseConnection(this.connection);
+        this.receiver.onEnd();
+    }
+
+    private handleError(error: Error): void {
+        if (this.ended) {
+            return;
+        }
+        this.ended = true;
+        const sent = this.connection.hasSentBytes();
+        this.connection.close();
+        this.receiver.onFailure(error.message, sent);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -0,0 +1,332 @@
+/**
+ * Runs a request: chooses a server, sends, and sends again only where that is allowed.
+ *
+ * @packageDocumentation
+ */
+import type { PlacementServer } from "@pimentocleat/policy";
+import type { Logger } from "@pimentocleat/telemetry";
+import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { ConnectionPool } from "@pimentocleat/upstream";
+import type { BackendProtocol } from "../backends/backendProtocol.js";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { ServerDirectory } from "../backends/serverDirectory.js";
+import type { CallerAnswer } from "../callers/callerAnswer.js";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { Attempt, type AttemptResult, type WholeBackendAnswer } from "./attempt.js";
+import type { GatewayRequest } from "./gatewayRequest.js";
+import type { ServiceDispatch, ServiceDispatches } from "./serviceDispatch.js";
+
+/** Counts the requests that backend servers began to run. */
+export interface UsageCounter {
+    /** @param customer - Name of the customer. */
+    recordRequest(customer: string): void;
+}
+
+/** Options of a {@link RequestRunner}. */
+export interface RequestRunnerOptions {
+    readonly dispatches: ServiceDispatches;
+    readonly directory: ServerDirectory;
+    readonly configuration: ActiveConfiguration;
+    readonly connections: ConnectionPool;
+    readonly protocol: BackendProtocol;
+    readonly usage: UsageCounter;
+    readonly clock: Clock;
+    readonly logger: Logger;
+}
+
+/** Connections that may fail to open for one request; nothing was sent on them. */
+const connectAttempts = 4;
+/** Shortest time left in which another send can still succeed, in milliseconds. */
+const leastRemainingMs = 40;
+/** Silence, as a multiple of the route's target, after which a repeatable request is sent elsewhere. */
+const silenceFactor = 1.6;
+/** Shortest such silence, in milliseconds; answers of healthy servers vary by this much. */
+const leastSilenceMs = 300;
+/** When a caller should come back after a refusal for want of a server, in milliseconds. */
+const noServerRetryMs = 500;
+
+interface RunState {
+    readonly request: GatewayRequest;
+    readonly answer: CallerAnswer;
+    readonly dispatch: ServiceDispatch;
+    readonly excluded: Set<string>;
+    /** Sends that reached a server, or may have. */
+    sends: number;
+    connectFailures: number;
+    /** Whether a server may have run the request. */
+    mayHaveRun: boolean;
+    counted: boolean;
+    streamed: boolean;
+    lastEventId: string | undefined;
+    /** A failure that a server answered, for the caller if no other send does better. */
+    failedAnswer: WholeBackendAnswer | undefined;
+    attempt: Attempt | undefined;
+    isOver: boolean;
+    lastReason: string;
+}
+
+/** Runs requests. */
+export class RequestRunner {
+    /** @param options - Servers, protocol and recorders. */
+    constructor(private readonly options: RequestRunnerOptions) {}
+
+    /**
+     * Runs a request to its end.
+     *
+     * @param request - The request.
+     * @param answer - Its caller.
+     * @throws RouterError when the caller gets no answer of a backend server and none was begun.
+     */
+    async runRequest(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
+        const state = this.buildState(request, answer);
+        const timer = setTimeout(() => this.endRun(state), Math.max(0, request.endsAtMs - this.readNowMs()));
+        answer.setGoneListener(() => this.endRun(state));
+        try {
+            await this.runAttempts(state);
+        } finally {
+            clearTimeout(timer);
+            answer.setGoneListener(undefined);
+        }
+    }
+
+    private buildState(request: GatewayRequest, answer: CallerAnswer): RunState {
+        return {
+            request,
+            answer,
+            dispatch: this.options.dispatches.ensureService(request.service),
+            excluded: new Set(),
+            sends: 0,
+            connectFailures: 0,
+            mayHaveRun: false,
+            counted: false,
+            streamed: false,
+            lastEventId: request.head.lastEventId,
+            failedAnswer: undefined,
+            attempt: undefined,
+            isOver: false,
+            lastReason: "",
+        };
+    }
+
+    private endRun(state: RunState): void {
+        state.isOver = true;
+        if (state.attempt?.hasSentBytes() === true) {
+            state.mayHaveRun = true;
+        }
+        state.attempt?.cancel();
+    }
+
+    private async runAttempts(state: RunState): Promise<void> {
+        for (;;) {
+            const server = this.chooseServer(state);
+            const remainingMs = state.request.endsAtMs - this.readNowMs();
+            if (state.isOver || server === undefined || remainingMs < leastRemainingMs) {
+                this.finishUnserved(state, server === undefined);
+                return;
+            }
+            const result = await this.sendOnce(state, server, remainingMs);
+            if (this.handleResult(state, server, result)) {
+                return;
+            }
+        }
+    }
+
+    private chooseServer(state: RunState): RegisteredServer | undefined {
+        const { request, dispatch, excluded } = state;
+        const ready = this.options.directory.listReady(request.service);
+        const capacityTokens = this.options.configuration.findService(request.service)?.engine?.capacityTokens;
+        const candidates: PlacementServer[] = ready.map(({ id, dataCentre, slots }) => ({
+            id,
+            dataCentre,
+            slots,
+            capacityTokens,
+        }));
+        const { parts, promptTokens } = request.head;
+        const id = dispatch.placement.chooseServer({ parts, promptTokens, excluded }, candidates);
+        return ready.find((server) => server.id === id);
+    }
+
+    private async sendOnce(
+        state: RunState,
+        server: RegisteredServer,
+        remainingMs: number,
+    ): Promise<AttemptResult> {
+        const { request, answer, dispatch, excluded } = state;
+        const { protocol, connections, logger } = this.options;
+        const { parts, promptTokens, requestId } = request.head;
+        if (state.sends === 0) {
+            dispatch.retries.recordFirstTry(this.readNowMs());
+        }
+        state.attempt = new Attempt({
+            request,
+            server,
+            placement: dispatch.placement,
+            placementRequest: { parts, promptTokens, excluded },
+            protocol,
+            connections,
+            answer,
+            remainingMs,
+            lastEventId: state.lastEventId,
+            silenceMs: this.computeSilenceMs(state, remainingMs),
+            onRunning: () => this.recordRunning(state),
+        });
+        logger.writeEvent("requestSent", {
+            requestId,
+            server: server.id,
+            route: request.route.name,
+            attempt: state.sends + 1,
+            remainingMs: Math.round(remainingMs),
+        });
+        const result = await state.attempt.run();
+        state.lastEventId = state.attempt.lastEventId;
+        return result;
+    }
+
+    /** Only a request that may run again elsewhere is taken from a silent server. */
+    private computeSilenceMs(state: RunState, remainingMs: number): number | undefined {
+        const { route } = state.request;
+        if (!isRepeatable(state.request) || state.sends + 1 >= route.maximumAttempts) {
+            return undefined;
+        }
+        const silenceMs = Math.max(leastSilenceMs, route.targetMs * silenceFactor);
+        return silenceMs + leastRemainingMs < remainingMs ? silenceMs : undefined;
+    }
+
+    private recordRunning(state: RunState): void {
+        const { customer } = state.request;
+        if (!state.counted && customer !== undefined) {
+            state.counted = true;
+            this.options.usage.recordRequest(customer.name);
+        }
+    }
+
+    /** Returns whether the request is finished; otherwise it is sent again. */
+    private handleResult(state: RunState, server: RegisteredServer, result: AttemptResult): boolean {
+        const { answer } = state;
+        switch (result.type) {
+            case "streamed":
+                this.logEnd(state, server, "streamed");
+                return true;
+            case "answer":
+                return this.handleAnswer(state, server, result.answer);
+            case "cancelled":
+                this.finishUnserved(state, false);
+                return true;
+            case "notSent":
+                state.connectFailures += 1;
+                state.excluded.add(server.id);
+                state.lastReason = result.reason;
+                return state.connectFailures < connectAttempts ? false : this.finishUnserved(state, false);
+            case "notRun":
+                return this.retryOrFinish(state, server, result.reason, true);
+            case "lost":
+            case "silent": {
+                state.mayHaveRun = true;
+                state.streamed = state.streamed || result.streamed;
+                const reason = result.type === "lost" ? result.reason : "the server was silent";
+                if (state.streamed && !state.request.route.isResumable) {
+                    this.logEnd(state, server, reason);
+                    answer.breakOff();
+                    return true;
+                }
+                return this.retryOrFinish(state, server, reason, isRepeatable(state.request));
+            }
+        }
+    }
+
+    private handleAnswer(state: RunState, server: RegisteredServer, whole: WholeBackendAnswer): boolean {
+        const { request, answer } = state;
+        if (whole.status >= 500 && isRepeatable(request) && !state.streamed) {
+            state.failedAnswer = whole;
+            state.mayHaveRun = true;
+            return this.retryOrFinish(state, server, `status ${String(whole.status)}`, true);
+        }
+        if (state.streamed) {
+            answer.breakOff();
+        } else {
+            answer.sendWhole(whole.status, whole.headers, whole.body);
+        }
+        this.logEnd(state, server, `status ${String(whole.status)}`);
+        return true;
+    }
+
+    private retryOrFinish(
+        state: RunState,
+        server: RegisteredServer,
+        reason: string,
+        isAllowed: boolean,
+    ): boolean {
+        state.sends += 1;
+        state.excluded.add(server.id);
+        state.lastReason = reason;
+        const { request, dispatch } = state;
+        const hasAttempt = state.sends < request.route.maximumAttempts;
+        if (!isAllowed || !hasAttempt || state.isOver || !dispatch.retries.takeRetry(this.readNowMs())) {
+            return this.finishUnserved(state, false);
+        }
+        this.options.logger.writeEvent("requestRetried", {
+            requestId: request.head.requestId,
+            server: server.id,
+            reason,
+            attempt: state.sends,
+        });
+        return false;
+    }
+
+    /** Ends a request for which no server gave an answer that the caller could keep. */
+    private finishUnserved(state: RunState, noServer: boolean): true {
+        const { answer, request } = state;
+        if (answer.isGone) {
+            this.logEnd(state, undefined, "caller left");
+            return true;
+        }
+        if (state.streamed) {
+            this.logEnd(state, undefined, `stream broken off: ${state.lastReason}`);
+            answer.breakOff();
+            return true;
+        }
+        if (state.failedAnswer !== undefined) {
+            const { status, headers, body } = state.failedAnswer;
+            answer.sendWhole(status, headers, body);
+            this.logEnd(state, undefined, `status ${String(status)}`);
+            return true;
+        }
+        if (answer.isStarted) {
+            // The request's time is over in the middle of its stream.
+            this.logEnd(state, undefined, "time limit in the middle of the answer");
+            answer.breakOff();
+            return true;
+        }
+        throw buildError(state, noServer, request.endsAtMs - this.readNowMs());
+    }
+
+    private logEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
+        const { head, arrivedMs, route } = state.request;
+        this.options.logger.writeEvent("requestEnded", {
+            requestId: head.requestId,
+            route: route.name,
+            server: server?.id,
+            result,
+            elapsedMs: Math.round(this.readNowMs() - arrivedMs),
+        });
+    }
+
+    private readNowMs(): number {
+        return this.options.clock.monotonicMs();
+    }
+}
+
+function isRepeatable(request: GatewayRequest): boolean {
+    return request.route.kind === "repeatable" || request.route.isResumable;
+}
+
+function buildError(state: RunState, noServer: boolean, remainingMs: number): RouterError {
+    const executed = state.mayHaveRun ? "unknown" : "no";
+    const reason = state.lastReason === "" ? undefined : `last try: ${state.lastReason}`;
+    if (state.mayHaveRun) {
+        const kind = remainingMs < leastRemainingMs ? ErrorKind.BackendTimeout : ErrorKind.BackendFailed;
+        return new RouterError(kind, reason, { executed });
+    }
+    const kind = noServer ? ErrorKind.NoBackendServer : ErrorKind.Overloaded;
+    return new RouterError(kind, reason, { executed, retryAfterMs: noServerRetryMs });
+}
--- /dev/null
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -0,0 +1,80 @@
+/**
+ * What one node knows of one service: where to send, and how often it may send again.
+ *
+ * @packageDocumentation
+ */
+import {
+    defaultPlacementSettings,
+    RetryAllowance,
+    ServerPlacement,
+    type RetryAllowanceSettings,
+} from "@pimentocleat/policy";
+import type { Clock } from "@pimentocleat/types";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { ServerDirectory } from "../backends/serverDirectory.js";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+
+/** The dispatch state of a service. */
+export interface ServiceDispatch {
+    readonly placement: ServerPlacement;
+    readonly retries: RetryAllowance;
+}
+
+/** Options of {@link ServiceDispatches}. */
+export interface ServiceDispatchesOptions {
+    readonly directory: ServerDirectory;
+    readonly configuration: ActiveConfiguration;
+    readonly clock: Clock;
+    readonly dataCentre: string;
+    readonly retries: RetryAllowanceSettings;
+}
+
+/** Keeps one dispatch state a service. */
+export class ServiceDispatches {
+    private readonly services = new Map<string, ServiceDispatch>();
+
+    /** @param options - Servers, configuration and bounds. */
+    constructor(private readonly options: ServiceDispatchesOptions) {
+        const { directory } = options;
+        directory.addListener((service) => this.updateService(service));
+        directory.addRestartListener((server) =>
+            this.services.get(server.service)?.placement.removeServer(server.id),
+        );
+        options.configuration.addListener(() => {
+            [...this.services.keys()].forEach((service) => this.updateService(service));
+        });
+    }
+
+    /**
+     * Finds or creates the state of a service.
+     *
+     * @param service - Name of the service.
+     * @returns The state.
+     */
+    ensureService(service: string): ServiceDispatch {
+        const known = this.services.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const { clock, dataCentre, retries } = this.options;
+        const created = {
+            placement: new ServerPlacement({ ...defaultPlacementSettings, dataCentre }, clock),
+            retries: new RetryAllowance(retries),
+        };
+        this.services.set(service, created);
+        this.updateService(service);
+        return created;
+    }
+
+    private updateService(service: string): void {
+        const { directory, configuration } = this.options;
+        const capacityTokens = configuration.findService(service)?.engine?.capacityTokens;
+        const servers = directory.listReady(service).map((server) => convertServer(server, capacityTokens));
+        this.ensureService(service).placement.updateServers(servers);
+    }
+}
+
+function convertServer(server: RegisteredServer, capacityTokens: number | undefined) {
+    const { id, dataCentre, slots } = server;
+    return { id, dataCentre, slots, capacityTokens };
+}
--- /dev/null
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -0,0 +1,92 @@
+/**
+ * The duties that one node at a time has, and the usage that every node counts.
+ *
+ * @packageDocumentation
+ */
+import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
+import { LeaseManager } from "@pimentocleat/state";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import type { DutySettings } from "./dutySettings.js";
+import { UsageDuty } from "./usageDuty.js";
+import { ValidityClock } from "./validityClock.js";
+
+/** Options of {@link NodeDuties}. */
+export interface NodeDutiesOptions {
+    readonly node: string;
+    readonly incarnation: string;
+    readonly tableService: TableService;
+    readonly reportService: UsageReportService | undefined;
+    readonly orderingService: OrderingService | undefined;
+    readonly clock: WaitingClock;
+    readonly random: () => number;
+    readonly logger: Logger;
+    readonly usageWindowMs: number;
+    readonly settings: DutySettings;
+}
+
+/** Lease of the node that reports usage. */
+const usageLeaseName = "usage";
+
+/** Runs the duties. */
+export class NodeDuties {
+    readonly usage: UsageDuty;
+    private readonly leases: LeaseManager;
+
+    /** @param options - The services and the durations. */
+    constructor(private readonly options: NodeDutiesOptions) {
+        const { node, tableService, clock, random, logger, settings } = options;
+        this.usage = new UsageDuty({ ...options, windowMs: options.usageWindowMs });
+        this.leases = new LeaseManager({
+            tableService,
+            clock,
+            validityClock: new ValidityClock(clock),
+            node,
+            listNodes: () => [],
+            logger,
+            random,
+            timing: settings.leaseTiming,
+            callTimeoutMs: settings.callTimeoutMs,
+            preferenceDelayMs: settings.preferenceDelayMs,
+            wireBoundMs: settings.wireBoundMs,
+        });
+    }
+
+    /**
+     * Runs the duties until the signal is aborted.
+     *
+     * @param signal - Ends the duties; leases are kept until {@link NodeDuties.stop}.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        const { settings } = this.options;
+        await Promise.all([
+            this.runLeases(signal),
+            this.runEvery(settings.usageFlushMs, signal, () => this.usage.writeOnce()),
+            this.runEvery(settings.stepMs, signal, () => this.usage.reportOnce(this.leases.findHeld(usageLeaseName))),
+        ]);
+    }
+
+    /** Gives the leases up and stores what is counted. */
+    async stop(): Promise<void> {
+        await Promise.all([this.leases.releaseAll(), this.usage.writeOnce()]);
+    }
+
+    private async runLeases(signal: AbortSignal): Promise<void> {
+        const { clock, settings, reportService } = this.options;
+        await clock.wait(settings.startDelayMs, signal);
+        this.leases.setWanted(reportService === undefined ? [] : [usageLeaseName]);
+        await this.leases.run(signal);
+    }
+
+    private async runEvery(intervalMs: number, signal: AbortSignal, step: () => Promise<unknown>): Promise<void> {
+        const { clock, random, logger } = this.options;
+        while (!signal.aborted) {
+            await clock.wait(intervalMs * (0.75 + 0.5 * random()), signal);
+            if (!signal.aborted) {
+                await step().catch((error: unknown) => {
+                    logger.writeEvent("dutyStepFailed", { reason: String(error) });
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -0,0 +1,102 @@
+/**
+ * Follows one table of the platform's store: reads it whole, then its changes, and whole again whenever
+ * changes may have been missed.
+ *
+ * @packageDocumentation
+ */
+import type { Row, RowChange, RowFeed } from "@pimentocleat/services";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+
+/** Receives what a follower reads. */
+export interface RowReceiver {
+    /** @param rows - All rows of the table. */
+    replaceRows(rows: readonly Row[]): void;
+    /** @param changes - Changed and deleted rows, in order. */
+    applyChanges(changes: readonly RowChange[]): void;
+}
+
+/** Options of a {@link RowFollower}. */
+export interface RowFollowerOptions {
+    readonly feed: RowFeed;
+    readonly table: string;
+    readonly receiver: RowReceiver;
+    readonly clock: WaitingClock;
+    readonly logger: Logger;
+    readonly random: () => number;
+    /** How long the store may hold a call until there is a change, in milliseconds. */
+    readonly waitMs: number;
+    /** Pause after an answer with changes, in milliseconds; gathers changes of tables that change all the time. */
+    readonly pauseMs: number;
+    /** Pause after a failed call, in milliseconds. */
+    readonly retryMs: number;
+}
+
+/** Follows a table until it is told to stop. */
+export class RowFollower {
+    private position: number | undefined;
+    private failing = false;
+    private lastContactMs = Number.NEGATIVE_INFINITY;
+
+    /** @param options - The table and its receiver. */
+    constructor(private readonly options: RowFollowerOptions) {}
+
+    /**
+     * Follows the table.
+     *
+     * @param signal - Ends the task.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock, retryMs, random } = this.options;
+        while (!signal.aborted) {
+            const pauseMs = await this.advanceOnce(signal).catch((error: unknown) => {
+                this.recordFailure(error, signal);
+                return retryMs * (0.5 + random());
+            });
+            if (pauseMs > 0) {
+                await clock.wait(pauseMs, signal);
+            }
+        }
+    }
+
+    /** @returns Monotonic time of the last answer, in milliseconds. */
+    readLastContactMs(): number {
+        return this.lastContactMs;
+    }
+
+    /** Returns the pause before the next step. */
+    private async advanceOnce(signal: AbortSignal): Promise<number> {
+        const { feed, table, receiver, waitMs, pauseMs } = this.options;
+        if (this.position === undefined) {
+            const { rows, position } = await feed.readAll(table, signal);
+            receiver.replaceRows(rows);
+            this.recordContact(position);
+            return 0;
+        }
+        const { changes, position } = await feed.readChanges(table, this.position, waitMs, signal);
+        if (changes.length > 0) {
+            receiver.applyChanges(changes);
+        }
+        this.recordContact(position);
+        return changes.length > 0 ? pauseMs : 0;
+    }
+
+    private recordContact(position: number): void {
+        this.position = Math.max(position, this.position ?? 0);
+        this.lastContactMs = this.options.clock.monotonicMs();
+        if (this.failing) {
+            this.failing = false;
+            this.options.logger.writeEvent("storeReachable", { table: this.options.table });
+        }
+    }
+
+    /** After any failure the table is read whole: changes may have been missed. */
+    private recordFailure(error: unknown, signal: AbortSignal): void {
+        this.position = undefined;
+        if (!this.failing && !signal.aborted) {
+            this.failing = true;
+            const { table, logger } = this.options;
+            logger.writeEvent("storeUnreachable", { table, reason: String(error) });
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -0,0 +1,195 @@
+/**
+ * A gateway node: callers on one side, backend servers on the other, the platform's store behind both.
+ *
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import type { FastifyInstance } from "fastify";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import { ConnectionPool } from "@pimentocleat/upstream";
+import { ServerDirectory } from "../backends/serverDirectory.js";
+import { buildCallerServer, buildReadinessServer } from "../callers/callerServer.js";
+import { RequestAdmission } from "../callers/requestAdmission.js";
+import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { RequestRunner } from "../dispatch/requestRunner.js";
+import { ServiceDispatches } from "../dispatch/serviceDispatch.js";
+import { buildDutySettings } from "../duties/dutySettings.js";
+import { NodeDuties } from "../duties/nodeDuties.js";
+import { ConfigurationReceiver } from "../following/configurationReceiver.js";
+import { RowFollower, type RowReceiver } from "../following/rowFollower.js";
+import { ServerReceiver } from "../following/serverReceiver.js";
+import type { GatewaySettings } from "../settings/gatewaySettings.js";
+import type { PlatformAdapter } from "./platformAdapter.js";
+
+/** Options of a {@link GatewayDaemon}. */
+export interface GatewayDaemonOptions {
+    readonly settings: GatewaySettings;
+    readonly adapter: PlatformAdapter;
+    readonly clock: WaitingClock;
+    readonly random: () => number;
+    readonly logger: Logger;
+}
+
+/** Bound on opening a connection to a backend server, in milliseconds; a healthy one takes a few. */
+const connectTimeoutMs = 400;
+/** How long an idle connection to a backend server is kept, unless the server says less, in milliseconds. */
+const idleConnectionMs = 8_000;
+/** Idle connections that a node keeps to one backend server. */
+const idleConnections = 16;
+/** How long the store holds a call for the next configuration, in milliseconds. */
+const configurationWaitMs = 1_500;
+/** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
+const serverPauseMs = 700;
+const serverWaitMs = 1_500;
+const followRetryMs = 200;
+/** Nodes that may share the retry slack; a deployment with more nodes has a smaller part of its load on each. */
+const slackShares = 20;
+/** Time in which the balancer notices that a node is not ready, in milliseconds. */
+const balancerNoticeMs = 2_600;
+/** Time kept at the end of the grace for closing, in milliseconds. */
+const closingMs = 900;
+const stopStepMs = 50;
+
+/** One node. */
+export class GatewayDaemon {
+    private readonly configuration: ActiveConfiguration;
+    private readonly directory: ServerDirectory;
+    private readonly connections: ConnectionPool;
+    private readonly duties: NodeDuties;
+    private readonly callerServer: FastifyInstance;
+    private readonly readinessServer: FastifyInstance;
+    private readonly stopping = new AbortController();
+    private readonly tasks: Promise<void>[] = [];
+    private draining = false;
+    private active = 0;
+
+    /** @param options - Settings, adapter and surroundings. */
+    constructor(private readonly options: GatewayDaemonOptions) {
+        const { settings, adapter, clock, random, logger } = options;
+        this.configuration = new ActiveConfiguration(logger);
+        this.directory = new ServerDirectory(logger);
+        this.connections = new ConnectionPool({ connectTimeoutMs, idleConnectionMs, idleConnections });
+        this.duties = new NodeDuties({
+            node: settings.name,
+            incarnation: `${settings.name}-${randomUUID().slice(0, 8)}`,
+            tableService: adapter.tableService,
+            reportService: adapter.reportService,
+            orderingService: adapter.orderingService,
+            clock,
+            random,
+            logger,
+            usageWindowMs: settings.usageWindowMs,
+            settings: buildDutySettings(settings.leaseMs),
+        });
+        this.callerServer = this.buildCallerServer();
+        this.readinessServer = buildReadinessServer(adapter.readinessPath, () => this.isReady());
+        this.configuration.addListener(({ bounds }) => {
+            this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
+        });
+    }
+
+    /** Starts to listen and to follow the store. */
+    async start(): Promise<void> {
+        const { settings, adapter, logger } = this.options;
+        const configurationReceiver = new ConfigurationReceiver(adapter, this.configuration, logger);
+        const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
+        this.follow(adapter.configurationTable, configurationReceiver, configurationWaitMs, 0);
+        this.follow(adapter.serverTable, serverReceiver, serverWaitMs, serverPauseMs);
+        await Promise.all([
+            listen(this.callerServer, settings.callerAddress),
+            listen(this.readinessServer, settings.readinessAddress),
+        ]);
+        this.tasks.push(this.duties.run(this.stopping.signal));
+        logger.writeEvent("nodeStarted", { name: settings.name });
+    }
+
+    /** Stops gracefully: not ready at once, then every request is finished. */
+    async stop(): Promise<void> {
+        const { settings, clock, logger, adapter } = this.options;
+        const startMs = clock.monotonicMs();
+        const endMs = startMs + settings.stopGraceMs - closingMs;
+        this.draining = true;
+        logger.writeEvent("nodeStopping", { active: this.active });
+        this.stopping.abort();
+        const dutiesStopped = this.duties.stop();
+        while (!this.isDrained(startMs) && clock.monotonicMs() < endMs) {
+            await clock.wait(stopStepMs);
+        }
+        this.callerServer.server.closeIdleConnections();
+        await Promise.race([dutiesStopped, clock.wait(closingMs / 2)]);
+        this.connections.close();
+        await Promise.race([
+            Promise.allSettled([this.duties.usage.writeOnce(), adapter.close()]),
+            clock.wait(closingMs / 4),
+        ]);
+        logger.writeEvent("nodeStopped", { active: this.active });
+    }
+
+    private isDrained(startMs: number): boolean {
+        const sinceStartMs = this.options.clock.monotonicMs() - startMs;
+        return this.active === 0 && sinceStartMs >= balancerNoticeMs;
+    }
+
+    private isReady(): boolean {
+        return !this.draining && this.configuration.readCurrent() !== undefined;
+    }
+
+    private follow(table: string, receiver: RowReceiver, waitMs: number, pauseMs: number): void {
+        const { adapter, clock, logger, random } = this.options;
+        const follower = new RowFollower({
+            feed: adapter.rowFeed,
+            table,
+            receiver,
+            clock,
+            logger,
+            random,
+            waitMs,
+            pauseMs,
+            retryMs: followRetryMs,
+        });
+        this.tasks.push(follower.run(this.stopping.signal));
+    }
+
+    private buildCallerServer(): FastifyInstance {
+        const { settings, adapter, clock, random, logger } = this.options;
+        const { configuration, directory, connections } = this;
+        const dispatches = new ServiceDispatches({
+            directory,
+            configuration,
+            clock,
+            dataCentre: settings.dataCentre,
+            retries: {
+                windowMs: settings.retryWindowMs,
+                share: settings.retryShare,
+                slack: Math.floor(settings.retrySlack / slackShares),
+            },
+        });
+        const runner = new RequestRunner({
+            dispatches,
+            directory,
+            configuration,
+            connections,
+            protocol: adapter.backendProtocol,
+            usage: this.duties.usage,
+            clock,
+            logger,
+        });
+        return buildCallerServer({
+            protocol: adapter.callerProtocol,
+            admission: new RequestAdmission({ configuration, clock, random }),
+            runner,
+            clock,
+            logger,
+            isDraining: () => this.draining,
+            onActive: (change) => {
+                this.active += change;
+            },
+        });
+    }
+}
+
+async function listen(server: FastifyInstance, address: string): Promise<void> {
+    const [host = "", port = "0"] = address.split(":");
+    await server.listen({ host, port: Number(port) });
+}
--- /dev/null
+++ b/packages/policy/src/hashing/rendezvousWeight.ts
@@ -0,0 +1,26 @@
+/**
+ * The weight of rendezvous hashing: every node computes the same, so they agree without talking.
+ *
+ * @packageDocumentation
+ */
+
+const hashOffset = 0x811c9dc5;
+const hashPrime = 0x01000193;
+
+/**
+ * Computes a candidate's weight for a key. FNV-1a with a final avalanche, because names that differ in their
+ * last letter are common.
+ *
+ * @param key - What is placed.
+ * @param candidate - Where it may be placed.
+ * @returns The weight; the highest is preferred.
+ */
+export function computeRendezvousWeight(key: string, candidate: string): number {
+    let hash = hashOffset;
+    for (const character of `${key}\n${candidate}`) {
+        hash = Math.imul(hash ^ (character.codePointAt(0) ?? 0), hashPrime);
+    }
+    hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+    hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -50,3 +50,10 @@
 export { Limiter } from "./limits/limiter.js";
 export type { LimitSummary } from "./limits/limiter.js";
 export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
+export { PrefixMemory } from "./placement/prefixMemory.js";
+export type { PromptPart } from "./placement/prefixMemory.js";
+export { RetryAllowance } from "./placement/retryAllowance.js";
+export type { RetryAllowanceSettings } from "./placement/retryAllowance.js";
+export { defaultPlacementSettings, ServerPlacement } from "./placement/serverPlacement.js";
+export type { Placement, PlacementRequest, PlacementSettings } from "./placement/serverPlacement.js";
+export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
--- /dev/null
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -0,0 +1,277 @@
+/**
+ * Chooses the backend server of a request: cached parts of the prompt, load, speed, failures and place.
+ *
+ * @packageDocumentation
+ */
+import type { Clock } from "@pimentocleat/types";
+import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
+import type { PromptPart } from "./prefixMemory.js";
+import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
+
+/** What the choice depends on. */
+export interface PlacementRequest {
+    readonly parts: readonly PromptPart[];
+    readonly promptTokens: number;
+    /** Servers that already failed this request. */
+    readonly excluded: ReadonlySet<string>;
+}
+
+/** A request that was sent to a server. */
+export interface Placement {
+    readonly serverId: string;
+    /** Prompt tokens that the server probably has to read. */
+    readonly uncachedTokens: number;
+    readonly sentMs: number;
+    /** Predicted time to the first event at a server of usual speed, in milliseconds. */
+    readonly expectedMs: number;
+}
+
+/** Settings of {@link ServerPlacement}. */
+export interface PlacementSettings {
+    /** Data centre of this node. */
+    readonly dataCentre: string;
+    /** Prompt tokens that an engine of usual speed reads in a millisecond; corrected by each server's slowness. */
+    readonly tokensPerMs: number;
+    /** Time to the first token without a prompt, in milliseconds. */
+    readonly firstEventMs: number;
+    /** Cost of leaving the data centre, in milliseconds of a caller's time. */
+    readonly otherDataCentreMs: number;
+    /** Expected time of a plain service's answer until one was measured, in milliseconds. */
+    readonly plainAnswerMs: number;
+    /** How long a load that came with an answer is believed, in milliseconds. */
+    readonly loadAgeMs: number;
+}
+
+/** Settings that hold unless overridden; speeds are those of the engines in docs/interfaces/engine.md. */
+export const defaultPlacementSettings: Omit<PlacementSettings, "dataCentre"> = {
+    tokensPerMs: 30,
+    firstEventMs: 25,
+    otherDataCentreMs: 12,
+    plainAnswerMs: 40,
+    loadAgeMs: 1_000,
+};
+
+/**
+ * Chance that a server has a request's shared parts because other nodes send such requests there: every node
+ * ranks the servers alike. Only the first two ranks are used in calm.
+ */
+const homeChances: readonly number[] = [0.9, 0.3];
+/** Cost of one waiting request that a server reported, in milliseconds. */
+const waitingRequestMs = 60;
+/** Cost of a full batch, in milliseconds: more urgent requests still pass, others wait for a slot. */
+const fullBatchMs = 1_500;
+/** Share of the slots beyond which a batch counts as nearly full. */
+const nearlyFullShare = 0.85;
+/** How much a server that always fails costs more than one that never does. */
+const failurePenalty = 12;
+
+/** Chooses servers of one service. */
+export class ServerPlacement {
+    private readonly estimates = new Map<string, ServerEstimate>();
+
+    /**
+     * @param settings - Speeds and costs.
+     * @param clock - The node's clock.
+     */
+    constructor(
+        private readonly settings: PlacementSettings,
+        private readonly clock: Clock,
+    ) {}
+
+    /**
+     * Replaces the servers; what is known of those that stay is kept.
+     *
+     * @param servers - Servers that may get new work.
+     */
+    updateServers(servers: readonly PlacementServer[]): void {
+        const present = new Set(servers.map((server) => server.id));
+        for (const [id, estimate] of this.estimates) {
+            if (!present.has(id) && estimate.inFlight === 0) {
+                this.estimates.delete(id);
+            }
+        }
+        for (const server of servers) {
+            const known = this.estimates.get(server.id);
+            if (known === undefined) {
+                this.estimates.set(server.id, new ServerEstimate(server, this.settings.plainAnswerMs));
+            } else {
+                known.server = server;
+            }
+        }
+    }
+
+    /**
+     * Forgets what is known of a server, because it started again.
+     *
+     * @param id - The server.
+     */
+    removeServer(id: string): void {
+        this.estimates.delete(id);
+    }
+
+    /**
+     * Finds the estimates of a server.
+     *
+     * @param id - The server.
+     * @returns The estimates, or undefined for an unknown server.
+     */
+    findEstimate(id: string): ServerEstimate | undefined {
+        return this.estimates.get(id);
+    }
+
+    /**
+     * Chooses a server.
+     *
+     * @param request - The request.
+     * @param ready - Servers that may get new work.
+     * @returns The server's identifier, or undefined when there is none.
+     */
+    chooseServer(request: PlacementRequest, ready: readonly PlacementServer[]): string | undefined {
+        const nowMs = this.clock.monotonicMs();
+        const candidates = ready.filter((server) => !request.excluded.has(server.id));
+        const calm = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
+        const pool = calm.length > 0 ? calm : candidates;
+        const homes = rankHomes(request, pool);
+        let best: string | undefined;
+        let bestCost = Number.POSITIVE_INFINITY;
+        for (const server of pool) {
+            const cost = this.estimateCost(server, request, homes, nowMs);
+            if (cost < bestCost) {
+                best = server.id;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Notes that a request is sent.
+     *
+     * @param serverId - The chosen server.
+     * @param request - The request.
+     * @returns What {@link ServerPlacement.recordFirstEvent} and {@link ServerPlacement.recordEnd} need.
+     */
+    recordSent(serverId: string, request: PlacementRequest): Placement {
+        const estimate = this.estimates.get(serverId);
+        const sentMs = this.clock.monotonicMs();
+        if (estimate === undefined) {
+            return { serverId, uncachedTokens: 0, sentMs, expectedMs: this.settings.firstEventMs };
+        }
+        const held = estimate.memory.countHeldTokens(request.parts);
+        const uncachedTokens = Math.max(0, request.promptTokens - held);
+        const expectedMs = this.estimateReadMs(estimate.backlogTokens + uncachedTokens);
+        estimate.inFlight += 1;
+        estimate.backlogTokens += uncachedTokens;
+        estimate.recordPrompt(request.parts);
+        return { serverId, uncachedTokens, sentMs, expectedMs };
+    }
+
+    /** @param placement - A request whose first event arrived. */
+    recordFirstEvent(placement: Placement): void {
+        const estimate = this.estimates.get(placement.serverId);
+        if (estimate === undefined) {
+            return;
+        }
+        estimate.backlogTokens = Math.max(0, estimate.backlogTokens - placement.uncachedTokens);
+        const elapsedMs = this.clock.monotonicMs() - placement.sentMs;
+        if (estimate.server.capacityTokens === undefined) {
+            estimate.answerMs.record(elapsedMs);
+        } else {
+            estimate.recordFirstEvent(elapsedMs, placement.expectedMs);
+        }
+    }
+
+    /**
+     * Notes that a request has left its server.
+     *
+     * @param placement - The request.
+     * @param hadFirstEvent - Whether {@link ServerPlacement.recordFirstEvent} was called.
+     * @param outcome - How it ended.
+     */
+    recordEnd(placement: Placement, hadFirstEvent: boolean, outcome: PlacementOutcome): void {
+        const estimate = this.estimates.get(placement.serverId);
+        if (estimate === undefined) {
+            return;
+        }
+        estimate.inFlight -= 1;
+        if (!hadFirstEvent) {
+            estimate.backlogTokens = Math.max(0, estimate.backlogTokens - placement.uncachedTokens);
+        }
+        estimate.recordOutcome(outcome, this.clock.monotonicMs());
+    }
+
+    /**
+     * Notes the load that came with an answer.
+     *
+     * @param serverId - The server.
+     * @param running - Requests that run there.
+     * @param waiting - Requests that wait there.
+     */
+    recordLoad(serverId: string, running: number, waiting: number): void {
+        const estimate = this.estimates.get(serverId);
+        if (estimate !== undefined) {
+            estimate.load = { running, waiting, atMs: this.clock.monotonicMs() };
+        }
+    }
+
+    private isAvoided(id: string, nowMs: number): boolean {
+        return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
+    }
+
+    private estimateCost(
+        server: PlacementServer,
+        request: PlacementRequest,
+        homes: ReadonlyMap<string, number>,
+        nowMs: number,
+    ): number {
+        const estimate = this.estimates.get(server.id);
+        if (estimate === undefined) {
+            return Number.MAX_VALUE;
+        }
+        const placeMs = server.dataCentre === this.settings.dataCentre ? 0 : this.settings.otherDataCentreMs;
+        const failures = 1 + failurePenalty * estimate.readFailureShare() ** 2;
+        const isRecent = estimate.load !== undefined && nowMs - estimate.load.atMs < this.settings.loadAgeMs;
+        const waiting = isRecent ? (estimate.load?.waiting ?? 0) : 0;
+        const running = Math.max(estimate.inFlight, isRecent ? (estimate.load?.running ?? 0) : 0);
+        const share = running / Math.max(1, server.slots);
+        if (server.capacityTokens === undefined) {
+            const answerMs = estimate.answerMs.readMean();
+            return (answerMs * (1 + share + waiting / Math.max(1, server.slots)) + placeMs / 4) * failures;
+        }
+        const uncached = this.estimateUncached(estimate, request, homes.get(server.id));
+        const readMs = this.estimateReadMs(estimate.backlogTokens + uncached) * estimate.readSlowness();
+        const fullMs = share > nearlyFullShare ? fullBatchMs * (share - nearlyFullShare) : 0;
+        return (readMs + waiting * waitingRequestMs + fullMs + placeMs + share * this.settings.firstEventMs) * failures;
+    }
+
+    private estimateUncached(
+        estimate: ServerEstimate,
+        request: PlacementRequest,
+        homeRank: number | undefined,
+    ): number {
+        const held = estimate.memory.countHeldTokens(request.parts);
+        const shared = request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+        const chance = homeRank === undefined ? 0 : (homeChances[homeRank] ?? 0);
+        return Math.max(0, request.promptTokens - Math.max(held, chance * shared));
+    }
+
+    private estimateReadMs(tokens: number): number {
+        return this.settings.firstEventMs + tokens / this.settings.tokensPerMs;
+    }
+}
+
+/** Ranks servers for the request's shared parts, alike on every node; only ranks with a chance are kept. */
+function rankHomes(
+    request: PlacementRequest,
+    pool: readonly PlacementServer[],
+): ReadonlyMap<string, number> {
+    const shared = request.parts.at(-2);
+    if (shared === undefined) {
+        return new Map();
+    }
+    const ranked = pool
+        .map((server) => ({ id: server.id, weight: computeRendezvousWeight(shared.id, server.id) }))
+        .sort((left, right) => right.weight - left.weight)
+        .slice(0, homeChances.length);
+    return new Map(ranked.map(({ id }, rank) => [id, rank]));
+}
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -14,7 +14,7 @@
     type ObservedLease,
 } from "@pimentocleat/policy";
 import type { Logger } from "@pimentocleat/telemetry";
-import type { WaitingClock } from "@pimentocleat/types";
+import type { Clock, WaitingClock } from "@pimentocleat/types";
 import { isAmbiguous, runWithTimeout } from "../retrying/callTimeout.js";
 import { HeldLease, type LeaseHandle } from "./heldLease.js";
 import {
@@ -30,6 +30,8 @@
 export interface LeaseManagerOptions {
     readonly tableService: TableService;
     readonly clock: WaitingClock;
+    /** Measures the validity of this node's own leases; the clock when absent. */
+    readonly validityClock?: Clock;
     /** This node's name, for the order of preference and the record; tokens tell holders apart. */
     readonly node: string;
     /** Lists the nodes known to be live, for the order of preference. */
@@ -63,6 +65,7 @@
  */
 export class LeaseManager {
     private readonly timing: LeaseTiming;
+    private readonly validityClock: Clock;
     private readonly observed = new Map<string, ObservedLease>();
     private readonly acquisitions = new Map<string, PendingAcquisition>();
     private readonly held = new Map<string, HeldLease>();
@@ -72,6 +75,7 @@
     /** @param options - The table service, the clock and the timing. */
     constructor(private readonly options: LeaseManagerOptions) {
         this.timing = options.timing ?? defaultLeaseTiming;
+        this.validityClock = options.validityClock ?? options.clock;
     }
 
     /**
@@ -191,7 +195,7 @@
         }
         const record = this.buildRecord((stored.record?.fencingNumber ?? 0) + 1, false);
         const { token, fencingNumber } = record;
-        const pending = { token, fencingNumber, sentMs: clock.monotonicMs() };
+        const pending = { token, fencingNumber, sentMs: this.validityClock.monotonicMs() };
         this.acquisitions.set(name, pending);
         const result = await this.commitAcquisition(name, stored, record);
         if (result?.outcome === "committed") {
@@ -230,7 +234,7 @@
         const lease = new HeldLease(
             { ...pending, name, version, fenceVersion },
             this.timing,
-            this.options.clock,
+            this.validityClock,
         );
         this.acquisitions.delete(name);
         this.held.set(name, lease);
