Tell the other nodes of each send, so that all know backlogs and cached parts

Cause: each of nine nodes saw a ninth of the sends; short prompts were put behind long ones that another node had just sent (applicant-ask p99 654 ms, 31 late) and shared parts were read again at a second server. Change: a datagram for each send and each first event to the nodes that registered in the store; a server known to hold the shared parts is worth waiting for; longer waits at the store. Log lines with a field named message are no longer taken apart.

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -9,6 +9,7 @@
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
+import type { SendAnnouncer } from "../peers/placementGossip.js";
 import { BackendExchange } from "./backendExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
@@ -53,6 +54,8 @@
     readonly silenceMs: number | undefined;
     /** Called when the server began to run the request. */
     readonly onRunning: () => void;
+    /** Tells the other nodes of the send. */
+    readonly announcer: SendAnnouncer;
 }
 
 /** Answers larger than this are passed on as they come; smaller ones are checked whole first. */
@@ -74,6 +77,7 @@
     private hadFirstEvent = false;
     private passedOn = false;
     private ended = false;
+    private announcedId: string | undefined;
     private silenceTimer: NodeJS.Timeout | undefined;
 
     /** @param options - The request, the server and the caller. */
@@ -109,6 +113,7 @@
         return new Promise((resolve) => {
             this.resolve = resolve;
             this.startSilenceTimer();
+            this.announceSend();
             this.exchange.start();
         });
     }
@@ -211,6 +216,24 @@
             this.hadFirstEvent = true;
             this.options.placement.recordFirstEvent(this.placed);
             this.options.onRunning();
+            this.announceStart();
+        }
+    }
+
+    /** Plain services have no prompts of which others should know. */
+    private announceSend(): void {
+        const { announcer, request, server } = this.options;
+        const { parts, promptTokens } = request.head;
+        if (promptTokens > 0) {
+            const { uncachedTokens } = this.placed;
+            this.announcedId = announcer.announceSend(request.service, server.id, uncachedTokens, parts.slice(0, -1));
+        }
+    }
+
+    private announceStart(): void {
+        if (this.announcedId !== undefined) {
+            this.options.announcer.announceStart(this.options.request.service, this.announcedId);
+            this.announcedId = undefined;
         }
     }
 
@@ -238,6 +261,7 @@
         }
         this.ended = true;
         clearTimeout(this.silenceTimer);
+        this.announceStart();
         this.options.placement.recordEnd(this.placed, this.hadFirstEvent, outcome);
         this.resolve(result);
     }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -12,6 +12,7 @@
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { SendAnnouncer } from "../peers/placementGossip.js";
 import { Attempt, type AttemptResult, type WholeBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { ServiceDispatch, ServiceDispatches } from "./serviceDispatch.js";
@@ -30,6 +31,7 @@
     readonly connections: ConnectionPool;
     readonly protocol: BackendProtocol;
     readonly usage: UsageCounter;
+    readonly announcer: SendAnnouncer;
     readonly clock: Clock;
     readonly logger: Logger;
 }
@@ -169,6 +171,7 @@
             lastEventId: state.lastEventId,
             silenceMs: this.computeSilenceMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
+            announcer: this.options.announcer,
         });
         logger.writeEvent("requestSent", {
             requestId,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -19,6 +19,8 @@
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { RowFollower, type RowReceiver } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
+import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
+import { PlacementGossip } from "../peers/placementGossip.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 
@@ -38,10 +40,12 @@
 /** Idle connections that a node keeps to one backend server. */
 const idleConnections = 16;
 /** How long the store holds a call for the next configuration, in milliseconds. */
-const configurationWaitMs = 1_500;
+const configurationWaitMs = 2_300;
 /** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
-const serverPauseMs = 700;
+const serverPauseMs = 1_100;
 const serverWaitMs = 1_500;
+/** How long the store holds a call for the next change of the nodes, in milliseconds; a late one costs little. */
+const peerWaitMs = 10_000;
 const followRetryMs = 200;
 /** Nodes that may share the retry slack; a deployment with more nodes has a smaller part of its load on each. */
 const slackShares = 20;
@@ -57,6 +61,9 @@
     private readonly directory: ServerDirectory;
     private readonly connections: ConnectionPool;
     private readonly duties: NodeDuties;
+    private readonly dispatches: ServiceDispatches;
+    private readonly peers: PeerDirectory;
+    private readonly gossip: PlacementGossip;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -70,9 +77,28 @@
         this.configuration = new ActiveConfiguration(logger);
         this.directory = new ServerDirectory(logger);
         this.connections = new ConnectionPool({ connectTimeoutMs, idleConnectionMs, idleConnections });
+        const incarnation = `${settings.name}-${randomUUID().slice(0, 8)}`;
+        this.dispatches = this.buildDispatches();
+        const { peerHost: host, dataCentre } = settings;
+        const [port] = settings.peerPorts;
+        this.peers = new PeerDirectory({
+            name: settings.name,
+            address: { host, port, dataCentre },
+            tableService: adapter.tableService,
+            clock,
+            logger,
+        });
+        this.gossip = new PlacementGossip({
+            host,
+            port,
+            incarnation,
+            listPeers: () => this.peers.listPeers(),
+            dispatches: this.dispatches,
+            logger,
+        });
         this.duties = new NodeDuties({
             node: settings.name,
-            incarnation: `${settings.name}-${randomUUID().slice(0, 8)}`,
+            incarnation,
             tableService: adapter.tableService,
             reportService: adapter.reportService,
             orderingService: adapter.orderingService,
@@ -96,6 +122,9 @@
         const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         this.follow(adapter.configurationTable, configurationReceiver, configurationWaitMs, 0);
         this.follow(adapter.serverTable, serverReceiver, serverWaitMs, serverPauseMs);
+        this.follow(peerTable, this.peers, peerWaitMs, 0);
+        this.gossip.start();
+        this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             listen(this.callerServer, settings.callerAddress),
             listen(this.readinessServer, settings.readinessAddress),
@@ -119,6 +148,7 @@
         this.callerServer.server.closeIdleConnections();
         await Promise.race([dutiesStopped, clock.wait(closingMs / 2)]);
         this.connections.close();
+        this.gossip.close();
         await Promise.race([
             Promise.allSettled([this.duties.usage.writeOnce(), adapter.close()]),
             clock.wait(closingMs / 4),
@@ -151,10 +181,10 @@
         this.tasks.push(follower.run(this.stopping.signal));
     }
 
-    private buildCallerServer(): FastifyInstance {
-        const { settings, adapter, clock, random, logger } = this.options;
-        const { configuration, directory, connections } = this;
-        const dispatches = new ServiceDispatches({
+    private buildDispatches(): ServiceDispatches {
+        const { settings, clock } = this.options;
+        const { directory, configuration } = this;
+        return new ServiceDispatches({
             directory,
             configuration,
             clock,
@@ -165,8 +195,14 @@
                 slack: Math.floor(settings.retrySlack / slackShares),
             },
         });
+    }
+
+    private buildCallerServer(): FastifyInstance {
+        const { adapter, clock, random, logger } = this.options;
+        const { configuration, directory, connections } = this;
         const runner = new RequestRunner({
-            dispatches,
+            dispatches: this.dispatches,
+            announcer: this.gossip,
             directory,
             configuration,
             connections,
--- /dev/null
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -0,0 +1,108 @@
+/**
+ * Where the other nodes are: each node registers in the platform's store, and all follow the registrations.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type { Row, RowChange, TableService } from "@pimentocleat/services";
+import type { Logger } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import type { RowReceiver } from "../following/rowFollower.js";
+
+/** Table of the registrations. */
+export const peerTable = "nodes";
+
+/** Where a node hears its peers. */
+export interface PeerAddress {
+    readonly host: string;
+    readonly port: number;
+    readonly dataCentre: string;
+}
+
+/** Options of a {@link PeerDirectory}. */
+export interface PeerDirectoryOptions {
+    readonly name: string;
+    readonly address: PeerAddress;
+    readonly tableService: TableService;
+    readonly clock: WaitingClock;
+    readonly logger: Logger;
+}
+
+const addressSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
+/** Pause before a registration is tried again, in milliseconds. */
+const retryMs = 1_000;
+/**
+ * Peers that hear of each send, at the most. Deployments with more nodes tell those of their own data centre
+ * first, since these send to the same servers.
+ */
+const mostPeers = 24;
+
+/** Knows the other nodes. Registrations of nodes that are gone cost a datagram each and are overwritten by name. */
+export class PeerDirectory implements RowReceiver {
+    private readonly peers = new Map<string, PeerAddress>();
+    private chosen: readonly PeerAddress[] = [];
+
+    /** @param options - This node and the store. */
+    constructor(private readonly options: PeerDirectoryOptions) {}
+
+    /**
+     * Registers this node.
+     *
+     * @param signal - Ends the tries.
+     */
+    async register(signal: AbortSignal): Promise<void> {
+        const { name: key, address, tableService, clock, logger } = this.options;
+        while (!signal.aborted) {
+            try {
+                const writes = [{ table: peerTable, key, value: { ...address } }];
+                await tableService.commitTransaction({ conditions: [], writes });
+                return;
+            } catch (error) {
+                logger.writeEvent("peerRegistrationFailed", { reason: String(error) });
+                await clock.wait(retryMs, signal);
+            }
+        }
+    }
+
+    /** Removes this node's registration. */
+    async withdraw(): Promise<void> {
+        const writes = [{ table: peerTable, key: this.options.name }];
+        await this.options.tableService.commitTransaction({ conditions: [], writes });
+    }
+
+    /** @returns The nodes that hear of this node's sends. */
+    listPeers(): readonly PeerAddress[] {
+        return this.chosen;
+    }
+
+    replaceRows(rows: readonly Row[]): void {
+        this.peers.clear();
+        rows.forEach((row) => this.applyRow(row));
+        this.choosePeers();
+    }
+
+    applyChanges(changes: readonly RowChange[]): void {
+        for (const change of changes) {
+            if (change.type === "put") {
+                this.applyRow(change.row);
+            } else {
+                this.peers.delete(change.key);
+            }
+        }
+        this.choosePeers();
+    }
+
+    private applyRow(row: Row): void {
+        const address = addressSchema.safeParse(row.value);
+        if (address.success && row.key !== this.options.name) {
+            this.peers.set(row.key, address.data);
+        }
+    }
+
+    private choosePeers(): void {
+        const { dataCentre } = this.options.address;
+        const isNear = (peer: PeerAddress): number => Number(peer.dataCentre === dataCentre);
+        const sorted = [...this.peers.values()].sort((left, right) => isNear(right) - isNear(left));
+        this.chosen = sorted.slice(0, mostPeers);
+    }
+}
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from "@pimentocleat/types";
 import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
+import { PeerBacklog, type PeerSend } from "./peerBacklog.js";
 import type { PromptPart } from "./prefixMemory.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 
@@ -53,9 +54,11 @@
 
 /**
  * Chance that a server has a request's shared parts because other nodes send such requests there: every node
- * ranks the servers alike. Only the first two ranks are used in calm.
+ * ranks the servers alike. Counts only while no server is known to have them.
  */
 const homeChances: readonly number[] = [0.9, 0.3];
+/** Shared parts that another server has are read again only if waiting there costs more than so many times the reading. */
+const rereadFactor = 3;
 /** Cost of one waiting request that a server reported, in milliseconds. */
 const waitingRequestMs = 60;
 /** Cost of a full batch, in milliseconds: more urgent requests still pass, others wait for a slot. */
@@ -65,9 +68,18 @@
 /** How much a server that always fails costs more than one that never does. */
 const failurePenalty = 12;
 
+/** What is known of where the shared parts of a prompt are. */
+interface CacheView {
+    /** Ranks of the servers to which every node sends such prompts first; empty when a server is known to have them. */
+    readonly homes: ReadonlyMap<string, number>;
+    /** Most tokens of the shared parts that one server is known to have. */
+    readonly mostHeld: number;
+}
+
 /** Chooses servers of one service. */
 export class ServerPlacement {
     private readonly estimates = new Map<string, ServerEstimate>();
+    private readonly peers = new PeerBacklog();
 
     /**
      * @param settings - Speeds and costs.
@@ -131,11 +143,14 @@
         const candidates = ready.filter((server) => !request.excluded.has(server.id));
         const calm = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
         const pool = calm.length > 0 ? calm : candidates;
-        const homes = rankHomes(request, pool);
+        this.peers.removePast(nowMs);
+        const shared = request.parts.slice(0, -1);
+        const mostHeld = Math.max(0, ...pool.map(({ id }) => this.countHeld(id, shared)));
+        const homes = mostHeld > 0 ? new Map<string, number>() : rankHomes(request, pool);
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of pool) {
-            const cost = this.estimateCost(server, request, homes, nowMs);
+            const cost = this.estimateCost(server, request, { homes, mostHeld }, nowMs);
             if (cost < bestCost) {
                 best = server.id;
                 bestCost = cost;
@@ -159,7 +174,8 @@
         }
         const held = estimate.memory.countHeldTokens(request.parts);
         const uncachedTokens = Math.max(0, request.promptTokens - held);
-        const expectedMs = this.estimateReadMs(estimate.backlogTokens + uncachedTokens);
+        const backlog = estimate.backlogTokens + this.peers.countTokens(serverId);
+        const expectedMs = this.estimateReadMs(backlog + uncachedTokens);
         estimate.inFlight += 1;
         estimate.backlogTokens += uncachedTokens;
         estimate.recordPrompt(request.parts);
@@ -214,6 +230,22 @@
         }
     }
 
+    /**
+     * Notes what another node sent.
+     *
+     * @param send - The send.
+     * @param shared - The prompt's shared parts, which the server will then have.
+     */
+    recordPeerSend(send: PeerSend, shared: readonly PromptPart[]): void {
+        this.peers.addSend(send, this.clock.monotonicMs());
+        this.estimates.get(send.serverId)?.recordPrompt(shared);
+    }
+
+    /** @param id - A send of another node whose first event arrived, or that ended. */
+    removePeerSend(id: string): void {
+        this.peers.removeSend(id);
+    }
+
     private isAvoided(id: string, nowMs: number): boolean {
         return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
     }
@@ -221,7 +253,7 @@
     private estimateCost(
         server: PlacementServer,
         request: PlacementRequest,
-        homes: ReadonlyMap<string, number>,
+        cache: CacheView,
         nowMs: number,
     ): number {
         const estimate = this.estimates.get(server.id);
@@ -238,8 +270,9 @@
             const answerMs = estimate.answerMs.readMean();
             return (answerMs * (1 + share + waiting / Math.max(1, server.slots)) + placeMs / 4) * failures;
         }
-        const uncached = this.estimateUncached(estimate, request, homes.get(server.id));
-        const readMs = this.estimateReadMs(estimate.backlogTokens + uncached) * estimate.readSlowness();
+        const uncached = this.estimateUncached(estimate, request, cache);
+        const backlog = estimate.backlogTokens + this.peers.countTokens(server.id);
+        const readMs = this.estimateReadMs(backlog + uncached) * estimate.readSlowness();
         const fullMs = share > nearlyFullShare ? fullBatchMs * (share - nearlyFullShare) : 0;
         return (readMs + waiting * waitingRequestMs + fullMs + placeMs + share * this.settings.firstEventMs) * failures;
     }
@@ -247,12 +280,19 @@
     private estimateUncached(
         estimate: ServerEstimate,
         request: PlacementRequest,
-        homeRank: number | undefined,
+        cache: CacheView,
     ): number {
+        const shared = request.parts.slice(0, -1);
         const held = estimate.memory.countHeldTokens(request.parts);
-        const shared = request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+        const homeRank = cache.homes.get(estimate.server.id);
         const chance = homeRank === undefined ? 0 : (homeChances[homeRank] ?? 0);
-        return Math.max(0, request.promptTokens - Math.max(held, chance * shared));
+        const expected = Math.max(held, chance * sumTokens(shared));
+        const readAgain = Math.max(0, cache.mostHeld - estimate.memory.countHeldTokens(shared));
+        return Math.max(0, request.promptTokens - expected) + (rereadFactor - 1) * readAgain;
+    }
+
+    private countHeld(id: string, parts: readonly PromptPart[]): number {
+        return this.estimates.get(id)?.memory.countHeldTokens(parts) ?? 0;
     }
 
     private estimateReadMs(tokens: number): number {
@@ -260,6 +300,10 @@
     }
 }
 
+function sumTokens(parts: readonly PromptPart[]): number {
+    return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
 /** Ranks servers for the request's shared parts, alike on every node; only ranks with a chance are kept. */
 function rankHomes(
     request: PlacementRequest,
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -49,11 +49,12 @@
     writeEvent(name: LogEventName, fields: LogFields = {}): void {
         const event = logEvents[name];
         const entry = { event: event.number, name, text: event.text, ...this.options.fields, ...fields };
-        this.consola[event.level](entry);
+        // The text goes first: the library would take an object with a field "message" apart.
+        this.consola[event.level](event.text, entry);
     }
 
     private formatLine(level: string, date: Date, args: readonly unknown[]): string {
-        const entry = args[0] as Record<string, unknown>;
+        const entry = args[1] as Record<string, unknown>;
         if (this.options.format === "json") {
             return JSON.stringify({ time: date.toISOString(), level, ...entry });
         }
