Order mostly reclaimable servers

Ruled out: fewer servers of the usual kind (a burst and the loss of a data centre need them). Change: one node at a time orders for each service with servers to order: a quarter more than the deployment began with, nine tenths of them reclaimable and spread over the data centres, others in their place while they cannot be had; a server is given back when those that replace it are ready.

--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -7,6 +7,10 @@
 import { LeaseManager } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
+import type { ServerDirectory } from "../backends/serverDirectory.js";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { OrderingRule } from "../configuration/gatewayConfiguration.js";
+import { OrderingDuty } from "./orderingDuty.js";
 import type { DutySettings } from "./dutySettings.js";
 import { UsageDuty } from "./usageDuty.js";
 import { ValidityClock } from "./validityClock.js";
@@ -23,6 +27,15 @@
     readonly logger: Logger;
     readonly usageWindowMs: number;
     readonly settings: DutySettings;
+    /** Whether no duty can have been held before this process started. */
+    readonly isFirstStart: boolean;
+    readonly configuration: ActiveConfiguration;
+    readonly directory: ServerDirectory;
+}
+
+interface OrderableService {
+    readonly name: string;
+    readonly rule: OrderingRule;
 }
 
 /** Lease of the node that reports usage. */
@@ -32,6 +45,7 @@
 export class NodeDuties {
     readonly usage: UsageDuty;
     private readonly leases: LeaseManager;
+    private readonly ordering = new Map<string, OrderingDuty>();
 
     /** @param options - The services and the durations. */
     constructor(private readonly options: NodeDutiesOptions) {
@@ -63,6 +77,7 @@
             this.runLeases(signal),
             this.runEvery(settings.usageFlushMs, signal, () => this.usage.writeOnce()),
             this.runEvery(settings.stepMs, signal, () => this.usage.reportOnce(this.leases.findHeld(usageLeaseName))),
+            this.runEvery(settings.stepMs, signal, () => this.orderOnce()),
         ]);
     }
 
@@ -72,12 +87,54 @@
     }
 
     private async runLeases(signal: AbortSignal): Promise<void> {
-        const { clock, settings, reportService } = this.options;
-        await clock.wait(settings.startDelayMs, signal);
-        this.leases.setWanted(reportService === undefined ? [] : [usageLeaseName]);
+        const { clock, settings, isFirstStart } = this.options;
+        await clock.wait(isFirstStart ? 0 : settings.startDelayMs, signal);
+        this.updateWanted();
         await this.leases.run(signal);
     }
 
+    private updateWanted(): void {
+        const { reportService } = this.options;
+        this.leases.setWanted([
+            ...(reportService === undefined ? [] : [usageLeaseName]),
+            ...this.listOrderable().map(({ name }) => formatOrderingLease(name)),
+        ]);
+    }
+
+    private listOrderable(): readonly OrderableService[] {
+        const { configuration, orderingService } = this.options;
+        if (orderingService === undefined) {
+            return [];
+        }
+        return (configuration.readCurrent()?.services ?? []).flatMap(({ name, ordering }) =>
+            ordering === undefined ? [] : [{ name, rule: ordering }],
+        );
+    }
+
+    private async orderOnce(): Promise<void> {
+        this.updateWanted();
+        for (const { name, rule } of this.listOrderable()) {
+            await this.ensureOrdering(name)?.advanceOnce(rule, this.options.directory.listServers(name));
+        }
+    }
+
+    /** A new tenure needs a new duty. */
+    private ensureOrdering(service: string): OrderingDuty | undefined {
+        const lease = this.leases.findHeld(formatOrderingLease(service));
+        const { orderingService } = this.options;
+        if (lease === undefined || orderingService === undefined) {
+            this.ordering.delete(service);
+            return undefined;
+        }
+        const known = this.ordering.get(service);
+        if (known?.lease === lease) {
+            return known;
+        }
+        const duty = new OrderingDuty({ ...this.options, orderingService, lease, service });
+        this.ordering.set(service, duty);
+        return duty;
+    }
+
     private async runEvery(intervalMs: number, signal: AbortSignal, step: () => Promise<unknown>): Promise<void> {
         const { clock, random, logger } = this.options;
         while (!signal.aborted) {
@@ -90,3 +147,7 @@
         }
     }
 }
+
+function formatOrderingLease(service: string): string {
+    return `orders/${service}`;
+}
--- /dev/null
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -0,0 +1,191 @@
+/**
+ * Which backend servers of a service to order: mostly reclaimable ones, spread over the data centres, with
+ * others in their place while they cannot be had.
+ *
+ * @packageDocumentation
+ */
+import {
+    defaultPlannerSettings,
+    ServerPlanner,
+    type PlannedServers,
+    type ServerOption,
+} from "@pimentocleat/policy";
+import type { Clock } from "@pimentocleat/types";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { OrderingRule } from "../configuration/gatewayConfiguration.js";
+
+/** Servers beyond those that the deployment began with, as a share; they carry a burst and the loss of a data centre. */
+const spareShare = 0.25;
+/** Most reclaimable servers, as a share of all; the others stay when every reclaimable one is taken away. */
+const reclaimableShare = 0.9;
+/** How long a data centre whose reclaimable servers were taken away gets no new ones, in milliseconds. */
+const noticeMs = 8_000;
+/** How long a surplus of reclaimable servers is kept, in milliseconds: giving one back loses its cache. */
+const surplusMs = 30_000;
+const longestBackoffMs = 4_000;
+/** A deployment counts as complete when no server came or went for this long, in milliseconds. */
+const settledMs = 2_500;
+
+interface Surplus {
+    readonly count: number;
+    readonly sinceMs: number;
+}
+
+/** Plans the orders of one service for one tenure of its duty. */
+export class OrderPlan {
+    readonly planner = new ServerPlanner();
+    private baseline: number | undefined;
+    private lastCount = 0;
+    private changedMs: number;
+    private readonly dataCentres = new Set<string>();
+    private readonly noticedMs = new Map<string, number>();
+    private readonly ordered = new Map<string, number>();
+    private readonly surplus = new Map<string, Surplus>();
+
+    /** @param clock - The node's clock. */
+    constructor(private readonly clock: Clock) {
+        this.changedMs = clock.monotonicMs();
+    }
+
+    /**
+     * Takes over what an earlier holder of the duty ordered.
+     *
+     * @param intents - The stored orders; empty when there are none.
+     */
+    recordIntents(intents: readonly PlannedServers[]): void {
+        const total = intents.reduce((sum, { count }) => sum + count, 0);
+        if (total > 0) {
+            this.baseline = total / (1 + spareShare);
+            this.planner.recordCurrent(intents, this.clock.monotonicMs());
+        }
+        intents.forEach((intent) => {
+            this.dataCentres.add(intent.dataCentre);
+            this.ordered.set(formatKind(intent), intent.count);
+        });
+    }
+
+    /**
+     * Plans the wanted numbers.
+     *
+     * @param rule - Bounds and prices.
+     * @param servers - All registered servers of the service.
+     * @returns The wanted numbers, the rising ones first; empty until the deployment is complete.
+     */
+    planOrders(rule: OrderingRule, servers: readonly RegisteredServer[]): readonly PlannedServers[] {
+        const nowMs = this.clock.monotonicMs();
+        this.recordServers(servers, nowMs);
+        if (this.baseline === undefined) {
+            return [];
+        }
+        this.planner.updateSettings({
+            ...defaultPlannerSettings,
+            headroomShare: 0,
+            minimumServers: rule.minimum * this.dataCentres.size,
+            maximumServers: rule.maximum * this.dataCentres.size,
+            reclaimableShare: rule.reclaimablePrice === undefined ? 0 : reclaimableShare,
+            scaleDownDelayMs: surplusMs,
+            longestBackoffMs,
+        });
+        const options = this.listOptions(rule, nowMs);
+        const demandSlots = Math.ceil(this.baseline * (1 + spareShare));
+        const planned = this.planner.planServers({ nowMs, demandSlots, slotsPerServer: 1, options });
+        const kept = this.keepSurplus(planned, nowMs);
+        return boundByDataCentre(this.keepUntilReplaced(kept, servers), rule).sort(
+            (left, right) => this.computeRise(right) - this.computeRise(left),
+        );
+    }
+
+    /** @param servers - An order that the platform accepted. */
+    recordAccepted(servers: PlannedServers): void {
+        this.ordered.set(formatKind(servers), servers.count);
+        this.planner.recordAccepted(servers);
+    }
+
+    private recordServers(servers: readonly RegisteredServer[], nowMs: number): void {
+        for (const { dataCentre, isReclaimable, state } of servers) {
+            this.dataCentres.add(dataCentre);
+            if (isReclaimable && state === "leaving") {
+                this.noticedMs.set(dataCentre, nowMs);
+            }
+        }
+        const ready = servers.filter(({ state }) => state === "ready").length;
+        if (ready !== this.lastCount) {
+            this.lastCount = ready;
+            this.changedMs = nowMs;
+        }
+        if (this.baseline === undefined && ready > 0 && nowMs - this.changedMs >= settledMs) {
+            this.baseline = ready;
+        }
+    }
+
+    private listOptions(rule: OrderingRule, nowMs: number): readonly ServerOption[] {
+        return [...this.dataCentres].sort().flatMap((dataCentre) => {
+            const price = rule.prices[dataCentre] ?? 1;
+            const standard = { dataCentre, reclaimable: false, costPerHour: price, underNotice: false };
+            if (rule.reclaimablePrice === undefined) {
+                return [standard];
+            }
+            const noticed = this.noticedMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
+            const underNotice = nowMs - noticed < noticeMs;
+            const costPerHour = price * rule.reclaimablePrice;
+            return [standard, { dataCentre, reclaimable: true, costPerHour, underNotice }];
+        });
+    }
+
+    /** Lowers a number of reclaimable servers only when it has been too high for a while. */
+    private keepSurplus(planned: readonly PlannedServers[], nowMs: number): PlannedServers[] {
+        return planned.map((servers) => {
+            const key = formatKind(servers);
+            const ordered = this.ordered.get(key) ?? 0;
+            if (!servers.reclaimable || servers.count >= ordered) {
+                this.surplus.delete(key);
+                return servers;
+            }
+            const known = this.surplus.get(key) ?? { count: ordered, sinceMs: nowMs };
+            this.surplus.set(key, known);
+            return nowMs - known.sinceMs < surplusMs ? { ...servers, count: ordered } : servers;
+        });
+    }
+
+    /** Gives a server back only when those that replace it are ready. */
+    private keepUntilReplaced(planned: readonly PlannedServers[], servers: readonly RegisteredServer[]): PlannedServers[] {
+        const ready = servers.filter(({ state }) => state === "ready");
+        const readyReclaimable = ready.filter(({ isReclaimable }) => isReclaimable).length;
+        const wantedReclaimable = planned.filter(({ reclaimable }) => reclaimable).reduce((sum, { count }) => sum + count, 0);
+        let missing = Math.max(0, wantedReclaimable - readyReclaimable);
+        return planned.map((wanted) => {
+            if (wanted.reclaimable) {
+                return wanted;
+            }
+            const present = ready.filter(
+                ({ isReclaimable, dataCentre }) => !isReclaimable && dataCentre === wanted.dataCentre,
+            ).length;
+            const kept = Math.max(0, Math.min(present - wanted.count, missing));
+            missing -= kept;
+            return { ...wanted, count: wanted.count + kept };
+        });
+    }
+
+    private computeRise(servers: PlannedServers): number {
+        return servers.count - (this.ordered.get(formatKind(servers)) ?? 0);
+    }
+}
+
+function formatKind({ dataCentre, reclaimable }: PlannedServers): string {
+    return `${dataCentre}/${reclaimable ? "reclaimable" : "standard"}`;
+}
+
+/** The bounds hold for both kinds of a data centre together. */
+function boundByDataCentre(planned: readonly PlannedServers[], rule: OrderingRule): PlannedServers[] {
+    const totals = new Map<string, number>();
+    const bounded = planned.map((servers) => {
+        const used = totals.get(servers.dataCentre) ?? 0;
+        const count = Math.min(servers.count, rule.maximum - used);
+        totals.set(servers.dataCentre, used + count);
+        return { ...servers, count };
+    });
+    return bounded.map((servers) => {
+        const lacking = rule.minimum - (totals.get(servers.dataCentre) ?? 0);
+        return !servers.reclaimable && lacking > 0 ? { ...servers, count: servers.count + lacking } : servers;
+    });
+}
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -107,6 +107,9 @@
             logger,
             usageWindowMs: settings.usageWindowMs,
             settings: buildDutySettings(settings.leaseMs),
+            isFirstStart: settings.isFirstStart,
+            configuration: this.configuration,
+            directory: this.directory,
         });
         this.callerServer = this.buildCallerServer();
         this.readinessServer = buildReadinessServer(adapter.readinessPath, () => this.isReady());
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -26,6 +26,8 @@
     storeAddress: addressSchema,
     /** Address that takes orders for servers and usage reports; absent when there are no such duties. */
     dutiesAddress: addressSchema.nullish(),
+    /** Whether the whole system starts for the first time. */
+    isFirstStart: z.boolean(),
     memoryMegabytes: z.number().positive(),
     /** Time from the signal to stop to the end of the process. */
     stopGraceSeconds: secondsSchema,
