Keep long prompts off servers where they would make running streams late

Cause: an engine reads a long prompt in chunks between the tokens of the streams beside it, so each event of these waits for several chunks; caption-write had 15 and applicant-ask 11 late answers with first events in time. Ruled out: priorities at the engine (a reading that has begun is not put back). Change: every node knows the streams that run on each server and the pause that each bears; making one late costs as much as 400 ms; a third of the servers is left to short prompts while there is a choice.

--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -24,6 +24,8 @@
     readonly timeoutMs: number;
     /** Time within which an answer, or a stream's first event, is on time, in milliseconds. */
     readonly targetMs: number;
+    /** Longest pause between the events of a stream that is on time, in milliseconds; undefined for whole answers. */
+    readonly pauseTargetMs: number | undefined;
     /** Rank; 0 is the most urgent. */
     readonly priority: number;
     readonly targets: readonly RouteTarget[];
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -225,15 +225,25 @@
         const { announcer, request, server } = this.options;
         const { parts, promptTokens } = request.head;
         if (promptTokens > 0) {
-            const { uncachedTokens } = this.placed;
-            this.announcedId = announcer.announceSend(request.service, server.id, uncachedTokens, parts.slice(0, -1));
+            this.announcedId = announcer.announceSend({
+                service: request.service,
+                serverId: server.id,
+                tokens: this.placed.uncachedTokens,
+                pauseTargetMs: request.route.pauseTargetMs,
+                shared: parts.slice(0, -1),
+            });
         }
     }
 
     private announceStart(): void {
         if (this.announcedId !== undefined) {
             this.options.announcer.announceStart(this.options.request.service, this.announcedId);
-            this.announcedId = undefined;
+        }
+    }
+
+    private announceEnd(): void {
+        if (this.announcedId !== undefined) {
+            this.options.announcer.announceEnd(this.options.request.service, this.announcedId);
         }
     }
 
@@ -261,8 +271,8 @@
         }
         this.ended = true;
         clearTimeout(this.silenceTimer);
-        this.announceStart();
-        this.options.placement.recordEnd(this.placed, this.hadFirstEvent, outcome);
+        this.announceEnd();
+        this.options.placement.recordEnd(this.placed, outcome);
         this.resolve(result);
     }
 }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -144,7 +144,8 @@
             capacityTokens,
         }));
         const { parts, promptTokens } = request.head;
-        const id = dispatch.placement.chooseServer({ parts, promptTokens, excluded }, candidates);
+        const { pauseTargetMs } = request.route;
+        const id = dispatch.placement.chooseServer({ parts, promptTokens, pauseTargetMs, excluded }, candidates);
         return ready.find((server) => server.id === id);
     }
 
@@ -163,7 +164,7 @@
             request,
             server,
             placement: dispatch.placement,
-            placementRequest: { parts, promptTokens, excluded },
+            placementRequest: { parts, promptTokens, pauseTargetMs: request.route.pauseTargetMs, excluded },
             protocol,
             connections,
             answer,
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -22,9 +22,11 @@
 const noticeMs = 8_000;
 /** How long a surplus of reclaimable servers is kept, in milliseconds: giving one back loses its cache. */
 const surplusMs = 30_000;
+/** How long a surplus of other servers is kept, in milliseconds; they cost several times as much. */
+const standardSurplusMs = 5_000;
 const longestBackoffMs = 4_000;
 /** A deployment counts as complete when no server came or went for this long, in milliseconds. */
-const settledMs = 2_500;
+const settledMs = 1_500;
 
 interface Surplus {
     readonly count: number;
@@ -97,8 +99,12 @@
 
     /** @param servers - An order that the platform accepted. */
     recordAccepted(servers: PlannedServers): void {
-        this.ordered.set(formatKind(servers), servers.count);
-        this.planner.recordAccepted(servers);
+        const key = formatKind(servers);
+        // An order that returns to what was accepted before says nothing about more servers.
+        if (this.ordered.get(key) !== servers.count) {
+            this.ordered.set(key, servers.count);
+            this.planner.recordAccepted(servers);
+        }
     }
 
     private recordServers(servers: readonly RegisteredServer[], nowMs: number): void {
@@ -132,18 +138,19 @@
         });
     }
 
-    /** Lowers a number of reclaimable servers only when it has been too high for a while. */
+    /** Lowers a number of servers only when it has been too high for a while. */
     private keepSurplus(planned: readonly PlannedServers[], nowMs: number): PlannedServers[] {
         return planned.map((servers) => {
             const key = formatKind(servers);
             const ordered = this.ordered.get(key) ?? 0;
-            if (!servers.reclaimable || servers.count >= ordered) {
+            if (servers.count >= ordered) {
                 this.surplus.delete(key);
                 return servers;
             }
             const known = this.surplus.get(key) ?? { count: ordered, sinceMs: nowMs };
             this.surplus.set(key, known);
-            return nowMs - known.sinceMs < surplusMs ? { ...servers, count: ordered } : servers;
+            const keepMs = servers.reclaimable ? surplusMs : standardSurplusMs;
+            return nowMs - known.sinceMs < keepMs ? { ...servers, count: ordered } : servers;
         });
     }
 
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -11,25 +11,41 @@
 import type { ServiceDispatches } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress } from "./peerDirectory.js";
 
+/** A send of which the other nodes are told. */
+export interface AnnouncedSend {
+    readonly service: string;
+    readonly serverId: string;
+    /** Prompt tokens that the server has to read. */
+    readonly tokens: number;
+    /** Longest pause between events with which the answer is on time, in milliseconds. */
+    readonly pauseTargetMs: number | undefined;
+    /** The prompt's shared parts. */
+    readonly shared: readonly PromptPart[];
+}
+
 /** Tells others of sends. */
 export interface SendAnnouncer {
     /**
      * Tells of a send.
      *
-     * @param service - The service.
-     * @param serverId - The server.
-     * @param tokens - Prompt tokens that the server has to read.
-     * @param shared - The prompt's shared parts.
-     * @returns Names the send for {@link SendAnnouncer.announceStart}.
+     * @param send - The send.
+     * @returns Names the send.
      */
-    announceSend(service: string, serverId: string, tokens: number, shared: readonly PromptPart[]): string;
+    announceSend(send: AnnouncedSend): string;
     /**
-     * Tells that a send got its first event or ended.
+     * Tells that the first event of a send arrived.
      *
      * @param service - The service.
      * @param id - Names the send.
      */
     announceStart(service: string, id: string): void;
+    /**
+     * Tells that a send ended.
+     *
+     * @param service - The service.
+     * @param id - Names the send.
+     */
+    announceEnd(service: string, id: string): void;
 }
 
 /** Options of {@link PlacementGossip}. */
@@ -50,9 +66,11 @@
         id: z.string(),
         server: z.string(),
         tokens: z.number().nonnegative(),
+        pauseTargetMs: z.number().nonnegative().optional(),
         parts: z.array(z.tuple([z.string(), z.number().nonnegative()])),
     }),
     z.object({ type: z.literal("start"), service: z.string(), id: z.string() }),
+    z.object({ type: z.literal("end"), service: z.string(), id: z.string() }),
 ]);
 
 type GossipMessage = z.infer<typeof messageSchema>;
@@ -85,14 +103,19 @@
         this.socket = undefined;
     }
 
-    announceSend(service: string, serverId: string, tokens: number, shared: readonly PromptPart[]): string {
+    announceSend(send: AnnouncedSend): string {
         this.sequence += 1;
         const id = `${this.options.incarnation}/${String(this.sequence)}`;
+        const { service, serverId: server, tokens, pauseTargetMs, shared } = send;
         const parts = shared.map((part): [string, number] => [part.id, part.tokens]);
-        this.spread({ type: "send", service, id, server: serverId, tokens, parts });
+        this.spread({ type: "send", service, id, server, tokens, pauseTargetMs, parts });
         return id;
     }
 
+    announceEnd(service: string, id: string): void {
+        this.spread({ type: "end", service, id });
+    }
+
     announceStart(service: string, id: string): void {
         this.spread({ type: "start", service, id });
     }
@@ -114,12 +137,19 @@
             return;
         }
         const { placement } = this.options.dispatches.ensureService(message.service);
-        if (message.type === "start") {
-            placement.removePeerSend(message.id);
-            return;
+        switch (message.type) {
+            case "start":
+                placement.startPeerSend(message.id);
+                break;
+            case "end":
+                placement.endPeerSend(message.id);
+                break;
+            case "send": {
+                const { id, server: serverId, tokens, pauseTargetMs } = message;
+                const shared = message.parts.map(([part, count]) => ({ id: part, tokens: count }));
+                placement.recordPeerSend({ id, serverId, tokens, pauseTargetMs }, shared);
+                break;
+            }
         }
-        const shared = message.parts.map(([id, tokens]) => ({ id, tokens }));
-        const { id, server: serverId, tokens } = message;
-        placement.recordPeerSend({ id, serverId, tokens }, shared);
     }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -50,7 +50,7 @@
 export { Limiter } from "./limits/limiter.js";
 export type { LimitSummary } from "./limits/limiter.js";
 export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
-export type { PeerSend } from "./placement/peerBacklog.js";
+export type { KnownSend } from "./placement/runningSends.js";
 export { PrefixMemory } from "./placement/prefixMemory.js";
 export type { PromptPart } from "./placement/prefixMemory.js";
 export { RetryAllowance } from "./placement/retryAllowance.js";
--- a/packages/policy/src/placement/serverEstimate.ts
+++ b/packages/policy/src/placement/serverEstimate.ts
@@ -53,8 +53,6 @@
     readonly memory: PrefixMemory;
     /** Requests of this node that run or wait there. */
     inFlight = 0;
-    /** Prompt tokens sent by this node for which no event came back yet. */
-    backlogTokens = 0;
     load: TimedLoad | undefined;
     avoidUntilMs = Number.NEGATIVE_INFINITY;
     readonly answerMs: MeanEstimator;
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -5,20 +5,24 @@
  */
 import type { Clock } from "@pimentocleat/types";
 import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
-import { PeerBacklog, type PeerSend } from "./peerBacklog.js";
 import type { PromptPart } from "./prefixMemory.js";
+import { RunningSends, type KnownSend } from "./runningSends.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 
 /** What the choice depends on. */
 export interface PlacementRequest {
     readonly parts: readonly PromptPart[];
     readonly promptTokens: number;
+    /** Longest pause between events with which the answer is on time, in milliseconds; undefined for whole answers. */
+    readonly pauseTargetMs: number | undefined;
     /** Servers that already failed this request. */
     readonly excluded: ReadonlySet<string>;
 }
 
 /** A request that was sent to a server. */
 export interface Placement {
+    /** Names the send on this node. */
+    readonly sendId: string;
     readonly serverId: string;
     /** Prompt tokens that the server probably has to read. */
     readonly uncachedTokens: number;
@@ -59,6 +63,19 @@
 const homeChances: readonly number[] = [0.9, 0.3];
 /** Shared parts that another server has are read again only if waiting there costs more than so many times the reading. */
 const rereadFactor = 3;
+const quietKey = "quiet";
+/** Share of the servers that long prompts leave to short ones while there is a choice. */
+const quietShare = 1 / 3;
+/** Cost of sending a long prompt to a quiet server, or a short one to another, in milliseconds. */
+const otherKindMs = 20;
+/** A prompt is long when reading it takes this share of the shortest pause that streams bear. */
+const longReadShare = 0.5;
+/** Share of a reading that shows as one pause in the streams beside it: it goes on in chunks between their tokens. */
+const pauseShare = 0.8;
+/** Cost of making another stream late, in milliseconds of a caller's time. */
+const lateStreamMs = 400;
+/** Cost of a full batch's slower steps, in milliseconds. */
+const batchMs = 60;
 /** Cost of one waiting request that a server reported, in milliseconds. */
 const waitingRequestMs = 60;
 /** Cost of a full batch, in milliseconds: more urgent requests still pass, others wait for a slot. */
@@ -74,12 +91,18 @@
     readonly homes: ReadonlyMap<string, number>;
     /** Most tokens of the shared parts that one server is known to have. */
     readonly mostHeld: number;
+    /** Servers that short prompts prefer and long ones leave to them; every node selects the same. */
+    readonly quiet: ReadonlySet<string>;
+    readonly isLong: boolean;
 }
 
 /** Chooses servers of one service. */
 export class ServerPlacement {
     private readonly estimates = new Map<string, ServerEstimate>();
-    private readonly peers = new PeerBacklog();
+    private readonly sends = new RunningSends();
+    private sequence = 0;
+    /** Shortest pause that any known stream bears, in milliseconds. */
+    private leastPauseMs = Number.POSITIVE_INFINITY;
 
     /**
      * @param settings - Speeds and costs.
@@ -143,14 +166,12 @@
         const candidates = ready.filter((server) => !request.excluded.has(server.id));
         const calm = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
         const pool = calm.length > 0 ? calm : candidates;
-        this.peers.removePast(nowMs);
-        const shared = request.parts.slice(0, -1);
-        const mostHeld = Math.max(0, ...pool.map(({ id }) => this.countHeld(id, shared)));
-        const homes = mostHeld > 0 ? new Map<string, number>() : rankHomes(request, pool);
+        this.sends.removePast(nowMs);
+        const cache = this.viewCache(request, pool);
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of pool) {
-            const cost = this.estimateCost(server, request, { homes, mostHeld }, nowMs);
+            const cost = this.estimateCost(server, request, cache, nowMs);
             if (cost < bestCost) {
                 best = server.id;
                 bestCost = cost;
@@ -169,26 +190,28 @@
     recordSent(serverId: string, request: PlacementRequest): Placement {
         const estimate = this.estimates.get(serverId);
         const sentMs = this.clock.monotonicMs();
-        if (estimate === undefined) {
-            return { serverId, uncachedTokens: 0, sentMs, expectedMs: this.settings.firstEventMs };
-        }
-        const held = estimate.memory.countHeldTokens(request.parts);
+        const held = estimate?.memory.countHeldTokens(request.parts) ?? 0;
         const uncachedTokens = Math.max(0, request.promptTokens - held);
-        const backlog = estimate.backlogTokens + this.peers.countTokens(serverId);
-        const expectedMs = this.estimateReadMs(backlog + uncachedTokens);
-        estimate.inFlight += 1;
-        estimate.backlogTokens += uncachedTokens;
-        estimate.recordPrompt(request.parts);
-        return { serverId, uncachedTokens, sentMs, expectedMs };
+        const expectedMs = this.estimateReadMs(this.sends.countTokens(serverId) + uncachedTokens);
+        this.sequence += 1;
+        const sendId = `own/${String(this.sequence)}`;
+        const { pauseTargetMs } = request;
+        this.recordPause(pauseTargetMs);
+        this.sends.addSend({ id: sendId, serverId, tokens: uncachedTokens, pauseTargetMs }, sentMs, true);
+        if (estimate !== undefined) {
+            estimate.inFlight += 1;
+            estimate.recordPrompt(request.parts);
+        }
+        return { sendId, serverId, uncachedTokens, sentMs, expectedMs };
     }
 
     /** @param placement - A request whose first event arrived. */
     recordFirstEvent(placement: Placement): void {
+        this.sends.startSend(placement.sendId);
         const estimate = this.estimates.get(placement.serverId);
         if (estimate === undefined) {
             return;
         }
-        estimate.backlogTokens = Math.max(0, estimate.backlogTokens - placement.uncachedTokens);
         const elapsedMs = this.clock.monotonicMs() - placement.sentMs;
         if (estimate.server.capacityTokens === undefined) {
             estimate.answerMs.record(elapsedMs);
@@ -201,18 +224,15 @@
      * Notes that a request has left its server.
      *
      * @param placement - The request.
-     * @param hadFirstEvent - Whether {@link ServerPlacement.recordFirstEvent} was called.
      * @param outcome - How it ended.
      */
-    recordEnd(placement: Placement, hadFirstEvent: boolean, outcome: PlacementOutcome): void {
+    recordEnd(placement: Placement, outcome: PlacementOutcome): void {
+        this.sends.endSend(placement.sendId);
         const estimate = this.estimates.get(placement.serverId);
         if (estimate === undefined) {
             return;
         }
         estimate.inFlight -= 1;
-        if (!hadFirstEvent) {
-            estimate.backlogTokens = Math.max(0, estimate.backlogTokens - placement.uncachedTokens);
-        }
         estimate.recordOutcome(outcome, this.clock.monotonicMs());
     }
 
@@ -236,14 +256,30 @@
      * @param send - The send.
      * @param shared - The prompt's shared parts, which the server will then have.
      */
-    recordPeerSend(send: PeerSend, shared: readonly PromptPart[]): void {
-        this.peers.addSend(send, this.clock.monotonicMs());
+    recordPeerSend(send: KnownSend, shared: readonly PromptPart[]): void {
+        this.recordPause(send.pauseTargetMs);
+        this.sends.addSend(send, this.clock.monotonicMs(), false);
         this.estimates.get(send.serverId)?.recordPrompt(shared);
     }
 
-    /** @param id - A send of another node whose first event arrived, or that ended. */
-    removePeerSend(id: string): void {
-        this.peers.removeSend(id);
+    /** @param id - A send of another node whose first event arrived. */
+    startPeerSend(id: string): void {
+        this.sends.startSend(id);
+    }
+
+    /** @param id - A send of another node that ended. */
+    endPeerSend(id: string): void {
+        this.sends.endSend(id);
+    }
+
+    private recordPause(pauseTargetMs: number | undefined): void {
+        this.leastPauseMs = Math.min(this.leastPauseMs, pauseTargetMs ?? Number.POSITIVE_INFINITY);
+    }
+
+    /** Whether reading the whole prompt would make the most sensitive streams beside it late. */
+    private isLong(request: PlacementRequest): boolean {
+        const readMs = request.promptTokens / this.settings.tokensPerMs;
+        return readMs >= longReadShare * this.leastPauseMs;
     }
 
     private isAvoided(id: string, nowMs: number): boolean {
@@ -264,17 +300,34 @@
         const failures = 1 + failurePenalty * estimate.readFailureShare() ** 2;
         const isRecent = estimate.load !== undefined && nowMs - estimate.load.atMs < this.settings.loadAgeMs;
         const waiting = isRecent ? (estimate.load?.waiting ?? 0) : 0;
-        const running = Math.max(estimate.inFlight, isRecent ? (estimate.load?.running ?? 0) : 0);
+        const running = Math.max(this.sends.countSends(server.id), isRecent ? (estimate.load?.running ?? 0) : 0);
         const share = running / Math.max(1, server.slots);
         if (server.capacityTokens === undefined) {
             const answerMs = estimate.answerMs.readMean();
             return (answerMs * (1 + share + waiting / Math.max(1, server.slots)) + placeMs / 4) * failures;
         }
+        const held = estimate.memory.countHeldTokens(request.parts);
+        const backlogMs = this.sends.countTokens(server.id) / this.settings.tokensPerMs;
         const uncached = this.estimateUncached(estimate, request, cache);
-        const backlog = estimate.backlogTokens + this.peers.countTokens(server.id);
-        const readMs = this.estimateReadMs(backlog + uncached) * estimate.readSlowness();
+        const readMs = (this.estimateReadMs(uncached) + backlogMs) * estimate.readSlowness();
         const fullMs = share > nearlyFullShare ? fullBatchMs * (share - nearlyFullShare) : 0;
-        return (readMs + waiting * waitingRequestMs + fullMs + placeMs + share * this.settings.firstEventMs) * failures;
+        const newReadMs = (request.promptTokens - held) / this.settings.tokensPerMs;
+        const disturbed = this.sends.countDisturbed(server.id, (newReadMs + backlogMs) * pauseShare);
+        const isDisturbed = (request.pauseTargetMs ?? Number.POSITIVE_INFINITY) < backlogMs * pauseShare;
+        const pausesMs = lateStreamMs * (disturbed + Number(isDisturbed));
+        const quietMs = cache.isLong === cache.quiet.has(server.id) ? otherKindMs : 0;
+        const waitMs = readMs + waiting * waitingRequestMs + fullMs + share * batchMs;
+        return (waitMs + placeMs + pausesMs + quietMs) * failures;
+    }
+
+    private viewCache(request: PlacementRequest, pool: readonly PlacementServer[]): CacheView {
+        const shared = request.parts.slice(0, -1);
+        const mostHeld = Math.max(0, ...pool.map(({ id }) => this.countHeld(id, shared)));
+        const quiet = selectQuiet(pool);
+        const isLong = this.isLong(request);
+        const loud = pool.filter(({ id }) => !quiet.has(id));
+        const homes = mostHeld > 0 ? new Map<string, number>() : rankHomes(request, isLong ? loud : pool);
+        return { homes, mostHeld, quiet, isLong };
     }
 
     private estimateUncached(
@@ -300,6 +353,14 @@
     }
 }
 
+/** Selects the quiet servers by their identifiers alone, so that every node selects the same. */
+function selectQuiet(pool: readonly PlacementServer[]): ReadonlySet<string> {
+    const ranked = pool
+        .map(({ id }) => ({ id, weight: computeRendezvousWeight(quietKey, id) }))
+        .sort((left, right) => right.weight - left.weight);
+    return new Set(ranked.slice(0, Math.floor(pool.length * quietShare)).map(({ id }) => id));
+}
+
 function sumTokens(parts: readonly PromptPart[]): number {
     return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
