Order servers again that were taken away

Ruled out: the planner's wait before giving servers back (it had passed). Change: a kind of which servers are gone for longer than a start takes is ordered again; while reclaimable servers are taken away, dearer ones replace them only up to the usual number; a notice counts from its first sight. The refused order of a lost kind is still repeated every half second during a reclaim.

--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -25,6 +25,8 @@
 /** How long a surplus of other servers is kept, in milliseconds; they cost several times as much. */
 const standardSurplusMs = 5_000;
 const longestBackoffMs = 4_000;
+/** Time beyond its start after which an ordered server that is not registered counts as lost, in milliseconds. */
+const startMarginMs = 4_000;
 /** A deployment counts as complete when no server came or went for this long, in milliseconds. */
 const settledMs = 1_500;
 
@@ -40,7 +42,9 @@
     private lastCount = 0;
     private changedMs: number;
     private readonly dataCentres = new Set<string>();
+    private leaving: ReadonlySet<string> = new Set();
     private readonly noticedMs = new Map<string, number>();
+    private readonly sentMs = new Map<string, number>();
     private readonly ordered = new Map<string, number>();
     private readonly surplus = new Map<string, Surplus>();
 
@@ -89,7 +93,9 @@
             longestBackoffMs,
         });
         const options = this.listOptions(rule, nowMs);
-        const demandSlots = Math.ceil(this.baseline * (1 + spareShare));
+        // While reclaimable servers are taken away, dearer ones replace them only up to the usual number.
+        const isShort = [...this.dataCentres].some((dataCentre) => this.isUnderNotice(dataCentre, nowMs));
+        const demandSlots = Math.ceil(this.baseline * (isShort ? 1 : 1 + spareShare));
         const planned = this.planner.planServers({ nowMs, demandSlots, slotsPerServer: 1, options });
         const kept = this.keepSurplus(planned, nowMs);
         return boundByDataCentre(this.keepUntilReplaced(kept, servers), rule).sort(
@@ -100,6 +106,7 @@
     /** @param servers - An order that the platform accepted. */
     recordAccepted(servers: PlannedServers): void {
         const key = formatKind(servers);
+        this.sentMs.set(key, this.clock.monotonicMs());
         // An order that returns to what was accepted before says nothing about more servers.
         if (this.ordered.get(key) !== servers.count) {
             this.ordered.set(key, servers.count);
@@ -107,13 +114,35 @@
         }
     }
 
+    /**
+     * Lists kinds of which servers are gone that had been ordered, without a notice and for longer than a new one
+     * takes to start: the platform does not replace them by itself.
+     *
+     * @param rule - Bounds and prices.
+     * @param servers - All registered servers of the service.
+     * @returns The kinds, as ordered.
+     */
+    listLost(rule: OrderingRule, servers: readonly RegisteredServer[]): readonly PlannedServers[] {
+        const nowMs = this.clock.monotonicMs();
+        return [...this.ordered.entries()].flatMap(([key, count]) => {
+            const [dataCentre = "", kind] = key.split("/");
+            const reclaimable = kind === "reclaimable";
+            const ready = servers.filter(
+                (server) =>
+                    server.state === "ready" &&
+                    server.dataCentre === dataCentre &&
+                    server.isReclaimable === reclaimable,
+            ).length;
+            const sentMs = this.sentMs.get(key) ?? Number.NEGATIVE_INFINITY;
+            const isSettled = nowMs - sentMs > rule.startMs + startMarginMs;
+            const isLost = ready < count && isSettled && !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
+            return isLost ? [{ dataCentre, reclaimable, count }] : [];
+        });
+    }
+
     private recordServers(servers: readonly RegisteredServer[], nowMs: number): void {
-        for (const { dataCentre, isReclaimable, state } of servers) {
-            this.dataCentres.add(dataCentre);
-            if (isReclaimable && state === "leaving") {
-                this.noticedMs.set(dataCentre, nowMs);
-            }
-        }
+        servers.forEach(({ dataCentre }) => this.dataCentres.add(dataCentre));
+        this.recordNotices(servers, nowMs);
         const ready = servers.filter(({ state }) => state === "ready").length;
         if (ready !== this.lastCount) {
             this.lastCount = ready;
@@ -124,6 +153,21 @@
         }
     }
 
+    /** A notice counts from when its servers were first seen to leave; their entries may stay for long. */
+    private recordNotices(servers: readonly RegisteredServer[], nowMs: number): void {
+        const leaving = servers.filter(({ isReclaimable, state }) => isReclaimable && state === "leaving");
+        for (const { id, dataCentre } of leaving) {
+            if (!this.leaving.has(id)) {
+                this.noticedMs.set(dataCentre, nowMs);
+            }
+        }
+        this.leaving = new Set(leaving.map(({ id }) => id));
+    }
+
+    private isUnderNotice(dataCentre: string, nowMs: number): boolean {
+        return nowMs - (this.noticedMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY) < noticeMs;
+    }
+
     private listOptions(rule: OrderingRule, nowMs: number): readonly ServerOption[] {
         return [...this.dataCentres].sort().flatMap((dataCentre) => {
             const price = rule.prices[dataCentre] ?? 1;
@@ -131,8 +175,7 @@
             if (rule.reclaimablePrice === undefined) {
                 return [standard];
             }
-            const noticed = this.noticedMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
-            const underNotice = nowMs - noticed < noticeMs;
+            const underNotice = this.isUnderNotice(dataCentre, nowMs);
             const costPerHour = price * rule.reclaimablePrice;
             return [standard, { dataCentre, reclaimable: true, costPerHour, underNotice }];
         });
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -57,6 +57,9 @@
             this.hasLoaded = true;
         }
         const { service, logger, clock } = this.options;
+        for (const lost of this.plan.listLost(rule, servers)) {
+            this.sender.clearAccepted({ ...lost, pool: service });
+        }
         for (const wanted of this.plan.planOrders(rule, servers)) {
             const result = await this.sender.sendWanted({ ...wanted, pool: service });
             const { dataCentre, reclaimable, count } = wanted;
--- a/packages/state/src/orders/orderSender.ts
+++ b/packages/state/src/orders/orderSender.ts
@@ -91,6 +91,15 @@
         }
     }
 
+    /**
+     * Sends a wanted state again although the platform accepted it before, because servers of it are gone.
+     *
+     * @param wanted - The wanted state.
+     */
+    clearAccepted(wanted: Omit<WantedServers, "count">): void {
+        this.acceptedGenerations.delete(formatOrderKey(wanted));
+    }
+
     private isAllowed(wanted: WantedServers): boolean {
         const onWireUntilMs = this.onWireUntilMs.get(formatOrderKey(wanted)) ?? Number.NEGATIVE_INFINITY;
         const { lease, receiver, clock } = this.options;
