--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -23,9 +23,27 @@
     to: { path: "^packages/", pathNot: `^packages/(${[name, ...allowed].join("|")})/` },
 }));
 
+/** Only the adapter of a platform knows its names, and nothing imports the adapter. */
+const adapterRules = [
+    {
+        name: "adapter-imports",
+        severity: "error",
+        comment: "platform/ may import only: types, telemetry, services, state, gateway",
+        from: { path: "^platform/src", pathNot: "__tests__" },
+        to: { path: "^packages/", pathNot: "^packages/(types|telemetry|services|state|gateway)/" },
+    },
+    {
+        name: "nothing-imports-the-adapter",
+        severity: "error",
+        from: { path: "^packages/", pathNot: "__tests__" },
+        to: { path: "^platform/" },
+    },
+];
+
 module.exports = {
     forbidden: [
         ...layerRules,
+        ...adapterRules,
         { name: "no-circular", severity: "error", from: {}, to: { circular: true } },
         {
             name: "policy-is-pure",
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,16 @@
 ].map((rule) => (rule.format === undefined ? { ...rule, format: null } : rule));
 
 export default tseslint.config(
-    { ignores: ["**/lib/**", "**/generated/**", "**/node_modules/**", ".cache/**"] },
+    {
+        ignores: [
+            "**/lib/**",
+            "**/generated/**",
+            "**/node_modules/**",
+            ".cache/**",
+            "target/**",
+            "journal/**",
+        ],
+    },
     ...tseslint.configs.recommended,
     {
         plugins: { tsdoc },
--- a/packages/bench/src/__tests__/fuzz/fakeBackend.ts
+++ b/packages/bench/src/__tests__/fuzz/fakeBackend.ts
@@ -5,8 +5,8 @@
  */
 import type { Dispatcher } from "undici";
 import type { ManualClock } from "@pimentocleat/types";
-import type { BackendConnection } from "../../../../node/src/upstream/backendConnection.js";
-import { ConnectionPool } from "../../../../node/src/upstream/connectionPool.js";
+import type { BackendConnection } from "@pimentocleat/upstream";
+import { ConnectionPool } from "@pimentocleat/upstream";
 
 /** What happens to one exchange with a backend server. */
 export type BackendFault =
@@ -71,6 +71,7 @@
             address,
             usable: true,
             hasSentBytes: () => sent,
+            hasFailed: () => false,
             dispatchRequest: (...call: Parameters<typeof dispatchRequest>) => void dispatchRequest(...call),
             close: () => (destroyed = true),
         } as unknown as BackendConnection;
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -56,7 +56,11 @@
         clientErrorHandler: (error, socket) => refuseBrokenRequest(options, error, socket),
     });
     server.removeAllContentTypeParsers();
-    server.addContentTypeParser("*", { parseAs: "buffer" }, async (...parameters: [FastifyRequest, Buffer]) => parameters[1]);
+    server.addContentTypeParser(
+        "*",
+        { parseAs: "buffer" },
+        async (...parameters: [FastifyRequest, Buffer]) => parameters[1],
+    );
     const arrivals = new WeakMap<FastifyRequest, number>();
     server.addHook("onRequest", async (request) => {
         arrivals.set(request, options.clock.monotonicMs());
@@ -146,12 +150,19 @@
 }
 
 /** Answers bytes that never became a request, and closes the connection. */
-function refuseBrokenRequest(options: CallerServerOptions, error: Error & { code?: string }, socket: Duplex): void {
-    const status = error.code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
+function refuseBrokenRequest(
+    options: CallerServerOptions,
+    error: Error & { code?: string },
+    socket: Duplex,
+): void {
+    const status =
+        error.code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
     options.logger.writeEvent("callerConnectionBroken", { reason: error.code ?? error.message });
     if (!socket.writable || error.code === "ECONNRESET" || error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
         socket.destroy();
         return;
     }
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () => socket.destroy());
+    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () =>
+        socket.destroy(),
+    );
 }
--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -53,7 +53,8 @@
     }
 
     private findCustomer(head: CallerHead): CustomerRule {
-        const customer = head.key === undefined ? undefined : this.options.configuration.findCustomer(head.key);
+        const customer =
+            head.key === undefined ? undefined : this.options.configuration.findCustomer(head.key);
         if (customer === undefined) {
             throw new RouterError(head.key === undefined ? ErrorKind.MissingKey : ErrorKind.InvalidKey);
         }
--- a/packages/gateway/src/dispatch/__tests__/backendExchange.test.ts
+++ b/packages/gateway/src/dispatch/__tests__/backendExchange.test.ts
@@ -24,13 +24,24 @@
             socket.once("data", () => answer(socket));
         });
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-        const connections = new ConnectionPool({ connectTimeoutMs: 1_000, idleConnectionMs: 1_000, idleConnections: 1 });
+        const connections = new ConnectionPool({
+            connectTimeoutMs: 1_000,
+            idleConnectionMs: 1_000,
+            idleConnections: 1,
+        });
         open.push(server, connections);
         const { port } = server.address() as AddressInfo;
         return new Promise((resolve) => {
             let body = "";
             const exchange = new BackendExchange(
-                { connections, address: `127.0.0.1:${String(port)}`, method: "GET", path: "/", headers: [], body: undefined },
+                {
+                    connections,
+                    address: `127.0.0.1:${String(port)}`,
+                    method: "GET",
+                    path: "/",
+                    headers: [],
+                    body: undefined,
+                },
                 {
                     onHead: () => undefined,
                     onData: (chunk) => {
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -146,7 +146,11 @@
                 return;
             case "mismatched":
                 this.abandon(
-                    { type: "lost", reason: `status ${String(status)} that does not fit the request`, streamed: this.passedOn },
+                    {
+                        type: "lost",
+                        reason: `status ${String(status)} that does not fit the request`,
+                        streamed: this.passedOn,
+                    },
                     "broken",
                 );
                 return;
@@ -190,7 +194,10 @@
 
     private handleEnd(): void {
         if (this.isStream && this.splitter.countHeldBytes() > 0) {
-            this.finish({ type: "lost", reason: "the stream ended within an event", streamed: this.passedOn }, "broken");
+            this.finish(
+                { type: "lost", reason: "the stream ended within an event", streamed: this.passedOn },
+                "broken",
+            );
             return;
         }
         this.recordRunning();
--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -51,7 +51,8 @@
     const ends: number[] = [];
     let lineStart = 0;
     for (let index = bytes.indexOf(lineFeed); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
-        const isEmpty = index === lineStart || (index === lineStart + 1 && bytes[lineStart] === carriageReturn);
+        const isEmpty =
+            index === lineStart || (index === lineStart + 1 && bytes[lineStart] === carriageReturn);
         if (isEmpty) {
             ends.push(index + 1);
         }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -136,7 +136,8 @@
     private chooseServer(state: RunState): RegisteredServer | undefined {
         const { request, dispatch, excluded } = state;
         const ready = this.options.directory.listReady(request.service);
-        const capacityTokens = this.options.configuration.findService(request.service)?.engine?.capacityTokens;
+        const capacityTokens = this.options.configuration.findService(request.service)?.engine
+            ?.capacityTokens;
         const candidates: PlacementServer[] = ready.map(({ id, dataCentre, slots }) => ({
             id,
             dataCentre,
@@ -145,7 +146,10 @@
         }));
         const { parts, promptTokens } = request.head;
         const { pauseTargetMs } = request.route;
-        const id = dispatch.placement.chooseServer({ parts, promptTokens, pauseTargetMs, excluded }, candidates);
+        const id = dispatch.placement.chooseServer(
+            { parts, promptTokens, pauseTargetMs, excluded },
+            candidates,
+        );
         return ready.find((server) => server.id === id);
     }
 
--- /dev/null
+++ b/packages/gateway/src/duties/__tests__/orderPlan.test.ts
@@ -0,0 +1,118 @@
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import type { RegisteredServer } from "../../backends/backendServer.js";
+import type { OrderingRule } from "../../configuration/gatewayConfiguration.js";
+import { OrderPlan } from "../orderPlan.js";
+
+const rule: OrderingRule = {
+    minimum: 1,
+    maximum: 8,
+    startMs: 4_000,
+    reclaimablePrice: 0.15,
+    prices: { a: 1, b: 0.8, c: 1.25 },
+};
+
+function buildServers(
+    dataCentre: string,
+    count: number,
+    change: Partial<RegisteredServer> = {},
+): RegisteredServer[] {
+    return Array.from({ length: count }, (...[, index]) => ({
+        id: `${dataCentre}-${String(index)}-${String(change.isReclaimable ?? false)}`,
+        service: "engines",
+        address: "127.0.0.1:1",
+        dataCentre,
+        slots: 64,
+        state: "ready" as const,
+        bornMs: 1,
+        isReclaimable: false,
+        ...change,
+    }));
+}
+
+const started = ["a", "b", "c"].flatMap((dataCentre) => buildServers(dataCentre, 3));
+const reclaimable = ["a", "b", "c"].flatMap((dataCentre) =>
+    buildServers(dataCentre, 4, { isReclaimable: true }),
+);
+
+function buildSettledPlan() {
+    const clock = new ManualClock();
+    const plan = new OrderPlan(clock);
+    plan.planOrders(rule, started);
+    clock.advance(1_600);
+    return { clock, plan };
+}
+
+const sum = (orders: readonly { count: number; reclaimable: boolean }[], kind: boolean): number =>
+    orders.filter((order) => order.reclaimable === kind).reduce((total, { count }) => total + count, 0);
+
+describe("OrderPlan", () => {
+    it("orders nothing before the deployment is complete", () => {
+        const plan = new OrderPlan(new ManualClock());
+        expect(plan.planOrders(rule, started)).toEqual([]);
+    });
+
+    it("orders reclaimable servers over all data centres and keeps the others until these are ready", () => {
+        const { plan } = buildSettledPlan();
+        const orders = plan.planOrders(rule, started);
+        expect(sum(orders, true)).toBeGreaterThanOrEqual(9);
+        expect(
+            new Set(orders.filter((order) => order.reclaimable).map((order) => order.count)).size,
+        ).toBeLessThanOrEqual(2);
+        expect(sum(orders, false)).toBe(9);
+        orders.forEach((order) => plan.recordAccepted(order));
+        const later = plan.planOrders(rule, [...started, ...reclaimable]);
+        expect(sum(later, false)).toBeLessThanOrEqual(9);
+    });
+
+    it("gives the dearer servers back once they are replaced for a while", () => {
+        const { clock, plan } = buildSettledPlan();
+        plan.planOrders(rule, started).forEach((order) => plan.recordAccepted(order));
+        plan.planOrders(rule, [...started, ...reclaimable]);
+        clock.advance(5_001);
+        expect(sum(plan.planOrders(rule, [...started, ...reclaimable]), false)).toBeLessThanOrEqual(2);
+    });
+
+    it("reclaim without replacements: orders others at once, and no reclaimable ones in that data centre", () => {
+        const { clock, plan } = buildSettledPlan();
+        plan.planOrders(rule, started).forEach((order) => plan.recordAccepted(order));
+        plan.planOrders(rule, [...started, ...reclaimable]);
+        clock.advance(5_001);
+        plan.planOrders(rule, [...started, ...reclaimable]).forEach((order) => plan.recordAccepted(order));
+        const noticed = reclaimable.map((server) =>
+            server.dataCentre === "a" ? { ...server, state: "leaving" as const } : server,
+        );
+        for (const order of plan
+            .planOrders(rule, noticed)
+            .filter((wanted) => wanted.reclaimable && wanted.dataCentre !== "a")) {
+            plan.planner.recordNoneAvailable(order, clock.monotonicMs(), 2_000);
+        }
+        expect(sum(plan.planOrders(rule, noticed), false)).toBeGreaterThan(2);
+    });
+
+    it("lists kinds that are lost without a notice, only after a start's time", () => {
+        const { clock, plan } = buildSettledPlan();
+        plan.planOrders(rule, started).forEach((order) => plan.recordAccepted(order));
+        const withoutB = reclaimable.filter(({ dataCentre }) => dataCentre !== "b");
+        expect(plan.listLost(rule, [...started, ...withoutB])).toEqual([]);
+        clock.advance(8_001);
+        const lost = plan.listLost(rule, [...started, ...withoutB]);
+        expect(lost).toEqual([expect.objectContaining({ dataCentre: "b", reclaimable: true })]);
+    });
+
+    it("stays within the bounds of a data centre", () => {
+        const clock = new ManualClock();
+        const plan = new OrderPlan(clock);
+        const narrow = { ...rule, maximum: 3 };
+        plan.planOrders(narrow, started);
+        clock.advance(1_600);
+        for (const dataCentre of ["a", "b", "c"]) {
+            const orders = plan
+                .planOrders(narrow, started)
+                .filter((order) => order.dataCentre === dataCentre);
+            const total = orders.reduce((count, order) => count + order.count, 0);
+            expect(total).toBeGreaterThanOrEqual(1);
+            expect(total).toBeLessThanOrEqual(3);
+        }
+    });
+});
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -76,7 +76,9 @@
         await Promise.all([
             this.runLeases(signal),
             this.runEvery(settings.usageFlushMs, signal, () => this.usage.writeOnce()),
-            this.runEvery(settings.stepMs, signal, () => this.usage.reportOnce(this.leases.findHeld(usageLeaseName))),
+            this.runEvery(settings.stepMs, signal, () =>
+                this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
+            ),
             this.runEvery(settings.stepMs, signal, () => this.orderOnce()),
         ]);
     }
@@ -135,7 +137,11 @@
         return duty;
     }
 
-    private async runEvery(intervalMs: number, signal: AbortSignal, step: () => Promise<unknown>): Promise<void> {
+    private async runEvery(
+        intervalMs: number,
+        signal: AbortSignal,
+        step: () => Promise<unknown>,
+    ): Promise<void> {
         const { clock, random, logger } = this.options;
         while (!signal.aborted) {
             await clock.wait(intervalMs * (0.75 + 0.5 * random()), signal);
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -135,7 +135,8 @@
             ).length;
             const sentMs = this.sentMs.get(key) ?? Number.NEGATIVE_INFINITY;
             const isSettled = nowMs - sentMs > rule.startMs + startMarginMs;
-            const isLost = ready < count && isSettled && !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
+            const isLost =
+                ready < count && isSettled && !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
             return isLost ? [{ dataCentre, reclaimable, count }] : [];
         });
     }
@@ -198,10 +199,15 @@
     }
 
     /** Gives a server back only when those that replace it are ready. */
-    private keepUntilReplaced(planned: readonly PlannedServers[], servers: readonly RegisteredServer[]): PlannedServers[] {
+    private keepUntilReplaced(
+        planned: readonly PlannedServers[],
+        servers: readonly RegisteredServer[],
+    ): PlannedServers[] {
         const ready = servers.filter(({ state }) => state === "ready");
         const readyReclaimable = ready.filter(({ isReclaimable }) => isReclaimable).length;
-        const wantedReclaimable = planned.filter(({ reclaimable }) => reclaimable).reduce((sum, { count }) => sum + count, 0);
+        const wantedReclaimable = planned
+            .filter(({ reclaimable }) => reclaimable)
+            .reduce((sum, { count }) => sum + count, 0);
         let missing = Math.max(0, wantedReclaimable - readyReclaimable);
         return planned.map((wanted) => {
             if (wanted.reclaimable) {
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -39,7 +39,10 @@
         this.sender = new OrderSender({
             ...options,
             pool: service,
-            receiver: { checksFencing: orderingService.checksFencing ?? false, wireBoundMs: settings.wireBoundMs },
+            receiver: {
+                checksFencing: orderingService.checksFencing ?? false,
+                wireBoundMs: settings.wireBoundMs,
+            },
             marginMs: settings.leaseTiming.marginMs,
             callTimeoutMs: settings.callTimeoutMs,
         });
--- /dev/null
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -0,0 +1,100 @@
+import {
+    PlatformError,
+    PlatformErrorKind,
+    type Row,
+    type RowChange,
+    type RowFeed,
+} from "@pimentocleat/services";
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import { RowFollower } from "../rowFollower.js";
+
+type Answer = { changes: readonly RowChange[]; position: number } | Error;
+
+/** Answers reads from lists; a call beyond them waits for ever. */
+class ListFeed implements RowFeed {
+    readonly calls: string[] = [];
+
+    constructor(
+        private readonly tables: { rows: readonly Row[]; position: number }[],
+        private readonly answers: Answer[],
+    ) {}
+
+    async readAll(): Promise<{ rows: readonly Row[]; position: number }> {
+        this.calls.push("all");
+        return this.tables.shift() ?? new Promise(() => undefined);
+    }
+
+    async readChanges(
+        ...[, position]: [string, number]
+    ): Promise<{ changes: readonly RowChange[]; position: number }> {
+        this.calls.push(`changes after ${String(position)}`);
+        const answer = this.answers.shift();
+        if (answer instanceof Error) {
+            throw answer;
+        }
+        return answer ?? new Promise(() => undefined);
+    }
+}
+
+async function follow(feed: ListFeed, rounds: number) {
+    const clock = new ManualClock();
+    const seen: string[] = [];
+    const follower = new RowFollower({
+        feed,
+        table: "t",
+        clock,
+        logger: new SilentLogger(),
+        random: () => 0.5,
+        waitMs: 1_000,
+        pauseMs: 100,
+        retryMs: 200,
+        receiver: {
+            replaceRows: (rows) => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
+            applyChanges: (changes) =>
+                seen.push(
+                    changes
+                        .map((change) => (change.type === "put" ? change.row.key : `-${change.key}`))
+                        .join(" "),
+                ),
+        },
+    });
+    void follower.run(new AbortController().signal);
+    for (let round = 0; round < rounds; round += 1) {
+        await new Promise((resolve) => setImmediate(resolve));
+        clock.advance(200);
+    }
+    return seen;
+}
+
+const row = (key: string, version: number): Row => ({ key, value: {}, version });
+
+describe("RowFollower", () => {
+    it("reads the table whole, then its changes", async () => {
+        const feed = new ListFeed(
+            [{ rows: [row("a", 1)], position: 5 }],
+            [
+                { changes: [{ type: "put", row: row("b", 6) }], position: 6 },
+                { changes: [{ type: "delete", key: "a" }], position: 7 },
+            ],
+        );
+        expect(await follow(feed, 6)).toEqual(["all a", "b", "-a"]);
+        expect(feed.calls).toEqual(["all", "changes after 5", "changes after 6", "changes after 7"]);
+    });
+
+    it.each([
+        ["lost history", new PlatformError(PlatformErrorKind.Rejected, "410")],
+        ["a silent connection", new PlatformError(PlatformErrorKind.Ambiguous, "no answer")],
+        ["a store that refuses", new PlatformError(PlatformErrorKind.Unavailable, "503")],
+    ])("reads the table whole again after %s", async (...[, error]) => {
+        const feed = new ListFeed(
+            [
+                { rows: [row("a", 1)], position: 5 },
+                { rows: [row("c", 9)], position: 9 },
+            ],
+            [error],
+        );
+        expect(await follow(feed, 6)).toEqual(["all a", "all c"]);
+    });
+});
--- a/packages/gateway/src/following/serverReceiver.ts
+++ b/packages/gateway/src/following/serverReceiver.ts
@@ -42,7 +42,10 @@
                 changed.push(server);
             }
         }
-        this.directory.updateServers(changed, removed.filter((key) => !changed.some(({ id }) => id === key)));
+        this.directory.updateServers(
+            changed,
+            removed.filter((key) => !changed.some(({ id }) => id === key)),
+        );
     }
 
     /** An entry that cannot be read names no server to use; it is noted once. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,5 +18,9 @@
 export { GatewayDaemon } from "./lifecycle/gatewayDaemon.js";
 export type { GatewayDaemonOptions } from "./lifecycle/gatewayDaemon.js";
 export type { PlatformAdapter } from "./lifecycle/platformAdapter.js";
-export { GatewaySettingsError, gatewaySettingsSchema, parseGatewaySettings } from "./settings/gatewaySettings.js";
+export {
+    GatewaySettingsError,
+    gatewaySettingsSchema,
+    parseGatewaySettings,
+} from "./settings/gatewaySettings.js";
 export type { GatewaySettings } from "./settings/gatewaySettings.js";
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -13,39 +13,41 @@
 const millisecondsPerSecond = 1_000;
 
 /** All settings; unknown ones are ignored. */
-export const gatewaySettingsSchema = z.object({
-    /** Name of this node, unique among the nodes. */
-    name: z.string().min(1),
-    dataCentre: z.string().min(1),
-    callerAddress: addressSchema,
-    readinessAddress: addressSchema,
-    /** IP address on which other nodes reach this one. */
-    peerHost: z.string().min(1),
-    /** First and last port that nodes may use among themselves. */
-    peerPorts: z.tuple([z.number().int().min(1).max(mostPort), z.number().int().min(1).max(mostPort)]),
-    storeAddress: addressSchema,
-    /** Address that takes orders for servers and usage reports; absent when there are no such duties. */
-    dutiesAddress: addressSchema.nullish(),
-    /** Whether the whole system starts for the first time. */
-    isFirstStart: z.boolean(),
-    memoryMegabytes: z.number().positive(),
-    /** Time from the signal to stop to the end of the process. */
-    stopGraceSeconds: secondsSchema,
-    /** Time after which a holder of a duty may be replaced. */
-    leaseMs: millisecondsSchema,
-    usageWindowSeconds: secondsSchema,
-    retryWindowSeconds: secondsSchema,
-    /** Sends beyond the first, as a share of the requests, that all nodes together may make. */
-    retryShare: z.number().nonnegative(),
-    /** Sends beyond that share in a window that all nodes together may make. */
-    retrySlack: z.number().nonnegative(),
-}).transform(({ stopGraceSeconds, usageWindowSeconds, retryWindowSeconds, ...others }) => ({
-    ...others,
-    dutiesAddress: others.dutiesAddress ?? undefined,
-    stopGraceMs: stopGraceSeconds * millisecondsPerSecond,
-    usageWindowMs: usageWindowSeconds * millisecondsPerSecond,
-    retryWindowMs: retryWindowSeconds * millisecondsPerSecond,
-}));
+export const gatewaySettingsSchema = z
+    .object({
+        /** Name of this node, unique among the nodes. */
+        name: z.string().min(1),
+        dataCentre: z.string().min(1),
+        callerAddress: addressSchema,
+        readinessAddress: addressSchema,
+        /** IP address on which other nodes reach this one. */
+        peerHost: z.string().min(1),
+        /** First and last port that nodes may use among themselves. */
+        peerPorts: z.tuple([z.number().int().min(1).max(mostPort), z.number().int().min(1).max(mostPort)]),
+        storeAddress: addressSchema,
+        /** Address that takes orders for servers and usage reports; absent when there are no such duties. */
+        dutiesAddress: addressSchema.nullish(),
+        /** Whether the whole system starts for the first time. */
+        isFirstStart: z.boolean(),
+        memoryMegabytes: z.number().positive(),
+        /** Time from the signal to stop to the end of the process. */
+        stopGraceSeconds: secondsSchema,
+        /** Time after which a holder of a duty may be replaced. */
+        leaseMs: millisecondsSchema,
+        usageWindowSeconds: secondsSchema,
+        retryWindowSeconds: secondsSchema,
+        /** Sends beyond the first, as a share of the requests, that all nodes together may make. */
+        retryShare: z.number().nonnegative(),
+        /** Sends beyond that share in a window that all nodes together may make. */
+        retrySlack: z.number().nonnegative(),
+    })
+    .transform(({ stopGraceSeconds, usageWindowSeconds, retryWindowSeconds, ...others }) => ({
+        ...others,
+        dutiesAddress: others.dutiesAddress ?? undefined,
+        stopGraceMs: stopGraceSeconds * millisecondsPerSecond,
+        usageWindowMs: usageWindowSeconds * millisecondsPerSecond,
+        retryWindowMs: retryWindowSeconds * millisecondsPerSecond,
+    }));
 
 /** Valid settings of a gateway node. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- /dev/null
+++ b/packages/policy/src/placement/__tests__/serverPlacement.test.ts
@@ -0,0 +1,160 @@
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import type { PlacementServer } from "../serverEstimate.js";
+import { defaultPlacementSettings, ServerPlacement, type PlacementRequest } from "../serverPlacement.js";
+
+const guide = { id: "guide", tokens: 13_000 };
+
+function buildServers(count: number, capacityTokens: number | undefined = 400_000): PlacementServer[] {
+    return Array.from({ length: count }, (...[, index]) => ({
+        id: `server-${String(index)}`,
+        dataCentre: "a",
+        slots: 64,
+        capacityTokens,
+    }));
+}
+
+function buildRequest(parts: PlacementRequest["parts"], pauseTargetMs: number | undefined): PlacementRequest {
+    const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
+    return { parts, promptTokens, pauseTargetMs, excluded: new Set() };
+}
+
+const buildLong = (name: string): PlacementRequest =>
+    buildRequest([guide, { id: name, tokens: 4_000 }], 2_500);
+const buildShort = (name: string): PlacementRequest => buildRequest([{ id: name, tokens: 1_200 }], 500);
+
+describe("ServerPlacement", () => {
+    function createPlacement(servers: readonly PlacementServer[]) {
+        const clock = new ManualClock();
+        const placement = new ServerPlacement({ ...defaultPlacementSettings, dataCentre: "a" }, clock);
+        placement.updateServers(servers);
+        return { clock, placement };
+    }
+
+    it("sends a prompt to the server that has its shared parts", () => {
+        const servers = buildServers(8);
+        const { placement } = createPlacement(servers);
+        const first = placement.chooseServer(buildLong("x"), servers)!;
+        placement.recordEnd(placement.recordSent(first, buildLong("x")), "answered");
+        expect(placement.chooseServer(buildLong("y"), servers)).toBe(first);
+    });
+
+    it("follows what other nodes sent", () => {
+        const servers = buildServers(8);
+        const { placement } = createPlacement(servers);
+        const send = { id: "peer/1", serverId: "server-5", tokens: 17_000, pauseTargetMs: 2_500 };
+        placement.recordPeerSend(send, [guide]);
+        placement.startPeerSend("peer/1");
+        placement.endPeerSend("peer/1");
+        expect(placement.chooseServer(buildLong("y"), servers)).toBe("server-5");
+    });
+
+    it("lets all nodes choose the same server for parts that none is known to have", () => {
+        const servers = buildServers(8);
+        const choices = [1, 2, 3].map(() =>
+            createPlacement(servers).placement.chooseServer(buildLong("x"), servers),
+        );
+        expect(new Set(choices).size).toBe(1);
+    });
+
+    it("burst of long prompts: short ones go where no long one is being read", () => {
+        const servers = buildServers(4);
+        const { placement } = createPlacement(servers);
+        for (const serverId of ["server-0", "server-1", "server-2"]) {
+            placement.recordPeerSend({ id: serverId, serverId, tokens: 30_000, pauseTargetMs: 2_500 }, []);
+        }
+        expect(placement.chooseServer(buildShort("s"), servers)).toBe("server-3");
+    });
+
+    it("burst of long prompts: they leave servers alone on which streams would get late", () => {
+        const servers = buildServers(2);
+        const { placement } = createPlacement(servers);
+        for (let index = 0; index < 5; index += 1) {
+            const id = `stream-${String(index)}`;
+            placement.recordPeerSend({ id, serverId: "server-0", tokens: 1_000, pauseTargetMs: 500 }, []);
+            placement.startPeerSend(id);
+        }
+        expect(placement.chooseServer(buildLong("x"), servers)).toBe("server-1");
+    });
+
+    it("hot key: waits for the server that has the parts, until reading them again costs less", () => {
+        const servers = buildServers(3);
+        const { placement } = createPlacement(servers);
+        placement.recordPeerSend({ id: "warm", serverId: "server-0", tokens: 0, pauseTargetMs: undefined }, [
+            guide,
+        ]);
+        const request = buildLong("x");
+        placement.recordPeerSend({ id: "a", serverId: "server-0", tokens: 10_000, pauseTargetMs: 2_500 }, []);
+        expect(placement.chooseServer(request, servers)).toBe("server-0");
+        placement.recordPeerSend({ id: "b", serverId: "server-0", tokens: 90_000, pauseTargetMs: 2_500 }, []);
+        expect(placement.chooseServer(request, servers)).not.toBe("server-0");
+    });
+
+    it("forgets a peer's send whose end was lost", () => {
+        const servers = buildServers(1);
+        const { clock, placement } = createPlacement(servers);
+        placement.recordPeerSend({ id: "a", serverId: "server-0", tokens: 90_000, pauseTargetMs: 500 }, []);
+        clock.advance(3_001);
+        placement.chooseServer(buildShort("s"), servers);
+        const sent = placement.recordSent("server-0", buildShort("s"));
+        expect(sent.expectedMs).toBeLessThan(200);
+    });
+
+    it("crash: avoids a server whose connection broke, and tries it again later", () => {
+        const servers = buildServers(2, undefined);
+        const { clock, placement } = createPlacement(servers);
+        const request = buildRequest([], undefined);
+        const broken = placement.chooseServer(request, servers)!;
+        placement.recordEnd(placement.recordSent(broken, request), "broken");
+        expect(placement.chooseServer(request, servers)).not.toBe(broken);
+        clock.advance(401);
+        const other = placement.chooseServer(
+            request,
+            servers.filter(({ id }) => id === broken),
+        );
+        expect(other).toBe(broken);
+    });
+
+    it("chooses an avoided server rather than none", () => {
+        const servers = buildServers(1);
+        const { placement } = createPlacement(servers);
+        const request = buildShort("s");
+        placement.recordEnd(placement.recordSent("server-0", request), "broken");
+        expect(placement.chooseServer(request, servers)).toBe("server-0");
+    });
+
+    it("grey server: prefers one that fails less", () => {
+        const servers = buildServers(2, undefined);
+        const { placement } = createPlacement(servers);
+        const request = buildRequest([], undefined);
+        for (let index = 0; index < 10; index += 1) {
+            placement.recordEnd(placement.recordSent("server-0", request), "failedStatus");
+            placement.recordEnd(placement.recordSent("server-1", request), "answered");
+        }
+        expect(placement.chooseServer(request, servers)).toBe("server-1");
+    });
+
+    it("slow server: prefers one whose first events come in time", () => {
+        const servers = buildServers(2);
+        const { clock, placement } = createPlacement(servers);
+        for (const [serverId, elapsedMs] of [
+            ["server-0", 2_000],
+            ["server-1", 60],
+        ] as const) {
+            for (let index = 0; index < 6; index += 1) {
+                const sent = placement.recordSent(serverId, buildShort(`${serverId}-${String(index)}`));
+                clock.advance(elapsedMs);
+                placement.recordFirstEvent(sent);
+                placement.recordEnd(sent, "answered");
+            }
+        }
+        expect(placement.chooseServer(buildShort("next"), servers)).toBe("server-1");
+    });
+
+    it("returns undefined when every server is excluded", () => {
+        const servers = buildServers(1);
+        const { placement } = createPlacement(servers);
+        const request = { ...buildShort("s"), excluded: new Set(["server-0"]) };
+        expect(placement.chooseServer(request, servers)).toBeUndefined();
+    });
+});
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -71,7 +71,7 @@
 /** A prompt is long when reading it takes this share of the shortest pause that streams bear. */
 const longReadShare = 0.5;
 /** Share of a reading that shows as one pause in the streams beside it: it goes on in chunks between their tokens. */
-const pauseShare = 0.8;
+const pauseShare = 1;
 /** Cost of making another stream late, in milliseconds of a caller's time. */
 const lateStreamMs = 400;
 /** Cost of a full batch's slower steps, in milliseconds. */
@@ -300,7 +300,10 @@
         const failures = 1 + failurePenalty * estimate.readFailureShare() ** 2;
         const isRecent = estimate.load !== undefined && nowMs - estimate.load.atMs < this.settings.loadAgeMs;
         const waiting = isRecent ? (estimate.load?.waiting ?? 0) : 0;
-        const running = Math.max(this.sends.countSends(server.id), isRecent ? (estimate.load?.running ?? 0) : 0);
+        const running = Math.max(
+            this.sends.countSends(server.id),
+            isRecent ? (estimate.load?.running ?? 0) : 0,
+        );
         const share = running / Math.max(1, server.slots);
         if (server.capacityTokens === undefined) {
             const answerMs = estimate.answerMs.readMean();
@@ -330,11 +333,7 @@
         return { homes, mostHeld, quiet, isLong };
     }
 
-    private estimateUncached(
-        estimate: ServerEstimate,
-        request: PlacementRequest,
-        cache: CacheView,
-    ): number {
+    private estimateUncached(estimate: ServerEstimate, request: PlacementRequest, cache: CacheView): number {
         const shared = request.parts.slice(0, -1);
         const held = estimate.memory.countHeldTokens(request.parts);
         const homeRank = cache.homes.get(estimate.server.id);
@@ -366,10 +365,7 @@
 }
 
 /** Ranks servers for the request's shared parts, alike on every node; only ranks with a chance are kept. */
-function rankHomes(
-    request: PlacementRequest,
-    pool: readonly PlacementServer[],
-): ReadonlyMap<string, number> {
+function rankHomes(request: PlacementRequest, pool: readonly PlacementServer[]): ReadonlyMap<string, number> {
     const shared = request.parts.at(-2);
     if (shared === undefined) {
         return new Map();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,8 @@
     minify: true,
     conditions: ["source"],
     // Libraries in the older module format ask for Node's modules by require.
-    banner: { js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);" },
+    banner: {
+        js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    },
     logLevel: "warning",
 });
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -13,7 +13,7 @@
     resolve: { conditions: ["source"] },
     ssr: { resolve: { conditions: ["source"] } },
     test: {
-        include: ["packages/*/src/**/*.test.ts"],
+        include: ["packages/*/src/**/*.test.ts", "platform/src/**/*.test.ts"],
         pool: "forks",
         testTimeout: 60_000,
         hookTimeout: 60_000,
