--- a/packages/gateway/src/duties/dutySettings.ts
+++ b/packages/gateway/src/duties/dutySettings.ts
@@ -50,7 +50,7 @@
         startDelayMs: leaseMs + 1_500,
         preferenceDelayMs: 250,
         stepMs: 500,
-        usageFlushMs: 2_000,
-        usageGraceMs: 3_200,
+        usageFlushMs: 2_400,
+        usageGraceMs: 1_700,
     };
 }
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
-import { LeaseManager } from "@pimentocleat/state";
+import { LeaseManager, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -31,6 +31,7 @@
     readonly isFirstStart: boolean;
     readonly configuration: ActiveConfiguration;
     readonly directory: ServerDirectory;
+    readonly spreadCopy: (copy: UsageCopy) => boolean;
 }
 
 interface OrderableService {
@@ -75,7 +76,7 @@
         const { settings } = this.options;
         await Promise.all([
             this.runLeases(signal),
-            this.runEvery(settings.usageFlushMs, signal, () => this.usage.writeOnce()),
+            this.usage.run(signal),
             this.runEvery(settings.stepMs, signal, () =>
                 this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
             ),
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -27,8 +27,8 @@
 const longestBackoffMs = 4_000;
 /** Time beyond its start after which an ordered server that is not registered counts as lost, in milliseconds. */
 const startMarginMs = 4_000;
-/** A deployment counts as complete when no server came or went for this long, in milliseconds. */
-const settledMs = 1_500;
+/** A deployment counts as complete when no server came or went for this long, in milliseconds; two check-ins. */
+const settledMs = 2_500;
 
 interface Surplus {
     readonly count: number;
@@ -39,6 +39,9 @@
 export class OrderPlan {
     readonly planner = new ServerPlanner();
     private baseline: number | undefined;
+    /** Wall time of the first order of a deployment without earlier ones. */
+    private beganWallMs: number | undefined;
+    private readonly older = new Set<string>();
     private lastCount = 0;
     private changedMs: number;
     private readonly dataCentres = new Set<string>();
@@ -151,7 +154,23 @@
         }
         if (this.baseline === undefined && ready > 0 && nowMs - this.changedMs >= settledMs) {
             this.baseline = ready;
+            this.beganWallMs = this.clock.wallMs();
         }
+        this.recordOlder(servers);
+    }
+
+    /** Servers that ran before the first order count among those that the deployment began with, however late they register. */
+    private recordOlder(servers: readonly RegisteredServer[]): void {
+        const { beganWallMs } = this;
+        if (beganWallMs === undefined) {
+            return;
+        }
+        for (const { id, bornMs } of servers) {
+            if (bornMs !== undefined && bornMs < beganWallMs) {
+                this.older.add(id);
+            }
+        }
+        this.baseline = Math.max(this.baseline ?? 0, this.older.size);
     }
 
     /** A notice counts from when its servers were first seen to leave; their entries may stay for long. */
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -4,7 +4,15 @@
  * @packageDocumentation
  */
 import type { TableService, UsageReportService } from "@pimentocleat/services";
-import { UsageLedger, UsageReporter, UsageRowWriter, type LeaseHandle } from "@pimentocleat/state";
+import { computeWindowStartMs } from "@pimentocleat/policy";
+import {
+    UsageCopyKeeper,
+    UsageLedger,
+    UsageReporter,
+    UsageRowWriter,
+    type LeaseHandle,
+    type UsageCopy,
+} from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { UsageCounter } from "../dispatch/requestRunner.js";
@@ -21,8 +29,20 @@
     readonly incarnation: string;
     readonly windowMs: number;
     readonly settings: DutySettings;
+    readonly random: () => number;
+    /**
+     * Sends a copy of counts to other nodes, because this one cannot write them.
+     *
+     * @param copy - The copy.
+     * @returns Whether there was a node to send it to.
+     */
+    readonly spreadCopy: (copy: UsageCopy) => boolean;
 }
 
+/** Pause before counts are written again after a failure, in milliseconds. */
+const failedWriteRetryMs = 400;
+/** Mean time after the end of a window at which its last counts are written, in milliseconds. */
+const afterWindowMs = 200;
 /** Most windows that are reported in one step, after a time without a reporter. */
 const windowsPerStep = 20;
 /** How long the rows of reported windows are kept, in windows. */
@@ -31,22 +51,79 @@
 /** The usage side of a node. */
 export class UsageDuty implements UsageCounter {
     private readonly ledger: UsageLedger;
+    private readonly keeper: UsageCopyKeeper;
     private reporter: { readonly lease: LeaseHandle; readonly reporter: UsageReporter } | undefined;
 
     /** @param options - The services and the durations. */
     constructor(private readonly options: UsageDutyOptions) {
-        const { tableService, clock, logger, incarnation, windowMs, settings } = options;
+        const { tableService, clock, logger, incarnation, windowMs, settings, spreadCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
-        this.ledger = new UsageLedger({ writer, clock, incarnation, windowMs, logger });
+        this.keeper = new UsageCopyKeeper({
+            writer,
+            clock,
+            logger,
+            retentionMs: retainedWindows * windowMs,
+            // A node sends copies only when it cannot write; completing its row does no harm.
+            isGone: () => true,
+        });
+        this.ledger = new UsageLedger({
+            writer,
+            clock,
+            incarnation,
+            windowMs,
+            logger,
+            copySink: {
+                storeCopy: (copy) =>
+                    spreadCopy(copy)
+                        ? Promise.resolve()
+                        : Promise.reject(new Error("no other node is known")),
+            },
+        });
+    }
+
+    /**
+     * Keeps counts of a node that could not write them.
+     *
+     * @param copy - The copy.
+     */
+    storeCopy(copy: UsageCopy): void {
+        void this.keeper.storeCopy(copy);
     }
 
     recordRequest(customer: string): void {
         this.ledger.recordUsage({ customer, requests: 1, promptTokens: 0, completionTokens: 0 });
     }
 
-    /** @returns Whether all counts are stored. */
-    writeOnce(): Promise<boolean> {
-        return this.ledger.flushOnce();
+    /**
+     * Writes counts until the signal is aborted: often enough that a lost process loses few, and right after the
+     * end of each window, before it is sealed.
+     *
+     * @param signal - Ends the task.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        const { clock } = this.options;
+        while (!signal.aborted) {
+            const isStored = await this.writeOnce();
+            await clock.wait(isStored ? this.computePauseMs() : failedWriteRetryMs, signal);
+        }
+    }
+
+    /** @returns Whether all counts are stored; otherwise other nodes got copies. */
+    async writeOnce(): Promise<boolean> {
+        const isStored = await this.ledger.flushOnce();
+        if (!isStored) {
+            await this.ledger.copyOnce();
+        }
+        await this.keeper.recoverOnce();
+        return isStored;
+    }
+
+    private computePauseMs(): number {
+        const { clock, windowMs, settings, random } = this.options;
+        const nowMs = clock.wallMs();
+        const sinceStartMs = nowMs - computeWindowStartMs(nowMs, windowMs);
+        const afterEndMs = windowMs - sinceStartMs + afterWindowMs * (0.5 + random());
+        return Math.min(afterEndMs, settings.usageFlushMs * (0.75 + 0.5 * random()));
     }
 
     /**
@@ -67,6 +144,7 @@
                 lease,
                 receiver: { checksFencing: false, wireBoundMs: settings.wireBoundMs },
                 graceMs: settings.usageGraceMs,
+                firstSealDelayMs: settings.usageGraceMs,
                 windowsPerStep,
                 retentionMs: retainedWindows * windowMs,
                 callTimeoutMs: settings.callTimeoutMs,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -39,11 +39,14 @@
 const idleConnectionMs = 8_000;
 /** Idle connections that a node keeps to one backend server. */
 const idleConnections = 16;
-/** How long the store holds a call for the next configuration, in milliseconds. */
-const configurationWaitMs = 2_300;
+/**
+ * How long the store holds a call for the next configuration, in milliseconds. With the time beyond it after which
+ * the call is given up, and a new read, it is below the time after which a node counts as in touch again.
+ */
+const configurationWaitMs = 1_700;
 /** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
-const serverPauseMs = 1_100;
-const serverWaitMs = 1_500;
+const serverPauseMs = 1_000;
+const serverWaitMs = 800;
 /** How long the store holds a call for the next change of the nodes, in milliseconds; a late one costs little. */
 const peerWaitMs = 10_000;
 const followRetryMs = 200;
@@ -95,6 +98,8 @@
             listPeers: () => this.peers.listPeers(),
             dispatches: this.dispatches,
             logger,
+            random,
+            storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
         });
         this.duties = new NodeDuties({
             node: settings.name,
@@ -110,6 +115,7 @@
             isFirstStart: settings.isFirstStart,
             configuration: this.configuration,
             directory: this.directory,
+            spreadCopy: (copy) => this.gossip.spreadUsage(copy),
         });
         this.callerServer = this.buildCallerServer();
         this.readinessServer = buildReadinessServer(adapter.readinessPath, () => this.isReady());
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -7,6 +7,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
 import type { PromptPart } from "@pimentocleat/policy";
+import type { UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { ServiceDispatches } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress } from "./peerDirectory.js";
@@ -57,6 +58,9 @@
     readonly listPeers: () => readonly PeerAddress[];
     readonly dispatches: ServiceDispatches;
     readonly logger: Logger;
+    readonly random: () => number;
+    /** Receives counts of a node that cannot write them. */
+    readonly storeUsageCopy: (copy: UsageCopy) => void;
 }
 
 const messageSchema = z.discriminatedUnion("type", [
@@ -71,9 +75,19 @@
     }),
     z.object({ type: z.literal("start"), service: z.string(), id: z.string() }),
     z.object({ type: z.literal("end"), service: z.string(), id: z.string() }),
+    z.object({
+        type: z.literal("usage"),
+        incarnation: z.string(),
+        windowStartMs: z.number(),
+        requests: z.record(z.string(), z.number().nonnegative()),
+    }),
 ]);
 
 type GossipMessage = z.infer<typeof messageSchema>;
+type UsageMessage = Extract<GossipMessage, { type: "usage" }>;
+
+/** Nodes that get a copy of counts; a datagram may be lost, and its receiver may be unable to write too. */
+const usageCopies = 3;
 
 /** Sends and receives the messages of one node. */
 export class PlacementGossip implements SendAnnouncer {
@@ -120,9 +134,28 @@
         this.spread({ type: "start", service, id });
     }
 
+    /**
+     * Sends counts that this node cannot write to a few others, which write them.
+     *
+     * @param copy - The counts.
+     * @returns Whether there was a node to send them to.
+     */
+    spreadUsage(copy: UsageCopy): boolean {
+        const { incarnation, windowStartMs } = copy;
+        const counts = Object.entries(copy.customers).map(([customer, { requests }]) => [customer, requests]);
+        const requests = Object.fromEntries(counts) as Record<string, number>;
+        const peers = chooseSome(this.options.listPeers(), usageCopies, this.options.random);
+        this.send({ type: "usage", incarnation, windowStartMs, requests }, peers);
+        return peers.length > 0;
+    }
+
     private spread(message: GossipMessage): void {
+        this.send(message, this.options.listPeers());
+    }
+
+    private send(message: GossipMessage, peers: readonly PeerAddress[]): void {
         const bytes = Buffer.from(JSON.stringify(message));
-        for (const peer of this.options.listPeers()) {
+        for (const peer of peers) {
             // A datagram that cannot be sent is one that is lost.
             this.socket?.send(bytes, peer.port, peer.host, () => undefined);
         }
@@ -136,6 +169,10 @@
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
             return;
         }
+        if (message.type === "usage") {
+            this.receiveUsage(message);
+            return;
+        }
         const { placement } = this.options.dispatches.ensureService(message.service);
         switch (message.type) {
             case "start":
@@ -152,4 +189,22 @@
             }
         }
     }
+
+    private receiveUsage({ incarnation, windowStartMs, requests }: UsageMessage): void {
+        const customers = Object.fromEntries(
+            Object.entries(requests).map(([customer, count]) => [
+                customer,
+                { requests: count, promptTokens: 0, completionTokens: 0 },
+            ]),
+        );
+        this.options.storeUsageCopy({ incarnation, windowStartMs, customers });
+    }
+}
+
+function chooseSome<Item>(items: readonly Item[], count: number, random: () => number): readonly Item[] {
+    const drawn = items.map((item) => ({ item, order: random() }));
+    return drawn
+        .sort((left, right) => left.order - right.order)
+        .slice(0, count)
+        .map(({ item }) => item);
 }
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -46,6 +46,11 @@
     /** How long rows of reported windows are kept, in milliseconds. */
     readonly retentionMs: number;
     readonly callTimeoutMs: number;
+    /**
+     * How long after the start of its tenure the reporter seals nothing, in milliseconds, so that nodes can write
+     * what they could not while the store was out; none when absent.
+     */
+    readonly firstSealDelayMs?: number;
 }
 
 interface Progress {
@@ -64,10 +69,12 @@
  * every reporter computes the same figures from them, now and in every repeat. Calls must not overlap.
  */
 export class UsageReporter {
-    private sealNotBeforeMs = 0;
+    private sealNotBeforeMs: number;
 
     /** @param options - The services, the lease and the durations. */
-    constructor(private readonly options: UsageReporterOptions) {}
+    constructor(private readonly options: UsageReporterOptions) {
+        this.sealNotBeforeMs = options.clock.monotonicMs() + (options.firstSealDelayMs ?? 0);
+    }
 
     /**
      * Seals and reports the windows that are due, and removes old rows.
