Begin the names of the gateway with the verbs of the list

Cause: 31 functions began with other verbs; the check did not cover platform/. Change: renamed; the check covers platform/. No behaviour changes.

--- a/packages/bench/src/__tests__/naming.test.ts
+++ b/packages/bench/src/__tests__/naming.test.ts
@@ -10,9 +10,17 @@
 const clockReadings = new Set(["monotonicMs", "wallMs"]);
 
 function listSources(): string[] {
-    return readdirSync(`${root}packages`, { recursive: true, encoding: "utf8" }).filter(
-        (path) => /^[a-z]+\/src\/.*\.ts$/.test(path) && !/__tests__|generated|\.d\.ts$/.test(path),
-    );
+    return ["packages", "platform"]
+        .flatMap((folder) =>
+            readdirSync(`${root}${folder}`, { recursive: true, encoding: "utf8" }).map(
+                (path) => `${folder}/${path}`,
+            ),
+        )
+        .filter(
+            (path) =>
+                /^(packages\/[a-z]+|platform)\/src\/.*\.ts$/.test(path) &&
+                !/__tests__|generated|\.d\.ts$/.test(path),
+        );
 }
 
 function listVerbs(): Set<string> {
@@ -26,7 +34,7 @@
     const sources = listSources();
     expect(sources.length).toBeGreaterThan(100);
     const wrong = sources.flatMap((path) => {
-        const text = readFileSync(`${root}packages/${path}`, "utf8");
+        const text = readFileSync(`${root}${path}`, "utf8");
         const names = [...text.matchAll(topLevelFunction), ...text.matchAll(method)].map(
             (match) => match[1] ?? "",
         );
--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -51,7 +51,7 @@
      * @param request - The request that was sent.
      * @returns The meaning.
      */
-    classifyAnswer(status: number, headers: IncomingHttpHeaders, request: GatewayRequest): AnswerMeaning;
+    selectMeaning(status: number, headers: IncomingHttpHeaders, request: GatewayRequest): AnswerMeaning;
     /**
      * Reads the load from an answer's headers.
      *
--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -34,7 +34,7 @@
      *
      * @param servers - The servers that are registered now.
      */
-    replaceServers(servers: readonly RegisteredServer[]): void {
+    setServers(servers: readonly RegisteredServer[]): void {
         const present = new Set(servers.map((server) => server.id));
         const gone = [...this.servers.keys()].filter((id) => !present.has(id));
         this.updateServers(servers, gone);
@@ -57,7 +57,7 @@
             if (!isSameForCallers(known, server)) {
                 services.add(server.service);
                 services.add(known?.service ?? server.service);
-                this.logChange(known, server);
+                this.writeChange(known, server);
             }
         }
         for (const id of removed) {
@@ -68,7 +68,7 @@
                 this.logger.writeEvent("backendGone", { server: id, service: known.service });
             }
         }
-        services.forEach((service) => this.publishService(service));
+        services.forEach((service) => this.updateReady(service));
     }
 
     /**
@@ -101,13 +101,13 @@
         return this.servers.get(id);
     }
 
-    private publishService(service: string): void {
+    private updateReady(service: string): void {
         const ready = this.listServers(service).filter((server) => server.state === "ready");
         this.ready.set(service, ready);
         this.listeners.forEach((listener) => listener(service, ready));
     }
 
-    private logChange(known: RegisteredServer | undefined, server: RegisteredServer): void {
+    private writeChange(known: RegisteredServer | undefined, server: RegisteredServer): void {
         const { id, service, dataCentre, state } = server;
         if (known === undefined || known.state !== state || known.bornMs !== server.bornMs) {
             const event = state === "leaving" ? "backendLeaving" : "backendRegistered";
--- a/packages/gateway/src/callers/callerAnswer.ts
+++ b/packages/gateway/src/callers/callerAnswer.ts
@@ -99,7 +99,7 @@
     }
 
     /** Resets the caller's connection, so that what it has does not look complete. */
-    breakOff(): void {
+    abort(): void {
         if (!this.finished) {
             this.finished = true;
             this.response.destroy();
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -105,7 +105,7 @@
         const head = options.protocol.readHead(request.raw, request.originalUrl);
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
         endsAtMs = arrivedMs + (head.waitMs ?? 0);
-        const admitted = options.admission.admitRequest(head, body, arrivedMs);
+        const admitted = options.admission.checkRequest(head, body, arrivedMs);
         await options.runner.runRequest(admitted, answer);
     } catch (error) {
         const remainingMs = endsAtMs - options.clock.monotonicMs();
@@ -131,7 +131,7 @@
     }
     const refusal = options.protocol.formatRefusal(error, requestId, remainingMs);
     if (answer.isStarted) {
-        answer.breakOff();
+        answer.abort();
         return;
     }
     answer.sendWhole(refusal.status, refusal.headers, Buffer.from(refusal.body));
--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -32,7 +32,7 @@
      * @returns The request as it may be dispatched.
      * @throws RouterError when it may not.
      */
-    admitRequest(head: CallerHead, body: Buffer | undefined, arrivedMs: number): GatewayRequest {
+    checkRequest(head: CallerHead, body: Buffer | undefined, arrivedMs: number): GatewayRequest {
         const { configuration } = this.options;
         const current = configuration.readCurrent();
         if (current === undefined) {
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -113,7 +113,7 @@
         return new Promise((resolve) => {
             this.resolve = resolve;
             this.startSilenceTimer();
-            this.announceSend();
+            this.spreadSend();
             this.exchange.start();
         });
     }
@@ -137,15 +137,18 @@
         if (load !== undefined) {
             placement.recordLoad(server.id, load.running, load.waiting);
         }
-        switch (protocol.classifyAnswer(status, headers, request)) {
+        switch (protocol.selectMeaning(status, headers, request)) {
             case "notRun":
-                this.abandon({ type: "notRun", reason: `status ${String(status)}, not run` }, "rejected");
+                this.abortExchange(
+                    { type: "notRun", reason: `status ${String(status)}, not run` },
+                    "rejected",
+                );
                 return;
             case "otherServer":
-                this.abandon({ type: "notRun", reason: "another server has the address" }, "broken");
+                this.abortExchange({ type: "notRun", reason: "another server has the address" }, "broken");
                 return;
             case "mismatched":
-                this.abandon(
+                this.abortExchange(
                     {
                         type: "lost",
                         reason: `status ${String(status)} that does not fit the request`,
@@ -170,7 +173,7 @@
             const events = this.splitter.takeEvents(chunk);
             if (events !== undefined) {
                 this.lastEventId = events.lastId ?? this.lastEventId;
-                this.passOn(events.bytes);
+                this.forwardBytes(events.bytes);
             }
             return;
         }
@@ -178,11 +181,11 @@
         this.bytes += chunk.length;
         if (this.bytes > wholeAnswerBytes) {
             const bytes = Buffer.concat(this.chunks.splice(0));
-            this.passOn(bytes);
+            this.forwardBytes(bytes);
         }
     }
 
-    private passOn(bytes: Buffer): void {
+    private forwardBytes(bytes: Buffer): void {
         const { answer } = this.options;
         answer.startStream(this.status, this.headers);
         this.passedOn = true;
@@ -202,7 +205,7 @@
         }
         this.recordRunning();
         if (this.passedOn) {
-            this.passOn(Buffer.concat(this.chunks));
+            this.forwardBytes(Buffer.concat(this.chunks));
             this.options.answer.finishStream();
             this.finish({ type: "streamed" }, "answered");
             return;
@@ -223,16 +226,16 @@
             this.hadFirstEvent = true;
             this.options.placement.recordFirstEvent(this.placed);
             this.options.onRunning();
-            this.announceStart();
+            this.spreadStart();
         }
     }
 
     /** Plain services have no prompts of which others should know. */
-    private announceSend(): void {
+    private spreadSend(): void {
         const { announcer, request, server } = this.options;
         const { parts, promptTokens } = request.head;
         if (promptTokens > 0) {
-            this.announcedId = announcer.announceSend({
+            this.announcedId = announcer.spreadSend({
                 service: request.service,
                 serverId: server.id,
                 tokens: this.placed.uncachedTokens,
@@ -242,15 +245,15 @@
         }
     }
 
-    private announceStart(): void {
+    private spreadStart(): void {
         if (this.announcedId !== undefined) {
-            this.options.announcer.announceStart(this.options.request.service, this.announcedId);
+            this.options.announcer.spreadStart(this.options.request.service, this.announcedId);
         }
     }
 
-    private announceEnd(): void {
+    private spreadEnd(): void {
         if (this.announcedId !== undefined) {
-            this.options.announcer.announceEnd(this.options.request.service, this.announcedId);
+            this.options.announcer.spreadEnd(this.options.request.service, this.announcedId);
         }
     }
 
@@ -259,13 +262,13 @@
         const { silenceMs } = this.options;
         if (silenceMs !== undefined) {
             this.silenceTimer = setTimeout(
-                () => this.abandon({ type: "silent", streamed: this.passedOn }, "broken"),
+                () => this.abortExchange({ type: "silent", streamed: this.passedOn }, "broken"),
                 silenceMs,
             );
         }
     }
 
-    private abandon(result: AttemptResult, outcome: PlacementOutcome): void {
+    private abortExchange(result: AttemptResult, outcome: PlacementOutcome): void {
         if (!this.ended) {
             this.exchange.cancel();
             this.finish(result, outcome);
@@ -278,7 +281,7 @@
         }
         this.ended = true;
         clearTimeout(this.silenceTimer);
-        this.announceEnd();
+        this.spreadEnd();
         this.options.placement.recordEnd(this.placed, outcome);
         this.resolve(result);
     }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -81,8 +81,8 @@
      */
     async runRequest(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
         const state = this.buildState(request, answer);
-        const timer = setTimeout(() => this.endRun(state), Math.max(0, request.endsAtMs - this.readNowMs()));
-        answer.setGoneListener(() => this.endRun(state));
+        const timer = setTimeout(() => this.stopRun(state), Math.max(0, request.endsAtMs - this.readNowMs()));
+        answer.setGoneListener(() => this.stopRun(state));
         try {
             await this.runAttempts(state);
         } finally {
@@ -110,7 +110,7 @@
         };
     }
 
-    private endRun(state: RunState): void {
+    private stopRun(state: RunState): void {
         state.isOver = true;
         if (state.attempt?.hasSentBytes() === true) {
             state.mayHaveRun = true;
@@ -213,7 +213,7 @@
         const { answer } = state;
         switch (result.type) {
             case "streamed":
-                this.logEnd(state, server, "streamed");
+                this.writeEnd(state, server, "streamed");
                 return true;
             case "answer":
                 return this.handleAnswer(state, server, result.answer);
@@ -233,8 +233,8 @@
                 state.streamed = state.streamed || result.streamed;
                 const reason = result.type === "lost" ? result.reason : "the server was silent";
                 if (state.streamed && !state.request.route.isResumable) {
-                    this.logEnd(state, server, reason);
-                    answer.breakOff();
+                    this.writeEnd(state, server, reason);
+                    answer.abort();
                     return true;
                 }
                 return this.retryOrFinish(state, server, reason, isRepeatable(state.request));
@@ -250,11 +250,11 @@
             return this.retryOrFinish(state, server, `status ${String(whole.status)}`, true);
         }
         if (state.streamed) {
-            answer.breakOff();
+            answer.abort();
         } else {
             answer.sendWhole(whole.status, whole.headers, whole.body);
         }
-        this.logEnd(state, server, `status ${String(whole.status)}`);
+        this.writeEnd(state, server, `status ${String(whole.status)}`);
         return true;
     }
 
@@ -285,30 +285,30 @@
     private finishUnserved(state: RunState, noServer: boolean): true {
         const { answer, request } = state;
         if (answer.isGone) {
-            this.logEnd(state, undefined, "caller left");
+            this.writeEnd(state, undefined, "caller left");
             return true;
         }
         if (state.streamed) {
-            this.logEnd(state, undefined, `stream broken off: ${state.lastReason}`);
-            answer.breakOff();
+            this.writeEnd(state, undefined, `stream broken off: ${state.lastReason}`);
+            answer.abort();
             return true;
         }
         if (state.failedAnswer !== undefined) {
             const { status, headers, body } = state.failedAnswer;
             answer.sendWhole(status, headers, body);
-            this.logEnd(state, undefined, `status ${String(status)}`);
+            this.writeEnd(state, undefined, `status ${String(status)}`);
             return true;
         }
         if (answer.isStarted) {
             // The request's time is over in the middle of its stream.
-            this.logEnd(state, undefined, "time limit in the middle of the answer");
-            answer.breakOff();
+            this.writeEnd(state, undefined, "time limit in the middle of the answer");
+            answer.abort();
             return true;
         }
         throw buildError(state, noServer, request.endsAtMs - this.readNowMs());
     }
 
-    private logEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
+    private writeEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
         const { head, arrivedMs, route } = state.request;
         this.options.logger.writeEvent("requestEnded", {
             requestId: head.requestId,
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -100,8 +100,8 @@
         const isShort = [...this.dataCentres].some((dataCentre) => this.isUnderNotice(dataCentre, nowMs));
         const demandSlots = Math.ceil(this.baseline * (isShort ? 1 : 1 + spareShare));
         const planned = this.planner.planServers({ nowMs, demandSlots, slotsPerServer: 1, options });
-        const kept = this.keepSurplus(planned, nowMs);
-        return boundByDataCentre(this.keepUntilReplaced(kept, servers), rule).sort(
+        const kept = this.computeKept(planned, nowMs);
+        return computeBounded(this.computeReplaced(kept, servers), rule).sort(
             (left, right) => this.computeRise(right) - this.computeRise(left),
         );
     }
@@ -202,7 +202,7 @@
     }
 
     /** Lowers a number of servers only when it has been too high for a while. */
-    private keepSurplus(planned: readonly PlannedServers[], nowMs: number): PlannedServers[] {
+    private computeKept(planned: readonly PlannedServers[], nowMs: number): PlannedServers[] {
         return planned.map((servers) => {
             const key = formatKind(servers);
             const ordered = this.ordered.get(key) ?? 0;
@@ -218,7 +218,7 @@
     }
 
     /** Gives a server back only when those that replace it are ready. */
-    private keepUntilReplaced(
+    private computeReplaced(
         planned: readonly PlannedServers[],
         servers: readonly RegisteredServer[],
     ): PlannedServers[] {
@@ -251,7 +251,7 @@
 }
 
 /** The bounds hold for both kinds of a data centre together. */
-function boundByDataCentre(planned: readonly PlannedServers[], rule: OrderingRule): PlannedServers[] {
+function computeBounded(planned: readonly PlannedServers[], rule: OrderingRule): PlannedServers[] {
     const totals = new Map<string, number>();
     const bounded = planned.map((servers) => {
         const used = totals.get(servers.dataCentre) ?? 0;
--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -51,7 +51,7 @@
         pauseMs: 100,
         retryMs: 200,
         receiver: {
-            replaceRows: (rows) => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
+            setRows: (rows) => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
             applyChanges: (changes) =>
                 seen.push(
                     changes
--- a/packages/gateway/src/following/configurationReceiver.ts
+++ b/packages/gateway/src/following/configurationReceiver.ts
@@ -22,7 +22,7 @@
         private readonly logger: Logger,
     ) {}
 
-    replaceRows(rows: readonly Row[]): void {
+    setRows(rows: readonly Row[]): void {
         rows.forEach((row) => this.applyRow(row));
     }
 
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -11,7 +11,7 @@
 /** Receives what a follower reads. */
 export interface RowReceiver {
     /** @param rows - All rows of the table. */
-    replaceRows(rows: readonly Row[]): void;
+    setRows(rows: readonly Row[]): void;
     /** @param changes - Changed and deleted rows, in order. */
     applyChanges(changes: readonly RowChange[]): void;
 }
@@ -69,7 +69,7 @@
         const { feed, table, receiver, waitMs, pauseMs } = this.options;
         if (this.position === undefined) {
             const { rows, position } = await feed.readAll(table, signal);
-            receiver.replaceRows(rows);
+            receiver.setRows(rows);
             this.recordContact(position);
             return 0;
         }
--- a/packages/gateway/src/following/serverReceiver.ts
+++ b/packages/gateway/src/following/serverReceiver.ts
@@ -25,9 +25,9 @@
         private readonly logger: Logger,
     ) {}
 
-    replaceRows(rows: readonly Row[]): void {
+    setRows(rows: readonly Row[]): void {
         const servers = rows.map((row) => this.decodeRow(row)).filter((server) => server !== undefined);
-        this.directory.replaceServers(servers);
+        this.directory.setServers(servers);
     }
 
     applyChanges(changes: readonly RowChange[]): void {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -135,8 +135,8 @@
         this.gossip.start();
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
-            listen(this.callerServer, settings.callerAddress),
-            listen(this.readinessServer, settings.readinessAddress),
+            startListening(this.callerServer, settings.callerAddress),
+            startListening(this.readinessServer, settings.readinessAddress),
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
         logger.writeEvent("nodeStarted", { name: settings.name });
@@ -234,7 +234,7 @@
     }
 }
 
-async function listen(server: FastifyInstance, address: string): Promise<void> {
+async function startListening(server: FastifyInstance, address: string): Promise<void> {
     const [host = "", port = "0"] = address.split(":");
     await server.listen({ host, port: Number(port) });
 }
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -75,7 +75,7 @@
         return this.chosen;
     }
 
-    replaceRows(rows: readonly Row[]): void {
+    setRows(rows: readonly Row[]): void {
         this.peers.clear();
         rows.forEach((row) => this.applyRow(row));
         this.choosePeers();
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -32,21 +32,21 @@
      * @param send - The send.
      * @returns Names the send.
      */
-    announceSend(send: AnnouncedSend): string;
+    spreadSend(send: AnnouncedSend): string;
     /**
      * Tells that the first event of a send arrived.
      *
      * @param service - The service.
      * @param id - Names the send.
      */
-    announceStart(service: string, id: string): void;
+    spreadStart(service: string, id: string): void;
     /**
      * Tells that a send ended.
      *
      * @param service - The service.
      * @param id - Names the send.
      */
-    announceEnd(service: string, id: string): void;
+    spreadEnd(service: string, id: string): void;
 }
 
 /** Options of {@link PlacementGossip}. */
@@ -117,7 +117,7 @@
         this.socket = undefined;
     }
 
-    announceSend(send: AnnouncedSend): string {
+    spreadSend(send: AnnouncedSend): string {
         this.sequence += 1;
         const id = `${this.options.incarnation}/${String(this.sequence)}`;
         const { service, serverId: server, tokens, pauseTargetMs, shared } = send;
@@ -126,11 +126,11 @@
         return id;
     }
 
-    announceEnd(service: string, id: string): void {
+    spreadEnd(service: string, id: string): void {
         this.spread({ type: "end", service, id });
     }
 
-    announceStart(service: string, id: string): void {
+    spreadStart(service: string, id: string): void {
         this.spread({ type: "start", service, id });
     }
 
@@ -179,7 +179,7 @@
                 placement.startPeerSend(message.id);
                 break;
             case "end":
-                placement.endPeerSend(message.id);
+                placement.finishPeerSend(message.id);
                 break;
             case "send": {
                 const { id, server: serverId, tokens, pauseTargetMs } = message;
--- a/packages/policy/src/placement/__tests__/serverPlacement.test.ts
+++ b/packages/policy/src/placement/__tests__/serverPlacement.test.ts
@@ -45,7 +45,7 @@
         const send = { id: "peer/1", serverId: "server-5", tokens: 17_000, pauseTargetMs: 2_500 };
         placement.recordPeerSend(send, [guide]);
         placement.startPeerSend("peer/1");
-        placement.endPeerSend("peer/1");
+        placement.finishPeerSend("peer/1");
         expect(placement.chooseServer(buildLong("y"), servers)).toBe("server-5");
     });
 
--- a/packages/policy/src/placement/runningSends.ts
+++ b/packages/policy/src/placement/runningSends.ts
@@ -41,7 +41,7 @@
      * @param isOwn - Whether it is this node's.
      */
     addSend(send: KnownSend, nowMs: number, isOwn: boolean): void {
-        this.endSend(send.id);
+        this.finishSend(send.id);
         const timed = { ...send, atMs: nowMs, isOwn, isReading: true };
         this.sends.set(send.id, timed);
         const ofServer = this.byServer.get(send.serverId) ?? new Set();
@@ -57,7 +57,7 @@
     }
 
     /** @param id - A send that ended. */
-    endSend(id: string): void {
+    finishSend(id: string): void {
         const send = this.sends.get(id);
         if (send !== undefined) {
             this.sends.delete(id);
@@ -76,7 +76,7 @@
             }
             send.isReading = false;
             if (nowMs - send.atMs > unheardEndMs) {
-                this.endSend(send.id);
+                this.finishSend(send.id);
             }
         }
     }
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -167,7 +167,7 @@
         const calm = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
         const pool = calm.length > 0 ? calm : candidates;
         this.sends.removePast(nowMs);
-        const cache = this.viewCache(request, pool);
+        const cache = this.summarizeCache(request, pool);
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of pool) {
@@ -227,7 +227,7 @@
      * @param outcome - How it ended.
      */
     recordEnd(placement: Placement, outcome: PlacementOutcome): void {
-        this.sends.endSend(placement.sendId);
+        this.sends.finishSend(placement.sendId);
         const estimate = this.estimates.get(placement.serverId);
         if (estimate === undefined) {
             return;
@@ -268,8 +268,8 @@
     }
 
     /** @param id - A send of another node that ended. */
-    endPeerSend(id: string): void {
-        this.sends.endSend(id);
+    finishPeerSend(id: string): void {
+        this.sends.finishSend(id);
     }
 
     private recordPause(pauseTargetMs: number | undefined): void {
@@ -323,13 +323,13 @@
         return (waitMs + placeMs + pausesMs + quietMs) * failures;
     }
 
-    private viewCache(request: PlacementRequest, pool: readonly PlacementServer[]): CacheView {
+    private summarizeCache(request: PlacementRequest, pool: readonly PlacementServer[]): CacheView {
         const shared = request.parts.slice(0, -1);
         const mostHeld = Math.max(0, ...pool.map(({ id }) => this.countHeld(id, shared)));
         const quiet = selectQuiet(pool);
         const isLong = this.isLong(request);
         const loud = pool.filter(({ id }) => !quiet.has(id));
-        const homes = mostHeld > 0 ? new Map<string, number>() : rankHomes(request, isLong ? loud : pool);
+        const homes = mostHeld > 0 ? new Map<string, number>() : selectHomes(request, isLong ? loud : pool);
         return { homes, mostHeld, quiet, isLong };
     }
 
@@ -365,7 +365,10 @@
 }
 
 /** Ranks servers for the request's shared parts, alike on every node; only ranks with a chance are kept. */
-function rankHomes(request: PlacementRequest, pool: readonly PlacementServer[]): ReadonlyMap<string, number> {
+function selectHomes(
+    request: PlacementRequest,
+    pool: readonly PlacementServer[],
+): ReadonlyMap<string, number> {
     const shared = request.parts.at(-2);
     if (shared === undefined) {
         return new Map();
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -96,7 +96,7 @@
      * @param table - The table.
      * @param key - The row's key.
      */
-    deleteRow(table: string, key: string): void {
+    removeRow(table: string, key: string): void {
         this.applyTransaction({ Delete: [{ Table: table, Key: key }] });
     }
 
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -49,7 +49,7 @@
      * @returns The addresses.
      */
     async open(): Promise<{ readonly store: string; readonly cloud: string }> {
-        await Promise.all([this.store, this.cloud].map((server) => listen(server)));
+        await Promise.all([this.store, this.cloud].map((server) => startListening(server)));
         return { store: formatAddress(this.store), cloud: formatAddress(this.cloud) };
     }
 
@@ -97,11 +97,11 @@
                 sendJson(response, 429, {});
                 return;
             case "usual":
-                await this.answerStore(request, response, body);
+                await this.serveStore(request, response, body);
         }
     }
 
-    private async answerStore(
+    private async serveStore(
         request: IncomingMessage,
         response: ServerResponse,
         body: string,
@@ -109,20 +109,20 @@
         const url = new URL(request.url ?? "/", "http://store");
         switch (url.pathname) {
             case "/-/rows-tx":
-                this.answerTransaction(response, JSON.parse(body) as RowTransaction);
+                this.serveTransaction(response, JSON.parse(body) as RowTransaction);
                 return;
             case "/-/rows-get":
-                this.answerRead(response, url.searchParams);
+                this.serveRead(response, url.searchParams);
                 return;
             case "/-/rows-feed":
-                await this.answerFeed(response, url.searchParams);
+                await this.serveFeed(response, url.searchParams);
                 return;
             default:
                 sendJson(response, 404, {});
         }
     }
 
-    private answerTransaction(response: ServerResponse, transaction: RowTransaction): void {
+    private serveTransaction(response: ServerResponse, transaction: RowTransaction): void {
         const fault = this.writeFaults.shift() ?? "usual";
         if (fault === "late") {
             this.late.push(() => this.rows.applyTransaction(transaction));
@@ -135,7 +135,7 @@
         }
     }
 
-    private answerRead(response: ServerResponse, query: URLSearchParams): void {
+    private serveRead(response: ServerResponse, query: URLSearchParams): void {
         const limit = Math.min(mostRows, Number(query.get("Limit") ?? mostRows));
         const rows = this.rows.listRows(
             query.get("Table") ?? "",
@@ -151,7 +151,7 @@
         });
     }
 
-    private async answerFeed(response: ServerResponse, query: URLSearchParams): Promise<void> {
+    private async serveFeed(response: ServerResponse, query: URLSearchParams): Promise<void> {
         const table = query.get("Table") ?? "";
         const after = Number(query.get("AfterRevision"));
         const endsAtMs = performance.now() + Number(query.get("WaitMs"));
@@ -180,7 +180,7 @@
     }
 }
 
-function listen(server: Server): Promise<void> {
+function startListening(server: Server): Promise<void> {
     return new Promise((resolve) => server.listen(0, loopbackHost, resolve));
 }
 
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -87,7 +87,7 @@
     }
 
     /** @param behaviours - Taken by whichever server gets the next request; servers may share the list. */
-    shareBehaviours(behaviours: ServerBehaviour[]): void {
+    setSharedBehaviours(behaviours: ServerBehaviour[]): void {
         this.behaviours = behaviours;
     }
 
