Let one node of each data centre read the store for its neighbours

Ruled out: longer waits (a connection that went silent must be found in time), one reader for all (a cut of its data centre meets everybody). Change: the preferred live node of a data centre reads and tells its neighbours each 300 ms, and at once of a change, what changed and a digest; a neighbour that hears nothing recent, or finds another digest or a newer configuration, reads the store itself. Versions of registrations keep older news from undoing newer. Only three nodes try for duties, at longer intervals while they hold none; usage progress is read once a window.

--- a/packages/gateway/src/duties/__tests__/orderPlan.test.ts
+++ b/packages/gateway/src/duties/__tests__/orderPlan.test.ts
@@ -19,6 +19,7 @@
 ): RegisteredServer[] {
     return Array.from({ length: count }, (...[, index]) => ({
         id: `${dataCentre}-${String(index)}-${String(change.isReclaimable ?? false)}`,
+        version: 1,
         service: "engines",
         address: "127.0.0.1:1",
         dataCentre,
@@ -85,7 +86,7 @@
         for (const order of plan
             .planOrders(rule, noticed)
             .filter((wanted) => wanted.reclaimable && wanted.dataCentre !== "a")) {
-            plan.planner.recordNoneAvailable(order, clock.monotonicMs(), 2_000);
+            plan.recordNoneAvailable(order, 2_000);
         }
         expect(sum(plan.planOrders(rule, noticed), false)).toBeGreaterThan(2);
     });
--- a/packages/gateway/src/duties/dutySettings.ts
+++ b/packages/gateway/src/duties/dutySettings.ts
@@ -14,6 +14,8 @@
     readonly wireBoundMs: number;
     /** How long after the start of a process it takes no duty, so that none returns to a restarted host at once. */
     readonly startDelayMs: number;
+    /** Time between two looks at the leases of a node that holds none. */
+    readonly watchIntervalMs: number;
     /** Extra wait before a takeover for each node that is preferred over this one. */
     readonly preferenceDelayMs: number;
     /** Time between two looks at what is due. */
@@ -48,6 +50,7 @@
         callTimeoutMs: 1_000,
         wireBoundMs: 700,
         startDelayMs: leaseMs + 1_500,
+        watchIntervalMs: 2_000,
         preferenceDelayMs: 250,
         stepMs: 500,
         usageFlushMs: 2_400,
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { computePreferenceRank } from "@pimentocleat/policy";
 import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
 import { LeaseManager, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
@@ -32,6 +33,10 @@
     readonly configuration: ActiveConfiguration;
     readonly directory: ServerDirectory;
     readonly spreadCopy: (copy: UsageCopy) => boolean;
+    /** Names of the other nodes that live. */
+    readonly listLiveNodes: () => readonly string[];
+    /** Counts the nodes that registered. */
+    readonly countNodes: () => number;
 }
 
 interface OrderableService {
@@ -39,6 +44,10 @@
     readonly rule: OrderingRule;
 }
 
+/** Names the duties in the order of preference among nodes. */
+const dutiesName = "duties";
+/** Nodes that try for the duties; the others save the store their calls while these live. */
+const mostCandidates = 3;
 /** Lease of the node that reports usage. */
 const usageLeaseName = "usage";
 
@@ -58,10 +67,13 @@
             validityClock: new ValidityClock(clock),
             node,
             listNodes: () => [],
+            isCandidate: () =>
+                computePreferenceRank(dutiesName, node, options.listLiveNodes()) < mostCandidates,
             logger,
             random,
             timing: settings.leaseTiming,
             callTimeoutMs: settings.callTimeoutMs,
+            watchIntervalMs: settings.watchIntervalMs,
             preferenceDelayMs: settings.preferenceDelayMs,
             wireBoundMs: settings.wireBoundMs,
         });
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -47,6 +47,7 @@
     private readonly dataCentres = new Set<string>();
     private leaving: ReadonlySet<string> = new Set();
     private readonly noticedMs = new Map<string, number>();
+    private readonly refusedUntilMs = new Map<string, number>();
     private readonly sentMs = new Map<string, number>();
     private readonly ordered = new Map<string, number>();
     private readonly surplus = new Map<string, Surplus>();
@@ -106,6 +107,18 @@
         );
     }
 
+    /**
+     * Notes that the platform had none.
+     *
+     * @param servers - The order.
+     * @param retryAfterMs - When to ask again, in milliseconds from now.
+     */
+    recordNoneAvailable(servers: PlannedServers, retryAfterMs: number): void {
+        const nowMs = this.clock.monotonicMs();
+        this.refusedUntilMs.set(formatKind(servers), nowMs + retryAfterMs);
+        this.planner.recordNoneAvailable(servers, nowMs, retryAfterMs);
+    }
+
     /** @param servers - An order that the platform accepted. */
     recordAccepted(servers: PlannedServers): void {
         const key = formatKind(servers);
@@ -137,7 +150,8 @@
                     server.isReclaimable === reclaimable,
             ).length;
             const sentMs = this.sentMs.get(key) ?? Number.NEGATIVE_INFINITY;
-            const isSettled = nowMs - sentMs > rule.startMs + startMarginMs;
+            const refusedUntilMs = this.refusedUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
+            const isSettled = nowMs - sentMs > rule.startMs + startMarginMs && nowMs >= refusedUntilMs;
             const isLost =
                 ready < count && isSettled && !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
             return isLost ? [{ dataCentre, reclaimable, count }] : [];
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -59,7 +59,7 @@
             this.plan.recordIntents(await this.sender.loadIntents());
             this.hasLoaded = true;
         }
-        const { service, logger, clock } = this.options;
+        const { service, logger } = this.options;
         for (const lost of this.plan.listLost(rule, servers)) {
             this.sender.clearAccepted({ ...lost, pool: service });
         }
@@ -72,7 +72,7 @@
                 logger.writeEvent("serversOrdered", fields);
             }
             if (result.type === "noneAvailable") {
-                this.plan.planner.recordNoneAvailable(wanted, clock.monotonicMs(), result.retryAfterMs);
+                this.plan.recordNoneAvailable(wanted, result.retryAfterMs);
                 logger.writeEvent("serversNotAvailable", fields);
             }
         }
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -30,6 +30,8 @@
     readonly windowMs: number;
     readonly settings: DutySettings;
     readonly random: () => number;
+    /** Counts the nodes; with many of them, the counts of one that dies are a small share. */
+    readonly countNodes: () => number;
     /**
      * Sends a copy of counts to other nodes, because this one cannot write them.
      *
@@ -41,6 +43,8 @@
 
 /** Pause before counts are written again after a failure, in milliseconds. */
 const failedWriteRetryMs = 400;
+/** Up to so many nodes, counts are written as often as the settings say; with more, less often. */
+const fewNodes = 10;
 /** Mean time after the end of a window at which its last counts are written, in milliseconds. */
 const afterWindowMs = 200;
 /** Most windows that are reported in one step, after a time without a reporter. */
@@ -52,6 +56,8 @@
 export class UsageDuty implements UsageCounter {
     private readonly ledger: UsageLedger;
     private readonly keeper: UsageCopyKeeper;
+    /** The last window after whose end all due reports were sent. */
+    private finishedWindow: number | undefined;
     private reporter: { readonly lease: LeaseHandle; readonly reporter: UsageReporter } | undefined;
 
     /** @param options - The services and the durations. */
@@ -123,7 +129,8 @@
         const nowMs = clock.wallMs();
         const sinceStartMs = nowMs - computeWindowStartMs(nowMs, windowMs);
         const afterEndMs = windowMs - sinceStartMs + afterWindowMs * (0.5 + random());
-        return Math.min(afterEndMs, settings.usageFlushMs * (0.75 + 0.5 * random()));
+        const nodes = Math.max(1, this.options.countNodes() / fewNodes);
+        return Math.min(afterEndMs, settings.usageFlushMs * nodes * (0.75 + 0.5 * random()));
     }
 
     /**
@@ -150,7 +157,11 @@
                 callTimeoutMs: settings.callTimeoutMs,
             });
             this.reporter = { lease, reporter };
+            this.finishedWindow = undefined;
+        }
+        const dueWindow = Math.floor((this.options.clock.wallMs() - settings.usageGraceMs) / windowMs);
+        if (dueWindow !== this.finishedWindow && (await this.reporter.reporter.advanceOnce()) > 0) {
+            this.finishedWindow = dueWindow;
         }
-        await this.reporter.reporter.advanceOnce();
     }
 }
--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -76,7 +76,7 @@
             [{ rows: [row("a", 1)], position: 5 }],
             [
                 { changes: [{ type: "put", row: row("b", 6) }], position: 6 },
-                { changes: [{ type: "delete", key: "a" }], position: 7 },
+                { changes: [{ type: "delete", key: "a", version: 7 }], position: 7 },
             ],
         );
         expect(await follow(feed, 6)).toEqual(["all a", "b", "-a"]);
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -10,8 +10,13 @@
 
 /** Receives what a follower reads. */
 export interface RowReceiver {
-    /** @param rows - All rows of the table. */
-    setRows(rows: readonly Row[]): void;
+    /**
+     * Receives the whole table.
+     *
+     * @param rows - All rows of the table.
+     * @param position - Version of the store at which they were read.
+     */
+    setRows(rows: readonly Row[], position: number): void;
     /** @param changes - Changed and deleted rows, in order. */
     applyChanges(changes: readonly RowChange[]): void;
 }
@@ -30,12 +35,20 @@
     readonly pauseMs: number;
     /** Pause after a failed call, in milliseconds. */
     readonly retryMs: number;
+    /** Whether another node tells this one of changes, so that it need not ask the store; never when absent. */
+    readonly isCovered?: () => boolean;
 }
 
+/** Time between two looks whether another node still tells of changes, in milliseconds. */
+const coverCheckMs = 100;
+/** Shortest time between two reads that were asked for, in milliseconds. */
+const requestedReadMs = 300;
+
 /** Follows a table until it is told to stop. */
 export class RowFollower {
     private position: number | undefined;
     private failing = false;
+    private isReadDue = false;
     private lastContactMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - The table and its receiver. */
@@ -49,6 +62,9 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock, retryMs, random } = this.options;
         while (!signal.aborted) {
+            if (await this.waitWhileCovered(signal)) {
+                this.position = undefined;
+            }
             const pauseMs = await this.advanceOnce(signal).catch((error: unknown) => {
                 this.recordFailure(error, signal);
                 return retryMs * (0.5 + random());
@@ -64,12 +80,34 @@
         return this.lastContactMs;
     }
 
+    /** Asks for a read of the whole table, also while another node tells of changes. */
+    requestRead(): void {
+        this.isReadDue = true;
+    }
+
+    /** Returns whether the table has to be read whole, because changes were heard from others meanwhile. */
+    private async waitWhileCovered(signal: AbortSignal): Promise<boolean> {
+        const { isCovered, clock } = this.options;
+        if (this.position === undefined || isCovered?.() !== true) {
+            return false;
+        }
+        const readAtMs = this.lastContactMs + requestedReadMs;
+        while (!signal.aborted && isCovered()) {
+            if (this.isReadDue && clock.monotonicMs() >= readAtMs) {
+                break;
+            }
+            await clock.wait(coverCheckMs, signal);
+        }
+        return true;
+    }
+
     /** Returns the pause before the next step. */
     private async advanceOnce(signal: AbortSignal): Promise<number> {
         const { feed, table, receiver, waitMs, pauseMs } = this.options;
         if (this.position === undefined) {
+            this.isReadDue = false;
             const { rows, position } = await feed.readAll(table, signal);
-            receiver.setRows(rows);
+            receiver.setRows(rows, position);
             this.recordContact(position);
             return 0;
         }
--- a/packages/gateway/src/following/serverReceiver.ts
+++ b/packages/gateway/src/following/serverReceiver.ts
@@ -6,7 +6,7 @@
 import type { Row, RowChange } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { RegisteredServer } from "../backends/backendServer.js";
-import type { ServerDirectory } from "../backends/serverDirectory.js";
+import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { PlatformAdapter } from "../lifecycle/platformAdapter.js";
 import type { RowReceiver } from "./rowFollower.js";
 
@@ -25,27 +25,26 @@
         private readonly logger: Logger,
     ) {}
 
-    setRows(rows: readonly Row[]): void {
+    setRows(rows: readonly Row[], position: number): void {
         const servers = rows.map((row) => this.decodeRow(row)).filter((server) => server !== undefined);
-        this.directory.setServers(servers);
+        this.directory.setServers(servers, position);
     }
 
     applyChanges(changes: readonly RowChange[]): void {
         const changed: RegisteredServer[] = [];
-        const removed: string[] = [];
+        const removed: RemovedServer[] = [];
         for (const change of changes) {
             const server = change.type === "put" ? this.decodeRow(change.row) : undefined;
-            const key = change.type === "put" ? change.row.key : change.key;
-            if (server === undefined) {
-                removed.push(key);
-            } else {
+            if (server !== undefined) {
                 changed.push(server);
+                continue;
             }
+            const { key: id, version } = change.type === "put" ? change.row : change;
+            removed.push({ id, version });
         }
-        this.directory.updateServers(
-            changed,
-            removed.filter((key) => !changed.some(({ id }) => id === key)),
-        );
+        const isLast = ({ id, version }: RemovedServer): boolean =>
+            !changed.some((server) => server.id === id && server.version > version);
+        this.directory.updateServers(changed, removed.filter(isLast));
     }
 
     /** An entry that cannot be read names no server to use; it is noted once. */
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -17,10 +17,11 @@
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
-import { RowFollower, type RowReceiver } from "../following/rowFollower.js";
+import { RowFollower, type RowFollowerOptions } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
 import { PlacementGossip } from "../peers/placementGossip.js";
+import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 
@@ -40,15 +41,17 @@
 /** Idle connections that a node keeps to one backend server. */
 const idleConnections = 16;
 /**
- * How long the store holds a call for the next configuration, in milliseconds. With the time beyond it after which
- * the call is given up, and a new read, it is below the time after which a node counts as in touch again.
+ * How long the store holds a call for the next configuration or server, in milliseconds. Its answers are as old as
+ * this for the neighbours of the node that reads for them.
  */
-const configurationWaitMs = 1_700;
-/** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
-const serverPauseMs = 1_000;
+const configurationWaitMs = 800;
 const serverWaitMs = 800;
+/** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
+const serverPauseMs = 700;
 /** How long the store holds a call for the next change of the nodes, in milliseconds; a late one costs little. */
 const peerWaitMs = 10_000;
+/** Pause after a change of the nodes, in milliseconds: when all start, each of them is a change. */
+const peerPauseMs = 2_500;
 const followRetryMs = 200;
 /** Nodes that may share the retry slack; a deployment with more nodes has a smaller part of its load on each. */
 const slackShares = 20;
@@ -67,6 +70,7 @@
     private readonly dispatches: ServiceDispatches;
     private readonly peers: PeerDirectory;
     private readonly gossip: PlacementGossip;
+    private readonly relay: StoreRelay;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -92,15 +96,26 @@
             logger,
         });
         this.gossip = new PlacementGossip({
+            name: settings.name,
             host,
             port,
             incarnation,
             listPeers: () => this.peers.listPeers(),
+            recordHeard: (name) => this.peers.recordHeard(name),
             dispatches: this.dispatches,
             logger,
             random,
+            receiveNews: (news) => this.relay.receiveNews(news),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
         });
+        this.relay = new StoreRelay({
+            name: settings.name,
+            clock,
+            directory: this.directory,
+            configuration: this.configuration,
+            listNeighbours: () => this.peers.listLive(dataCentre),
+            sendNews: (news) => this.gossip.sendNews(news, this.peers.listNeighbours()),
+        });
         this.duties = new NodeDuties({
             node: settings.name,
             incarnation,
@@ -116,6 +131,8 @@
             configuration: this.configuration,
             directory: this.directory,
             spreadCopy: (copy) => this.gossip.spreadUsage(copy),
+            listLiveNodes: () => this.peers.listLive(),
+            countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
         this.readinessServer = buildReadinessServer(adapter.readinessPath, () => this.isReady());
@@ -129,10 +146,26 @@
         const { settings, adapter, logger } = this.options;
         const configurationReceiver = new ConfigurationReceiver(adapter, this.configuration, logger);
         const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
-        this.follow(adapter.configurationTable, configurationReceiver, configurationWaitMs, 0);
-        this.follow(adapter.serverTable, serverReceiver, serverWaitMs, serverPauseMs);
-        this.follow(peerTable, this.peers, peerWaitMs, 0);
+        const isCovered = (): boolean => this.relay.isCovered();
+        this.relay.setFollowers(
+            this.follow({
+                table: adapter.configurationTable,
+                receiver: configurationReceiver,
+                waitMs: configurationWaitMs,
+                pauseMs: 0,
+                isCovered,
+            }),
+            this.follow({
+                table: adapter.serverTable,
+                receiver: serverReceiver,
+                waitMs: serverWaitMs,
+                pauseMs: serverPauseMs,
+                isCovered,
+            }),
+        );
+        this.follow({ table: peerTable, receiver: this.peers, waitMs: peerWaitMs, pauseMs: peerPauseMs });
         this.gossip.start();
+        this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             startListening(this.callerServer, settings.callerAddress),
@@ -174,20 +207,14 @@
         return !this.draining && this.configuration.readCurrent() !== undefined;
     }
 
-    private follow(table: string, receiver: RowReceiver, waitMs: number, pauseMs: number): void {
+    private follow(
+        followed: Pick<RowFollowerOptions, "table" | "receiver" | "waitMs" | "pauseMs" | "isCovered">,
+    ): RowFollower {
         const { adapter, clock, logger, random } = this.options;
-        const follower = new RowFollower({
-            feed: adapter.rowFeed,
-            table,
-            receiver,
-            clock,
-            logger,
-            random,
-            waitMs,
-            pauseMs,
-            retryMs: followRetryMs,
-        });
+        const surroundings = { feed: adapter.rowFeed, clock, logger, random, retryMs: followRetryMs };
+        const follower = new RowFollower({ ...followed, ...surroundings });
         this.tasks.push(follower.run(this.stopping.signal));
+        return follower;
     }
 
     private buildDispatches(): ServiceDispatches {
--- /dev/null
+++ b/packages/gateway/src/peers/__tests__/storeRelay.test.ts
@@ -0,0 +1,148 @@
+import { SilentLogger } from "@pimentocleat/telemetry";
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import type { RegisteredServer } from "../../backends/backendServer.js";
+import { ServerDirectory } from "../../backends/serverDirectory.js";
+import { ActiveConfiguration } from "../../configuration/activeConfiguration.js";
+import { StoreRelay, type StoreNews } from "../storeRelay.js";
+
+function buildServer(id: string, version: number, change: Partial<RegisteredServer> = {}): RegisteredServer {
+    return {
+        id,
+        version,
+        service: "s",
+        address: "127.0.0.1:1",
+        dataCentre: "a",
+        slots: 1,
+        state: "ready",
+        bornMs: 1,
+        isReclaimable: false,
+        ...change,
+    };
+}
+
+const configurationOf = (version: number) => ({
+    version,
+    routes: [],
+    services: [],
+    customers: undefined,
+    bounds: { maximumBodyBytes: 1, idleTimeoutMs: 1 },
+});
+
+/** One node: its relay, what it knows, and how often it was asked to read the store. */
+class RelayNode {
+    readonly directory = new ServerDirectory(new SilentLogger());
+    readonly configuration = new ActiveConfiguration(new SilentLogger());
+    readonly sent: StoreNews[] = [];
+    readonly reads = { configuration: 0, servers: 0 };
+    neighbours: readonly string[] = [];
+    contactMs = 0;
+    readonly relay: StoreRelay;
+
+    constructor(name: string, clock: ManualClock) {
+        this.relay = new StoreRelay({
+            name,
+            clock,
+            directory: this.directory,
+            configuration: this.configuration,
+            listNeighbours: () => this.neighbours,
+            sendNews: (news) => this.sent.push(news),
+        });
+        const buildFollower = (table: keyof RelayNode["reads"]) => ({
+            readLastContactMs: () => this.contactMs,
+            requestRead: () => {
+                this.reads[table] += 1;
+            },
+        });
+        this.relay.setFollowers(buildFollower("configuration"), buildFollower("servers"));
+    }
+}
+
+function buildPair() {
+    const clock = new ManualClock();
+    const names = ["node-1", "node-2"];
+    const nodes = names.map((name) => new RelayNode(name, clock));
+    nodes.forEach((node, index) => {
+        node.neighbours = names.filter((...[, other]) => other !== index);
+        node.directory.setServers([buildServer("x", 1)], 1);
+    });
+    const [reader, neighbour] = nodes[0]!.sent.length > 0 ? [nodes[0]!, nodes[1]!] : [nodes[1]!, nodes[0]!];
+    return { clock, reader, neighbour };
+}
+
+describe("StoreRelay", () => {
+    it("lets exactly one of the neighbours read", () => {
+        const { reader, neighbour } = buildPair();
+        expect(reader.sent.length).toBeGreaterThan(0);
+        expect(neighbour.sent).toEqual([]);
+        expect(reader.relay.isCovered()).toBe(false);
+    });
+
+    it("covers a neighbour only while the news is fresh", () => {
+        const { clock, reader, neighbour } = buildPair();
+        neighbour.relay.receiveNews(reader.sent.at(-1)!);
+        expect(neighbour.relay.isCovered()).toBe(true);
+        clock.advance(1_250);
+        expect(neighbour.relay.isCovered()).toBe(false);
+    });
+
+    it("does not cover with answers that were old when they were told on", () => {
+        const { clock, reader, neighbour } = buildPair();
+        clock.advance(1_251);
+        reader.directory.updateServers([buildServer("y", 2)], []);
+        expect(reader.sent).toHaveLength(1);
+        neighbour.relay.receiveNews({ ...reader.sent[0]!, ageMs: 1_300 });
+        expect(neighbour.relay.isCovered()).toBe(false);
+    });
+
+    it("tells of a leaving server at once, and repeats it", () => {
+        const { clock, reader, neighbour } = buildPair();
+        reader.directory.updateServers([buildServer("x", 2, { state: "leaving" })], []);
+        reader.contactMs = clock.monotonicMs();
+        const news = reader.sent.at(-1)!;
+        neighbour.relay.receiveNews(news);
+        expect(neighbour.directory.listReady("s")).toEqual([]);
+        expect(neighbour.reads.servers).toBe(0);
+        clock.advance(300);
+        reader.directory.updateServers([buildServer("z", 3)], []);
+        expect(reader.sent.at(-1)!.changed.map(({ id }) => id)).toContain("x");
+    });
+
+    it("never brings a server back with older news", () => {
+        const { neighbour } = buildPair();
+        const news = { type: "store" as const, ageMs: 0, digest: "", removed: [] };
+        neighbour.relay.receiveNews({ ...news, changed: [buildServer("x", 5, { state: "leaving" })] });
+        neighbour.relay.receiveNews({ ...news, changed: [buildServer("x", 4)] });
+        expect(neighbour.directory.listReady("s")).toEqual([]);
+        neighbour.relay.receiveNews({ ...news, changed: [], removed: [{ id: "x", version: 6 }] });
+        neighbour.relay.receiveNews({ ...news, changed: [buildServer("x", 5)] });
+        expect(neighbour.directory.findServer("x")).toBeUndefined();
+        neighbour.relay.receiveNews({ ...news, changed: [buildServer("x", 7)] });
+        expect(neighbour.directory.listReady("s").map(({ id }) => id)).toEqual(["x"]);
+    });
+
+    it("reads the store when a message was lost", () => {
+        const { reader, neighbour } = buildPair();
+        reader.directory.updateServers([buildServer("y", 2)], []);
+        neighbour.relay.receiveNews({ ...reader.sent.at(-1)!, changed: [] });
+        expect(neighbour.reads.servers).toBe(1);
+    });
+
+    it("reads the store for a newer configuration", () => {
+        const { reader, neighbour } = buildPair();
+        reader.configuration.applyConfiguration(configurationOf(3));
+        neighbour.relay.receiveNews(reader.sent.at(-1)!);
+        expect(neighbour.reads.configuration).toBe(1);
+        neighbour.configuration.applyConfiguration(configurationOf(3));
+        neighbour.relay.receiveNews(reader.sent.at(-1)!);
+        expect(neighbour.reads.configuration).toBe(1);
+    });
+
+    it("does not tell on what it heard from another reader", () => {
+        const { reader } = buildPair();
+        const before = reader.sent.length;
+        const changed = [buildServer("w", 9)];
+        reader.relay.receiveNews({ type: "store", ageMs: 0, digest: "", changed, removed: [] });
+        expect(reader.sent).toHaveLength(before);
+    });
+});
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -29,6 +29,8 @@
 }
 
 const addressSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
+/** A node that was not heard for this long counts as gone, in milliseconds. */
+const silentAfterMs = 3_000;
 /** Pause before a registration is tried again, in milliseconds. */
 const retryMs = 1_000;
 /**
@@ -40,6 +42,7 @@
 /** Knows the other nodes. Registrations of nodes that are gone cost a datagram each and are overwritten by name. */
 export class PeerDirectory implements RowReceiver {
     private readonly peers = new Map<string, PeerAddress>();
+    private readonly heardMs = new Map<string, number>();
     private chosen: readonly PeerAddress[] = [];
 
     /** @param options - This node and the store. */
@@ -75,6 +78,40 @@
         return this.chosen;
     }
 
+    /** @param name - A node that was heard just now. */
+    recordHeard(name: string): void {
+        this.heardMs.set(name, this.options.clock.monotonicMs());
+    }
+
+    /**
+     * Lists the nodes that live, as far as this one hears them.
+     *
+     * @param dataCentre - Only nodes of this data centre; all when absent.
+     * @returns Their names, without this node.
+     */
+    listLive(dataCentre?: string): readonly string[] {
+        const sinceMs = this.options.clock.monotonicMs() - silentAfterMs;
+        return [...this.peers]
+            .filter(([, peer]) => dataCentre === undefined || peer.dataCentre === dataCentre)
+            .map(([name]) => name)
+            .filter((name) => (this.heardMs.get(name) ?? Number.NEGATIVE_INFINITY) > sinceMs);
+    }
+
+    /**
+     * Lists where the other nodes of this data centre are.
+     *
+     * @returns Their addresses.
+     */
+    listNeighbours(): readonly PeerAddress[] {
+        const { dataCentre } = this.options.address;
+        return [...this.peers.values()].filter((peer) => peer.dataCentre === dataCentre);
+    }
+
+    /** @returns How many nodes registered, this one included. */
+    countNodes(): number {
+        return this.peers.size + 1;
+    }
+
     setRows(rows: readonly Row[]): void {
         this.peers.clear();
         rows.forEach((row) => this.applyRow(row));
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "@pimentocleat/telemetry";
 import type { ServiceDispatches } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress } from "./peerDirectory.js";
+import { storeNewsSchema, type StoreNews } from "./storeRelay.js";
 
 /** A send of which the other nodes are told. */
 export interface AnnouncedSend {
@@ -51,19 +52,26 @@
 
 /** Options of {@link PlacementGossip}. */
 export interface PlacementGossipOptions {
+    /** Name of this node. */
+    readonly name: string;
     readonly host: string;
     readonly port: number;
     /** This process; names its sends among all nodes. */
     readonly incarnation: string;
+    /** Nodes that are told of each send. */
     readonly listPeers: () => readonly PeerAddress[];
+    /** Notes that a node was heard. */
+    readonly recordHeard: (name: string) => void;
     readonly dispatches: ServiceDispatches;
     readonly logger: Logger;
     readonly random: () => number;
+    /** Receives what the node says that reads the store for this one. */
+    readonly receiveNews: (news: StoreNews) => void;
     /** Receives counts of a node that cannot write them. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
 }
 
-const messageSchema = z.discriminatedUnion("type", [
+const bodySchema = z.discriminatedUnion("type", [
     z.object({
         type: z.literal("send"),
         service: z.string(),
@@ -81,9 +89,13 @@
         windowStartMs: z.number(),
         requests: z.record(z.string(), z.number().nonnegative()),
     }),
+    storeNewsSchema,
 ]);
 
-type GossipMessage = z.infer<typeof messageSchema>;
+/** Each message names its sender, so that the others know that it lives. */
+const messageSchema = z.object({ from: z.string(), body: bodySchema });
+
+type GossipMessage = z.infer<typeof bodySchema>;
 type UsageMessage = Extract<GossipMessage, { type: "usage" }>;
 
 /** Nodes that get a copy of counts; a datagram may be lost, and its receiver may be unable to write too. */
@@ -149,12 +161,22 @@
         return peers.length > 0;
     }
 
+    /**
+     * Tells nodes what changed in the store.
+     *
+     * @param news - What changed.
+     * @param peers - The nodes.
+     */
+    sendNews(news: StoreNews, peers: readonly PeerAddress[]): void {
+        this.send(news, peers);
+    }
+
     private spread(message: GossipMessage): void {
         this.send(message, this.options.listPeers());
     }
 
     private send(message: GossipMessage, peers: readonly PeerAddress[]): void {
-        const bytes = Buffer.from(JSON.stringify(message));
+        const bytes = Buffer.from(JSON.stringify({ from: this.options.name, body: message }));
         for (const peer of peers) {
             // A datagram that cannot be sent is one that is lost.
             this.socket?.send(bytes, peer.port, peer.host, () => undefined);
@@ -164,7 +186,9 @@
     private receiveMessage(bytes: Buffer): void {
         let message: GossipMessage;
         try {
-            message = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
+            const { from, body } = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
+            this.options.recordHeard(from);
+            message = body;
         } catch (error) {
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
             return;
@@ -173,6 +197,10 @@
             this.receiveUsage(message);
             return;
         }
+        if (message.type === "store") {
+            this.options.receiveNews(message);
+            return;
+        }
         const { placement } = this.options.dispatches.ensureService(message.service);
         switch (message.type) {
             case "start":
--- /dev/null
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -0,0 +1,179 @@
+/**
+ * One node of each data centre reads the store for its neighbours and tells them what changed. A neighbour that
+ * hears nothing recent reads the store itself, so a lost message or a dead reader costs calls, never a promise.
+ *
+ * @packageDocumentation
+ */
+import { computePreferenceRank } from "@pimentocleat/policy";
+import type { WaitingClock } from "@pimentocleat/types";
+import { z } from "zod";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+
+const serverSchema = z.object({
+    id: z.string(),
+    version: z.number(),
+    service: z.string(),
+    address: z.string(),
+    dataCentre: z.string(),
+    slots: z.number(),
+    state: z.enum(["ready", "leaving"]),
+    bornMs: z.number().optional(),
+    isReclaimable: z.boolean(),
+}) satisfies z.ZodType<RegisteredServer>;
+
+/** What a reader tells its neighbours. */
+export const storeNewsSchema = z.object({
+    type: z.literal("store"),
+    /** Time since the reader's oldest answer of the tables that it follows, in milliseconds. */
+    ageMs: z.number().nonnegative(),
+    /** Version of the configuration in force there; absent when there is none. */
+    configurationVersion: z.number().optional(),
+    /** Digest of the servers that it knows. */
+    digest: z.string(),
+    changed: z.array(serverSchema),
+    removed: z.array(z.object({ id: z.string(), version: z.number() })),
+});
+
+/** What a reader tells its neighbours. */
+export type StoreNews = z.infer<typeof storeNewsSchema>;
+
+/** A follower of a table, as the relay needs it. */
+export interface RelayedFollower {
+    /** Monotonic time of the last answer, in milliseconds. */
+    readLastContactMs(): number;
+    requestRead(): void;
+}
+
+/** Options of a {@link StoreRelay}. */
+export interface StoreRelayOptions {
+    readonly name: string;
+    readonly clock: WaitingClock;
+    readonly directory: ServerDirectory;
+    readonly configuration: ActiveConfiguration;
+    /** Names of the other nodes of this data centre that live. */
+    readonly listNeighbours: () => readonly string[];
+    /** Sends news to all nodes of this data centre. */
+    readonly sendNews: (news: StoreNews) => void;
+}
+
+/** Names the reading in the order of preference among nodes. */
+const readingName = "reading";
+/** Time between two messages of a reader, in milliseconds. */
+const newsIntervalMs = 300;
+/**
+ * Age of the last answer that a neighbour may rely on, in milliseconds: a reader's own pauses and a message, and
+ * with a read of its own still well below the time to obey a change.
+ */
+const longestAgeMs = 1_250;
+/** How long a change is repeated, in milliseconds: until a lost message was followed by others. */
+const repeatedMs = 1_000;
+/** More changes than fit a datagram are left out; the digest then makes neighbours read the store. */
+const mostChanges = 60;
+
+interface TimedChange {
+    readonly atMs: number;
+    readonly changed: readonly RegisteredServer[];
+    readonly removed: readonly RemovedServer[];
+}
+
+/** Reads for others, or relies on one that does. */
+export class StoreRelay {
+    private followers:
+        { readonly configuration: RelayedFollower; readonly servers: RelayedFollower } | undefined;
+    private changes: TimedChange[] = [];
+    private freshMs = Number.NEGATIVE_INFINITY;
+    /** Whether the servers are being taken from another node's message; they are not told on. */
+    private isApplying = false;
+
+    /** @param options - This node and what it knows. */
+    constructor(private readonly options: StoreRelayOptions) {
+        options.directory.addChangeListener(({ changed, removed }) => {
+            if (!this.isApplying) {
+                this.changes.push({ atMs: options.clock.monotonicMs(), changed, removed });
+                this.sendNews();
+            }
+        });
+        options.configuration.addListener(() => this.sendNews());
+    }
+
+    /**
+     * Sets the followers of the store.
+     *
+     * @param configuration - Follows the configuration.
+     * @param servers - Follows the servers.
+     */
+    setFollowers(configuration: RelayedFollower, servers: RelayedFollower): void {
+        this.followers = { configuration, servers };
+    }
+
+    /** @returns Whether another node reads the store for this one, and was heard recently. */
+    isCovered(): boolean {
+        return !this.isReader() && this.options.clock.monotonicMs() - this.freshMs < longestAgeMs;
+    }
+
+    /**
+     * Tells the neighbours regularly while this node reads.
+     *
+     * @param signal - Ends the task.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.sendNews();
+            await this.options.clock.wait(newsIntervalMs, signal);
+        }
+    }
+
+    /**
+     * Receives news of a reader.
+     *
+     * @param news - The news.
+     */
+    receiveNews(news: StoreNews): void {
+        const { clock, directory, configuration } = this.options;
+        this.freshMs = Math.max(this.freshMs, clock.monotonicMs() - news.ageMs);
+        if ((news.configurationVersion ?? 0) > (configuration.readCurrent()?.version ?? 0)) {
+            this.followers?.configuration.requestRead();
+        }
+        this.isApplying = true;
+        directory.updateServers(news.changed, news.removed);
+        this.isApplying = false;
+        if (news.digest !== directory.computeDigest()) {
+            this.followers?.servers.requestRead();
+        }
+    }
+
+    private isReader(): boolean {
+        const { name, listNeighbours } = this.options;
+        return computePreferenceRank(readingName, name, listNeighbours()) === 0;
+    }
+
+    private sendNews(): void {
+        const { followers } = this;
+        if (followers === undefined || !this.isReader()) {
+            return;
+        }
+        const { clock, directory, configuration, sendNews } = this.options;
+        const nowMs = clock.monotonicMs();
+        const contactMs = Math.min(
+            followers.configuration.readLastContactMs(),
+            followers.servers.readLastContactMs(),
+        );
+        if (nowMs - contactMs > longestAgeMs) {
+            return;
+        }
+        this.changes = this.changes.filter(({ atMs }) => nowMs - atMs < repeatedMs);
+        const changed = this.changes.flatMap((change) => change.changed);
+        const removed = this.changes.flatMap((change) => change.removed);
+        const fits = changed.length + removed.length <= mostChanges;
+        sendNews({
+            type: "store",
+            ageMs: nowMs - contactMs,
+            configurationVersion: configuration.readCurrent()?.version,
+            digest: directory.computeDigest(),
+            changed: fits ? [...changed] : [],
+            removed: fits ? [...removed] : [],
+        });
+    }
+}
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -38,9 +38,16 @@
     readonly listNodes: () => readonly string[];
     readonly logger: Logger;
     readonly random: () => number;
+    /**
+     * Whether this node should try for leases now; always when absent. A node that holds one goes on in any case.
+     * Saves the store the calls of nodes that many others are preferred over.
+     */
+    readonly isCandidate?: () => boolean;
     readonly createToken?: () => string;
     readonly timing?: LeaseTiming;
     readonly callTimeoutMs?: number;
+    /** Time between two looks of a node that holds no lease, in milliseconds; the renewal interval when absent. */
+    readonly watchIntervalMs?: number;
     /** Extra wait before a takeover for each node that is preferred over this one, in milliseconds. */
     readonly preferenceDelayMs?: number;
     /** Longest time on the wire of any order sent under these leases, in milliseconds. */
@@ -104,9 +111,12 @@
      */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
-            const succeeded = await this.advanceOnce();
+            const isIdle = this.held.size === 0 && this.options.isCandidate?.() === false;
+            const succeeded = isIdle || (await this.advanceOnce());
             const share = succeeded ? 0.8 + 0.2 * this.options.random() : retryShare;
-            await this.options.clock.wait(this.timing.renewIntervalMs * share, signal);
+            const { watchIntervalMs = this.timing.renewIntervalMs } = this.options;
+            const intervalMs = this.held.size > 0 ? this.timing.renewIntervalMs : watchIntervalMs;
+            await this.options.clock.wait(intervalMs * share, signal);
         }
     }
 
