Order reclaimable servers while the deployment still registers

Ruled out: ordering a fixed number (deployments differ). Change: servers that nobody ordered make the size, however late they register; reclaimable ones are ordered as it grows, others only once it is complete, and not at all while as many are there as wanted; a refused kind is asked for again only after the platform's time to come back.

--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -39,9 +39,13 @@
 export class OrderPlan {
     readonly planner = new ServerPlanner();
     private baseline: number | undefined;
-    /** Wall time of the first order of a deployment without earlier ones. */
-    private beganWallMs: number | undefined;
+    /** Whether no earlier holder of the duty ordered servers. */
+    private isBeginning = true;
+    /** Wall time of the first order of reclaimable servers, and of others. */
+    private readonly beganWallMs = new Map<boolean, number>();
     private readonly older = new Set<string>();
+    /** Whether all servers that the deployment began with have registered. */
+    private isComplete = false;
     private lastCount = 0;
     private changedMs: number;
     private readonly dataCentres = new Set<string>();
@@ -66,6 +70,8 @@
         const total = intents.reduce((sum, { count }) => sum + count, 0);
         if (total > 0) {
             this.baseline = total / (1 + spareShare);
+            this.isComplete = true;
+            this.isBeginning = false;
             this.planner.recordCurrent(intents, this.clock.monotonicMs());
         }
         intents.forEach((intent) => {
@@ -79,12 +85,12 @@
      *
      * @param rule - Bounds and prices.
      * @param servers - All registered servers of the service.
-     * @returns The wanted numbers, the rising ones first; empty until the deployment is complete.
+     * @returns The wanted numbers, the rising ones first; only reclaimable servers until the deployment is complete.
      */
     planOrders(rule: OrderingRule, servers: readonly RegisteredServer[]): readonly PlannedServers[] {
         const nowMs = this.clock.monotonicMs();
         this.recordServers(servers, nowMs);
-        if (this.baseline === undefined) {
+        if (this.baseline === undefined || this.baseline === 0) {
             return [];
         }
         this.planner.updateSettings({
@@ -102,9 +108,12 @@
         const demandSlots = Math.ceil(this.baseline * (isShort ? 1 : 1 + spareShare));
         const planned = this.planner.planServers({ nowMs, demandSlots, slotsPerServer: 1, options });
         const kept = this.computeKept(planned, nowMs);
-        return computeBounded(this.computeReplaced(kept, servers), rule).sort(
-            (left, right) => this.computeRise(right) - this.computeRise(left),
-        );
+        const orders = computeBounded(this.computeReplaced(kept, servers), rule);
+        // Cheap servers are ordered while others still register; the others are counted only then.
+        return orders
+            .filter((order) => this.isComplete || order.reclaimable)
+            .filter((order) => !this.isRefused(order, nowMs) && !this.isGiven(order, servers))
+            .sort((left, right) => this.computeRise(right) - this.computeRise(left));
     }
 
     /**
@@ -123,6 +132,9 @@
     recordAccepted(servers: PlannedServers): void {
         const key = formatKind(servers);
         this.sentMs.set(key, this.clock.monotonicMs());
+        if (!this.beganWallMs.has(servers.reclaimable)) {
+            this.beganWallMs.set(servers.reclaimable, this.clock.wallMs());
+        }
         // An order that returns to what was accepted before says nothing about more servers.
         if (this.ordered.get(key) !== servers.count) {
             this.ordered.set(key, servers.count);
@@ -161,26 +173,25 @@
     private recordServers(servers: readonly RegisteredServer[], nowMs: number): void {
         servers.forEach(({ dataCentre }) => this.dataCentres.add(dataCentre));
         this.recordNotices(servers, nowMs);
-        const ready = servers.filter(({ state }) => state === "ready").length;
+        const ready = servers.filter(
+            ({ state, isReclaimable }) => state === "ready" && !isReclaimable,
+        ).length;
         if (ready !== this.lastCount) {
             this.lastCount = ready;
             this.changedMs = nowMs;
         }
-        if (this.baseline === undefined && ready > 0 && nowMs - this.changedMs >= settledMs) {
-            this.baseline = ready;
-            this.beganWallMs = this.clock.wallMs();
-        }
+        this.isComplete ||= ready > 0 && nowMs - this.changedMs >= settledMs;
         this.recordOlder(servers);
     }
 
-    /** Servers that ran before the first order count among those that the deployment began with, however late they register. */
+    /** Servers that nobody ordered are those that the deployment began with, however late they register. */
     private recordOlder(servers: readonly RegisteredServer[]): void {
-        const { beganWallMs } = this;
-        if (beganWallMs === undefined) {
+        if (!this.isBeginning) {
             return;
         }
-        for (const { id, bornMs } of servers) {
-            if (bornMs !== undefined && bornMs < beganWallMs) {
+        for (const { id, bornMs, isReclaimable } of servers) {
+            const beganWallMs = this.beganWallMs.get(isReclaimable);
+            if (beganWallMs === undefined || (bornMs !== undefined && bornMs < beganWallMs)) {
                 this.older.add(id);
             }
         }
@@ -198,6 +209,22 @@
         this.leaving = new Set(leaving.map(({ id }) => id));
     }
 
+    /** Nothing needs to be ordered while the deployment still has at least as many as it began with. */
+    private isGiven(wanted: PlannedServers, servers: readonly RegisteredServer[]): boolean {
+        const present = servers.filter(
+            ({ state, dataCentre, isReclaimable }) =>
+                state === "ready" && dataCentre === wanted.dataCentre && isReclaimable === wanted.reclaimable,
+        ).length;
+        return !this.ordered.has(formatKind(wanted)) && wanted.count === present;
+    }
+
+    /** While the platform has none, only lower numbers are worth a call. */
+    private isRefused(servers: PlannedServers, nowMs: number): boolean {
+        const key = formatKind(servers);
+        const refusedUntilMs = this.refusedUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
+        return nowMs < refusedUntilMs && servers.count >= (this.ordered.get(key) ?? 0);
+    }
+
     private isUnderNotice(dataCentre: string, nowMs: number): boolean {
         return nowMs - (this.noticedMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY) < noticeMs;
     }
