Write usage to the end of a stop, keep rows in a partition of our own, and explain requests from logs

(2) 82 nodes lost the cover of their readers after each window's end: the counts of all, written at once into the partition of the servers' check-ins, held these back. (3) Nodes that few others hear took themselves for candidates for duties. Change: the store is followed and usage written until a stopping node has served its last request; the product's rows lie in a partition of their own; the nodes that read the store for others are those that try for duties. Logs go through a writer with a budget that never waits for its reader; metrics as text beside the readiness check; pimentocleat logs explain.

--- /dev/null
+++ b/packages/cli/src/commands/__tests__/logCommands.test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, it } from "vitest";
+import { formatExplanation } from "../logCommands.js";
+
+const lines = [
+    '  1.0 node-2 {"time":"2026-01-01T00:00:02.000Z","name":"requestEnded","text":"request ended","node":"node-2","requestId":"r1","result":"status 200"}',
+    '{"time":"2026-01-01T00:00:01.000Z","name":"requestSent","text":"request sent","node":"node-2","requestId":"r1","server":"s1","attempt":1}',
+    '{"time":"2026-01-01T00:00:01.500Z","name":"backendLeaving","text":"backend server is leaving","node":"node-2","server":"s1"}',
+    '{"time":"2026-01-01T00:00:01.500Z","name":"backendLeaving","text":"backend server is leaving","node":"node-3","server":"s1"}',
+    '{"time":"2026-01-01T00:00:01.500Z","name":"requestSent","text":"request sent","node":"node-2","requestId":"r2","server":"s1"}',
+    '{"time":"2026-01-01T00:00:30.000Z","name":"backendGone","text":"gone","node":"node-2","server":"s1"}',
+    '{"time":"2026-01-01T00:00:01.9',
+].join("\n");
+
+describe("formatExplanation", () => {
+    it("follows a request in the order of time, with what its node believed of its servers", () => {
+        expect(formatExplanation("r1", lines)).toEqual([
+            "2026-01-01T00:00:01.000Z node-2: request sent server=s1 attempt=1",
+            "2026-01-01T00:00:01.500Z node-2: backend server is leaving server=s1",
+            "2026-01-01T00:00:02.000Z node-2: request ended result=status 200",
+        ]);
+    });
+
+    it("is empty for a request that no line names", () => {
+        expect(formatExplanation("r9", lines)).toEqual([]);
+    });
+});
--- /dev/null
+++ b/packages/cli/src/commands/logCommands.ts
@@ -0,0 +1,137 @@
+/**
+ * Commands over log lines of many nodes, which need no node.
+ *
+ * @packageDocumentation
+ */
+
+import { readFileSync } from "node:fs";
+import { CommandError, ExitCode } from "../output/exitCodes.js";
+import type { Output } from "../output/output.js";
+
+const standardInput = 0;
+
+interface LogLine {
+    readonly time: string;
+    readonly node: string;
+    readonly name: string;
+    readonly text: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Fields that every line has; the others tell what decided. */
+const commonFields: ReadonlySet<string> = new Set([
+    "time",
+    "node",
+    "name",
+    "text",
+    "level",
+    "event",
+    "requestId",
+]);
+/** Events that change what nodes believe of a server; those near a request's sends explain it. */
+const serverEvents: ReadonlySet<string> = new Set([
+    "backendRegistered",
+    "backendLeaving",
+    "backendGone",
+    "serverEntryUnreadable",
+]);
+/** Events of a server so long before and after a request's lines are shown with it, in milliseconds. */
+const surroundingsMs = 5_000;
+
+/**
+ * Follows one request through the log lines of all nodes.
+ *
+ * @param requestId - The request.
+ * @param text - Log lines of any number of nodes, in any order.
+ * @returns One line an event, in the order of time; empty when no line names the request.
+ */
+export function formatExplanation(requestId: string, text: string): readonly string[] {
+    const lines = parseLines(text);
+    const own = lines.filter(({ fields }) => fields["requestId"] === requestId);
+    const [first, last] = [own.at(0), own.at(-1)];
+    if (first === undefined || last === undefined) {
+        return [];
+    }
+    const servers = new Set(
+        own.map(({ fields }) => fields["server"]).filter((server) => server !== undefined),
+    );
+    const fromMs = Date.parse(first.time) - surroundingsMs;
+    const toMs = Date.parse(last.time) + surroundingsMs;
+    const nodes = new Set(own.map(({ node }) => node));
+    const isNear = (line: LogLine): boolean => {
+        const atMs = Date.parse(line.time);
+        return atMs >= fromMs && atMs <= toMs;
+    };
+    const surroundings = lines.filter(
+        (line) =>
+            serverEvents.has(line.name) &&
+            nodes.has(line.node) &&
+            servers.has(line.fields["server"] ?? "") &&
+            isNear(line),
+    );
+    return [...own, ...surroundings]
+        .sort((left, right) => (left.time < right.time ? -1 : Number(left.time > right.time)))
+        .map(formatLine);
+}
+
+/**
+ * Prints the explanation of a request from files, or from standard input when there are none.
+ *
+ * @param output - Where to print.
+ * @param requestId - The request.
+ * @param files - Files with log lines.
+ * @returns The exit code.
+ * @throws CommandError when a file cannot be read or no line names the request.
+ */
+export function printExplanation(output: Output, requestId: string, files: readonly string[]): ExitCode {
+    const texts = files.length === 0 ? [readText(standardInput)] : files.map(readText);
+    const lines = formatExplanation(requestId, texts.join("\n"));
+    if (lines.length === 0) {
+        throw new CommandError(
+            ExitCode.Failure,
+            `no line names the request "${requestId}"; give the logs of all nodes of that time`,
+        );
+    }
+    output.printResult(lines, lines);
+    return ExitCode.Success;
+}
+
+function readText(file: string | number): string {
+    try {
+        return readFileSync(file, "utf8");
+    } catch (error) {
+        throw new CommandError(
+            ExitCode.WrongUsage,
+            `${String(file)} cannot be read: ${String(error)}; name a log file`,
+        );
+    }
+}
+
+/** Lines may carry something before their JSON, such as a collector's own time; other lines are passed over. */
+function parseLines(text: string): readonly LogLine[] {
+    const lines: LogLine[] = [];
+    for (const line of text.split("\n")) {
+        const start = line.indexOf("{");
+        if (start < 0) {
+            continue;
+        }
+        try {
+            const fields = JSON.parse(line.slice(start)) as Record<string, unknown>;
+            const [time, node, name, description] = ["time", "node", "name", "text"].map((key) =>
+                String(fields[key]),
+            );
+            lines.push({ time: time!, node: node!, name: name!, text: description!, fields });
+        } catch {
+            // A line that a killed process did not finish.
+            continue;
+        }
+    }
+    return lines.sort((left, right) => (left.time < right.time ? -1 : Number(left.time > right.time)));
+}
+
+function formatLine({ time, node, text, fields }: LogLine): string {
+    const details = Object.entries(fields)
+        .filter(([key, value]) => !commonFields.has(key) && value !== undefined)
+        .map(([key, value]) => `${key}=${String(value)}`);
+    return `${time} ${node}: ${text} ${details.join(" ")}`.trimEnd();
+}
--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -18,6 +18,7 @@
     watchConfiguration,
 } from "./configCommands.js";
 import { createKey, listKeys, withdrawKey } from "./keyCommands.js";
+import { printExplanation } from "./logCommands.js";
 import { printRequestTrace, listNodes, listPools } from "./nodeCommands.js";
 
 const programVersion = "0.1.0";
@@ -92,6 +93,14 @@
     program
         .command("explain <request>", "Why a request was routed, refused or retried")
         .action((requestId: string, flags: CommandFlags) => runAction(printRequestTrace, requestId, flags));
+    program
+        .command(
+            "logs <action> <request> [...files]",
+            "explain: follow one request through the logs of all nodes",
+        )
+        .action((action: string, requestId: string, files: readonly string[], flags: CommandFlags) =>
+            runAction(chooseLogAction(action, files), requestId, flags),
+        );
     program
         .command("demo", "Run the whole path with stand-ins and three nodes, in under a minute")
         .action((flags: CommandFlags) => runAction((context) => runDemo(context.output), "", flags));
@@ -100,6 +109,13 @@
     return program;
 }
 
+function chooseLogAction(action: string, files: readonly string[]): Action {
+    if (action !== "explain") {
+        throw new CommandError(ExitCode.WrongUsage, `"logs ${action}" is no command; use logs explain`);
+    }
+    return async (context, requestId) => printExplanation(context.output, requestId, files);
+}
+
 function chooseAction(
     name: string,
     entry: ActionEntry | undefined,
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -5,7 +5,7 @@
  */
 import type { Duplex } from "node:stream";
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
-import type { Logger } from "@pimentocleat/telemetry";
+import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
 import type { RequestRunner } from "../dispatch/requestRunner.js";
 import { CallerAnswer } from "./callerAnswer.js";
@@ -19,6 +19,7 @@
     readonly runner: RequestRunner;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly metrics: Metrics;
     /** Whether answers tell callers to open another connection. */
     readonly isDraining: () => boolean;
     /** Counts requests in progress. */
@@ -37,6 +38,7 @@
 const firstKeepAliveMs = 60_000;
 /** Every path is routed alike; the caller's own path is forwarded unchanged. */
 const internalPath = "/";
+const metricsPath = "/metrics";
 
 /**
  * Builds the server for callers; it does not listen yet.
@@ -82,13 +84,19 @@
  *
  * @param path - Path of the check.
  * @param isReady - Whether the node takes new callers.
+ * @param formatMetrics - Formats the metrics, which are served beside it.
  * @returns The server.
  */
-export function buildReadinessServer(path: string, isReady: () => boolean): FastifyInstance {
+export function buildReadinessServer(
+    path: string,
+    isReady: () => boolean,
+    formatMetrics: () => string,
+): FastifyInstance {
     const server = fastify({ logger: false, exposeHeadRoutes: false });
     server.get(path, async (...[, reply]) => {
         return reply.code(isReady() ? 200 : 503).send("");
     });
+    server.get(metricsPath, async (...[, reply]) => reply.type("text/plain").send(formatMetrics()));
     return server;
 }
 
@@ -125,6 +133,7 @@
     const header = request.headers["x-request-id"];
     const requestId = typeof header === "string" ? header : undefined;
     const { kind, executed, message } = error;
+    options.metrics.addCount("request.refused", 1, { kind });
     options.logger.writeEvent("requestRefused", { requestId, kind, executed, message });
     if (kind === ErrorKind.Internal) {
         options.logger.writeEvent("unexpectedError", { requestId, message: String(error.cause) });
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { PlacementServer } from "@pimentocleat/policy";
-import type { Logger } from "@pimentocleat/telemetry";
+import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
@@ -34,6 +34,7 @@
     readonly announcer: SendAnnouncer;
     readonly clock: Clock;
     readonly logger: Logger;
+    readonly metrics: Metrics;
 }
 
 /** Connections that may fail to open for one request; nothing was sent on them. */
@@ -178,6 +179,7 @@
             onRunning: () => this.recordRunning(state),
             announcer: this.options.announcer,
         });
+        this.options.metrics.addCount("request.sent", 1, { route: request.route.name });
         logger.writeEvent("requestSent", {
             requestId,
             server: server.id,
@@ -201,6 +203,10 @@
     }
 
     private recordRunning(state: RunState): void {
+        const { route, arrivedMs } = state.request;
+        this.options.metrics.recordTime("request.firstToken", this.readNowMs() - arrivedMs, {
+            class: route.name,
+        });
         const { customer } = state.request;
         if (!state.counted && customer !== undefined) {
             state.counted = true;
@@ -272,6 +278,7 @@
         if (!isAllowed || !hasAttempt || state.isOver || !dispatch.retries.takeRetry(this.readNowMs())) {
             return this.finishUnserved(state, false);
         }
+        this.options.metrics.addCount("request.retried", 1, { reason: selectReason(reason) });
         this.options.logger.writeEvent("requestRetried", {
             requestId: request.head.requestId,
             server: server.id,
@@ -310,12 +317,18 @@
 
     private writeEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
         const { head, arrivedMs, route } = state.request;
+        const elapsedMs = this.readNowMs() - arrivedMs;
+        this.options.metrics.recordTime("request.complete", elapsedMs, { class: route.name });
+        this.options.metrics.addCount("request.finished", 1, {
+            class: route.name,
+            status: selectStatus(result),
+        });
         this.options.logger.writeEvent("requestEnded", {
             requestId: head.requestId,
             route: route.name,
             server: server?.id,
             result,
-            elapsedMs: Math.round(this.readNowMs() - arrivedMs),
+            elapsedMs: Math.round(elapsedMs),
         });
     }
 
@@ -324,6 +337,22 @@
     }
 }
 
+/** Results have a bounded number of kinds, so that they may be tags. */
+function selectStatus(result: string): string {
+    const status = /^status (\d+)$/.exec(result)?.[1];
+    return status ?? (result === "streamed" ? "200" : "none");
+}
+
+function selectReason(reason: string): string {
+    const kinds: readonly (readonly [RegExp, string])[] = [
+        [/not run/, "not_run"],
+        [/another server/, "other_server"],
+        [/silent/, "silent"],
+        [/^status 5/, "failed"],
+    ];
+    return kinds.find(([pattern]) => pattern.test(reason))?.[1] ?? "lost";
+}
+
 function isRepeatable(request: GatewayRequest): boolean {
     return request.route.kind === "repeatable" || request.route.isResumable;
 }
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-import { computePreferenceRank } from "@pimentocleat/policy";
 import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
 import { LeaseManager, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
@@ -33,8 +32,8 @@
     readonly configuration: ActiveConfiguration;
     readonly directory: ServerDirectory;
     readonly spreadCopy: (copy: UsageCopy) => boolean;
-    /** Names of the other nodes that live. */
-    readonly listLiveNodes: () => readonly string[];
+    /** Whether this node tries for duties; the others save the store their calls while such nodes live. */
+    readonly isCandidate: () => boolean;
     /** Counts the nodes that registered. */
     readonly countNodes: () => number;
 }
@@ -44,10 +43,6 @@
     readonly rule: OrderingRule;
 }
 
-/** Names the duties in the order of preference among nodes. */
-const dutiesName = "duties";
-/** Nodes that try for the duties; the others save the store their calls while these live. */
-const mostCandidates = 3;
 /** Lease of the node that reports usage. */
 const usageLeaseName = "usage";
 
@@ -67,8 +62,7 @@
             validityClock: new ValidityClock(clock),
             node,
             listNodes: () => [],
-            isCandidate: () =>
-                computePreferenceRank(dutiesName, node, options.listLiveNodes()) < mostCandidates,
+            isCandidate: options.isCandidate,
             logger,
             random,
             timing: settings.leaseTiming,
@@ -96,9 +90,9 @@
         ]);
     }
 
-    /** Gives the leases up and stores what is counted. */
-    async stop(): Promise<void> {
-        await Promise.all([this.leases.releaseAll(), this.usage.writeOnce()]);
+    /** Gives the leases up, so that no other node has to wait for their end. */
+    stop(): Promise<void> {
+        return this.leases.releaseAll();
     }
 
     private async runLeases(signal: AbortSignal): Promise<void> {
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -46,7 +46,7 @@
 /** Up to so many nodes, counts are written as often as the settings say; with more, less often. */
 const fewNodes = 10;
 /** Mean time after the end of a window at which its last counts are written, in milliseconds. */
-const afterWindowMs = 200;
+const afterWindowMs = 350;
 /** Most windows that are reported in one step, after a time without a reporter. */
 const windowsPerStep = 20;
 /** How long the rows of reported windows are kept, in windows. */
--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -5,7 +5,7 @@
     type RowChange,
     type RowFeed,
 } from "@pimentocleat/services";
-import { SilentLogger } from "@pimentocleat/telemetry";
+import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
 import { RowFollower } from "../rowFollower.js";
@@ -46,6 +46,7 @@
         table: "t",
         clock,
         logger: new SilentLogger(),
+        metrics: new MemoryMetrics(),
         random: () => 0.5,
         waitMs: 1_000,
         pauseMs: 100,
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import type { Row, RowChange, RowFeed } from "@pimentocleat/services";
-import type { Logger } from "@pimentocleat/telemetry";
+import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 
 /** Receives what a follower reads. */
@@ -28,6 +28,7 @@
     readonly receiver: RowReceiver;
     readonly clock: WaitingClock;
     readonly logger: Logger;
+    readonly metrics: Metrics;
     readonly random: () => number;
     /** How long the store may hold a call until there is a change, in milliseconds. */
     readonly waitMs: number;
@@ -124,6 +125,7 @@
         this.lastContactMs = this.options.clock.monotonicMs();
         if (this.failing) {
             this.failing = false;
+            this.options.metrics.setGauge("store.unreachable", 0, { table: this.options.table });
             this.options.logger.writeEvent("storeReachable", { table: this.options.table });
         }
     }
@@ -133,7 +135,8 @@
         this.position = undefined;
         if (!this.failing && !signal.aborted) {
             this.failing = true;
-            const { table, logger } = this.options;
+            const { table, logger, metrics } = this.options;
+            metrics.setGauge("store.unreachable", 1, { table });
             logger.writeEvent("storeUnreachable", { table, reason: String(error) });
         }
     }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -5,7 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { FastifyInstance } from "fastify";
-import type { Logger } from "@pimentocleat/telemetry";
+import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { ConnectionPool } from "@pimentocleat/upstream";
 import { ServerDirectory } from "../backends/serverDirectory.js";
@@ -32,6 +32,7 @@
     readonly clock: WaitingClock;
     readonly random: () => number;
     readonly logger: Logger;
+    readonly metrics: TextMetrics;
 }
 
 /** Bound on opening a connection to a backend server, in milliseconds; a healthy one takes a few. */
@@ -45,9 +46,9 @@
  * this for the neighbours of the node that reads for them.
  */
 const configurationWaitMs = 800;
-const serverWaitMs = 800;
+const serverWaitMs = 400;
 /** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
-const serverPauseMs = 700;
+const serverPauseMs = 500;
 /** How long the store holds a call for the next change of the nodes, in milliseconds; a late one costs little. */
 const peerWaitMs = 10_000;
 /** Pause after a change of the nodes, in milliseconds: when all start, each of them is a change. */
@@ -59,6 +60,7 @@
 const balancerNoticeMs = 2_600;
 /** Time kept at the end of the grace for closing, in milliseconds. */
 const closingMs = 900;
+const closingSteps = 3;
 const stopStepMs = 50;
 
 /** One node. */
@@ -113,7 +115,7 @@
             clock,
             directory: this.directory,
             configuration: this.configuration,
-            listNeighbours: () => this.peers.listLive(dataCentre),
+            listNeighbours: () => this.peers.listLiveNeighbours(),
             sendNews: (news) => this.gossip.sendNews(news, this.peers.listNeighbours()),
         });
         this.duties = new NodeDuties({
@@ -131,11 +133,15 @@
             configuration: this.configuration,
             directory: this.directory,
             spreadCopy: (copy) => this.gossip.spreadUsage(copy),
-            listLiveNodes: () => this.peers.listLive(),
+            isCandidate: () => this.relay.isReader(),
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
-        this.readinessServer = buildReadinessServer(adapter.readinessPath, () => this.isReady());
+        this.readinessServer = buildReadinessServer(
+            adapter.readinessPath,
+            () => this.isReady(),
+            () => options.metrics.formatText(),
+        );
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
         });
@@ -182,22 +188,30 @@
         const endMs = startMs + settings.stopGraceMs - closingMs;
         this.draining = true;
         logger.writeEvent("nodeStopping", { active: this.active });
-        this.stopping.abort();
+        // The store is followed and usage written to the end: requests are still served.
         const dutiesStopped = this.duties.stop();
         while (!this.isDrained(startMs) && clock.monotonicMs() < endMs) {
             await clock.wait(stopStepMs);
         }
         this.callerServer.server.closeIdleConnections();
-        await Promise.race([dutiesStopped, clock.wait(closingMs / 2)]);
+        await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
+        this.stopping.abort();
         this.connections.close();
+        await this.runBounded(this.peers.withdraw());
         this.gossip.close();
-        await Promise.race([
-            Promise.allSettled([this.duties.usage.writeOnce(), adapter.close()]),
-            clock.wait(closingMs / 4),
-        ]);
+        await this.runBounded(adapter.close());
         logger.writeEvent("nodeStopped", { active: this.active });
     }
 
+    /** A step of the stop that fails or takes too long must not keep the later ones from running. */
+    private async runBounded(step: Promise<unknown>): Promise<void> {
+        const { clock, logger } = this.options;
+        const bounded = Promise.race([step, clock.wait(closingMs / closingSteps)]);
+        await bounded.catch((error: unknown) =>
+            logger.writeEvent("stopStepFailed", { reason: String(error) }),
+        );
+    }
+
     private isDrained(startMs: number): boolean {
         const sinceStartMs = this.options.clock.monotonicMs() - startMs;
         return this.active === 0 && sinceStartMs >= balancerNoticeMs;
@@ -210,8 +224,15 @@
     private follow(
         followed: Pick<RowFollowerOptions, "table" | "receiver" | "waitMs" | "pauseMs" | "isCovered">,
     ): RowFollower {
-        const { adapter, clock, logger, random } = this.options;
-        const surroundings = { feed: adapter.rowFeed, clock, logger, random, retryMs: followRetryMs };
+        const { adapter, clock, logger, metrics, random } = this.options;
+        const surroundings = {
+            feed: adapter.rowFeed,
+            clock,
+            logger,
+            metrics,
+            random,
+            retryMs: followRetryMs,
+        };
         const follower = new RowFollower({ ...followed, ...surroundings });
         this.tasks.push(follower.run(this.stopping.signal));
         return follower;
@@ -234,7 +255,7 @@
     }
 
     private buildCallerServer(): FastifyInstance {
-        const { adapter, clock, random, logger } = this.options;
+        const { adapter, clock, random, logger, metrics } = this.options;
         const { configuration, directory, connections } = this;
         const runner = new RequestRunner({
             dispatches: this.dispatches,
@@ -246,6 +267,7 @@
             usage: this.duties.usage,
             clock,
             logger,
+            metrics,
         });
         return buildCallerServer({
             protocol: adapter.callerProtocol,
@@ -253,6 +275,7 @@
             runner,
             clock,
             logger,
+            metrics,
             isDraining: () => this.draining,
             onActive: (change) => {
                 this.active += change;
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -84,15 +84,15 @@
     }
 
     /**
-     * Lists the nodes that live, as far as this one hears them.
+     * Lists the nodes of this data centre that live, as far as this one hears them.
      *
-     * @param dataCentre - Only nodes of this data centre; all when absent.
      * @returns Their names, without this node.
      */
-    listLive(dataCentre?: string): readonly string[] {
+    listLiveNeighbours(): readonly string[] {
+        const { dataCentre } = this.options.address;
         const sinceMs = this.options.clock.monotonicMs() - silentAfterMs;
         return [...this.peers]
-            .filter(([, peer]) => dataCentre === undefined || peer.dataCentre === dataCentre)
+            .filter(([, peer]) => peer.dataCentre === dataCentre)
             .map(([name]) => name)
             .filter((name) => (this.heardMs.get(name) ?? Number.NEGATIVE_INFINITY) > sinceMs);
     }
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -144,7 +144,8 @@
         }
     }
 
-    private isReader(): boolean {
+    /** @returns Whether this node is the one of its data centre that reads for the others, as far as it knows. */
+    isReader(): boolean {
         const { name, listNeighbours } = this.options;
         return computePreferenceRank(readingName, name, listNeighbours()) === 0;
     }
--- a/packages/services/src/table/rowFeed.ts
+++ b/packages/services/src/table/rowFeed.ts
@@ -7,7 +7,8 @@
 
 /** A changed row, or the key of a deleted one. */
 export type RowChange =
-    { readonly type: "put"; readonly row: Row } | { readonly type: "delete"; readonly key: string; readonly version: number };
+    | { readonly type: "put"; readonly row: Row }
+    | { readonly type: "delete"; readonly key: string; readonly version: number };
 
 /** Reads a table and its changes. Every method throws a `PlatformError` on failure. */
 export interface RowFeed {
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -104,13 +104,20 @@
      * Lists rows of a table in the order of their keys.
      *
      * @param table - The table.
+     * @param part - The partition.
      * @param from - First key.
      * @param to - End of the keys, exclusive.
      * @returns The rows.
      */
-    listRows(table: string, from = "", to?: string): readonly StoredRow[] {
+    listRows(table: string, part = "", from = "", to?: string): readonly StoredRow[] {
         return [...this.rows.values()]
-            .filter((row) => row.Table === table && row.Key >= from && (to === undefined || row.Key < to))
+            .filter(
+                (row) =>
+                    row.Table === table &&
+                    row.part === part &&
+                    row.Key >= from &&
+                    (to === undefined || row.Key < to),
+            )
             .sort((left, right) => (left.Key < right.Key ? -1 : 1));
     }
 
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -139,6 +139,7 @@
         const limit = Math.min(mostRows, Number(query.get("Limit") ?? mostRows));
         const rows = this.rows.listRows(
             query.get("Table") ?? "",
+            query.get("part") ?? "",
             query.get("From") ?? "",
             query.get("To") ?? undefined,
         );
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -11,3 +11,6 @@
     Metrics,
     StatsdMetricsOptions,
 } from "./metrics.js";
+export { BoundedLineWriter } from "./boundedLineWriter.js";
+export type { BoundedLineWriterOptions, WriteBytes } from "./boundedLineWriter.js";
+export { TextMetrics } from "./textMetrics.js";
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -27,6 +27,7 @@
     nodeStopping: defineEvent(1002, "info", "node stopping"),
     nodeStopped: defineEvent(1003, "info", "node stopped"),
     stopStepFailed: defineEvent(1004, "error", "a step of the planned stop failed; the later ones go on"),
+    logLinesDropped: defineEvent(1005, "warn", "log lines left out"),
     unexpectedError: defineEvent(1900, "error", "unexpected error"),
     requestFinished: defineEvent(2000, "debug", "request finished"),
     requestRefused: defineEvent(2001, "info", "request refused"),
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -38,6 +38,19 @@
     "request.retried": defineMetric("counter", "retries", ["reason"], "Retries, by reason."),
     "request.firstToken": defineMetric("timer", "ms", ["class"], "Time to the first token."),
     "request.complete": defineMetric("timer", "ms", ["class"], "Time to the complete answer."),
+    "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
+    "log.dropped": defineMetric(
+        "counter",
+        "lines",
+        [],
+        "Log lines left out, because of the budget or a reader that stopped.",
+    ),
+    "store.unreachable": defineMetric(
+        "gauge",
+        "0 or 1",
+        ["table"],
+        "Whether the last call that follows a table of the store failed.",
+    ),
     "tokens.served": defineMetric("counter", "tokens", ["class"], "Generated tokens that reached a caller."),
     "tokens.wasted": defineMetric("counter", "tokens", ["reason"], "Generated tokens that were thrown away."),
 } as const satisfies Record<string, MetricDefinition>;
