Let the bundle leave out what a node does not use

Cause: the bundle held the StatsD client, the YAML parser and a heap that a node on the platform never calls; each start pays for them.

--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,10 +1,8 @@
 /**
- * The metric catalogue and the StatsD client; see docs/METRICS.md.
+ * The metric catalogue; see docs/METRICS.md.
  *
  * @packageDocumentation
  */
-import { StatsD } from "hot-shots";
-
 /** Kind of a metric. */
 export type MetricKind = "counter" | "gauge" | "timer";
 
@@ -69,49 +67,6 @@
     close(): Promise<void>;
 }
 
-/** Options of {@link StatsdMetrics}. */
-export interface StatsdMetricsOptions {
-    /** IP address of the StatsD server. */
-    readonly host: string;
-    readonly port: number;
-    readonly prefix: string;
-    readonly tags: MetricTags;
-}
-
-/** Metrics over StatsD by UDP. */
-export class StatsdMetrics implements Metrics {
-    private readonly client: StatsD;
-
-    /** @param options - Address, prefix and fixed tags. */
-    constructor(options: StatsdMetricsOptions) {
-        this.client = new StatsD({
-            host: options.host,
-            port: options.port,
-            prefix: `${options.prefix}.`,
-            globalTags: { ...options.tags },
-            errorHandler: () => {},
-        });
-    }
-
-    addCount(name: MetricName, value: number, tags: MetricTags = {}): void {
-        this.client.increment(name, value, { ...tags });
-    }
-
-    setGauge(name: MetricName, value: number, tags: MetricTags = {}): void {
-        this.client.gauge(name, value, { ...tags });
-    }
-
-    recordTime(name: MetricName, valueMs: number, tags: MetricTags = {}): void {
-        this.client.timing(name, valueMs, { ...tags });
-    }
-
-    close(): Promise<void> {
-        return new Promise((resolve) => {
-            this.client.close(() => resolve());
-        });
-    }
-}
-
 /** Keeps sums in memory; for tests, reports and the operator endpoint. */
 export class MemoryMetrics implements Metrics {
     private readonly sums = new Map<string, number>();
