Refuse what a stopping node could not finish

A stopping node took requests until its end. Ruled out: closing the listener (the balancer uses unready nodes when fewer than half of a data centre are ready; a refusal that says when to come back serves these callers better). Change: from 0.36 of the grace on, new requests get 503, not run, with a time to come back, and idle connections are closed; what was taken before is finished.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -22,6 +22,8 @@
     readonly metrics: Metrics;
     /** Whether answers tell callers to open another connection. */
     readonly isDraining: () => boolean;
+    /** Whether new requests are refused, because the node could not finish them before its end. */
+    readonly isRefusing: () => boolean;
     /** Counts requests in progress. */
     readonly onActive: (change: 1 | -1) => void;
 }
@@ -39,6 +41,8 @@
 /** Every path is routed alike; the caller's own path is forwarded unchanged. */
 const internalPath = "/";
 const metricsPath = "/metrics";
+/** When a caller should come back, to another node, after a refusal of one that stops, in milliseconds. */
+const drainingRetryMs = 50;
 
 /**
  * Builds the server for callers; it does not listen yet.
@@ -113,6 +117,12 @@
         const head = options.protocol.readHead(request.raw, request.originalUrl);
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
         endsAtMs = arrivedMs + (head.waitMs ?? 0);
+        if (options.isRefusing()) {
+            throw new RouterError(ErrorKind.Draining, undefined, {
+                executed: "no",
+                retryAfterMs: drainingRetryMs,
+            });
+        }
         const admitted = options.admission.checkRequest(head, body, arrivedMs);
         await options.runner.runRequest(admitted, answer);
     } catch (error) {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -58,6 +58,11 @@
 const slackShares = 20;
 /** Time in which the balancer notices that a node is not ready, in milliseconds. */
 const balancerNoticeMs = 2_600;
+/**
+ * Share of the grace in which a stopping node still takes requests: the balancer has noticed by then, and what is
+ * taken can be finished.
+ */
+const acceptingShare = 0.36;
 /** Time kept at the end of the grace for closing, in milliseconds. */
 const closingMs = 900;
 const closingSteps = 3;
@@ -78,6 +83,7 @@
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
     private draining = false;
+    private refusesFromMs = Number.POSITIVE_INFINITY;
     private active = 0;
 
     /** @param options - Settings, adapter and surroundings. */
@@ -190,8 +196,12 @@
         logger.writeEvent("nodeStopping", { active: this.active });
         // The store is followed and usage written to the end: requests are still served.
         const dutiesStopped = this.duties.stop();
+        this.refusesFromMs = startMs + settings.stopGraceMs * acceptingShare;
         while (!this.isDrained(startMs) && clock.monotonicMs() < endMs) {
             await clock.wait(stopStepMs);
+            if (this.isRefusing()) {
+                this.callerServer.server.closeIdleConnections();
+            }
         }
         this.callerServer.server.closeIdleConnections();
         await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
@@ -217,6 +227,10 @@
         return this.active === 0 && sinceStartMs >= balancerNoticeMs;
     }
 
+    private isRefusing(): boolean {
+        return this.options.clock.monotonicMs() >= this.refusesFromMs;
+    }
+
     private isReady(): boolean {
         return !this.draining && this.configuration.readCurrent() !== undefined;
     }
@@ -277,6 +291,7 @@
             logger,
             metrics,
             isDraining: () => this.draining,
+            isRefusing: () => this.isRefusing(),
             onActive: (change) => {
                 this.active += change;
             },
