--- a/packages/gateway/src/duties/dutySettings.ts
+++ b/packages/gateway/src/duties/dutySettings.ts
@@ -27,7 +27,7 @@
 }
 
 /** Duration of a lease, as a multiple of the time in which no duty may return to an earlier holder. */
-const leaseFactor = 1.15;
+const leaseFactor = 1.4;
 /** Share of a lease's duration in which the holder no longer acts. */
 const marginShare = 0.15;
 /** Renewals in the duration of a lease. */
