--- a/packages/gateway/src/configuration/__tests__/activeConfiguration.test.ts
+++ b/packages/gateway/src/configuration/__tests__/activeConfiguration.test.ts
@@ -1,6 +1,6 @@
 import { SilentLogger } from "@pimentocleat/telemetry";
 import fastCheck from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { ActiveConfiguration } from "../activeConfiguration.js";
 import type { GatewayConfiguration, RouteRule } from "../gatewayConfiguration.js";
 
@@ -44,7 +44,7 @@
                     expect(configuration.findCustomer(`key-${String(newest)}`)?.name).toBe("c");
                 }
             }),
-            { seed: 20261204 },
+            { seed: 20261204, ...inject("fuzz") },
         );
     });
 
--- a/packages/gateway/src/dispatch/__tests__/eventSplitter.test.ts
+++ b/packages/gateway/src/dispatch/__tests__/eventSplitter.test.ts
@@ -1,5 +1,5 @@
 import fastCheck from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { EventSplitter } from "../eventSplitter.js";
 
 describe("EventSplitter", () => {
@@ -31,7 +31,7 @@
                 expect(count).toBe(events.length);
                 expect(splitter.countHeldBytes()).toBe(0);
             }),
-            { seed: 20261204 },
+            { seed: 20261204, ...inject("fuzz") },
         );
     });
 
--- a/packages/policy/src/placement/__tests__/retryAllowance.test.ts
+++ b/packages/policy/src/placement/__tests__/retryAllowance.test.ts
@@ -1,5 +1,5 @@
 import fastCheck from "fast-check";
-import { describe, expect, it } from "vitest";
+import { describe, expect, inject, it } from "vitest";
 import { RetryAllowance } from "../retryAllowance.js";
 
 const settings = { windowMs: 10_000, share: 0.2, slack: 2 };
@@ -31,7 +31,7 @@
                     }
                 }
             }),
-            { seed: 20261204 },
+            { seed: 20261204, ...inject("fuzz") },
         );
     });
 });
