Split the placement's settings and the state of a run, and keep one loop of repeated steps

Change: runEvery in the state package for both kinds of node, runState.ts beside the runner, placementSettings.ts beside the placement, one convertServer. No behaviour changes. Conclusion: the exchange with a backend server still stands in both engines (backendExchange.ts, exchange.ts).

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,9 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { PlacementServer } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
-import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
@@ -15,7 +14,15 @@
 import type { SendAnnouncer } from "../peers/placementGossip.js";
 import { Attempt, type AttemptResult, type WholeBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import type { ServiceDispatch, ServiceDispatches } from "./serviceDispatch.js";
+import {
+    buildError,
+    isRepeatable,
+    leastRemainingMs,
+    selectReason,
+    selectStatus,
+    type RunState,
+} from "./runState.js";
+import { convertServer, type ServiceDispatches } from "./serviceDispatch.js";
 
 /** Counts the requests that backend servers began to run. */
 export interface UsageCounter {
@@ -39,34 +46,10 @@
 
 /** Connections that may fail to open for one request; nothing was sent on them. */
 const connectAttempts = 4;
-/** Shortest time left in which another send can still succeed, in milliseconds. */
-const leastRemainingMs = 40;
 /** Silence, as a multiple of the route's target, after which a repeatable request is sent elsewhere. */
 const silenceFactor = 1.6;
 /** Shortest such silence, in milliseconds; answers of healthy servers vary by this much. */
 const leastSilenceMs = 300;
-/** When a caller should come back after a refusal for want of a server, in milliseconds. */
-const noServerRetryMs = 500;
-
-interface RunState {
-    readonly request: GatewayRequest;
-    readonly answer: CallerAnswer;
-    readonly dispatch: ServiceDispatch;
-    readonly excluded: Set<string>;
-    /** Sends that reached a server, or may have. */
-    sends: number;
-    connectFailures: number;
-    /** Whether a server may have run the request. */
-    mayHaveRun: boolean;
-    counted: boolean;
-    streamed: boolean;
-    lastEventId: string | undefined;
-    /** A failure that a server answered, for the caller if no other send does better. */
-    failedAnswer: WholeBackendAnswer | undefined;
-    attempt: Attempt | undefined;
-    isOver: boolean;
-    lastReason: string;
-}
 
 /** Runs requests. */
 export class RequestRunner {
@@ -139,12 +122,7 @@
         const ready = this.options.directory.listReady(request.service);
         const capacityTokens = this.options.configuration.findService(request.service)?.engine
             ?.capacityTokens;
-        const candidates: PlacementServer[] = ready.map(({ id, dataCentre, slots }) => ({
-            id,
-            dataCentre,
-            slots,
-            capacityTokens,
-        }));
+        const candidates = ready.map((server) => convertServer(server, capacityTokens));
         const { parts, promptTokens } = request.head;
         const { pauseTargetMs } = request.route;
         const id = dispatch.placement.chooseServer(
@@ -336,34 +314,3 @@
         return this.options.clock.monotonicMs();
     }
 }
-
-/** Results have a bounded number of kinds, so that they may be tags. */
-function selectStatus(result: string): string {
-    const status = /^status (\d+)$/.exec(result)?.[1];
-    return status ?? (result === "streamed" ? "200" : "none");
-}
-
-function selectReason(reason: string): string {
-    const kinds: readonly (readonly [RegExp, string])[] = [
-        [/not run/, "not_run"],
-        [/another server/, "other_server"],
-        [/silent/, "silent"],
-        [/^status 5/, "failed"],
-    ];
-    return kinds.find(([pattern]) => pattern.test(reason))?.[1] ?? "lost";
-}
-
-function isRepeatable(request: GatewayRequest): boolean {
-    return request.route.kind === "repeatable" || request.route.isResumable;
-}
-
-function buildError(state: RunState, noServer: boolean, remainingMs: number): RouterError {
-    const executed = state.mayHaveRun ? "unknown" : "no";
-    const reason = state.lastReason === "" ? undefined : `last try: ${state.lastReason}`;
-    if (state.mayHaveRun) {
-        const kind = remainingMs < leastRemainingMs ? ErrorKind.BackendTimeout : ErrorKind.BackendFailed;
-        return new RouterError(kind, reason, { executed });
-    }
-    const kind = noServer ? ErrorKind.NoBackendServer : ErrorKind.Overloaded;
-    return new RouterError(kind, reason, { executed, retryAfterMs: noServerRetryMs });
-}
--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -7,6 +7,7 @@
     defaultPlacementSettings,
     RetryAllowance,
     ServerPlacement,
+    type PlacementServer,
     type RetryAllowanceSettings,
 } from "@pimentocleat/policy";
 import type { Clock } from "@pimentocleat/types";
@@ -74,7 +75,14 @@
     }
 }
 
-function convertServer(server: RegisteredServer, capacityTokens: number | undefined) {
+/**
+ * Describes a server for the choice of servers.
+ *
+ * @param server - The server.
+ * @param capacityTokens - Tokens that an engine of its service holds; undefined for plain services.
+ * @returns What the choice needs.
+ */
+export function convertServer(server: RegisteredServer, capacityTokens: number | undefined): PlacementServer {
     const { id, dataCentre, slots } = server;
     return { id, dataCentre, slots, capacityTokens };
 }
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
-import { LeaseManager, type UsageCopy } from "@pimentocleat/state";
+import { LeaseManager, type UsageCopy, runEvery } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -83,10 +83,10 @@
         await Promise.all([
             this.runLeases(signal),
             this.usage.run(signal),
-            this.runEvery(settings.stepMs, signal, () =>
+            this.runStep(settings.stepMs, signal, () =>
                 this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
             ),
-            this.runEvery(settings.stepMs, signal, () => this.orderOnce()),
+            this.runStep(settings.stepMs, signal, () => this.orderOnce()),
         ]);
     }
 
@@ -144,20 +144,9 @@
         return duty;
     }
 
-    private async runEvery(
-        intervalMs: number,
-        signal: AbortSignal,
-        step: () => Promise<unknown>,
-    ): Promise<void> {
+    private runStep(intervalMs: number, signal: AbortSignal, step: () => Promise<unknown>): Promise<void> {
         const { clock, random, logger } = this.options;
-        while (!signal.aborted) {
-            await clock.wait(intervalMs * (0.75 + 0.5 * random()), signal);
-            if (!signal.aborted) {
-                await step().catch((error: unknown) => {
-                    logger.writeEvent("dutyStepFailed", { reason: String(error) });
-                });
-            }
-        }
+        return runEvery({ intervalMs, clock, random, logger, signal }, step);
     }
 }
 
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -113,6 +113,12 @@
         return !this.isReader() && this.options.clock.monotonicMs() - this.freshMs < longestAgeMs;
     }
 
+    /** @returns Whether this node is the one of its data centre that reads for the others, as far as it knows. */
+    isReader(): boolean {
+        const { name, listNeighbours } = this.options;
+        return computePreferenceRank(readingName, name, listNeighbours()) === 0;
+    }
+
     /**
      * Tells the neighbours regularly while this node reads.
      *
@@ -144,12 +150,6 @@
         }
     }
 
-    /** @returns Whether this node is the one of its data centre that reads for the others, as far as it knows. */
-    isReader(): boolean {
-        const { name, listNeighbours } = this.options;
-        return computePreferenceRank(readingName, name, listNeighbours()) === 0;
-    }
-
     private sendNews(): void {
         const { followers } = this;
         if (followers === undefined || !this.isReader()) {
--- a/packages/node/src/duties/nodeDuties.ts
+++ b/packages/node/src/duties/nodeDuties.ts
@@ -5,7 +5,7 @@
  */
 import { defaultLeaseTiming, type PoolSummary } from "@pimentocleat/policy";
 import type { Pool } from "@pimentocleat/schema";
-import { defaultClaimRetentionMs, LeaseManager, removeExpiredClaims } from "@pimentocleat/state";
+import { defaultClaimRetentionMs, LeaseManager, removeExpiredClaims, runEvery } from "@pimentocleat/state";
 import { DemandDirectory } from "./demandDirectory.js";
 import type { DutyOptions, DutySettings } from "./dutyOptions.js";
 import { findNoticedDataCentres } from "./reclaimNotices.js";
@@ -76,13 +76,13 @@
         const { usageFlushMs, usageCopyMs, orderIntervalMs, claimCleaningMs } = this.settings;
         await Promise.all([
             this.leases.run(signal),
-            this.runEvery(usageFlushMs, signal, () => this.usage.writeOnce()),
-            this.runEvery(usageCopyMs, signal, () => this.usage.copyOnce()),
-            this.runEvery(orderIntervalMs, signal, () => this.orderOnce()),
-            this.runEvery(orderIntervalMs, signal, () =>
+            this.runStep(usageFlushMs, signal, () => this.usage.writeOnce()),
+            this.runStep(usageCopyMs, signal, () => this.usage.copyOnce()),
+            this.runStep(orderIntervalMs, signal, () => this.orderOnce()),
+            this.runStep(orderIntervalMs, signal, () =>
                 this.usage.reportOnce(this.leases.findHeld(usageLeaseName)),
             ),
-            this.runEvery(claimCleaningMs, signal, () => this.runCleaning()),
+            this.runStep(claimCleaningMs, signal, () => this.runCleaning()),
         ]);
     }
 
@@ -95,21 +95,9 @@
         await this.leases.releaseAll();
     }
 
-    /** Waits between the end of a step and the start of the next, with jitter, so steps never overlap. */
-    private async runEvery(
-        intervalMs: number,
-        signal: AbortSignal,
-        step: () => Promise<void>,
-    ): Promise<void> {
+    private runStep(intervalMs: number, signal: AbortSignal, step: () => Promise<unknown>): Promise<void> {
         const { clock, random, logger } = this.options;
-        while (!signal.aborted) {
-            await clock.wait(intervalMs * (0.75 + 0.5 * random()), signal);
-            if (!signal.aborted) {
-                await step().catch((error: unknown) => {
-                    logger.writeEvent("dutyStepFailed", { reason: String(error) });
-                });
-            }
-        }
+        return runEvery({ intervalMs, clock, random, logger, signal }, step);
     }
 
     private updateWanted(): void {
--- a/packages/policy/src/placement/__tests__/serverPlacement.test.ts
+++ b/packages/policy/src/placement/__tests__/serverPlacement.test.ts
@@ -1,7 +1,8 @@
 import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
+import { defaultPlacementSettings } from "../placementSettings.js";
 import type { PlacementServer } from "../serverEstimate.js";
-import { defaultPlacementSettings, ServerPlacement, type PlacementRequest } from "../serverPlacement.js";
+import { ServerPlacement, type PlacementRequest } from "../serverPlacement.js";
 
 const guide = { id: "guide", tokens: 13_000 };
 
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "@pimentocleat/types";
 import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
 import type { PromptPart } from "./prefixMemory.js";
+import type { PlacementSettings } from "./placementSettings.js";
 import { RunningSends, type KnownSend } from "./runningSends.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 
@@ -31,31 +32,6 @@
     readonly expectedMs: number;
 }
 
-/** Settings of {@link ServerPlacement}. */
-export interface PlacementSettings {
-    /** Data centre of this node. */
-    readonly dataCentre: string;
-    /** Prompt tokens that an engine of usual speed reads in a millisecond; corrected by each server's slowness. */
-    readonly tokensPerMs: number;
-    /** Time to the first token without a prompt, in milliseconds. */
-    readonly firstEventMs: number;
-    /** Cost of leaving the data centre, in milliseconds of a caller's time. */
-    readonly otherDataCentreMs: number;
-    /** Expected time of a plain service's answer until one was measured, in milliseconds. */
-    readonly plainAnswerMs: number;
-    /** How long a load that came with an answer is believed, in milliseconds. */
-    readonly loadAgeMs: number;
-}
-
-/** Settings that hold unless overridden; speeds are those of the engines in docs/interfaces/engine.md. */
-export const defaultPlacementSettings: Omit<PlacementSettings, "dataCentre"> = {
-    tokensPerMs: 30,
-    firstEventMs: 25,
-    otherDataCentreMs: 12,
-    plainAnswerMs: 40,
-    loadAgeMs: 1_000,
-};
-
 /**
  * Chance that a server has a request's shared parts because other nodes send such requests there: every node
  * ranks the servers alike. Counts only while no server is known to have them.
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -53,3 +53,5 @@
 export { UsageRowWriter } from "./usage/usageRowWriter.js";
 export type { UsageRowWriterOptions } from "./usage/usageRowWriter.js";
 export { BoundedTableService } from "./retrying/boundedTableService.js";
+export { runEvery } from "./retrying/runEvery.js";
+export type { RepeatedStepOptions } from "./retrying/runEvery.js";
