Count usage by a wall time that the nodes agree on

Cause: a node counted a request in the window of its own wall clock; while 40% of the clocks were stepped by 4 s, counts went to earlier or later windows, and after a step forward to the later one until true time caught up. Ruled out: the store's clock (needs a call to follow it, and a node started on a stepped host would learn a wrong difference). Change: datagrams between nodes tell the sender's wall time; AgreedClock takes the median of this host's and its peers', with at least two peers. Usage counting, sealing and reporting use it; leases keep the host's own clocks. When more than half of the clocks are stepped alike, their time is taken.

--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -23,6 +23,8 @@
     readonly reportService: UsageReportService | undefined;
     readonly orderingService: OrderingService | undefined;
     readonly clock: WaitingClock;
+    /** Its wall time says to which window usage belongs; the same on all nodes, also when a host's clock is stepped. */
+    readonly usageClock: WaitingClock;
     readonly random: () => number;
     readonly logger: Logger;
     readonly usageWindowMs: number;
@@ -55,7 +57,11 @@
     /** @param options - The services and the durations. */
     constructor(private readonly options: NodeDutiesOptions) {
         const { node, tableService, clock, random, logger, settings } = options;
-        this.usage = new UsageDuty({ ...options, windowMs: options.usageWindowMs });
+        this.usage = new UsageDuty({
+            ...options,
+            clock: options.usageClock,
+            windowMs: options.usageWindowMs,
+        });
         this.leases = new LeaseManager({
             tableService,
             clock,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -19,6 +19,7 @@
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { RowFollower, type RowFollowerOptions } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
+import { AgreedClock } from "../peers/agreedClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
 import { PlacementGossip } from "../peers/placementGossip.js";
 import { StoreRelay } from "../peers/storeRelay.js";
@@ -96,6 +97,7 @@
         this.dispatches = this.buildDispatches();
         const { peerHost: host, dataCentre } = settings;
         const [port] = settings.peerPorts;
+        const agreedClock = new AgreedClock(clock);
         this.peers = new PeerDirectory({
             name: settings.name,
             address: { host, port, dataCentre },
@@ -109,7 +111,11 @@
             port,
             incarnation,
             listPeers: () => this.peers.listPeers(),
-            recordHeard: (name) => this.peers.recordHeard(name),
+            clock,
+            recordHeard: (name, wallMs) => {
+                this.peers.recordHeard(name);
+                agreedClock.recordPeerTime(name, wallMs);
+            },
             dispatches: this.dispatches,
             logger,
             random,
@@ -131,6 +137,7 @@
             reportService: adapter.reportService,
             orderingService: adapter.orderingService,
             clock,
+            usageClock: agreedClock,
             random,
             logger,
             usageWindowMs: settings.usageWindowMs,
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -9,6 +9,7 @@
 import type { PromptPart } from "@pimentocleat/policy";
 import type { UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
+import type { Clock } from "@pimentocleat/types";
 import type { ServiceDispatches } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeNewsSchema, type StoreNews } from "./storeRelay.js";
@@ -60,8 +61,10 @@
     readonly incarnation: string;
     /** Nodes that are told of each send. */
     readonly listPeers: () => readonly PeerAddress[];
-    /** Notes that a node was heard. */
-    readonly recordHeard: (name: string) => void;
+    /** The host's own clock, which messages tell the others. */
+    readonly clock: Clock;
+    /** Notes that a node was heard, and what its clock showed in milliseconds since the Unix epoch. */
+    readonly recordHeard: (name: string, wallMs: number) => void;
     readonly dispatches: ServiceDispatches;
     readonly logger: Logger;
     readonly random: () => number;
@@ -92,8 +95,8 @@
     storeNewsSchema,
 ]);
 
-/** Each message names its sender, so that the others know that it lives. */
-const messageSchema = z.object({ from: z.string(), body: bodySchema });
+/** Each message names its sender, so that the others know that it lives, and tells the time of its clock. */
+const messageSchema = z.object({ from: z.string(), wallMs: z.number(), body: bodySchema });
 
 type GossipMessage = z.infer<typeof bodySchema>;
 type UsageMessage = Extract<GossipMessage, { type: "usage" }>;
@@ -176,7 +179,8 @@
     }
 
     private send(message: GossipMessage, peers: readonly PeerAddress[]): void {
-        const bytes = Buffer.from(JSON.stringify({ from: this.options.name, body: message }));
+        const { name: from, clock } = this.options;
+        const bytes = Buffer.from(JSON.stringify({ from, wallMs: clock.wallMs(), body: message }));
         for (const peer of peers) {
             // A datagram that cannot be sent is one that is lost.
             this.socket?.send(bytes, peer.port, peer.host, () => undefined);
@@ -186,8 +190,8 @@
     private receiveMessage(bytes: Buffer): void {
         let message: GossipMessage;
         try {
-            const { from, body } = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
-            this.options.recordHeard(from);
+            const { from, wallMs, body } = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
+            this.options.recordHeard(from, wallMs);
             message = body;
         } catch (error) {
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
