Report usage sooner after its holder froze

Nodes that were not the reader of their data centre did not look at the leases, and a restarted node began to look only after its start delay, so both counted the lapse from late; a look came up to 2 s after the lapse; a new reporter waited 1.7 s before it sealed, although the store had never failed. Ruled out: shorter leases (tried before, did not help); a look each 0.6 s (calls are priced). Change: the next node after the reader looks too; a node that may not acquire yet observes; a look is made when a lease lapses; the wait before the first seal is what is missing of an uninterrupted contact with the store.

--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -56,11 +56,12 @@
 
     /** @param options - The services and the durations. */
     constructor(private readonly options: NodeDutiesOptions) {
-        const { node, tableService, clock, random, logger, settings } = options;
+        const { node, tableService, clock, random, logger, settings, isFirstStart } = options;
         this.usage = new UsageDuty({
             ...options,
             clock: options.usageClock,
             windowMs: options.usageWindowMs,
+            readStoreContactMs: () => this.leases.readContactMs(),
         });
         this.leases = new LeaseManager({
             tableService,
@@ -69,6 +70,7 @@
             node,
             listNodes: () => [],
             isCandidate: options.isCandidate,
+            acquiresFromMs: isFirstStart ? 0 : clock.monotonicMs() + settings.startDelayMs,
             logger,
             random,
             timing: settings.leaseTiming,
@@ -101,11 +103,9 @@
         return this.leases.releaseAll();
     }
 
-    private async runLeases(signal: AbortSignal): Promise<void> {
-        const { clock, settings, isFirstStart } = this.options;
-        await clock.wait(isFirstStart ? 0 : settings.startDelayMs, signal);
+    private runLeases(signal: AbortSignal): Promise<void> {
         this.updateWanted();
-        await this.leases.run(signal);
+        return this.leases.run(signal);
     }
 
     private updateWanted(): void {
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -32,6 +32,8 @@
     readonly random: () => number;
     /** Counts the nodes; with many of them, the counts of one that dies are a small share. */
     readonly countNodes: () => number;
+    /** Tells for how long the store has answered this node without a failure, in milliseconds. */
+    readonly readStoreContactMs: () => number;
     /**
      * Sends a copy of counts to other nodes, because this one cannot write them.
      *
@@ -151,7 +153,8 @@
                 lease,
                 receiver: { checksFencing: false, wireBoundMs: settings.wireBoundMs },
                 graceMs: settings.usageGraceMs,
-                firstSealDelayMs: settings.usageGraceMs,
+                // After an outage nodes still have to write; when there was none, they have written.
+                firstSealDelayMs: Math.max(0, settings.usageGraceMs - this.options.readStoreContactMs()),
                 windowsPerStep,
                 retentionMs: retainedWindows * windowMs,
                 callTimeoutMs: settings.callTimeoutMs,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -146,7 +146,7 @@
             configuration: this.configuration,
             directory: this.directory,
             spreadCopy: (copy) => this.gossip.spreadUsage(copy),
-            isCandidate: () => this.relay.isReader(),
+            isCandidate: () => this.relay.isReaderOrNext(),
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -115,8 +115,12 @@
 
     /** @returns Whether this node is the one of its data centre that reads for the others, as far as it knows. */
     isReader(): boolean {
-        const { name, listNeighbours } = this.options;
-        return computePreferenceRank(readingName, name, listNeighbours()) === 0;
+        return this.computeRank() === 0;
+    }
+
+    /** @returns Whether this node reads, or would after the reader of its data centre. */
+    isReaderOrNext(): boolean {
+        return this.computeRank() <= 1;
     }
 
     /**
@@ -150,6 +154,11 @@
         }
     }
 
+    private computeRank(): number {
+        const { name, listNeighbours } = this.options;
+        return computePreferenceRank(readingName, name, listNeighbours());
+    }
+
     private sendNews(): void {
         const { followers } = this;
         if (followers === undefined || !this.isReader()) {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 export { computePreferenceRank } from "./leases/dutyPlacement.js";
 export {
     computeFirstSendMs,
+    computeTakeoverMs,
     computeValidUntilMs,
     defaultLeaseTiming,
     isTakeoverDue,
--- a/packages/policy/src/leases/leaseTiming.ts
+++ b/packages/policy/src/leases/leaseTiming.ts
@@ -46,6 +46,20 @@
     return previous?.version === seen.version ? previous : { ...seen, firstSeenMs: nowMs };
 }
 
+/**
+ * Computes from when an observer may try to take a lease over, if it does not change before.
+ *
+ * @param observed - What the observer has seen itself.
+ * @param timing - The lease's durations.
+ * @param delayMs - Extra wait of a node that is not the preferred holder.
+ * @returns The observer's time at which the holder's validity has ended on every clock within the margin.
+ */
+export function computeTakeoverMs(observed: ObservedLease, timing: LeaseTiming, delayMs: number): number {
+    const isFree = observed.version === 0 || observed.released;
+    const lapseMs = isFree ? 0 : timing.durationMs + timing.marginMs;
+    return observed.firstSeenMs + lapseMs + delayMs;
+}
+
 /**
  * Decides whether an observer may try to take a lease over.
  *
@@ -61,9 +75,7 @@
     timing: LeaseTiming,
     delayMs: number,
 ): boolean {
-    const isFree = observed.version === 0 || observed.released;
-    const lapseMs = isFree ? 0 : timing.durationMs + timing.marginMs;
-    return nowMs - observed.firstSeenMs >= lapseMs + delayMs;
+    return nowMs >= computeTakeoverMs(observed, timing, delayMs);
 }
 
 /**
--- /dev/null
+++ b/packages/state/src/leases/__tests__/leaseTakeover.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from "vitest";
+import { defaultLeaseTiming } from "@pimentocleat/policy";
+import { LeaseWorld } from "./leaseWorld.js";
+
+const lease = "duty";
+const { durationMs, marginMs, renewIntervalMs } = defaultLeaseTiming;
+const stepMs = 100;
+
+/** Advances until a node holds the lease; returns how long it took, in milliseconds. */
+async function measureTakeoverMs(world: LeaseWorld, from: string, mostMs: number): Promise<number> {
+    let passedMs = 0;
+    while (passedMs < mostMs && world.listValidHolders(lease).every((name) => name === from)) {
+        await world.advance(stepMs);
+        passedMs += stepMs;
+    }
+    return passedMs;
+}
+
+describe("takeover of a lease", () => {
+    it("looks again when the lease lapses, however seldom it looks otherwise", async () => {
+        const watchIntervalMs = 4 * renewIntervalMs;
+        const world = new LeaseWorld({ nodeCount: 2, leases: [lease], watchIntervalMs });
+        await world.advance(20_000);
+        const [holder = ""] = world.listValidHolders(lease);
+        const index = world.nodes.findIndex(({ name }) => name === holder);
+        world.nodes[index]!.host.freeze();
+        const delayMs = 1_000;
+        const takeoverMs = await measureTakeoverMs(world, holder, 60_000);
+        expect(takeoverMs).toBeLessThanOrEqual(
+            watchIntervalMs + durationMs + marginMs + delayMs + 2 * stepMs,
+        );
+    });
+
+    it("observes while it may not acquire yet, and acquires when it may", async () => {
+        const startDelayMs = 30_000;
+        const world = new LeaseWorld({ nodeCount: 1, leases: [lease], startDelayMs });
+        await world.advance(5_000);
+        const [holder = ""] = world.listValidHolders(lease);
+        expect(holder).not.toBe("");
+        world.nodes[0]!.host.freeze();
+        world.startNode(0);
+        await world.advance(startDelayMs - stepMs);
+        expect(world.listValidHolders(lease)).not.toContain(world.nodes[0]!.name);
+        await world.advance(5 * stepMs);
+        expect(world.listValidHolders(lease)).toContain(world.nodes[0]!.name);
+    });
+});
--- a/packages/state/src/leases/__tests__/leaseWorld.ts
+++ b/packages/state/src/leases/__tests__/leaseWorld.ts
@@ -26,6 +26,9 @@
     readonly leases: readonly string[];
     readonly timing?: LeaseTiming;
     readonly wireBoundMs?: number;
+    readonly watchIntervalMs?: number;
+    /** Time in which a node that starts later than the first ones acquires nothing, in milliseconds. */
+    readonly startDelayMs?: number;
     /** Wraps the table service; mutants break it. */
     readonly wrapTable?: (tableService: TableService) => TableService;
     /** Rates of the hosts' clocks, used in turn. */
@@ -65,6 +68,11 @@
             createToken: () => `token-${(this.tokens += 1)}`,
             timing: this.options.timing ?? defaultLeaseTiming,
             wireBoundMs: this.options.wireBoundMs ?? defaultWireBoundMs,
+            watchIntervalMs: this.options.watchIntervalMs,
+            acquiresFromMs:
+                this.allNodes.length < this.options.nodeCount
+                    ? 0
+                    : host.monotonicMs() + (this.options.startDelayMs ?? 0),
         });
         manager.setWanted(this.options.leases);
         const node: LeaseNode = { name, host, table, manager, stopping: new AbortController() };
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -7,6 +7,7 @@
 import type { CommitResult, Row, TableService, Transaction } from "@pimentocleat/services";
 import {
     computePreferenceRank,
+    computeTakeoverMs,
     defaultLeaseTiming,
     isTakeoverDue,
     updateObservation,
@@ -43,6 +44,8 @@
      * Saves the store the calls of nodes that many others are preferred over.
      */
     readonly isCandidate?: () => boolean;
+    /** Monotonic time before which this node observes the leases but acquires none, in milliseconds; none when absent. */
+    readonly acquiresFromMs?: number;
     readonly createToken?: () => string;
     readonly timing?: LeaseTiming;
     readonly callTimeoutMs?: number;
@@ -77,6 +80,7 @@
     private readonly acquisitions = new Map<string, PendingAcquisition>();
     private readonly held = new Map<string, HeldLease>();
     private wanted: readonly string[] = [];
+    private contactSinceMs: number | undefined;
     private stopping = false;
 
     /** @param options - The table service, the clock and the timing. */
@@ -113,13 +117,24 @@
         while (!signal.aborted) {
             const isIdle = this.held.size === 0 && this.options.isCandidate?.() === false;
             const succeeded = isIdle || (await this.advanceOnce());
+            this.recordContact(succeeded && !isIdle);
             const share = succeeded ? 0.8 + 0.2 * this.options.random() : retryShare;
             const { watchIntervalMs = this.timing.renewIntervalMs } = this.options;
             const intervalMs = this.held.size > 0 ? this.timing.renewIntervalMs : watchIntervalMs;
-            await this.options.clock.wait(intervalMs * share, signal);
+            const pauseMs = isIdle ? intervalMs * share : this.computePauseMs(intervalMs * share);
+            await this.options.clock.wait(pauseMs, signal);
         }
     }
 
+    /**
+     * Tells for how long the table service has answered every step of this node.
+     *
+     * @returns Milliseconds; 0 after a failure and while this node does not try for leases.
+     */
+    readContactMs(): number {
+        return this.contactSinceMs === undefined ? 0 : this.options.clock.monotonicMs() - this.contactSinceMs;
+    }
+
     /**
      * Takes one step: reads all leases, then renews and acquires what is due.
      *
@@ -160,6 +175,24 @@
         this.held.clear();
     }
 
+    private recordContact(hasAnswered: boolean): void {
+        this.contactSinceMs = hasAnswered
+            ? (this.contactSinceMs ?? this.options.clock.monotonicMs())
+            : undefined;
+    }
+
+    /** Looks again when the next takeover is due, if that is before the next regular look. */
+    private computePauseMs(intervalMs: number): number {
+        const { clock, acquiresFromMs = 0 } = this.options;
+        const nowMs = clock.monotonicMs();
+        const pauses = this.wanted
+            .filter((name) => !this.held.has(name))
+            .flatMap((name) => this.observed.get(name) ?? [])
+            .map((observed) => computeTakeoverMs(observed, this.timing, 0))
+            .map((takeoverMs) => Math.max(takeoverMs, acquiresFromMs) - nowMs);
+        return Math.min(intervalMs, ...pauses.filter((pauseMs) => pauseMs > 0));
+    }
+
     private recordLease(name: string, stored: StoredLease): void {
         const { record, version } = stored;
         const seen = { version, released: record?.released ?? false };
@@ -196,7 +229,8 @@
     private async acquireIfDue(name: string, stored: StoredLease): Promise<void> {
         const { clock, node, listNodes, preferenceDelayMs = defaultPreferenceDelayMs } = this.options;
         const observed = this.observed.get(name);
-        if (observed === undefined || this.held.has(name) || this.stopping) {
+        const isAllowed = !this.stopping && clock.monotonicMs() >= (this.options.acquiresFromMs ?? 0);
+        if (observed === undefined || this.held.has(name) || !isAllowed) {
             return;
         }
         const rank = Math.min(computePreferenceRank(name, node, listNodes()), highestPreferenceRank);
