Move late usage once, whoever has it, and keep removals within a transaction's entries

Ruled out: a longer wait before the seal (2 stays, reports come later); letting only the node itself move (it may be gone). The stand-in refuses over 100 entries.

--- a/packages/bench/src/__tests__/fuzz/systemNode.ts
+++ b/packages/bench/src/__tests__/fuzz/systemNode.ts
@@ -210,6 +210,7 @@
                 tableService: this.tableService,
                 reportService: world.buildReportService(this),
                 clock,
+                logger: new SilentLogger(),
                 lease: world.mutant.wrapLease(lease),
                 node,
                 receiver,
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -70,6 +70,7 @@
             writer,
             clock,
             logger,
+            windowMs,
             retentionMs: retainedWindows * windowMs,
             // A node sends copies only when it cannot write; completing its row does no harm.
             isGone: () => true,
--- a/packages/node/src/duties/usageDuty.ts
+++ b/packages/node/src/duties/usageDuty.ts
@@ -50,6 +50,7 @@
         this.keeper = new UsageCopyKeeper({
             writer,
             clock,
+            windowMs,
             retentionMs,
             logger,
             isGone: (incarnation) => this.isGone(incarnation),
--- a/packages/services/src/table/tableService.ts
+++ b/packages/services/src/table/tableService.ts
@@ -29,7 +29,10 @@
     readonly value?: JsonValue;
 }
 
-/** Conditions and writes that take effect together or not at all. */
+/** Most conditions and writes together in a transaction that the table services of all deployments take. */
+export const maxTransactionEntries = 100;
+
+/** Conditions and writes that take effect together or not at all; at most {@link maxTransactionEntries}. */
 export interface Transaction {
     readonly conditions: readonly RowCondition[];
     readonly writes: readonly RowWrite[];
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -23,6 +23,8 @@
 
 const loopbackHost = "127.0.0.1";
 const mostRows = 500;
+/** Most entries of a transaction, as published. */
+const mostEntries = 100;
 
 /** Runs the store and the duties in this process. */
 export class UsersPlatformStandIn {
@@ -123,6 +125,11 @@
     }
 
     private serveTransaction(response: ServerResponse, transaction: RowTransaction): void {
+        const { Expected = [], Puts = [], Delete = [] } = transaction;
+        if (Expected.length + Puts.length + Delete.length > mostEntries) {
+            sendJson(response, 400, { Error: "too many entries" });
+            return;
+        }
         const fault = this.writeFaults.shift() ?? "usual";
         if (fault === "late") {
             this.late.push(() => this.rows.applyTransaction(transaction));
--- a/packages/state/src/usage/__tests__/usageReporter.test.ts
+++ b/packages/state/src/usage/__tests__/usageReporter.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "vitest";
-import type { TableService } from "@pimentocleat/services";
-import { usageSealTable } from "../usageRecord.js";
+import { maxTransactionEntries, type TableService } from "@pimentocleat/services";
+import { computeWindowStartMs } from "@pimentocleat/policy";
+import { formatWindow, usageSealTable, usageTable } from "../usageRecord.js";
+import { UsageRowWriter } from "../usageRowWriter.js";
 import { findBrokenReport, UsageWorld, usageLease, windowMs, type ReportFault } from "./usageWorld.js";
 
 /** Loses the seals of windows. */
@@ -16,6 +18,19 @@
     };
 }
 
+/** Refuses transactions with more entries than some deployments take. */
+function withLimitedTransactions(service: TableService): TableService {
+    return {
+        readRow: (table, key) => service.readRow(table, key),
+        scanRows: (table, options) => service.scanRows(table, options),
+        commitTransaction: (transaction) => {
+            const entries = transaction.conditions.length + transaction.writes.length;
+            expect(entries).toBeLessThanOrEqual(maxTransactionEntries);
+            return service.commitTransaction(transaction);
+        },
+    };
+}
+
 function findReporter(world: UsageWorld): number {
     return world.leases.nodes.findIndex((node) => node.manager.findHeld(usageLease) !== undefined);
 }
@@ -74,3 +89,62 @@
         expect(findBrokenReport(world.reports)).toBeUndefined();
     });
 });
+
+describe("rows of reported windows", () => {
+    it("are removed also when more nodes wrote than one transaction takes", async () => {
+        const world = new UsageWorld({ retentionMs: windowMs, wrapTable: withLimitedTransactions });
+        await world.leases.advance(5_000);
+        const { clock, memory } = world.leases;
+        const writer = new UsageRowWriter({ tableService: memory, clock, callTimeoutMs: 1_000 });
+        const windowStartMs = computeWindowStartMs(clock.wallMs(), windowMs);
+        const nodes = [...Array(maxTransactionEntries).keys()].map((index) => `many-${String(index)}`);
+        const usage = { customer: { requests: 1, promptTokens: 0, completionTokens: 1 } };
+        for (const incarnation of nodes) {
+            await writer.writeUsage({ windowStartMs, incarnation }, 0, usage);
+        }
+        await world.leases.advance(6 * windowMs);
+        expect(world.sumReported()).toBe(nodes.length);
+        const left = await memory.scanRows(usageTable, { prefix: `${formatWindow(windowStartMs)}/` });
+        expect(left).toEqual([]);
+    });
+});
+
+describe("usage that is written late", () => {
+    it("is reported also when it was counted before the first reporter began", async () => {
+        const world = new UsageWorld();
+        const { leases } = world;
+        leases.memory.setFaultPlan(() => "unavailable");
+        await leases.advance(500);
+        world.record(0, 10);
+        await leases.advance(2 * windowMs);
+        leases.nodes[0]!.host.freeze();
+        leases.memory.setFaultPlan(() => "none");
+        await leases.advance(4 * windowMs);
+        leases.thaw(0);
+        await leases.advance(4 * windowMs);
+        expect(world.sumReported()).toBe(10);
+    });
+
+    it("moves to a later window from the copy of a node that was frozen until the seal and then lost", async () => {
+        const world = new UsageWorld();
+        const { leases } = world;
+        await leases.advance(5_000);
+        const index = (findReporter(world) + 1) % 3;
+        leases.memory.setFaultPlan(() => "unavailable");
+        world.record(index, 10);
+        await leases.advance(1_500);
+        leases.nodes[index]!.host.freeze();
+        leases.memory.setFaultPlan(() => "none");
+        await leases.advance(4 * windowMs);
+        expect(world.sumReported()).toBe(0);
+        leases.startNode(index);
+        world.recordCrash(index);
+        await leases.advance(4 * windowMs);
+        expect(world.sumReported()).toBe(10);
+        leases.thaw(index);
+        leases.allNodes.forEach(({ host }) => host.thaw());
+        await leases.advance(4 * windowMs);
+        expect(world.sumReported()).toBe(10);
+        expect(findBrokenReport(world.reports)).toBeUndefined();
+    });
+});
--- a/packages/state/src/usage/__tests__/usageWorld.ts
+++ b/packages/state/src/usage/__tests__/usageWorld.ts
@@ -31,6 +31,8 @@
 export interface UsageWorldOptions extends Partial<LeaseWorldOptions> {
     readonly createLedger?: (options: UsageLedgerOptions) => UsageLedger;
     readonly createReporter?: (options: UsageReporterOptions) => UsageReporter;
+    /** How long rows of reported windows are kept, in milliseconds; an hour when absent. */
+    readonly retentionMs?: number;
 }
 
 interface Recorded {
@@ -42,8 +44,6 @@
 export class UsageWorld {
     readonly leases: LeaseWorld;
     readonly reports: UsageReport[] = [];
-    /** Events of usage that was found too late. */
-    lostEvents = 0;
     planReport: () => ReportFault = () => "none";
     private readonly ledgers = new Map<LeaseNode, UsageLedger>();
     private readonly recorded: Recorded[] = [];
@@ -63,8 +63,15 @@
         const { clock, memory } = this.leases;
         const writer = new UsageRowWriter({ tableService: memory, clock, callTimeoutMs: 1_000 });
         const isGone = (incarnation: string): boolean => this.gone.has(incarnation);
-        const logger = { writeEvent: (): void => void (this.lostEvents += 1) };
-        this.keeper = new UsageCopyKeeper({ writer, clock, isGone, retentionMs: 7_200_000, logger });
+        const logger = new SilentLogger();
+        this.keeper = new UsageCopyKeeper({
+            writer,
+            clock,
+            isGone,
+            windowMs,
+            retentionMs: 7_200_000,
+            logger,
+        });
         void this.runKeeper();
     }
 
@@ -154,11 +161,12 @@
             clock: node.host,
             lease,
             node: node.name,
+            logger: new SilentLogger(),
             receiver: { checksFencing: false, wireBoundMs: defaultWireBoundMs },
             windowMs,
             graceMs,
             windowsPerStep: 10,
-            retentionMs: 3_600_000,
+            retentionMs: this.options.retentionMs ?? 3_600_000,
             callTimeoutMs: 1_000,
         };
         return this.options.createReporter?.(options) ?? new UsageReporter(options);
--- a/packages/state/src/usage/usageCopyKeeper.ts
+++ b/packages/state/src/usage/usageCopyKeeper.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { computeRemainder, isEmptyUsage, mergeUsage } from "@pimentocleat/policy";
+import { computeRemainder, computeWindowStartMs, isEmptyUsage, mergeUsage } from "@pimentocleat/policy";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { UsageCopy, UsageCopySink } from "./usageCopySink.js";
@@ -16,17 +16,21 @@
     readonly clock: Clock;
     /** Tells whether an incarnation of a node is known to be gone. */
     readonly isGone: (incarnation: string) => boolean;
+    /** Length of a window, in milliseconds. */
+    readonly windowMs: number;
     /** How long copies of a live node are kept after their window began, in milliseconds. */
     readonly retentionMs: number;
     readonly logger: Logger;
 }
 
 /**
- * Keeps copies and completes the rows of nodes that are gone, in windows that are not sealed. A node that
- * was wrongly taken for gone is not harmed: its row is merged by maximum, and it merges likewise.
+ * Keeps copies and completes the rows of nodes that are gone; what a sealed row lacks moves to a later window. A
+ * node that was wrongly taken for gone is not harmed: its row is merged by maximum, it merges likewise, and usage
+ * is moved once, whoever does it.
  */
 export class UsageCopyKeeper implements UsageCopySink {
     private readonly copies = new Map<string, UsageCopy>();
+    private earliestTargetMs = 0;
 
     /** @param options - Where rows are written and who is gone. */
     constructor(private readonly options: UsageCopyKeeperOptions) {}
@@ -60,18 +64,29 @@
     }
 
     private async recoverCopy(copy: UsageCopy): Promise<boolean> {
-        const row = await this.options.writer.readUsage(copy);
+        const { writer } = this.options;
+        const row = await writer.readUsage(copy);
         const stored = parseUsage(row);
         const missing = computeRemainder(copy.customers, stored);
         if (isEmptyUsage(missing)) {
             return true;
         }
         const merged = mergeUsage(stored, copy.customers);
-        const result = await this.options.writer.writeUsage(copy, row?.version ?? 0, merged);
-        if (result.type === "sealed") {
-            const { incarnation, windowStartMs } = copy;
-            this.options.logger.writeEvent("usageLost", { incarnation, windowStartMs });
+        const result = await writer.writeUsage(copy, row?.version ?? 0, merged);
+        return result.type === "sealed" ? this.moveCopy(copy) : result.type === "written";
+    }
+
+    private async moveCopy({ incarnation, windowStartMs, customers }: UsageCopy): Promise<boolean> {
+        const { writer, clock, windowMs, logger } = this.options;
+        const laterMs = Math.max(computeWindowStartMs(clock.wallMs(), windowMs), windowStartMs + windowMs);
+        const targetStartMs = Math.max(laterMs, this.earliestTargetMs);
+        const result = await writer.moveUsage({ incarnation, windowStartMs }, customers, targetStartMs);
+        if (result === "sealed") {
+            this.earliestTargetMs = targetStartMs + windowMs;
+        }
+        if (result === "moved") {
+            logger.writeEvent("usageMoved", { incarnation, windowStartMs, targetStartMs });
         }
-        return result.type !== "changed";
+        return result === "moved" || result === "nothing";
     }
 }
--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -3,17 +3,10 @@
  *
  * @packageDocumentation
  */
-import {
-    addUsage,
-    computeRemainder,
-    computeWindowStartMs,
-    isEmptyUsage,
-    type UsageByCustomer,
-} from "@pimentocleat/policy";
+import { addUsage, computeWindowStartMs, type UsageByCustomer } from "@pimentocleat/policy";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { UsageCopySink } from "./usageCopySink.js";
-import { parseUsage } from "./usageRecord.js";
 import type { UsageAmount, UsageRecorder } from "./usageRecorder.js";
 import type { UsageRowWriter } from "./usageRowWriter.js";
 
@@ -96,10 +89,7 @@
     }
 
     private addToCurrent(usage: UsageByCustomer): void {
-        const { clock, windowMs } = this.options;
-        // A window is never reopened, also when the wall clock goes back.
-        this.earliestOpenMs = Math.max(this.earliestOpenMs, computeWindowStartMs(clock.wallMs(), windowMs));
-        const startMs = this.earliestOpenMs;
+        const startMs = this.findCurrentMs();
         const window = this.windows.get(startMs) ?? {
             startMs,
             customers: {},
@@ -135,23 +125,39 @@
         return false;
     }
 
-    /** The row of a sealed window cannot change: what it lacks was not sealed, whatever answers were lost. */
+    /** The window stays known until its remainder is moved, by this node or by one that has a copy. */
     private async moveRemainder(window: UsageWindow): Promise<void> {
         const { writer, incarnation, windowMs, logger } = this.options;
-        const sealed = parseUsage(await writer.readUsage({ windowStartMs: window.startMs, incarnation }));
-        this.windows.delete(window.startMs);
-        this.earliestOpenMs = Math.max(this.earliestOpenMs, window.startMs + windowMs);
-        const remainder = computeRemainder(window.customers, sealed);
-        if (!isEmptyUsage(remainder)) {
-            this.addToCurrent(remainder);
-            logger.writeEvent("usageMoved", { windowStartMs: window.startMs });
+        const { startMs: windowStartMs, customers } = window;
+        this.openFrom(windowStartMs + windowMs);
+        const targetStartMs = this.findCurrentMs();
+        const result = await writer.moveUsage({ windowStartMs, incarnation }, customers, targetStartMs);
+        if (result === "sealed") {
+            this.openFrom(targetStartMs + windowMs);
+        }
+        if (result === "moved") {
+            logger.writeEvent("usageMoved", { incarnation, windowStartMs, targetStartMs });
+        }
+        if (result === "moved" || result === "nothing") {
+            this.windows.delete(windowStartMs);
         }
     }
 
     private removePast(window: UsageWindow): void {
         if (window.startMs < computeWindowStartMs(this.options.clock.wallMs(), this.options.windowMs)) {
             this.windows.delete(window.startMs);
-            this.earliestOpenMs = Math.max(this.earliestOpenMs, window.startMs + this.options.windowMs);
+            this.openFrom(window.startMs + this.options.windowMs);
         }
     }
+
+    /** A window is never reopened, also when the wall clock goes back. */
+    private findCurrentMs(): number {
+        const { clock, windowMs } = this.options;
+        this.openFrom(computeWindowStartMs(clock.wallMs(), windowMs));
+        return this.earliestOpenMs;
+    }
+
+    private openFrom(startMs: number): void {
+        this.earliestOpenMs = Math.max(this.earliestOpenMs, startMs);
+    }
 }
--- a/packages/state/src/usage/usageRecord.ts
+++ b/packages/state/src/usage/usageRecord.ts
@@ -13,6 +13,9 @@
 /** Table with one row for each sealed window; while the row is absent, usage rows may be written. */
 export const usageSealTable = "usageSeals";
 
+/** Table with one row for each row of a sealed window whose missing usage moved to later windows: what was moved. */
+export const usageMoveTable = "usageMoves";
+
 const usageRowSchema = z.object({
     customers: z.record(
         z.string(),
@@ -47,6 +50,18 @@
     return `${formatWindow(windowStartMs)}/${incarnation}`;
 }
 
+/**
+ * Formats the key of the row that usage is moved to; each move has its own.
+ *
+ * @param targetStartMs - Start of the later window, in milliseconds since the Unix epoch.
+ * @param sourceKey - Key of the row that lacks the usage.
+ * @param moveVersion - Version of the record of earlier moves.
+ * @returns The key.
+ */
+export function formatMoveKey(targetStartMs: number, sourceKey: string, moveVersion: number): string {
+    return `${formatWindow(targetStartMs)}/moved/${sourceKey}/${String(moveVersion)}`;
+}
+
 /**
  * Reads the window from a row's key.
  *
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -4,12 +4,13 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type {
-    CommitResult,
-    Row,
-    RowCondition,
-    TableService,
-    UsageReportService,
+import {
+    maxTransactionEntries,
+    type CommitResult,
+    type Row,
+    type RowCondition,
+    type TableService,
+    type UsageReportService,
 } from "@pimentocleat/services";
 import {
     addUsage,
@@ -17,6 +18,7 @@
     type ReceiverTraits,
     type UsageByCustomer,
 } from "@pimentocleat/policy";
+import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { LeaseHandle } from "../leases/heldLease.js";
 import { runWithTimeout } from "../retrying/callTimeout.js";
@@ -25,6 +27,7 @@
     formatWindow,
     parseUsage,
     parseWindowStartMs,
+    usageMoveTable,
     usageSealTable,
     usageTable,
 } from "./usageRecord.js";
@@ -34,6 +37,7 @@
     readonly tableService: TableService;
     readonly reportService: UsageReportService;
     readonly clock: WaitingClock;
+    readonly logger: Logger;
     /** The lease under which this reporter works; a new tenure needs a new reporter. */
     readonly lease: LeaseHandle;
     readonly node: string;
@@ -57,12 +61,16 @@
     readonly version: number;
     /** First window that is not known to be reported; milliseconds since the Unix epoch. */
     readonly nextStartMs: number;
+    /** The window with which the very first reporter began; milliseconds since the Unix epoch. */
+    readonly firstStartMs: number;
 }
 
 const progressTable = "usageProgress";
 const progressKey = "next";
-const progressSchema = z.object({ nextStartMs: z.number() });
+const progressSchema = z.object({ nextStartMs: z.number(), firstStartMs: z.number().default(0) });
 const pageRows = 500;
+/** Each row needs a condition and a write, and the lease's fence one condition more. */
+const rowsPerRemoval = Math.floor((maxTransactionEntries - 1) / 2);
 
 /**
  * A window is sealed by one transaction under the lease's fence; from then on its rows cannot change, so
@@ -70,6 +78,8 @@
  */
 export class UsageReporter {
     private sealNotBeforeMs: number;
+    /** Windows before the first reporter's that this one reported. */
+    private readonly earlierReported = new Set<number>();
 
     /** @param options - The services, the lease and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
@@ -90,9 +100,10 @@
                 finished += progress === undefined ? 0 : 1;
             }
             if (finished > 0 && progress !== undefined) {
-                await this.removeOldRows(progress.nextStartMs - this.options.retentionMs);
+                await this.removeOld(progress);
             }
-        } catch {
+        } catch (error) {
+            this.options.logger.writeEvent("usageStepFailed", { reason: String(error) });
             this.sealNotBeforeMs = this.options.clock.monotonicMs() + this.options.graceMs;
         }
         return finished;
@@ -110,15 +121,44 @@
 
     /** Returns undefined when the lease turns out to be lost or a report was not sent. */
     private async finishWindow(progress: Progress): Promise<Progress | undefined> {
-        const { nextStartMs: windowStartMs } = progress;
-        if (!(await this.sealWindow(windowStartMs))) {
+        const { version, nextStartMs, firstStartMs } = progress;
+        if (!(await this.reportWindow(nextStartMs))) {
             return undefined;
         }
+        return this.storeProgress(version, {
+            nextStartMs: nextStartMs + this.options.windowMs,
+            firstStartMs,
+        });
+    }
+
+    /** Returns false when the lease turns out to be lost or the report was not sent. */
+    private async reportWindow(windowStartMs: number): Promise<boolean> {
+        if (!(await this.sealWindow(windowStartMs))) {
+            return false;
+        }
         const usage = await this.sumWindow(windowStartMs);
-        const isReported = Object.keys(usage).length === 0 || (await this.sendReport(windowStartMs, usage));
-        return isReported
-            ? this.storeProgress(progress.version, windowStartMs + this.options.windowMs)
-            : undefined;
+        return Object.keys(usage).length === 0 || this.sendReport(windowStartMs, usage);
+    }
+
+    private async removeOld({ nextStartMs, firstStartMs }: Progress): Promise<void> {
+        const rows = await this.scanRows(usageTable);
+        await this.reportEarlierRows(rows, firstStartMs);
+        const beforeMs = nextStartMs - this.options.retentionMs;
+        // Seals go first: a row that is gone while its seal stands would look like one that lacks everything.
+        await this.removeRows(usageSealTable, await this.scanRows(usageSealTable), beforeMs);
+        await this.removeRows(usageTable, rows, beforeMs);
+        await this.removeRows(usageMoveTable, await this.scanRows(usageMoveTable), beforeMs);
+    }
+
+    /** A node may have counted before the first reporter began, and have written only later. */
+    private async reportEarlierRows(rows: readonly Row[], firstStartMs: number): Promise<void> {
+        const windows = new Set(rows.map((row) => parseWindowStartMs(row.key)));
+        for (const windowStartMs of windows) {
+            const isEarlier = windowStartMs < firstStartMs && !this.earlierReported.has(windowStartMs);
+            if (isEarlier && (await this.reportWindow(windowStartMs))) {
+                this.earlierReported.add(windowStartMs);
+            }
+        }
     }
 
     private async sealWindow(windowStartMs: number): Promise<boolean> {
@@ -170,27 +210,33 @@
             tableService.scanRows(usageTable, { limit: 1 }),
         );
         const currentMs = computeWindowStartMs(clock.wallMs(), windowMs);
-        return this.storeProgress(0, first === undefined ? currentMs : parseWindowStartMs(first.key));
+        const startMs = first === undefined ? currentMs : parseWindowStartMs(first.key);
+        return this.storeProgress(0, { nextStartMs: startMs, firstStartMs: startMs });
     }
 
-    private async storeProgress(version: number, nextStartMs: number): Promise<Progress | undefined> {
+    private async storeProgress(
+        version: number,
+        value: { readonly nextStartMs: number; readonly firstStartMs: number },
+    ): Promise<Progress | undefined> {
         const row = { table: progressTable, key: progressKey };
-        const result = await this.commit([{ ...row, version }], [{ ...row, value: { nextStartMs } }]);
-        return result.outcome === "committed" ? { version: result.version, nextStartMs } : undefined;
+        const result = await this.commit([{ ...row, version }], [{ ...row, value }]);
+        return result.outcome === "committed" ? { version: result.version, ...value } : undefined;
     }
 
-    private async removeOldRows(beforeMs: number): Promise<void> {
-        for (const table of [usageTable, usageSealTable]) {
-            const rows = await this.runCall("usage scan", () =>
-                this.options.tableService.scanRows(table, { limit: pageRows }),
+    private scanRows(table: string): Promise<readonly Row[]> {
+        return this.runCall("usage scan", () =>
+            this.options.tableService.scanRows(table, { limit: pageRows }),
+        );
+    }
+
+    private async removeRows(table: string, rows: readonly Row[], beforeMs: number): Promise<void> {
+        const old = rows.filter((row) => parseWindowStartMs(row.key) < beforeMs);
+        for (let start = 0; start < old.length; start += rowsPerRemoval) {
+            const some = old.slice(start, start + rowsPerRemoval);
+            await this.commit(
+                some.map(({ key, version }) => ({ table, key, version })),
+                some.map(({ key }) => ({ table, key })),
             );
-            const old = rows.filter((row) => parseWindowStartMs(row.key) < beforeMs);
-            if (old.length > 0) {
-                await this.commit(
-                    old.map(({ key, version }) => ({ table, key, version })),
-                    old.map(({ key }) => ({ table, key })),
-                );
-            }
         }
     }
 
--- a/packages/state/src/usage/usageRowWriter.ts
+++ b/packages/state/src/usage/usageRowWriter.ts
@@ -4,10 +4,18 @@
  * @packageDocumentation
  */
 import type { Row, TableService } from "@pimentocleat/services";
-import type { UsageByCustomer } from "@pimentocleat/policy";
+import { addUsage, computeRemainder, isEmptyUsage, type UsageByCustomer } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import { runWithTimeout } from "../retrying/callTimeout.js";
-import { buildOpenCondition, formatUsageKey, usageSealTable, usageTable } from "./usageRecord.js";
+import {
+    buildOpenCondition,
+    formatMoveKey,
+    formatUsageKey,
+    parseUsage,
+    usageMoveTable,
+    usageSealTable,
+    usageTable,
+} from "./usageRecord.js";
 
 /** Options of {@link UsageRowWriter}. */
 export interface UsageRowWriterOptions {
@@ -28,6 +36,9 @@
     | { readonly type: "changed" }
     | { readonly type: "sealed" };
 
+/** What became of a move. */
+export type UsageMoveResult = "moved" | "nothing" | "changed" | "sealed";
+
 /** Writes rows only in open windows, so that the rows of a sealed window never change. */
 export class UsageRowWriter {
     /** @param options - The table service and the bound on a call. */
@@ -72,6 +83,52 @@
         return { type: isSealed ? "sealed" : "changed" };
     }
 
+    /**
+     * Moves what a sealed row lacks to a later window. Whoever knows the usage may try, the node itself and others:
+     * the record of what was moved changes in the same transaction, so that nothing is moved twice.
+     *
+     * @param name - The row, in a sealed window.
+     * @param customers - The cumulative usage of the row's window.
+     * @param targetStartMs - The later window, in milliseconds since the Unix epoch.
+     * @returns Whether usage was moved, nothing was missing, another one moved at the same time, or the later window
+     * is sealed too; throws a `PlatformError` when that is not known.
+     */
+    async moveUsage(
+        name: UsageRowName,
+        customers: UsageByCustomer,
+        targetStartMs: number,
+    ): Promise<UsageMoveResult> {
+        const key = formatUsageKey(name.windowStartMs, name.incarnation);
+        const move = await this.runCall("usage read", () =>
+            this.options.tableService.readRow(usageMoveTable, key),
+        );
+        const moved = parseUsage(move);
+        const missing = computeRemainder(customers, addUsage(parseUsage(await this.readUsage(name)), moved));
+        if (isEmptyUsage(missing)) {
+            return "nothing";
+        }
+        const version = move?.version ?? 0;
+        const moveRow = { table: usageMoveTable, key };
+        const target = { table: usageTable, key: formatMoveKey(targetStartMs, key, version) };
+        const result = await this.runCall("usage move", () =>
+            this.options.tableService.commitTransaction({
+                conditions: [
+                    { ...moveRow, version },
+                    { ...target, version: 0 },
+                    buildOpenCondition(targetStartMs),
+                ],
+                writes: [
+                    { ...moveRow, value: { customers: addUsage(moved, missing) } },
+                    { ...target, value: { customers: missing } },
+                ],
+            }),
+        );
+        if (result.outcome === "committed") {
+            return "moved";
+        }
+        return result.failed.some(({ table }) => table === usageSealTable) ? "sealed" : "changed";
+    }
+
     private runCall<Result>(callName: string, call: () => Promise<Result>): Promise<Result> {
         const { clock, callTimeoutMs: timeoutMs } = this.options;
         return runWithTimeout({ clock, timeoutMs, callName }, call);
