Let one node a data centre write its neighbours' usage, and two watch for lapsed duties

A trial that counted them by table found 1,129 reads of leases, since silent nodes are not heard and each took itself for the next reader; 974 writes of usage, one a node and window; 655 reads of registrations, one a node each 10 s. Ruled out: fewer reads by the readers (the age of their news is bounded by the time to obey a change). Stateful test with forwarding, lost messages and a mutant that answers before it wrote.

--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
-import { LeaseManager, type UsageCopy, runEvery } from "@pimentocleat/state";
+import { LeaseManager, runEvery, type ForwardedUsage, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -34,6 +34,8 @@
     readonly configuration: ActiveConfiguration;
     readonly directory: ServerDirectory;
     readonly spreadCopy: (copy: UsageCopy) => boolean;
+    readonly findCollector: () => string | undefined;
+    readonly forwardUsage: (usage: ForwardedUsage, collector: string) => boolean;
     /** Whether this node tries for duties; the others save the store their calls while such nodes live. */
     readonly isCandidate: () => boolean;
     /** Counts the nodes that registered. */
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -6,16 +6,20 @@
 import type { TableService, UsageReportService } from "@pimentocleat/services";
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import {
+    UsageCollector,
     UsageCopyKeeper,
     UsageLedger,
     UsageReporter,
     UsageRowWriter,
+    type ForwardedUsage,
     type LeaseHandle,
+    type UnstoredUsage,
     type UsageCopy,
 } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { UsageCounter } from "../dispatch/requestRunner.js";
+import type { StoredUsage } from "../peers/usageMessages.js";
 import type { DutySettings } from "./dutySettings.js";
 
 /** Options of a {@link UsageDuty}. */
@@ -41,12 +45,30 @@
      * @returns Whether there was a node to send it to.
      */
     readonly spreadCopy: (copy: UsageCopy) => boolean;
+    /** Finds the node that writes counts for others; this node's own name when it does so itself. */
+    readonly findCollector: () => string | undefined;
+    /**
+     * Sends counts to the node that writes them for others.
+     *
+     * @param usage - The counts.
+     * @param collector - Name of that node.
+     * @returns Whether that node is known.
+     */
+    readonly forwardUsage: (usage: ForwardedUsage, collector: string) => boolean;
 }
 
 /** Pause before counts are written again after a failure, in milliseconds. */
 const failedWriteRetryMs = 400;
 /** Up to so many nodes, counts are written as often as the settings say; with more, less often. */
 const fewNodes = 10;
+/** How long counts of several nodes are collected for one write, in milliseconds; well within the grace. */
+const collectMs = 250;
+/**
+ * How long a node waits until its counts are written by another one, before it writes itself, in milliseconds: the
+ * collection, a slow answer of the store and two messages, with time left for a write of its own.
+ */
+const forwardTimeoutMs = 600;
+const forwardLookMs = 50;
 /** Mean time after the end of a window at which its last counts are written, in milliseconds. */
 const afterWindowMs = 350;
 /** Most windows that are reported in one step, after a time without a reporter. */
@@ -58,6 +80,9 @@
 export class UsageDuty implements UsageCounter {
     private readonly ledger: UsageLedger;
     private readonly keeper: UsageCopyKeeper;
+    private readonly collector: UsageCollector;
+    /** What another node was asked to write. */
+    private forwarded: readonly UnstoredUsage[] = [];
     /** The last window after whose end all due reports were sent. */
     private finishedWindow: number | undefined;
     private reporter: { readonly lease: LeaseHandle; readonly reporter: UsageReporter } | undefined;
@@ -66,6 +91,7 @@
     constructor(private readonly options: UsageDutyOptions) {
         const { tableService, clock, logger, incarnation, windowMs, settings, spreadCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
+        this.collector = new UsageCollector({ writer, clock, logger, collectMs });
         this.keeper = new UsageCopyKeeper({
             writer,
             clock,
@@ -112,7 +138,8 @@
     async run(signal: AbortSignal): Promise<void> {
         const { clock } = this.options;
         while (!signal.aborted) {
-            const isStored = await this.writeOnce();
+            const isStored = (await this.forwardOnce()) || (await this.writeOnce());
+            await this.keeper.recoverOnce();
             await clock.wait(isStored ? this.computePauseMs() : failedWriteRetryMs, signal);
         }
     }
@@ -123,10 +150,66 @@
         if (!isStored) {
             await this.ledger.copyOnce();
         }
-        await this.keeper.recoverOnce();
         return isStored;
     }
 
+    /**
+     * Takes counts of another node, or of this one, to write them together.
+     *
+     * @param usage - The counts.
+     * @param reply - Called with the row's new version once it is written.
+     */
+    addForwardedUsage(usage: ForwardedUsage, reply: (version: number) => void): void {
+        this.collector.addUsage(usage, reply);
+    }
+
+    /**
+     * Notes that another node wrote counts of this one.
+     *
+     * @param stored - The window, and its row's version before and after.
+     */
+    recordStored({ incarnation, windowStartMs, version, newVersion }: StoredUsage): void {
+        const usage = this.forwarded.find((window) => window.windowStartMs === windowStartMs);
+        if (incarnation === this.options.incarnation && usage?.version === version) {
+            this.forwarded = this.forwarded.filter((window) => window !== usage);
+            this.ledger.recordStored(usage, newVersion);
+        }
+    }
+
+    /** Returns whether another node wrote all counts in time. */
+    private async forwardOnce(): Promise<boolean> {
+        const { clock } = this.options;
+        const unstored = this.ledger.listUnstored();
+        if (unstored === undefined || !this.forwardAll(unstored)) {
+            return false;
+        }
+        const endMs = clock.monotonicMs() + forwardTimeoutMs;
+        while (this.forwarded.length > 0 && clock.monotonicMs() < endMs) {
+            await clock.wait(forwardLookMs);
+        }
+        const isDone = this.forwarded.length === 0;
+        this.forwarded = [];
+        return isDone;
+    }
+
+    private forwardAll(unstored: readonly UnstoredUsage[]): boolean {
+        const { incarnation, node, findCollector, forwardUsage } = this.options;
+        const collector = findCollector();
+        if (collector === undefined) {
+            return false;
+        }
+        this.forwarded = unstored;
+        for (const usage of unstored) {
+            const named = { ...usage, incarnation };
+            if (collector === node) {
+                this.addForwardedUsage(named, (newVersion) => this.recordStored({ ...named, newVersion }));
+            } else if (!forwardUsage(named, collector)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private computePauseMs(): number {
         const { clock, windowMs, settings, random } = this.options;
         const nowMs = clock.wallMs();
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -24,6 +24,7 @@
 import { PlacementGossip } from "../peers/placementGossip.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
+import { PauseWatch } from "./pauseWatch.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 
 /** Options of a {@link GatewayDaemon}. */
@@ -51,7 +52,7 @@
 /** Pause between two reads of the servers' changes, in milliseconds; well below the time to obey a leaving one. */
 const serverPauseMs = 500;
 /** How long the store holds a call for the next change of the nodes, in milliseconds; a late one costs little. */
-const peerWaitMs = 10_000;
+const peerWaitMs = 28_000;
 /** Pause after a change of the nodes, in milliseconds: when all start, each of them is a change. */
 const peerPauseMs = 2_500;
 const followRetryMs = 200;
@@ -119,8 +120,11 @@
             dispatches: this.dispatches,
             logger,
             random,
-            receiveNews: (news) => this.relay.receiveNews(news),
+            findPeer: (name) => this.peers.findPeer(name),
+            receiveNews: (news, from) => this.relay.receiveNews(news, from),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
+            addForwardedUsage: (usage, reply) => this.duties.usage.addForwardedUsage(usage, reply),
+            recordStoredUsage: (stored) => this.duties.usage.recordStored(stored),
         });
         this.relay = new StoreRelay({
             name: settings.name,
@@ -146,7 +150,9 @@
             configuration: this.configuration,
             directory: this.directory,
             spreadCopy: (copy) => this.gossip.spreadUsage(copy),
-            isCandidate: () => this.relay.isReaderOrNext(),
+            findCollector: () => this.relay.findReader(),
+            forwardUsage: (usage, collector) => this.gossip.forwardUsage(usage, collector),
+            isCandidate: () => this.relay.isReader() || this.peers.isWatcher(),
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
@@ -191,6 +197,7 @@
             startListening(this.readinessServer, settings.readinessAddress),
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
+        this.tasks.push(new PauseWatch(this.options.clock, logger).run(this.stopping.signal));
         logger.writeEvent("nodeStarted", { name: settings.name });
     }
 
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
+import { computePreferenceRank } from "@pimentocleat/policy";
 import type { Row, RowChange, TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
@@ -31,6 +32,10 @@
 const addressSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
 /** A node that was not heard for this long counts as gone, in milliseconds. */
 const silentAfterMs = 3_000;
+/** Names the watch for lapsed duties in the order of preference among nodes. */
+const watchingName = "watching";
+/** Nodes of each data centre that watch for lapsed duties; one may be frozen or restarting at the same time. */
+const watchersPerDataCentre = 2;
 /** Pause before a registration is tried again, in milliseconds. */
 const retryMs = 1_000;
 /**
@@ -42,6 +47,7 @@
 /** Knows the other nodes. Registrations of nodes that are gone cost a datagram each and are overwritten by name. */
 export class PeerDirectory implements RowReceiver {
     private readonly peers = new Map<string, PeerAddress>();
+    /** When a node was last heard, or its registration first seen. */
     private readonly heardMs = new Map<string, number>();
     private chosen: readonly PeerAddress[] = [];
 
@@ -78,6 +84,16 @@
         return this.chosen;
     }
 
+    /**
+     * Finds where a node is.
+     *
+     * @param name - The node.
+     * @returns Its address, or undefined when it is not registered.
+     */
+    findPeer(name: string): PeerAddress | undefined {
+        return this.peers.get(name);
+    }
+
     /** @param name - A node that was heard just now. */
     recordHeard(name: string): void {
         this.heardMs.set(name, this.options.clock.monotonicMs());
@@ -89,12 +105,10 @@
      * @returns Their names, without this node.
      */
     listLiveNeighbours(): readonly string[] {
-        const { dataCentre } = this.options.address;
         const sinceMs = this.options.clock.monotonicMs() - silentAfterMs;
-        return [...this.peers]
-            .filter(([, peer]) => peer.dataCentre === dataCentre)
-            .map(([name]) => name)
-            .filter((name) => (this.heardMs.get(name) ?? Number.NEGATIVE_INFINITY) > sinceMs);
+        return this.listRegisteredNeighbours().filter(
+            (name) => (this.heardMs.get(name) ?? Number.NEGATIVE_INFINITY) > sinceMs,
+        );
     }
 
     /**
@@ -107,6 +121,17 @@
         return [...this.peers.values()].filter((peer) => peer.dataCentre === dataCentre);
     }
 
+    /**
+     * Tells whether this node is one of the first few that watch the duties for its data centre, whether or not
+     * the others live: nodes that have nothing to say are not heard.
+     *
+     * @returns True for {@link watchersPerDataCentre} nodes of each data centre, and for all while none is known.
+     */
+    isWatcher(): boolean {
+        const neighbours = this.listRegisteredNeighbours();
+        return computePreferenceRank(watchingName, this.options.name, neighbours) < watchersPerDataCentre;
+    }
+
     /** @returns How many nodes registered, this one included. */
     countNodes(): number {
         return this.peers.size + 1;
@@ -131,9 +156,19 @@
 
     private applyRow(row: Row): void {
         const address = addressSchema.safeParse(row.value);
-        if (address.success && row.key !== this.options.name) {
-            this.peers.set(row.key, address.data);
+        if (!address.success || row.key === this.options.name) {
+            return;
+        }
+        // A node that has just registered lives, although it has not been heard yet.
+        if (!this.peers.has(row.key) && !this.heardMs.has(row.key)) {
+            this.recordHeard(row.key);
         }
+        this.peers.set(row.key, address.data);
+    }
+
+    private listRegisteredNeighbours(): readonly string[] {
+        const { dataCentre } = this.options.address;
+        return [...this.peers].filter(([, peer]) => peer.dataCentre === dataCentre).map(([name]) => name);
     }
 
     private choosePeers(): void {
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/placementGossip.ts
@@ -7,12 +7,21 @@
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
 import type { PromptPart } from "@pimentocleat/policy";
-import type { UsageCopy } from "@pimentocleat/state";
+import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { ServiceDispatches } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeNewsSchema, type StoreNews } from "./storeRelay.js";
+import {
+    decodeRequests,
+    encodeRequests,
+    forwardedUsageSchema,
+    storedUsageSchema,
+    usageCopySchema,
+    type ForwardedUsageMessage,
+    type StoredUsage,
+} from "./usageMessages.js";
 
 /** A send of which the other nodes are told. */
 export interface AnnouncedSend {
@@ -68,10 +77,16 @@
     readonly dispatches: ServiceDispatches;
     readonly logger: Logger;
     readonly random: () => number;
-    /** Receives what the node says that reads the store for this one. */
-    readonly receiveNews: (news: StoreNews) => void;
+    /** Finds where a node is. */
+    readonly findPeer: (name: string) => PeerAddress | undefined;
+    /** Receives what the node says that reads the store for this one, and its name. */
+    readonly receiveNews: (news: StoreNews, from: string) => void;
     /** Receives counts of a node that cannot write them. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
+    /** Receives counts to write for another node; the reply tells the row's new version. */
+    readonly addForwardedUsage: (usage: ForwardedUsage, reply: (version: number) => void) => void;
+    /** Receives that another node wrote counts. */
+    readonly recordStoredUsage: (stored: StoredUsage) => void;
 }
 
 const bodySchema = z.discriminatedUnion("type", [
@@ -86,12 +101,9 @@
     }),
     z.object({ type: z.literal("start"), service: z.string(), id: z.string() }),
     z.object({ type: z.literal("end"), service: z.string(), id: z.string() }),
-    z.object({
-        type: z.literal("usage"),
-        incarnation: z.string(),
-        windowStartMs: z.number(),
-        requests: z.record(z.string(), z.number().nonnegative()),
-    }),
+    usageCopySchema,
+    forwardedUsageSchema,
+    storedUsageSchema,
     storeNewsSchema,
 ]);
 
@@ -99,7 +111,7 @@
 const messageSchema = z.object({ from: z.string(), wallMs: z.number(), body: bodySchema });
 
 type GossipMessage = z.infer<typeof bodySchema>;
-type UsageMessage = Extract<GossipMessage, { type: "usage" }>;
+type PlacementMessage = Extract<GossipMessage, { type: "send" | "start" | "end" }>;
 
 /** Nodes that get a copy of counts; a datagram may be lost, and its receiver may be unable to write too. */
 const usageCopies = 3;
@@ -156,14 +168,28 @@
      * @returns Whether there was a node to send them to.
      */
     spreadUsage(copy: UsageCopy): boolean {
-        const { incarnation, windowStartMs } = copy;
-        const counts = Object.entries(copy.customers).map(([customer, { requests }]) => [customer, requests]);
-        const requests = Object.fromEntries(counts) as Record<string, number>;
+        const { incarnation, windowStartMs, customers } = copy;
         const peers = chooseSome(this.options.listPeers(), usageCopies, this.options.random);
-        this.send({ type: "usage", incarnation, windowStartMs, requests }, peers);
+        this.send({ type: "usage", incarnation, windowStartMs, requests: encodeRequests(customers) }, peers);
         return peers.length > 0;
     }
 
+    /**
+     * Sends counts to a node that writes those of others.
+     *
+     * @param usage - The counts.
+     * @param collector - Name of that node.
+     * @returns Whether the node is known.
+     */
+    forwardUsage(usage: ForwardedUsage, collector: string): boolean {
+        const { customers, ...window } = usage;
+        return this.sendTo(collector, {
+            type: "forwardedUsage",
+            ...window,
+            requests: encodeRequests(customers),
+        });
+    }
+
     /**
      * Tells nodes what changed in the store.
      *
@@ -178,6 +204,14 @@
         this.send(message, this.options.listPeers());
     }
 
+    private sendTo(name: string, message: GossipMessage): boolean {
+        const peer = this.options.findPeer(name);
+        if (peer !== undefined) {
+            this.send(message, [peer]);
+        }
+        return peer !== undefined;
+    }
+
     private send(message: GossipMessage, peers: readonly PeerAddress[]): void {
         const { name: from, clock } = this.options;
         const bytes = Buffer.from(JSON.stringify({ from, wallMs: clock.wallMs(), body: message }));
@@ -188,23 +222,46 @@
     }
 
     private receiveMessage(bytes: Buffer): void {
-        let message: GossipMessage;
         try {
             const { from, wallMs, body } = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
             this.options.recordHeard(from, wallMs);
-            message = body;
+            this.handleMessage(from, body);
         } catch (error) {
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
-            return;
         }
-        if (message.type === "usage") {
-            this.receiveUsage(message);
-            return;
-        }
-        if (message.type === "store") {
-            this.options.receiveNews(message);
-            return;
+    }
+
+    private handleMessage(from: string, message: GossipMessage): void {
+        const { options } = this;
+        switch (message.type) {
+            case "store":
+                options.receiveNews(message, from);
+                break;
+            case "usage": {
+                const { incarnation, windowStartMs, requests } = message;
+                options.storeUsageCopy({ incarnation, windowStartMs, customers: decodeRequests(requests) });
+                break;
+            }
+            case "forwardedUsage":
+                this.receiveForwarded(from, message);
+                break;
+            case "storedUsage":
+                options.recordStoredUsage(message);
+                break;
+            default:
+                this.handlePlacement(message);
         }
+    }
+
+    private receiveForwarded(from: string, message: ForwardedUsageMessage): void {
+        const { incarnation, windowStartMs, version, requests } = message;
+        const usage = { incarnation, windowStartMs, version, customers: decodeRequests(requests) };
+        this.options.addForwardedUsage(usage, (newVersion) => {
+            this.sendTo(from, { type: "storedUsage", incarnation, windowStartMs, version, newVersion });
+        });
+    }
+
+    private handlePlacement(message: PlacementMessage): void {
         const { placement } = this.options.dispatches.ensureService(message.service);
         switch (message.type) {
             case "start":
@@ -221,16 +278,6 @@
             }
         }
     }
-
-    private receiveUsage({ incarnation, windowStartMs, requests }: UsageMessage): void {
-        const customers = Object.fromEntries(
-            Object.entries(requests).map(([customer, count]) => [
-                customer,
-                { requests: count, promptTokens: 0, completionTokens: 0 },
-            ]),
-        );
-        this.options.storeUsageCopy({ incarnation, windowStartMs, customers });
-    }
 }
 
 function chooseSome<Item>(items: readonly Item[], count: number, random: () => number): readonly Item[] {
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -84,6 +84,7 @@
         { readonly configuration: RelayedFollower; readonly servers: RelayedFollower } | undefined;
     private changes: TimedChange[] = [];
     private freshMs = Number.NEGATIVE_INFINITY;
+    private reader: string | undefined;
     /** Whether the servers are being taken from another node's message; they are not told on. */
     private isApplying = false;
 
@@ -115,12 +116,20 @@
 
     /** @returns Whether this node is the one of its data centre that reads for the others, as far as it knows. */
     isReader(): boolean {
-        return this.computeRank() === 0;
+        const { name, listNeighbours } = this.options;
+        return computePreferenceRank(readingName, name, listNeighbours()) === 0;
     }
 
-    /** @returns Whether this node reads, or would after the reader of its data centre. */
-    isReaderOrNext(): boolean {
-        return this.computeRank() <= 1;
+    /**
+     * Finds the node that reads the store for this one.
+     *
+     * @returns Its name; this node's own when it reads itself, undefined when no reader was heard recently.
+     */
+    findReader(): string | undefined {
+        if (this.isReader()) {
+            return this.options.name;
+        }
+        return this.isCovered() ? this.reader : undefined;
     }
 
     /**
@@ -139,9 +148,11 @@
      * Receives news of a reader.
      *
      * @param news - The news.
+     * @param from - Name of the reader.
      */
-    receiveNews(news: StoreNews): void {
+    receiveNews(news: StoreNews, from: string): void {
         const { clock, directory, configuration } = this.options;
+        this.reader = from;
         this.freshMs = Math.max(this.freshMs, clock.monotonicMs() - news.ageMs);
         if ((news.configurationVersion ?? 0) > (configuration.readCurrent()?.version ?? 0)) {
             this.followers?.configuration.requestRead();
@@ -154,11 +165,6 @@
         }
     }
 
-    private computeRank(): number {
-        const { name, listNeighbours } = this.options;
-        return computePreferenceRank(readingName, name, listNeighbours());
-    }
-
     private sendNews(): void {
         const { followers } = this;
         if (followers === undefined || !this.isReader()) {
--- a/packages/state/src/usage/__tests__/usageStateful.test.ts
+++ b/packages/state/src/usage/__tests__/usageStateful.test.ts
@@ -102,6 +102,11 @@
         options: { createLedger: createCopylessLedger },
         failure: "lost beyond the bound",
     },
+    {
+        name: "says that it wrote for others before it did",
+        options: { forwards: "mutant" },
+        failure: "lost beyond the bound",
+    },
     {
         name: "writes without conditions",
         options: {
@@ -128,6 +133,10 @@
         await fc.assert(createProperty({}), { seed, numRuns: 100, ...inject("fuzz") });
     });
 
+    it("is reported once when nodes send it to one that writes for them", async () => {
+        await fc.assert(createProperty({ forwards: "honest" }), { seed, numRuns: 100, ...inject("fuzz") });
+    });
+
     it.each(mutants)("catches a node that $name", async ({ options, failure }) => {
         const details = await fc.check(createProperty(options), { seed, numRuns: 100, endOnFailure: true });
         expect(details.failed).toBe(true);
--- a/packages/state/src/usage/__tests__/usageWorld.ts
+++ b/packages/state/src/usage/__tests__/usageWorld.ts
@@ -14,6 +14,7 @@
     type LeaseWorldOptions,
 } from "../../leases/__tests__/leaseWorld.js";
 import { SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
+import { UsageCollector } from "../usageCollector.js";
 import { UsageCopyKeeper } from "../usageCopyKeeper.js";
 import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
 import { UsageReporter, type UsageReporterOptions } from "../usageReporter.js";
@@ -24,6 +25,7 @@
 const graceMs = 6_000;
 const flushIntervalMs = 3_000;
 const copyIntervalMs = 500;
+const replyWaitMs = 400;
 
 /** What happens to a report on the wire. */
 export type ReportFault = "none" | "lostReport" | "lostAnswer" | "slow";
@@ -33,6 +35,11 @@
     readonly createReporter?: (options: UsageReporterOptions) => UsageReporter;
     /** How long rows of reported windows are kept, in milliseconds; an hour when absent. */
     readonly retentionMs?: number;
+    /**
+     * Whether nodes send usage to another one, which writes it; some of it and some replies are lost. A mutant
+     * replies before it wrote.
+     */
+    readonly forwards?: "honest" | "mutant";
 }
 
 interface Recorded {
@@ -46,6 +53,8 @@
     readonly reports: UsageReport[] = [];
     planReport: () => ReportFault = () => "none";
     private readonly ledgers = new Map<LeaseNode, UsageLedger>();
+    private readonly collectors = new Map<LeaseNode, UsageCollector>();
+    private messages = 0;
     private readonly recorded: Recorded[] = [];
     private readonly gone = new Set<string>();
     /** When the copy of a ledger was last complete; monotonic milliseconds. */
@@ -131,7 +140,17 @@
         };
         const ledger = this.options.createLedger?.(options) ?? new UsageLedger(options);
         this.ledgers.set(node, ledger);
-        void this.runEvery(clock, flushIntervalMs, () => ledger.flushOnce());
+        const collector = new UsageCollector({
+            writer,
+            clock,
+            logger: new SilentLogger(),
+            collectMs: replyWaitMs / 2,
+        });
+        this.collectors.set(node, collector);
+        void this.runEvery(clock, flushIntervalMs, async () => {
+            await this.forwardUsage(ledger, incarnation);
+            await ledger.flushOnce();
+        });
         void this.runEvery(clock, copyIntervalMs, async () => {
             const startedMs = this.leases.clock.monotonicMs();
             if (await ledger.copyOnce()) {
@@ -141,6 +160,28 @@
         void this.runReporter(node);
     }
 
+    /** Every third message or reply is lost; replies come late when the collector is frozen. */
+    private async forwardUsage(ledger: UsageLedger, incarnation: string): Promise<void> {
+        const { forwards } = this.options;
+        if (forwards === undefined) {
+            return;
+        }
+        const collector = this.collectors.get(this.leases.nodes[0]!);
+        for (const usage of ledger.listUnstored() ?? []) {
+            if (forwards === "mutant") {
+                ledger.recordStored(usage, usage.version + 1);
+            }
+            if ((this.messages += 1) % 3 > 0) {
+                collector?.addUsage({ ...usage, incarnation }, (version) => {
+                    if ((this.messages += 1) % 3 > 0) {
+                        ledger.recordStored(usage, version);
+                    }
+                });
+            }
+        }
+        await this.leases.clock.wait(replyWaitMs);
+    }
+
     private async runReporter(node: LeaseNode): Promise<void> {
         let lease: LeaseHandle | undefined;
         let reporter: UsageReporter | undefined;
--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -23,6 +23,16 @@
     readonly copySink?: UsageCopySink;
 }
 
+/** Usage of a window that is not known to be stored. */
+export interface UnstoredUsage {
+    /** Start of the window, in milliseconds since the Unix epoch. */
+    readonly windowStartMs: number;
+    /** Version of the stored row; 0 when there is none. */
+    readonly version: number;
+    /** The cumulative usage. */
+    readonly customers: UsageByCustomer;
+}
+
 interface UsageWindow {
     readonly startMs: number;
     customers: UsageByCustomer;
@@ -67,6 +77,35 @@
         return succeeded;
     }
 
+    /**
+     * Lists what is not known to be stored, for another node to write.
+     *
+     * @returns The usage by window; undefined when a row has to be read first.
+     */
+    listUnstored(): readonly UnstoredUsage[] | undefined {
+        this.windows.forEach((window) => this.removePast(window));
+        const unstored = [...this.windows.values()].filter(({ stored, customers }) => stored !== customers);
+        const known = unstored.flatMap(({ startMs: windowStartMs, version, customers }) =>
+            version === undefined ? [] : [{ windowStartMs, version, customers }],
+        );
+        return known.length === unstored.length ? known : undefined;
+    }
+
+    /**
+     * Notes that another node wrote usage; without effect when this node wrote the row itself meanwhile.
+     *
+     * @param usage - What was listed as not stored.
+     * @param version - The row's new version.
+     */
+    recordStored(usage: UnstoredUsage, version: number): void {
+        const window = this.windows.get(usage.windowStartMs);
+        if (window?.version === usage.version) {
+            window.version = version;
+            window.stored = usage.customers;
+            this.removePast(window);
+        }
+    }
+
     /**
      * Copies to another node what neither the table service nor the copy has.
      *
@@ -144,9 +183,11 @@
     }
 
     private removePast(window: UsageWindow): void {
-        if (window.startMs < computeWindowStartMs(this.options.clock.wallMs(), this.options.windowMs)) {
+        const { clock, windowMs } = this.options;
+        const isPast = window.startMs < computeWindowStartMs(clock.wallMs(), windowMs);
+        if (isPast && window.stored === window.customers) {
             this.windows.delete(window.startMs);
-            this.openFrom(window.startMs + this.options.windowMs);
+            this.openFrom(window.startMs + windowMs);
         }
     }
 
--- a/packages/state/src/usage/usageRowWriter.ts
+++ b/packages/state/src/usage/usageRowWriter.ts
@@ -36,6 +36,20 @@
     | { readonly type: "changed" }
     | { readonly type: "sealed" };
 
+/** A row to write. */
+export interface UsageRowUpdate extends UsageRowName {
+    /** The version that the row must have; 0 when it must be absent. */
+    readonly version: number;
+    /** The cumulative usage. */
+    readonly customers: UsageByCustomer;
+}
+
+/** What became of several writes in one transaction. */
+export type UsageRowsResult =
+    | { readonly type: "written"; readonly version: number }
+    /** Nothing was written, because of the rows with these places in the list. */
+    | { readonly type: "refused"; readonly refused: ReadonlyMap<number, "changed" | "sealed"> };
+
 /** What became of a move. */
 export type UsageMoveResult = "moved" | "nothing" | "changed" | "sealed";
 
@@ -68,19 +82,50 @@
         version: number,
         customers: UsageByCustomer,
     ): Promise<UsageWriteResult> {
-        const row = { table: usageTable, key: formatUsageKey(name.windowStartMs, name.incarnation) };
-        const value = { customers: { ...customers } };
+        const result = await this.writeRows([{ ...name, version, customers }]);
+        return result.type === "written" ? result : { type: result.refused.get(0) ?? "changed" };
+    }
+
+    /**
+     * Overwrites several rows, all or none.
+     *
+     * @param updates - The rows.
+     * @returns What became of the writes; throws a `PlatformError` when that is not known.
+     */
+    async writeRows(updates: readonly UsageRowUpdate[]): Promise<UsageRowsResult> {
+        const keys = updates.map(({ windowStartMs, incarnation }) =>
+            formatUsageKey(windowStartMs, incarnation),
+        );
+        const seals = [...new Set(updates.map(({ windowStartMs }) => windowStartMs))].map(buildOpenCondition);
         const result = await this.runCall("usage write", () =>
             this.options.tableService.commitTransaction({
-                conditions: [{ ...row, version }, buildOpenCondition(name.windowStartMs)],
-                writes: [{ ...row, value }],
+                conditions: [
+                    ...updates.map(({ version }, index) => ({
+                        table: usageTable,
+                        key: keys[index]!,
+                        version,
+                    })),
+                    ...seals,
+                ],
+                writes: updates.map(({ customers }, index) => ({
+                    table: usageTable,
+                    key: keys[index]!,
+                    value: { customers: { ...customers } },
+                })),
             }),
         );
         if (result.outcome === "committed") {
             return { type: "written", version: result.version };
         }
-        const isSealed = result.failed.some((condition) => condition.table === usageSealTable);
-        return { type: isSealed ? "sealed" : "changed" };
+        const failed = new Set(result.failed.map(({ table, key }) => `${table} ${key}`));
+        const refused = updates.flatMap(({ windowStartMs }, index): [number, "changed" | "sealed"][] => {
+            const seal = buildOpenCondition(windowStartMs);
+            if (failed.has(`${seal.table} ${seal.key}`)) {
+                return [[index, "sealed"]];
+            }
+            return failed.has(`${usageTable} ${keys[index]!}`) ? [[index, "changed"]] : [];
+        });
+        return { type: "refused", refused: new Map(refused) };
     }
 
     /**
