Seal a usage window in time for its report although the store failed shortly before

Ruled out: the duty's holder (it kept its lease); the forwarding of counts (nodes wrote themselves). Change: a window is sealed at the latest 1.8 s before its report is due; counts that come later move to a later window. New setting usageDueSeconds.

--- a/packages/gateway/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDuty.test.ts
@@ -7,6 +7,7 @@
 import { UsageDuty, type UsageDutyOptions } from "../usageDuty.js";
 
 const windowMs = 5_000;
+const usageDueMs = 10_000;
 const usageTable = "usage";
 const settings = buildDutySettings(3_000);
 
@@ -51,6 +52,7 @@
         node: "n0",
         incarnation: "n0-1",
         windowMs,
+        usageDueMs,
         settings,
         random: () => 0.5,
         countNodes: () => 3,
@@ -102,6 +104,20 @@
         expect(await reportAfterTakeover(0)).toHaveLength(0);
     });
 
+    it("reports in time although the store failed shortly before the report is due", async () => {
+        const world = createWorld();
+        const duty = createDuty(world);
+        duty.recordRequest("c0");
+        await duty.writeOnce();
+        world.clock.advance(windowMs + usageDueMs - 1_900);
+        world.table.setFaultPlan(() => "unavailable");
+        await duty.reportOnce(lease);
+        world.table.setFaultPlan(() => "none");
+        world.clock.advance(settings.stepMs);
+        await duty.reportOnce(lease);
+        expect(world.reports).toHaveLength(1);
+    });
+
     it("makes no call of the store when another node writes its counts", async () => {
         const world = createWorld();
         const duty = createDuty(world, { findCollector: () => "n1" });
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -28,6 +28,8 @@
     readonly random: () => number;
     readonly logger: Logger;
     readonly usageWindowMs: number;
+    /** How long after its end a window's report is due, in milliseconds. */
+    readonly usageDueMs: number;
     readonly settings: DutySettings;
     /** Whether no duty can have been held before this process started. */
     readonly isFirstStart: boolean;
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -32,6 +32,8 @@
     /** This process; never used by another one. */
     readonly incarnation: string;
     readonly windowMs: number;
+    /** How long after its end a window's report is due, in milliseconds. */
+    readonly usageDueMs: number;
     readonly settings: DutySettings;
     readonly random: () => number;
     /** Counts the nodes; with many of them, the counts of one that dies are a small share. */
@@ -71,6 +73,8 @@
 const forwardLookMs = 50;
 /** Mean time after the end of a window at which its last counts are written, in milliseconds. */
 const afterWindowMs = 350;
+/** Time before its report is due at which a window is sealed at the latest, in milliseconds: a step and slow calls. */
+const dueMarginMs = 1_800;
 /** Most windows that are reported in one step, after a time without a reporter. */
 const windowsPerStep = 20;
 /** How long the rows of reported windows are kept, in windows. */
@@ -239,6 +243,7 @@
                 graceMs: settings.usageGraceMs,
                 // After an outage nodes still have to write; when there was none, they have written.
                 firstSealDelayMs: Math.max(0, settings.usageGraceMs - this.options.readStoreContactMs()),
+                sealByMs: this.options.usageDueMs - dueMarginMs,
                 windowsPerStep,
                 retentionMs: retainedWindows * windowMs,
                 callTimeoutMs: settings.callTimeoutMs,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -145,6 +145,7 @@
             random,
             logger,
             usageWindowMs: settings.usageWindowMs,
+            usageDueMs: settings.usageDueMs,
             settings: buildDutySettings(settings.leaseMs),
             isFirstStart: settings.isFirstStart,
             configuration: this.configuration,
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -35,19 +35,24 @@
         /** Time after which a holder of a duty may be replaced. */
         leaseMs: millisecondsSchema,
         usageWindowSeconds: secondsSchema,
+        /** Time after the end of a usage window at which its report is due. */
+        usageDueSeconds: secondsSchema,
         retryWindowSeconds: secondsSchema,
         /** Sends beyond the first, as a share of the requests, that all nodes together may make. */
         retryShare: z.number().nonnegative(),
         /** Sends beyond that share in a window that all nodes together may make. */
         retrySlack: z.number().nonnegative(),
     })
-    .transform(({ stopGraceSeconds, usageWindowSeconds, retryWindowSeconds, ...others }) => ({
-        ...others,
-        dutiesAddress: others.dutiesAddress ?? undefined,
-        stopGraceMs: stopGraceSeconds * millisecondsPerSecond,
-        usageWindowMs: usageWindowSeconds * millisecondsPerSecond,
-        retryWindowMs: retryWindowSeconds * millisecondsPerSecond,
-    }));
+    .transform(
+        ({ stopGraceSeconds, usageWindowSeconds, usageDueSeconds, retryWindowSeconds, ...others }) => ({
+            ...others,
+            dutiesAddress: others.dutiesAddress ?? undefined,
+            stopGraceMs: stopGraceSeconds * millisecondsPerSecond,
+            usageWindowMs: usageWindowSeconds * millisecondsPerSecond,
+            usageDueMs: usageDueSeconds * millisecondsPerSecond,
+            retryWindowMs: retryWindowSeconds * millisecondsPerSecond,
+        }),
+    );
 
 /** Valid settings of a gateway node. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -55,6 +55,11 @@
      * what they could not while the store was out; none when absent.
      */
     readonly firstSealDelayMs?: number;
+    /**
+     * How long after its end a window is sealed at the latest, in milliseconds, whatever failed before; a report
+     * that comes in time without the last counts is worth more than a late one. None when absent.
+     */
+    readonly sealByMs?: number;
 }
 
 interface Progress {
@@ -109,10 +114,11 @@
         return finished;
     }
 
-    private isDue(progress: Progress): boolean {
-        const { clock, windowMs, graceMs } = this.options;
-        const isPast = progress.nextStartMs + windowMs + graceMs <= clock.wallMs();
-        return isPast && this.isAllowed() && clock.monotonicMs() >= this.sealNotBeforeMs;
+    private isDue({ nextStartMs }: Progress): boolean {
+        const { clock, windowMs, graceMs, sealByMs = Number.POSITIVE_INFINITY } = this.options;
+        const sinceEndMs = clock.wallMs() - nextStartMs - windowMs;
+        const hasWaited = clock.monotonicMs() >= this.sealNotBeforeMs || sinceEndMs >= sealByMs;
+        return sinceEndMs >= graceMs && hasWaited && this.isAllowed();
     }
 
     private isAllowed(): boolean {
