Give a lease up that a stopping node acquired without knowing, and let the next holder act at once

And a new holder waited for the wire of an earlier one although that one had given the lease up after just that wait. Change: a stopping node looks once more and releases what it finds; a lease found later is released at once; after a released row, or none, the first order needs no wait.

--- a/packages/state/src/leases/__tests__/leaseTakeover.test.ts
+++ b/packages/state/src/leases/__tests__/leaseTakeover.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { defaultLeaseTiming } from "@pimentocleat/policy";
-import { LeaseWorld } from "./leaseWorld.js";
+import { formatLeaseKey, leaseTable } from "../leaseRecord.js";
+import { defaultWireBoundMs, LeaseWorld } from "./leaseWorld.js";
 
 const lease = "duty";
 const { durationMs, marginMs, renewIntervalMs } = defaultLeaseTiming;
@@ -44,4 +45,53 @@
         await world.advance(5 * stepMs);
         expect(world.listValidHolders(lease)).toContain(world.nodes[0]!.name);
     });
+
+    it.each([
+        { name: "gave the lease up: at once", stops: true },
+        { name: "fell silent: once its last order must have arrived", stops: false },
+    ])("lets the next holder act after one that $name", async ({ stops }) => {
+        const world = new LeaseWorld({ nodeCount: 2, leases: [lease] });
+        await world.advance(20_000);
+        const index = world.nodes.findIndex(({ manager }) => manager.findHeld(lease)?.isValid());
+        const next = world.nodes[1 - index]!.manager;
+        if (stops) {
+            void world.nodes[index]!.manager.releaseAll();
+        } else {
+            world.nodes[index]!.host.freeze();
+        }
+        while (next.findHeld(lease) === undefined) {
+            await world.advance(stepMs);
+        }
+        const receiver = { checksFencing: false, wireBoundMs: defaultWireBoundMs };
+        expect(next.findHeld(lease)?.isReadyFor(receiver)).toBe(stops);
+    });
+
+    it("gives a lease up only once its last order must have arrived", async () => {
+        const world = new LeaseWorld({ nodeCount: 2, leases: [lease] });
+        await world.advance(20_000);
+        const index = world.nodes.findIndex(({ manager }) => manager.findHeld(lease)?.isValid());
+        const next = world.nodes[1 - index]!.manager;
+        void world.nodes[index]!.manager.releaseAll();
+        let passedMs = 0;
+        while (next.findHeld(lease) === undefined) {
+            await world.advance(stepMs);
+            passedMs += stepMs;
+        }
+        expect(passedMs).toBeGreaterThanOrEqual(defaultWireBoundMs);
+    });
+
+    it("is possible at once after a stop of a node that did not know that it had acquired the lease", async () => {
+        const world = new LeaseWorld({ nodeCount: 1, leases: [lease] });
+        const [node] = world.nodes;
+        world.memory.setFaultPlan((call) => (call === "commit" ? "lostReply" : "none"));
+        while ((await world.memory.readRow(leaseTable, formatLeaseKey(lease))) === undefined) {
+            await world.advance(stepMs);
+        }
+        world.memory.setFaultPlan(() => "none");
+        expect(node!.manager.findHeld(lease)).toBeUndefined();
+        void node!.manager.releaseAll();
+        await world.advance(defaultWireBoundMs + marginMs + stepMs);
+        const row = await world.memory.readRow(leaseTable, formatLeaseKey(lease));
+        expect(row?.value).toMatchObject({ released: true });
+    });
 });
--- a/packages/state/src/leases/heldLease.ts
+++ b/packages/state/src/leases/heldLease.ts
@@ -19,6 +19,11 @@
     /** Token of the write, and the time before it was sent. */
     readonly token: string;
     readonly sentMs: number;
+    /**
+     * Whether no order of an earlier holder can still be on its way: there was none, or it gave the lease up, which
+     * it does only once its last order must have arrived.
+     */
+    readonly isHandedOver: boolean;
 }
 
 /** What the users of a lease see of it. */
@@ -39,6 +44,7 @@
     readonly fencingNumber: number;
     private readonly fenceVersion: number;
     private readonly acquiredMs: number;
+    private readonly isHandedOver: boolean;
     private version: number;
     private validUntilMs: number;
     private renewedMs: number;
@@ -59,6 +65,7 @@
         this.name = acquired.name;
         this.fencingNumber = acquired.fencingNumber;
         this.fenceVersion = acquired.fenceVersion;
+        this.isHandedOver = acquired.isHandedOver;
         this.acquiredMs = clock.monotonicMs();
         this.version = acquired.version;
         this.renewedMs = acquired.sentMs;
@@ -71,7 +78,9 @@
     }
 
     isReadyFor(receiver: ReceiverTraits): boolean {
-        const firstSendMs = computeFirstSendMs(this.acquiredMs, receiver, this.timing);
+        const firstSendMs = this.isHandedOver
+            ? this.acquiredMs
+            : computeFirstSendMs(this.acquiredMs, receiver, this.timing);
         return this.isValid() && this.clock.monotonicMs() >= firstSendMs;
     }
 
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -61,6 +61,7 @@
     readonly token: string;
     readonly sentMs: number;
     readonly fencingNumber: number;
+    readonly isHandedOver: boolean;
 }
 
 const defaultCallTimeoutMs = 1_000;
@@ -163,16 +164,28 @@
      */
     async releaseAll(): Promise<void> {
         this.stopping = true;
-        if (this.held.size === 0) {
+        if (this.held.size === 0 && this.acquisitions.size === 0) {
             return;
         }
-        this.held.forEach((lease) => lease.close());
+        const given = [...this.held.values()];
+        given.forEach((lease) => lease.close());
         await this.options.clock.wait(this.options.wireBoundMs + this.timing.marginMs);
-        for (const lease of this.held.values()) {
-            const record = this.buildRecord(lease.fencingNumber, true);
-            await this.commit(this.buildRenewal([lease], () => record)).catch(() => undefined);
+        for (const lease of given) {
+            await this.releaseLease(lease);
         }
-        this.held.clear();
+        if (this.acquisitions.size > 0) {
+            // An acquisition without an answer may have succeeded; the scan finds and releases it.
+            await this.advanceOnce();
+        }
+    }
+
+    /** A lease that cannot be given up lapses by itself. */
+    private async releaseLease(lease: HeldLease): Promise<void> {
+        this.held.delete(lease.name);
+        const record = this.buildRecord(lease.fencingNumber, true);
+        await this.commit(this.buildRenewal([lease], () => record)).catch((error: unknown) =>
+            this.options.logger.writeEvent("leaseNotReleased", { lease: lease.name, reason: String(error) }),
+        );
     }
 
     private recordContact(hasAnswered: boolean): void {
@@ -239,7 +252,12 @@
         }
         const record = this.buildRecord((stored.record?.fencingNumber ?? 0) + 1, false);
         const { token, fencingNumber } = record;
-        const pending = { token, fencingNumber, sentMs: this.validityClock.monotonicMs() };
+        const pending = {
+            token,
+            fencingNumber,
+            sentMs: this.validityClock.monotonicMs(),
+            isHandedOver: stored.record === undefined || stored.record.released,
+        };
         this.acquisitions.set(name, pending);
         const result = await this.commitAcquisition(name, stored, record);
         if (result?.outcome === "committed") {
@@ -281,6 +299,12 @@
             this.validityClock,
         );
         this.acquisitions.delete(name);
+        if (this.stopping) {
+            // No order was ever sent under it.
+            lease.close();
+            void this.releaseLease(lease);
+            return;
+        }
         this.held.set(name, lease);
         this.options.logger.writeEvent("leaseAcquired", { lease: name, fencingNumber: lease.fencingNumber });
     }
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -47,6 +47,7 @@
     ),
     leaseAcquired: defineEvent(4000, "info", "lease acquired"),
     leaseLost: defineEvent(4001, "warn", "lease lost to another node"),
+    leaseNotReleased: defineEvent(4003, "info", "lease not given up at a planned stop; it lapses by itself"),
     dutyStepFailed: defineEvent(4002, "warn", "step of a duty failed; it is tried again"),
     serversOrdered: defineEvent(4100, "info", "backend servers ordered"),
     serversNotAvailable: defineEvent(4101, "warn", "no backend servers of this kind to be had"),
