--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -5,7 +5,7 @@
  */
 import { cac, type CAC } from "cac";
 import type { WaitingClock } from "@pimentocleat/types";
-import { runDemo } from "../demo/runDemo.js";
+import { runDemo, runPlatformDemo } from "../demo/runDemo.js";
 import { CommandError, ExitCode } from "../output/exitCodes.js";
 import { Output, type TextSink } from "../output/output.js";
 import type { CommandContext, CommandFlags } from "./commandContext.js";
@@ -103,7 +103,14 @@
         );
     program
         .command("demo", "Run the whole path with stand-ins and three nodes, in under a minute")
-        .action((flags: CommandFlags) => runAction((context) => runDemo(context.output), "", flags));
+        .option("--platform", "Run it on a stand-in of the users' platform instead")
+        .action((flags: CommandFlags) =>
+            runAction(
+                ({ output }) => (flags["platform"] === true ? runPlatformDemo(output) : runDemo(output)),
+                "",
+                flags,
+            ),
+        );
     program.help();
     program.version(programVersion);
     return program;
--- a/packages/cli/src/demo/__tests__/runDemo.test.ts
+++ b/packages/cli/src/demo/__tests__/runDemo.test.ts
@@ -1,11 +1,19 @@
 import { expect, it } from "vitest";
 import { ExitCode } from "../../output/exitCodes.js";
 import { Output } from "../../output/output.js";
-import { runDemo } from "../runDemo.js";
+import { runDemo, runPlatformDemo } from "../runDemo.js";
 
 /** Far above the target, which the demo itself checks: this test is about outcomes, not about time. */
 const withdrawalLimitMs = 60_000;
 
+it("serves on a stand-in of the users' platform, through kills and stops, and leaves no process running", async () => {
+    const lines: string[] = [];
+    const writeLine = (line: string): number => lines.push(line);
+    const code = await runPlatformDemo(new Output({ writeLine, writeErrorLine: writeLine }, false));
+    expect(lines.join("\n")).toContain("demo: ok");
+    expect(code).toBe(ExitCode.Success);
+}, 120_000);
+
 it("serves every kind of request through separate processes and leaves none running", async () => {
     const lines: string[] = [];
     const output = new Output(
--- a/packages/cli/src/demo/demoSteps.ts
+++ b/packages/cli/src/demo/demoSteps.ts
@@ -251,7 +251,17 @@
     }
 }
 
-function buildResult(
+/**
+ * Builds the result of a step.
+ *
+ * @param step - What was done.
+ * @param node - Where.
+ * @param expected - What was expected.
+ * @param seen - What was seen.
+ * @param passed - Whether that is as expected.
+ * @returns The result.
+ */
+export function buildResult(
     step: string,
     node: string,
     expected: string,
--- /dev/null
+++ b/packages/cli/src/demo/platformDemoSteps.ts
@@ -0,0 +1,183 @@
+/**
+ * The steps of the demo on the users' platform, each with what it expects.
+ *
+ * @packageDocumentation
+ */
+import {
+    buildUsersConfiguration,
+    sendUsersCall,
+    type ReceivedAnswer,
+    type UsersDeployment,
+    type UsersNode,
+} from "@pimentocleat/standins";
+import type { WaitingClock } from "@pimentocleat/types";
+import { buildResult, type StepResult } from "./demoSteps.js";
+
+/** Events of a whole stream of the stand-in's engines. */
+const streamEvents = 4;
+/** Pause before each event of a stream during which a node stops, in milliseconds. */
+const slowPauseMs = 200;
+const lookMs = 25;
+/** Longest wait for what a step expects, in milliseconds. */
+const longestWaitMs = 15_000;
+/** Windows that have to be reported after the holder of the duties was killed. */
+const windowsAfterKill = 2;
+
+/** Runs all steps in order. */
+export class PlatformDemoSteps {
+    /**
+     * @param deployment - Nodes, platform and servers.
+     * @param clock - Measures and waits.
+     */
+    constructor(
+        private readonly deployment: UsersDeployment,
+        private readonly clock: WaitingClock,
+    ) {}
+
+    /** @returns One result a step. */
+    async *run(): AsyncGenerator<StepResult> {
+        yield await this.checkReadiness();
+        yield await this.checkAnswer("repeatable request", 0, "/safe/look", 200);
+        yield await this.checkAnswer("request that runs once", 1, "/unsafe/hold", 200);
+        yield await this.checkStream("stream", this.getNode(2));
+        this.planLostAnswer();
+        yield await this.checkAnswer("a server loses the answer: sent again", 0, "/safe/look", 200);
+        this.planLostAnswer();
+        yield await this.checkAnswer("a server loses the answer: outcome unknown", 1, "/unsafe/hold", 502);
+        yield await this.stopDuringStream();
+        yield await this.checkKilledReporter();
+        yield await this.withdrawKey();
+    }
+
+    private async checkReadiness(): Promise<StepResult> {
+        const { nodes } = this.deployment;
+        const readReady = async (): Promise<number> => {
+            const statuses = await Promise.all(nodes.map((node) => this.deployment.readReadiness(node)));
+            return statuses.filter((status) => status === 200).length;
+        };
+        await this.waitUntil(async () => (await readReady()) === nodes.length);
+        const ready = await readReady();
+        const expected = `${String(nodes.length)} nodes are ready`;
+        return buildResult(
+            "configuration from the store",
+            "all",
+            expected,
+            `${String(ready)} are`,
+            ready === nodes.length,
+        );
+    }
+
+    private async checkAnswer(
+        step: string,
+        index: number,
+        path: string,
+        status: number,
+    ): Promise<StepResult> {
+        const node = this.getNode(index);
+        const answer = await sendUsersCall(node.callerAddress, path, { method: "POST", body: "{}" });
+        const passed = answer.status === status && !answer.isBroken;
+        return buildResult(step, node.name, String(status), formatAnswer(answer), passed);
+    }
+
+    private async checkStream(step: string, node: UsersNode): Promise<StepResult> {
+        const answer = await sendUsersCall(node.callerAddress, "/stream/ask", { method: "POST", body: "{}" });
+        return buildStreamResult(step, node, answer);
+    }
+
+    private async stopDuringStream(): Promise<StepResult> {
+        const node = this.getNode(2);
+        const slow = [{ type: "slowStream" as const, pauseMs: slowPauseMs }];
+        this.deployment.engines.forEach((server) => server.setSharedBehaviours(slow));
+        const streaming = sendUsersCall(node.callerAddress, "/stream/ask", { method: "POST", body: "{}" });
+        await this.clock.wait(slowPauseMs);
+        const stopping = node.program.stop();
+        const answer = await streaming;
+        await stopping;
+        await this.deployment.startNode(node);
+        return buildStreamResult("a planned stop during a stream", node, answer);
+    }
+
+    /** Each window is reported with one figure, and the fence grows when another node takes the duty over. */
+    private async checkKilledReporter(): Promise<StepResult> {
+        const listReports = () => this.deployment.platform.duties.filter(({ path }) => path === "/usage");
+        await this.waitUntil(async () => {
+            await sendUsersCall(this.getNode(0).callerAddress, "/safe/look");
+            return listReports().length > 0;
+        });
+        const first = listReports().at(-1);
+        const holder = this.deployment.nodes.find(({ name }) => name === first?.holder);
+        if (first === undefined || holder === undefined) {
+            return buildResult("the reporter is killed", "-", "a report of usage", "none", false);
+        }
+        holder.program.sendSignal("SIGKILL");
+        await holder.program.exited;
+        const others = this.deployment.nodes.filter((node) => node !== holder);
+        await this.waitUntil(async () => {
+            await sendUsersCall(others[0]!.callerAddress, "/safe/look");
+            return listReports().filter(({ fence }) => fence > first.fence).length >= windowsAfterKill;
+        });
+        await this.deployment.startNode(holder);
+        const reports = listReports();
+        const figures = new Map<unknown, Set<string>>();
+        for (const { body } of reports) {
+            const known = figures.get(body["Window"]) ?? new Set();
+            figures.set(body["Window"], known.add(JSON.stringify(body)));
+        }
+        const isSingle = [...figures.values()].every((known) => known.size === 1);
+        const later = reports.filter(({ fence }) => fence > first.fence).length;
+        const seen = `${String(figures.size)} windows, ${String(later)} reports under a later fence`;
+        const passed = isSingle && later >= windowsAfterKill;
+        return buildResult(
+            "the reporter is killed",
+            holder.name,
+            "one figure a window, another goes on",
+            seen,
+            passed,
+        );
+    }
+
+    private async withdrawKey(): Promise<StepResult> {
+        const startMs = this.clock.monotonicMs();
+        this.deployment.platform.rows.putJson("op", "config", buildUsersConfiguration(2, { Tenants: [] }));
+        const isRefused = async (): Promise<boolean> => {
+            const answers = await Promise.all(
+                this.deployment.nodes.map((node) => sendUsersCall(node.callerAddress, "/safe/look")),
+            );
+            return answers.every(({ status }) => status === 401);
+        };
+        const passed = await this.waitUntil(isRefused);
+        const seen = `${passed ? "" : "not "}after ${String(Math.round(this.clock.monotonicMs() - startMs))} ms`;
+        return buildResult("a key is withdrawn", "all", "401 on every node", seen, passed);
+    }
+
+    private planLostAnswer(): void {
+        const behaviours = [{ type: "lost" as const }];
+        this.deployment.plain.forEach((server) => server.setSharedBehaviours(behaviours));
+    }
+
+    private async waitUntil(isDone: () => Promise<boolean>): Promise<boolean> {
+        const endMs = this.clock.monotonicMs() + longestWaitMs;
+        while (this.clock.monotonicMs() < endMs) {
+            if (await isDone()) {
+                return true;
+            }
+            await this.clock.wait(lookMs);
+        }
+        return false;
+    }
+
+    private getNode(index: number): UsersNode {
+        return this.deployment.nodes[index]!;
+    }
+}
+
+function buildStreamResult(step: string, node: UsersNode, answer: ReceivedAnswer): StepResult {
+    const events = answer.body.split("\n\n").filter((event) => event !== "").length;
+    const passed = answer.status === 200 && !answer.isBroken && events === streamEvents;
+    const seen = `${formatAnswer(answer)}, ${String(events)} events`;
+    return buildResult(step, node.name, `${String(streamEvents)} events, whole`, seen, passed);
+}
+
+function formatAnswer({ status, isBroken }: ReceivedAnswer): string {
+    return `${String(status)}${isBroken ? ", broken off" : ""}`;
+}
--- a/packages/cli/src/demo/runDemo.ts
+++ b/packages/cli/src/demo/runDemo.ts
@@ -1,18 +1,26 @@
 /**
- * `pimentocleat demo`: the whole path with real processes, in under a minute.
+ * `pimentocleat demo` and `pimentocleat demo --platform`: the whole path with real processes, in under a minute.
  *
  * @packageDocumentation
  */
 import { fileURLToPath } from "node:url";
+import { UsersDeployment } from "@pimentocleat/standins";
 import { SystemClock } from "@pimentocleat/types";
 import { formatTable, type Output } from "../output/output.js";
 import { ExitCode } from "../output/exitCodes.js";
 import { ProcessDeployment } from "../deployment/processDeployment.js";
 import { ExampleFolder } from "../deployment/exampleFolder.js";
 import { DemoSteps, type StepResult } from "./demoSteps.js";
+import { PlatformDemoSteps } from "./platformDemoSteps.js";
 
 const examplePath = fileURLToPath(new URL("../../../../examples/volantino", import.meta.url));
 
+/** The program of a node on the users' platform, as compiled. */
+const platformProgramPath = fileURLToPath(new URL("../../../../platform/lib/main.js", import.meta.url));
+const platformNodes = 3;
+/** Length of a usage window in the demo, in seconds; short, so that some are reported while it runs. */
+const platformWindowSeconds = 2;
+
 /** The target for a withdrawal on every node, in milliseconds. */
 const withdrawalTargetMs = 5_000;
 
@@ -42,16 +50,46 @@
         await deployment.stop();
         await folder.remove();
     }
-    return printOutcome(output, results, failure, deployment);
+    return printOutcome(output, results, failure, deployment.listProcessIds());
+}
+
+/**
+ * Runs the demo on a stand-in of the users' platform, with the program that the platform runs.
+ *
+ * @param output - Where the table goes.
+ * @returns Success when every expectation held.
+ */
+export async function runPlatformDemo(output: Output): Promise<ExitCode> {
+    const deployment = new UsersDeployment({
+        programPath: platformProgramPath,
+        nodeCount: platformNodes,
+        usageWindowSeconds: platformWindowSeconds,
+    });
+    const results: StepResult[] = [];
+    const processIds: number[] = [];
+    let failure: string | undefined;
+    try {
+        await deployment.start();
+        processIds.push(...deployment.nodes.map(({ program }) => program.processId));
+        for await (const result of new PlatformDemoSteps(deployment, new SystemClock()).run()) {
+            results.push(result);
+        }
+        processIds.push(...deployment.nodes.map(({ program }) => program.processId));
+    } catch (error) {
+        failure = error instanceof Error ? error.message : String(error);
+    } finally {
+        await deployment.stop();
+    }
+    return printOutcome(output, results, failure, processIds);
 }
 
 function printOutcome(
     output: Output,
     results: readonly StepResult[],
     failure: string | undefined,
-    deployment: ProcessDeployment,
+    processIds: readonly number[],
 ): ExitCode {
-    const running = deployment.listProcessIds().filter(isRunning);
+    const running = processIds.filter(isRunning);
     const failed = results.filter((result) => !result.passed).map((result) => result.step);
     const problems = [
         ...failed.map((step) => `failed: ${step}`),
--- /dev/null
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -0,0 +1,150 @@
+/**
+ * Real node processes before stand-ins of the users' platform and of its backend servers.
+ *
+ * @packageDocumentation
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer, type AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request as sendRequest } from "undici";
+import { launchFile, type LaunchedProgram } from "../launcher/launchProgram.js";
+import { buildServerEntry, buildUsersConfiguration } from "./usersConfiguration.js";
+import { UsersPlatformStandIn } from "./usersPlatformStandIn.js";
+import { UsersServerStandIn } from "./usersServerStandIn.js";
+
+/** Options of a {@link UsersDeployment}. */
+export interface UsersDeploymentOptions {
+    /** Path of the node's program, which takes the path of its settings. */
+    readonly programPath: string;
+    readonly nodeCount: number;
+    /** Length of a usage window, in seconds. */
+    readonly usageWindowSeconds: number;
+}
+
+/** A node and its process. */
+export interface UsersNode {
+    readonly name: string;
+    readonly callerAddress: string;
+    readonly readinessAddress: string;
+    readonly settingsPath: string;
+    program: LaunchedProgram;
+}
+
+const loopbackHost = "127.0.0.1";
+/** Event 1000: the node has started. */
+const readyPattern = /"event":(1000),/;
+const streamEvents = 4;
+const dataCentres = ["a", "b", "c"];
+
+/** Starts and stops everything. */
+export class UsersDeployment {
+    readonly platform = new UsersPlatformStandIn();
+    readonly plain = ["plain-1", "plain-2"].map((id) => new UsersServerStandIn(id, 0));
+    readonly engines = ["engine-1", "engine-2"].map((id) => new UsersServerStandIn(id, streamEvents));
+    readonly nodes: UsersNode[] = [];
+    private folder = "";
+
+    /** @param options - Program, number of nodes and usage windows. */
+    constructor(private readonly options: UsersDeploymentOptions) {}
+
+    /** Starts the platform, the servers and all nodes. */
+    async start(): Promise<void> {
+        this.folder = await mkdtemp(join(tmpdir(), "pimentocleat-"));
+        const addresses = await this.platform.open();
+        for (const [service, servers] of Object.entries({ plain: this.plain, engines: this.engines })) {
+            for (const server of servers) {
+                const entry = buildServerEntry(service, await server.open());
+                this.platform.rows.putJson("servers", server.id, entry);
+            }
+        }
+        this.platform.rows.putJson("op", "config", buildUsersConfiguration(1));
+        const indexes = [...Array(this.options.nodeCount).keys()];
+        this.nodes.push(...(await Promise.all(indexes.map((index) => this.launchNode(index, addresses)))));
+    }
+
+    /**
+     * Starts a node again that has ended.
+     *
+     * @param node - The node.
+     */
+    async startNode(node: UsersNode): Promise<void> {
+        node.program = await this.launch(node.settingsPath);
+    }
+
+    /**
+     * Reads whether a node takes requests.
+     *
+     * @param node - The node.
+     * @returns Status of its readiness check, or undefined when it does not answer.
+     */
+    async readReadiness(node: UsersNode): Promise<number | undefined> {
+        try {
+            const answer = await sendRequest(`http://${node.readinessAddress}/-/ready`);
+            await answer.body.dump();
+            return answer.statusCode;
+        } catch {
+            return undefined;
+        }
+    }
+
+    /** Stops all nodes, the servers and the platform, and removes the settings. */
+    async stop(): Promise<void> {
+        await Promise.all(this.nodes.map(({ program }) => program.stop()));
+        [...this.plain, ...this.engines].forEach((server) => server.close());
+        this.platform.close();
+        await rm(this.folder, { recursive: true, force: true });
+    }
+
+    private async launchNode(
+        index: number,
+        addresses: { readonly store: string; readonly cloud: string },
+    ): Promise<UsersNode> {
+        const name = `node-${String(index + 1)}`;
+        const [callerPort, readinessPort, peerPort] = await Promise.all([findPort(), findPort(), findPort()]);
+        const callerAddress = `${loopbackHost}:${String(callerPort)}`;
+        const readinessAddress = `${loopbackHost}:${String(readinessPort)}`;
+        const settings = {
+            name,
+            dataCentre: dataCentres[index % dataCentres.length],
+            callerAddress,
+            readinessAddress,
+            peerHost: loopbackHost,
+            peerPorts: [peerPort, peerPort],
+            storeAddress: addresses.store,
+            dutiesAddress: addresses.cloud,
+            isFirstStart: true,
+            memoryMegabytes: 200,
+            stopGraceSeconds: 8,
+            leaseMs: 1_000,
+            usageWindowSeconds: this.options.usageWindowSeconds,
+            usageDueSeconds: 10,
+            retryWindowSeconds: 10,
+            retryShare: 0.2,
+            retrySlack: 60,
+        };
+        const settingsPath = join(this.folder, `${name}.json`);
+        await writeFile(settingsPath, JSON.stringify(settings));
+        return {
+            name,
+            callerAddress,
+            readinessAddress,
+            settingsPath,
+            program: await this.launch(settingsPath),
+        };
+    }
+
+    private launch(settingsPath: string): Promise<LaunchedProgram> {
+        return launchFile(this.options.programPath, [settingsPath], { readyPattern });
+    }
+}
+
+function findPort(): Promise<number> {
+    return new Promise((resolve) => {
+        const server = createServer();
+        server.listen(0, loopbackHost, () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+}
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -34,6 +34,8 @@
     | { readonly type: "brokenStream"; readonly events: number }
     /** Streams so many events without a length and resets the connection. */
     | { readonly type: "resetWithoutLength"; readonly events: number }
+    /** Streams all its events with a pause before each, in milliseconds. */
+    | { readonly type: "slowStream"; readonly pauseMs: number }
     /** Streams so many events and then nothing. */
     | { readonly type: "stalledStream"; readonly events: number };
 
@@ -163,6 +165,10 @@
                     () => setTimeout(() => request.socket.resetAndDestroy(), 10),
                 );
                 break;
+            case "slowStream":
+                response.writeHead(200, signed);
+                void this.sendSlowly(response, behaviour.pauseMs);
+                break;
             case "stalledStream":
                 response.writeHead(200, signed);
                 response.write(formatEvents(0, behaviour.events));
@@ -170,6 +176,14 @@
         }
     }
 
+    private async sendSlowly(response: ServerResponse, pauseMs: number): Promise<void> {
+        for (let index = 0; index < this.eventCount && !response.destroyed; index += 1) {
+            await new Promise((resolve) => setTimeout(resolve, pauseMs));
+            response.write(formatEvents(index, index + 1));
+        }
+        response.end();
+    }
+
     private sendWhole(
         request: IncomingMessage,
         response: ServerResponse,
