Add a seeded fault soak of the real node processes

Cause: the promises were checked on the bench and in tests within one process; no run of ours killed, froze and stopped real processes of the gateway under load. Checked: what may run once ran at most once, promises that nothing ran are true, answers that look whole are whole and the caller's own, one figure a usage window, one holder a fence, no process ends by itself, all nodes serve after the last fault.

--- /dev/null
+++ b/packages/bench/src/soak/__tests__/soakRun.test.ts
@@ -0,0 +1,18 @@
+import { expect, it } from "vitest";
+import { planFaults } from "../soakPlan.js";
+import { SoakRun } from "../runSoak.js";
+import { findBrokenPromises } from "../soakRecord.js";
+
+const seed = 20_261_204;
+
+it("plans the same faults for the same seed, and others for another", () => {
+    expect(planFaults(seed, 30_000, 3)).toEqual(planFaults(seed, 30_000, 3));
+    expect(planFaults(seed, 30_000, 3)).not.toEqual(planFaults(seed + 1, 30_000, 3));
+});
+
+it("keeps every promise with real processes under seeded faults", async () => {
+    const record = await new SoakRun().run(seed, 6_000);
+    expect(findBrokenPromises(record)).toEqual([]);
+    expect(record.calls.filter(({ answer }) => answer?.status === 200).length).toBeGreaterThan(0);
+    expect(record.duties.length).toBeGreaterThan(0);
+}, 120_000);
--- /dev/null
+++ b/packages/bench/src/soak/runSoak.ts
@@ -0,0 +1,202 @@
+/**
+ * Runs real node processes under load and planned faults.
+ *
+ * @packageDocumentation
+ */
+import { fileURLToPath } from "node:url";
+import {
+    buildServerEntry,
+    buildUsersConfiguration,
+    sendUsersCall,
+    UsersDeployment,
+    type ReceivedAnswer,
+    type UsersNode,
+} from "@pimentocleat/standins";
+import { SystemClock } from "@pimentocleat/types";
+import { planFaults, type PlannedFault, type SoakFault } from "./soakPlan.js";
+import type { SoakCall, SoakRecord } from "./soakRecord.js";
+
+const programPath = fileURLToPath(new URL("../../../../platform/lib/main.js", import.meta.url));
+const nodeCount = 3;
+const usageWindowSeconds = 2;
+const callGapMs = 15;
+/** Time after the last fault in which nodes have to serve again, in milliseconds. */
+const recoveryMs = 12_000;
+/** Time for the last windows to be reported, in milliseconds. */
+const reportMs = 6_000;
+const restartPauseMs = 300;
+const lookMs = 100;
+const paths = { safe: "/safe/look", unsafe: "/unsafe/hold", stream: "/stream/ask" } as const;
+const kinds = ["safe", "unsafe", "stream"] as const;
+
+/** Runs one soak. */
+export class SoakRun {
+    private readonly clock = new SystemClock();
+    private readonly deployment = new UsersDeployment({ programPath, nodeCount, usageWindowSeconds });
+    private readonly calls: SoakCall[] = [];
+    private readonly ended = new Set<string>();
+    /** Nodes whose process is being ended or started. */
+    private readonly busy = new Set<UsersNode>();
+    private readonly tasks: Promise<unknown>[] = [];
+    private version = 1;
+
+    /**
+     * Runs the load and the faults, and waits for the recovery.
+     *
+     * @param seed - Seed of the faults.
+     * @param durationMs - Length of the load, in milliseconds.
+     * @returns What was seen.
+     */
+    async run(seed: number, durationMs: number): Promise<SoakRecord> {
+        const { deployment, clock } = this;
+        try {
+            await deployment.start();
+            deployment.nodes.forEach((node) => this.watchNode(node));
+            await this.waitServed();
+            const faults = this.runFaults(planFaults(seed, durationMs, nodeCount));
+            await this.sendLoad(durationMs);
+            await faults;
+            await Promise.all(this.tasks);
+            this.clearFaults();
+            const unserved = await this.waitServed();
+            await clock.wait(reportMs);
+            const servers = [...deployment.plain, ...deployment.engines];
+            return {
+                calls: this.calls,
+                runs: servers.flatMap(({ received }) => received),
+                duties: deployment.platform.duties,
+                ended: [...this.ended],
+                unserved,
+            };
+        } finally {
+            deployment.nodes.forEach((node) => this.busy.add(node));
+            await deployment.stop();
+        }
+    }
+
+    private async sendLoad(durationMs: number): Promise<void> {
+        const endMs = this.clock.monotonicMs() + durationMs;
+        for (let index = 0; this.clock.monotonicMs() < endMs; index += 1) {
+            const node = this.deployment.nodes[index % nodeCount]!;
+            const kind = kinds[index % kinds.length]!;
+            this.tasks.push(sendCall(node, kind).then((answer) => this.calls.push({ kind, answer })));
+            await this.clock.wait(callGapMs);
+        }
+    }
+
+    private async runFaults(planned: readonly PlannedFault[]): Promise<void> {
+        const startMs = this.clock.monotonicMs();
+        for (const { atMs, fault } of planned) {
+            await this.clock.wait(Math.max(0, startMs + atMs - this.clock.monotonicMs()));
+            this.tasks.push(this.applyFault(fault));
+        }
+    }
+
+    private async applyFault(fault: SoakFault): Promise<void> {
+        const { platform, plain, engines, nodes } = this.deployment;
+        switch (fault.type) {
+            case "kill":
+            case "stop":
+                return this.applyRestart(nodes[fault.node]!, fault.type);
+            case "freeze":
+                return this.applyFreeze(nodes[fault.node]!, fault.forMs);
+            case "store":
+                platform.setMode(fault.mode);
+                await this.clock.wait(fault.forMs);
+                platform.setMode("usual");
+                return;
+            case "writes":
+                platform.setWriteFaults(fault.faults);
+                await this.clock.wait(fault.lateMs);
+                platform.applyLate();
+                return;
+            case "servers": {
+                const shared = [...fault.behaviours];
+                (fault.service === "plain" ? plain : engines).forEach((server) =>
+                    server.setSharedBehaviours(shared),
+                );
+                return;
+            }
+            case "leaving":
+                return this.applyLeaving(fault.server, fault.forMs);
+            case "configuration":
+                this.version += 1;
+                platform.rows.putJson("op", "config", buildUsersConfiguration(this.version));
+        }
+    }
+
+    private async applyRestart(node: UsersNode, how: "kill" | "stop"): Promise<void> {
+        if (this.busy.has(node)) {
+            return;
+        }
+        this.busy.add(node);
+        if (how === "kill") {
+            node.program.sendSignal("SIGKILL");
+            await node.program.exited;
+        } else {
+            await node.program.stop();
+        }
+        await this.clock.wait(restartPauseMs);
+        await this.deployment.startNode(node);
+        this.busy.delete(node);
+        this.watchNode(node);
+    }
+
+    private async applyFreeze(node: UsersNode, forMs: number): Promise<void> {
+        if (this.busy.has(node)) {
+            return;
+        }
+        this.busy.add(node);
+        node.program.sendSignal("SIGSTOP");
+        await this.clock.wait(forMs);
+        node.program.sendSignal("SIGCONT");
+        this.busy.delete(node);
+    }
+
+    private async applyLeaving(index: number, forMs: number): Promise<void> {
+        const server = this.deployment.plain[index]!;
+        const { rows } = this.deployment.platform;
+        const address = server.readAddress();
+        rows.putJson("servers", server.id, buildServerEntry("plain", address, { State: "draining" }));
+        await this.clock.wait(forMs);
+        rows.putJson("servers", server.id, buildServerEntry("plain", address));
+    }
+
+    private clearFaults(): void {
+        const { platform, plain, engines } = this.deployment;
+        platform.setMode("usual");
+        platform.setWriteFaults([]);
+        platform.applyLate();
+        [...plain, ...engines].forEach((server) => server.setBehaviours());
+    }
+
+    /** Returns the nodes that do not serve in time. */
+    private async waitServed(): Promise<readonly string[]> {
+        const endMs = this.clock.monotonicMs() + recoveryMs;
+        let unserved = [...this.deployment.nodes];
+        while (unserved.length > 0 && this.clock.monotonicMs() < endMs) {
+            await this.clock.wait(lookMs);
+            const answers = await Promise.all(unserved.map((node) => sendCall(node, "safe")));
+            const served = new Set(unserved.filter((node, index) => node && answers[index]?.status === 200));
+            unserved = unserved.filter((node) => !served.has(node));
+        }
+        return unserved.map(({ name }) => name);
+    }
+
+    private watchNode(node: UsersNode): void {
+        const { program } = node;
+        void program.exited.then(() => {
+            if (node.program === program && !this.busy.has(node)) {
+                this.ended.add(node.name);
+            }
+        });
+    }
+}
+
+async function sendCall(node: UsersNode, kind: SoakCall["kind"]): Promise<ReceivedAnswer | undefined> {
+    try {
+        return await sendUsersCall(node.callerAddress, paths[kind], { method: "POST", body: "{}" });
+    } catch {
+        return undefined;
+    }
+}
--- a/packages/standins/src/usersPlatform/usersCaller.ts
+++ b/packages/standins/src/usersPlatform/usersCaller.ts
@@ -21,6 +21,11 @@
     readonly body: string;
     /** Whether the connection broke before the answer was complete. */
     readonly isBroken: boolean;
+    readonly requestId: string;
+    /** Whether it answers this very request. */
+    readonly isOwn: boolean;
+    /** Whether a backend server made it, not the node. */
+    readonly isSigned: boolean;
 }
 
 let lastRequest = 0;
@@ -39,22 +44,30 @@
     options: UsersCallOptions = {},
 ): Promise<ReceivedAnswer> {
     lastRequest += 1;
+    const requestId = `request-${String(lastRequest)}`;
     const headers = {
         host: usersRouteHost,
-        "x-request-id": `request-${String(lastRequest)}`,
+        "x-request-id": requestId,
         "x-deadline-ms": "2000",
         authorization: `Bearer ${usersCustomerKey}`,
         ...options.headers,
     };
     const { method = "GET", body, signal } = options;
     const answer = await sendRequest(`http://${address}${path}`, { method, headers, body, signal });
+    const received = {
+        status: answer.statusCode,
+        headers: answer.headers,
+        requestId: headers["x-request-id"],
+        isOwn: answer.headers["x-request-id"] === headers["x-request-id"],
+        isSigned: answer.headers["x-server-signature"] !== undefined,
+    };
     let text = "";
     try {
         for await (const chunk of answer.body) {
             text += String(chunk);
         }
-        return { status: answer.statusCode, headers: answer.headers, body: text, isBroken: false };
+        return { ...received, body: text, isBroken: false };
     } catch {
-        return { status: answer.statusCode, headers: answer.headers, body: text, isBroken: true };
+        return { ...received, body: text, isBroken: true };
     }
 }
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -47,6 +47,8 @@
     readonly headers: IncomingHttpHeaders;
     readonly rawHeaders: readonly string[];
     readonly body: string;
+    /** What the server does with it. */
+    readonly behaviour: ServerBehaviour["type"];
     /** Whether its connection was closed before the answer was complete. */
     isAbandoned: boolean;
 }
@@ -74,6 +76,11 @@
     /** @returns IP address and port. */
     async open(): Promise<string> {
         await new Promise<void>((resolve) => this.server.listen(0, loopbackHost, resolve));
+        return this.readAddress();
+    }
+
+    /** @returns IP address and port while it listens. */
+    readAddress(): string {
         return `${loopbackHost}:${String((this.server.address() as AddressInfo).port)}`;
     }
 
@@ -98,7 +105,9 @@
         for await (const chunk of request) {
             body += String(chunk);
         }
+        const behaviour = this.behaviours.shift() ?? { type: "answer" };
         const received: ReceivedRequest = {
+            behaviour: behaviour.type,
             requestId: String(request.headers["x-request-id"]),
             method: request.method ?? "",
             url: request.url ?? "",
@@ -111,7 +120,7 @@
             received.isAbandoned = !response.writableFinished;
         });
         this.received.push(received);
-        this.answer(request, response, this.behaviours.shift() ?? { type: "answer" }, received.requestId);
+        this.answer(request, response, behaviour, received.requestId);
     }
 
     private answer(
