Give the event loop a turn after each test

Ruled out: a failing test; the load by itself. Change: a setup file for all tests waits for one turn after each.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -15,6 +15,7 @@
     test: {
         include: ["packages/*/src/**/*.test.ts", "platform/src/**/*.test.ts"],
         pool: "forks",
+        setupFiles: ["vitest.setup.ts"],
         testTimeout: 60_000,
         hookTimeout: 60_000,
         expect: { poll: { timeout: 20_000 } },
