--- a/packages/bench/src/soak/__tests__/soakRun.test.ts
+++ b/packages/bench/src/soak/__tests__/soakRun.test.ts
@@ -6,8 +6,8 @@
 const seed = 20_261_204;
 
 it("plans the same faults for the same seed, and others for another", () => {
-    expect(planFaults(seed, 30_000, 3)).toEqual(planFaults(seed, 30_000, 3));
-    expect(planFaults(seed, 30_000, 3)).not.toEqual(planFaults(seed + 1, 30_000, 3));
+    expect(planFaults(seed, 30_000)).toEqual(planFaults(seed, 30_000));
+    expect(planFaults(seed, 30_000)).not.toEqual(planFaults(seed + 1, 30_000));
 });
 
 it("keeps every promise with real processes under seeded faults", async () => {
--- a/packages/bench/src/soak/runSoak.ts
+++ b/packages/bench/src/soak/runSoak.ts
@@ -13,18 +13,21 @@
     type UsersNode,
 } from "@pimentocleat/standins";
 import { SystemClock } from "@pimentocleat/types";
-import { planFaults, type PlannedFault, type SoakFault } from "./soakPlan.js";
+import { nodeCount, planFaults, type PlannedFault, type SoakFault } from "./soakPlan.js";
 import type { SoakCall, SoakRecord } from "./soakRecord.js";
 
 const programPath = fileURLToPath(new URL("../../../../platform/lib/main.js", import.meta.url));
-const nodeCount = 3;
+/** Length of a usage window, in seconds; short, so that many are reported in a run. */
 const usageWindowSeconds = 2;
+/** Time between two calls, in milliseconds; some tens a second for each node. */
 const callGapMs = 15;
 /** Time after the last fault in which nodes have to serve again, in milliseconds. */
 const recoveryMs = 12_000;
 /** Time for the last windows to be reported, in milliseconds. */
 const reportMs = 6_000;
+/** Time between the end of a process and its next start, in milliseconds; as a supervisor takes. */
 const restartPauseMs = 300;
+/** Time between two looks whether nodes serve, in milliseconds. */
 const lookMs = 100;
 const paths = { safe: "/safe/look", unsafe: "/unsafe/hold", stream: "/stream/ask" } as const;
 const kinds = ["safe", "unsafe", "stream"] as const;
@@ -53,7 +56,7 @@
             await deployment.start();
             deployment.nodes.forEach((node) => this.watchNode(node));
             await this.waitServed();
-            const faults = this.runFaults(planFaults(seed, durationMs, nodeCount));
+            const faults = this.runFaults(planFaults(seed, durationMs));
             await this.sendLoad(durationMs);
             await faults;
             await Promise.all(this.tasks);
@@ -176,9 +179,10 @@
         let unserved = [...this.deployment.nodes];
         while (unserved.length > 0 && this.clock.monotonicMs() < endMs) {
             await this.clock.wait(lookMs);
-            const answers = await Promise.all(unserved.map((node) => sendCall(node, "safe")));
-            const served = new Set(unserved.filter((node, index) => node && answers[index]?.status === 200));
-            unserved = unserved.filter((node) => !served.has(node));
+            const looks = await Promise.all(
+                unserved.map(async (node) => ({ node, answer: await sendCall(node, "safe") })),
+            );
+            unserved = looks.filter(({ answer }) => answer?.status !== 200).map(({ node }) => node);
         }
         return unserved.map(({ name }) => name);
     }
--- a/packages/bench/src/soak/soakCommand.ts
+++ b/packages/bench/src/soak/soakCommand.ts
@@ -10,7 +10,6 @@
 
 const usageExitCode = 2;
 const millisecondsPerSecond = 1_000;
-const nodes = 3;
 
 /**
  * Runs one soak and prints what it saw.
@@ -33,7 +32,7 @@
         process.stderr.write("--seed must be an integer and --seconds a positive number\n");
         return usageExitCode;
     }
-    const planned = planFaults(seed, durationMs, nodes);
+    const planned = planFaults(seed, durationMs);
     process.stdout.write(`seed ${String(seed)}, ${String(planned.length)} faults\n`);
     const record = await new SoakRun().run(seed, durationMs);
     const broken = findBrokenPromises(record);
--- a/packages/bench/src/soak/soakPlan.ts
+++ b/packages/bench/src/soak/soakPlan.ts
@@ -26,9 +26,14 @@
     readonly fault: SoakFault;
 }
 
+/** Nodes of a run; the fewest of which a majority remains when one is struck. */
+export const nodeCount = 3;
 /** Mean time between two faults, in milliseconds; shorter than most of them last, so that they overlap. */
 const meanGapMs = 700;
+/** Shortest and longest time of a fault, in milliseconds; longer than a lease of the run at the most. */
+const shortestFaultMs = 200;
 const longestFaultMs = 2_500;
+/** Requests that get a drawn behaviour of the servers each time. */
 const behavioursAtOnce = 6;
 
 const plainBehaviours: readonly ServerBehaviour[] = [
@@ -56,16 +61,16 @@
  *
  * @param seed - Any integer.
  * @param durationMs - Length of the load, in milliseconds.
- * @param nodes - Number of nodes.
  * @returns The faults in the order of their moments.
  */
-export function planFaults(seed: number, durationMs: number, nodes: number): readonly PlannedFault[] {
+export function planFaults(seed: number, durationMs: number): readonly PlannedFault[] {
     const random = new SeededRandom(seed);
     const draw = <Item>(items: readonly Item[]): Item => items[Math.floor(random.next() * items.length)]!;
-    const drawMs = (): number => Math.round(200 + random.next() * (longestFaultMs - 200));
+    const drawMs = (): number =>
+        Math.round(shortestFaultMs + random.next() * (longestFaultMs - shortestFaultMs));
     const drawMany = <Item>(items: readonly Item[]): readonly Item[] =>
         [...Array(behavioursAtOnce).keys()].map(() => draw(items));
-    const drawNode = (): number => Math.floor(random.next() * nodes);
+    const drawNode = (): number => Math.floor(random.next() * nodeCount);
     const kinds: readonly (() => SoakFault)[] = [
         () => ({ type: "kill", node: drawNode() }),
         () => ({ type: "stop", node: drawNode() }),
--- a/packages/bench/src/soak/soakRecord.ts
+++ b/packages/bench/src/soak/soakRecord.ts
@@ -3,7 +3,12 @@
  *
  * @packageDocumentation
  */
-import type { DutyCall, ReceivedAnswer, ServerBehaviour } from "@pimentocleat/standins";
+import {
+    usersStreamEvents,
+    type DutyCall,
+    type ReceivedAnswer,
+    type ServerBehaviour,
+} from "@pimentocleat/standins";
 
 /** One call of a caller. */
 export interface SoakCall {
@@ -32,7 +37,6 @@
 /** Statuses of a node's own answers that promise that nothing ran. */
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const notRunBehaviours: ReadonlySet<string> = new Set(["notRun", "otherServer"]);
-const streamEvents = 4;
 
 /**
  * Finds broken promises.
@@ -83,7 +87,7 @@
 
 function isWhole(kind: SoakCall["kind"], body: string): boolean {
     const events = body.split("\n\n").filter((event) => event !== "").length;
-    return kind === "stream" ? events === streamEvents : body.startsWith("whole answer of ");
+    return kind === "stream" ? events === usersStreamEvents : body.startsWith("whole answer of ");
 }
 
 function findBrokenUsage(duties: readonly DutyCall[]): readonly string[] {
--- a/packages/cli/src/demo/platformDemoSteps.ts
+++ b/packages/cli/src/demo/platformDemoSteps.ts
@@ -6,6 +6,7 @@
 import {
     buildUsersConfiguration,
     sendUsersCall,
+    usersStreamEvents,
     type ReceivedAnswer,
     type UsersDeployment,
     type UsersNode,
@@ -13,10 +14,9 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import { buildResult, type StepResult } from "./demoSteps.js";
 
-/** Events of a whole stream of the stand-in's engines. */
-const streamEvents = 4;
 /** Pause before each event of a stream during which a node stops, in milliseconds. */
 const slowPauseMs = 200;
+/** Time between two looks at what a step expects, in milliseconds. */
 const lookMs = 25;
 /** Longest wait for what a step expects, in milliseconds. */
 const longestWaitMs = 15_000;
@@ -173,9 +173,9 @@
 
 function buildStreamResult(step: string, node: UsersNode, answer: ReceivedAnswer): StepResult {
     const events = answer.body.split("\n\n").filter((event) => event !== "").length;
-    const passed = answer.status === 200 && !answer.isBroken && events === streamEvents;
+    const passed = answer.status === 200 && !answer.isBroken && events === usersStreamEvents;
     const seen = `${formatAnswer(answer)}, ${String(events)} events`;
-    return buildResult(step, node.name, `${String(streamEvents)} events, whole`, seen, passed);
+    return buildResult(step, node.name, `${String(usersStreamEvents)} events, whole`, seen, passed);
 }
 
 function formatAnswer({ status, isBroken }: ReceivedAnswer): string {
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -11,7 +11,7 @@
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
-import type { SendAnnouncer } from "../peers/placementGossip.js";
+import type { SendAnnouncer } from "../peers/peerMessenger.js";
 import { Attempt, type AttemptResult, type WholeBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import {
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -71,6 +71,9 @@
                 this.plan.recordAccepted(wanted);
                 logger.writeEvent("serversOrdered", fields);
             }
+            if (result.type === "failed") {
+                logger.writeEvent("orderFailed", { ...fields, reason: result.reason });
+            }
             if (result.type === "noneAvailable") {
                 this.plan.recordNoneAvailable(wanted, result.retryAfterMs);
                 logger.writeEvent("serversNotAvailable", fields);
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -70,6 +70,7 @@
  * collection, a slow answer of the store and two messages, with time left for a write of its own.
  */
 const forwardTimeoutMs = 600;
+/** Time between two looks whether the counts are written, in milliseconds; a fraction of the collection. */
 const forwardLookMs = 50;
 /** Mean time after the end of a window at which its last counts are written, in milliseconds. */
 const afterWindowMs = 350;
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -21,7 +21,7 @@
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { AgreedClock } from "../peers/agreedClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
-import { PlacementGossip } from "../peers/placementGossip.js";
+import { PeerMessenger } from "../peers/peerMessenger.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import { PauseWatch } from "./pauseWatch.js";
@@ -55,6 +55,7 @@
 const peerWaitMs = 28_000;
 /** Pause after a change of the nodes, in milliseconds: when all start, each of them is a change. */
 const peerPauseMs = 2_500;
+/** Mean pause after a failed read of the store, in milliseconds; several fit the time to obey a change. */
 const followRetryMs = 200;
 /** Nodes that may share the retry slack; a deployment with more nodes has a smaller part of its load on each. */
 const slackShares = 20;
@@ -67,7 +68,9 @@
 const acceptingShare = 0.36;
 /** Time kept at the end of the grace for closing, in milliseconds. */
 const closingMs = 900;
+/** Steps of the closing that are bounded; each may take its share of that time. */
 const closingSteps = 3;
+/** Time between two looks whether a stopping node has finished its requests, in milliseconds. */
 const stopStepMs = 50;
 
 /** One node. */
@@ -78,7 +81,7 @@
     private readonly duties: NodeDuties;
     private readonly dispatches: ServiceDispatches;
     private readonly peers: PeerDirectory;
-    private readonly gossip: PlacementGossip;
+    private readonly messenger: PeerMessenger;
     private readonly relay: StoreRelay;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
@@ -106,7 +109,7 @@
             clock,
             logger,
         });
-        this.gossip = new PlacementGossip({
+        this.messenger = new PeerMessenger({
             name: settings.name,
             host,
             port,
@@ -132,7 +135,7 @@
             directory: this.directory,
             configuration: this.configuration,
             listNeighbours: () => this.peers.listLiveNeighbours(),
-            sendNews: (news) => this.gossip.sendNews(news, this.peers.listNeighbours()),
+            sendNews: (news) => this.messenger.sendNews(news, this.peers.listNeighbours()),
         });
         this.duties = new NodeDuties({
             node: settings.name,
@@ -150,9 +153,9 @@
             isFirstStart: settings.isFirstStart,
             configuration: this.configuration,
             directory: this.directory,
-            spreadCopy: (copy) => this.gossip.spreadUsage(copy),
+            spreadCopy: (copy) => this.messenger.spreadUsage(copy),
             findCollector: () => this.relay.findReader(),
-            forwardUsage: (usage, collector) => this.gossip.forwardUsage(usage, collector),
+            forwardUsage: (usage, collector) => this.messenger.forwardUsage(usage, collector),
             isCandidate: () => this.relay.isReader() || this.peers.isWatcher(),
             countNodes: () => this.peers.countNodes(),
         });
@@ -190,7 +193,7 @@
             }),
         );
         this.follow({ table: peerTable, receiver: this.peers, waitMs: peerWaitMs, pauseMs: peerPauseMs });
-        this.gossip.start();
+        this.messenger.start();
         this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
@@ -223,7 +226,7 @@
         this.stopping.abort();
         this.connections.close();
         await this.runBounded(this.peers.withdraw());
-        this.gossip.close();
+        this.messenger.close();
         await this.runBounded(adapter.close());
         logger.writeEvent("nodeStopped", { active: this.active });
     }
@@ -288,7 +291,7 @@
         const { configuration, directory, connections } = this;
         const runner = new RequestRunner({
             dispatches: this.dispatches,
-            announcer: this.gossip,
+            announcer: this.messenger,
             directory,
             configuration,
             connections,
--- a/packages/gateway/src/peers/placementGossip.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -1,6 +1,6 @@
 /**
- * Tells the other nodes what was sent where, by datagrams. All of it is soft: a lost message costs some
- * efficiency, never a promise.
+ * Datagrams between nodes: what was sent where, what changed in the store, counts of usage, and the time of each
+ * node's clock. All of it is soft: a lost message costs some efficiency, never a promise.
  *
  * @packageDocumentation
  */
@@ -60,8 +60,8 @@
     spreadEnd(service: string, id: string): void;
 }
 
-/** Options of {@link PlacementGossip}. */
-export interface PlacementGossipOptions {
+/** Options of {@link PeerMessenger}. */
+export interface PeerMessengerOptions {
     /** Name of this node. */
     readonly name: string;
     readonly host: string;
@@ -110,19 +110,19 @@
 /** Each message names its sender, so that the others know that it lives, and tells the time of its clock. */
 const messageSchema = z.object({ from: z.string(), wallMs: z.number(), body: bodySchema });
 
-type GossipMessage = z.infer<typeof bodySchema>;
-type PlacementMessage = Extract<GossipMessage, { type: "send" | "start" | "end" }>;
+type PeerMessage = z.infer<typeof bodySchema>;
+type PlacementMessage = Extract<PeerMessage, { type: "send" | "start" | "end" }>;
 
 /** Nodes that get a copy of counts; a datagram may be lost, and its receiver may be unable to write too. */
 const usageCopies = 3;
 
 /** Sends and receives the messages of one node. */
-export class PlacementGossip implements SendAnnouncer {
+export class PeerMessenger implements SendAnnouncer {
     private socket: Socket | undefined;
     private sequence = 0;
 
     /** @param options - This node's address and its peers. */
-    constructor(private readonly options: PlacementGossipOptions) {}
+    constructor(private readonly options: PeerMessengerOptions) {}
 
     /** Starts to listen. */
     start(): void {
@@ -200,11 +200,11 @@
         this.send(news, peers);
     }
 
-    private spread(message: GossipMessage): void {
+    private spread(message: PeerMessage): void {
         this.send(message, this.options.listPeers());
     }
 
-    private sendTo(name: string, message: GossipMessage): boolean {
+    private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
             this.send(message, [peer]);
@@ -212,7 +212,7 @@
         return peer !== undefined;
     }
 
-    private send(message: GossipMessage, peers: readonly PeerAddress[]): void {
+    private send(message: PeerMessage, peers: readonly PeerAddress[]): void {
         const { name: from, clock } = this.options;
         const bytes = Buffer.from(JSON.stringify({ from, wallMs: clock.wallMs(), body: message }));
         for (const peer of peers) {
@@ -222,16 +222,19 @@
     }
 
     private receiveMessage(bytes: Buffer): void {
+        let message: z.infer<typeof messageSchema>;
         try {
-            const { from, wallMs, body } = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
-            this.options.recordHeard(from, wallMs);
-            this.handleMessage(from, body);
+            message = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
         } catch (error) {
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
+            return;
         }
+        const { from, wallMs, body } = message;
+        this.options.recordHeard(from, wallMs);
+        this.handleMessage(from, body);
     }
 
-    private handleMessage(from: string, message: GossipMessage): void {
+    private handleMessage(from: string, message: PeerMessage): void {
         const { options } = this;
         switch (message.type) {
             case "store":
--- a/packages/node/src/duties/orderingDuty.ts
+++ b/packages/node/src/duties/orderingDuty.ts
@@ -78,6 +78,9 @@
                 this.planner.recordAccepted(servers);
                 logger.writeEvent("serversOrdered", fields);
             }
+            if (result.type === "failed") {
+                logger.writeEvent("orderFailed", { ...fields, reason: result.reason });
+            }
             if (result.type === "noneAvailable") {
                 this.planner.recordNoneAvailable(servers, clock.monotonicMs(), result.retryAfterMs);
                 logger.writeEvent("serversNotAvailable", fields);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -33,8 +33,8 @@
 export { UsersServerStandIn } from "./usersPlatform/usersServerStandIn.js";
 export type { ReceivedRequest, ServerBehaviour } from "./usersPlatform/usersServerStandIn.js";
 export { buildServerEntry, buildUsersConfiguration } from "./usersPlatform/usersConfiguration.js";
-export { usersCustomerKey, usersRouteHost } from "./usersPlatform/usersConfiguration.js";
+export { usersCustomerKey, usersRouteHost, usersStreamEvents } from "./usersPlatform/usersConfiguration.js";
 export { sendUsersCall } from "./usersPlatform/usersCaller.js";
 export type { ReceivedAnswer, UsersCallOptions } from "./usersPlatform/usersCaller.js";
-export { UsersDeployment } from "./usersPlatform/usersDeployment.js";
+export { findPort, UsersDeployment } from "./usersPlatform/usersDeployment.js";
 export type { UsersDeploymentOptions, UsersNode } from "./usersPlatform/usersDeployment.js";
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -9,7 +9,7 @@
 import { join } from "node:path";
 import { request as sendRequest } from "undici";
 import { launchFile, type LaunchedProgram } from "../launcher/launchProgram.js";
-import { buildServerEntry, buildUsersConfiguration } from "./usersConfiguration.js";
+import { buildServerEntry, buildUsersConfiguration, usersStreamEvents } from "./usersConfiguration.js";
 import { UsersPlatformStandIn } from "./usersPlatformStandIn.js";
 import { UsersServerStandIn } from "./usersServerStandIn.js";
 
@@ -34,14 +34,13 @@
 const loopbackHost = "127.0.0.1";
 /** Event 1000: the node has started. */
 const readyPattern = /"event":(1000),/;
-const streamEvents = 4;
 const dataCentres = ["a", "b", "c"];
 
 /** Starts and stops everything. */
 export class UsersDeployment {
     readonly platform = new UsersPlatformStandIn();
     readonly plain = ["plain-1", "plain-2"].map((id) => new UsersServerStandIn(id, 0));
-    readonly engines = ["engine-1", "engine-2"].map((id) => new UsersServerStandIn(id, streamEvents));
+    readonly engines = ["engine-1", "engine-2"].map((id) => new UsersServerStandIn(id, usersStreamEvents));
     readonly nodes: UsersNode[] = [];
     private folder = "";
 
@@ -139,7 +138,12 @@
     }
 }
 
-function findPort(): Promise<number> {
+/**
+ * Finds a port on which nothing listens.
+ *
+ * @returns The port; another program may take it before it is used.
+ */
+export function findPort(): Promise<number> {
     return new Promise((resolve) => {
         const server = createServer();
         server.listen(0, loopbackHost, () => {
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -152,7 +152,8 @@
                 await this.acquireIfDue(name, findStoredLease(rows, name));
             }
             return true;
-        } catch {
+        } catch (error) {
+            this.options.logger.writeEvent("leaseStepFailed", { reason: String(error) });
             return false;
         }
     }
--- a/packages/state/src/orders/orderSender.ts
+++ b/packages/state/src/orders/orderSender.ts
@@ -41,7 +41,7 @@
     /** The lease is not valid, or earlier orders may still be on the wire. */
     | { readonly type: "notAllowed" }
     /** The fate is unknown or the store did not answer; try again. */
-    | { readonly type: "failed" };
+    | { readonly type: "failed"; readonly reason: string };
 
 interface StoredIntent {
     readonly version: number;
@@ -85,9 +85,11 @@
         }
         try {
             const intent = await this.storeIntent(wanted);
-            return intent === undefined ? { type: "failed" } : await this.sendIntent(intent);
-        } catch {
-            return { type: "failed" };
+            return intent === undefined
+                ? { type: "failed", reason: "the intent changed meanwhile" }
+                : await this.sendIntent(intent);
+        } catch (error) {
+            return { type: "failed", reason: String(error) };
         }
     }
 
--- a/packages/state/src/usage/usageCopyKeeper.ts
+++ b/packages/state/src/usage/usageCopyKeeper.ts
@@ -51,7 +51,16 @@
         let succeeded = true;
         for (const [key, copy] of [...this.copies]) {
             if (this.options.isGone(copy.incarnation)) {
-                const isDone = await this.recoverCopy(copy).catch(() => false);
+                const isDone = await this.recoverCopy(copy).catch((error: unknown) => {
+                    const { incarnation, windowStartMs } = copy;
+                    const reason = String(error);
+                    this.options.logger.writeEvent("usageNotRecovered", {
+                        incarnation,
+                        windowStartMs,
+                        reason,
+                    });
+                    return false;
+                });
                 succeeded = succeeded && isDone;
                 if (isDone) {
                     this.copies.delete(key);
--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -68,7 +68,8 @@
     async flushOnce(): Promise<boolean> {
         let succeeded = true;
         for (const window of [...this.windows.values()]) {
-            const isStored = await this.flushWindow(window).catch(() => {
+            const isStored = await this.flushWindow(window).catch((error: unknown) => {
+                this.writeFailure("usageNotStored", window, error);
                 window.version = undefined;
                 return false;
             });
@@ -119,7 +120,8 @@
                 try {
                     await copySink?.storeCopy({ incarnation, windowStartMs, customers });
                     window.copied = customers;
-                } catch {
+                } catch (error) {
+                    this.writeFailure("usageNotCopied", window, error);
                     return false;
                 }
             }
@@ -127,6 +129,14 @@
         return copySink !== undefined;
     }
 
+    private writeFailure(
+        event: "usageNotStored" | "usageNotCopied",
+        { startMs: windowStartMs }: UsageWindow,
+        error: unknown,
+    ): void {
+        this.options.logger.writeEvent(event, { windowStartMs, reason: String(error) });
+    }
+
     private addToCurrent(usage: UsageByCustomer): void {
         const startMs = this.findCurrentMs();
         const window = this.windows.get(startMs) ?? {
