Keep streams with short pauses on servers of their own

Traced per stream: each miss overlaps the prefill of one to four prompts of other requests at its server, sent within the same milliseconds. Change: as many servers as the sensitive streams need are kept for them (standard ones first, alike on every node), other prompts avoid these in proportion to their prefill, and a predicted pause counts in part from six tenths of a target, scaled by the server's measured slowness.

--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -88,6 +88,6 @@
     server: RegisteredServer,
     capacityTokens: number | undefined,
 ): PlacementServer {
-    const { id, dataCentre, slots } = server;
-    return { id, dataCentre, slots, capacityTokens };
+    const { id, dataCentre, slots, isReclaimable } = server;
+    return { id, dataCentre, slots, capacityTokens, isReclaimable };
 }
--- a/packages/policy/src/placement/__tests__/serverPlacement.test.ts
+++ b/packages/policy/src/placement/__tests__/serverPlacement.test.ts
@@ -12,6 +12,7 @@
         dataCentre: "a",
         slots: 64,
         capacityTokens,
+        isReclaimable: false,
     }));
 }
 
--- a/packages/policy/src/placement/inFlightRequests.ts
+++ b/packages/policy/src/placement/inFlightRequests.ts
@@ -29,6 +29,9 @@
 /** Time after which a peer's request counts as ended if no message announced its end. */
 const peerEndTimeoutMs = 10_000;
 
+/** Share of a stream's pause target up to which a predicted pause is safe. */
+const safePauseShare = 0.6;
+
 /** Tracks the in-flight requests by server. */
 export class InFlightRequests {
     private readonly requests = new Map<string, TrackedRequest>();
@@ -97,17 +100,47 @@
     }
 
     /**
-     * Counts the streams on a server whose pause target a pause would exceed.
+     * Counts the streams in flight on all servers.
      *
-     * @param serverId - The server.
-     * @param pauseMs - The pause, in milliseconds.
+     * @param maximumPauseMs - Longest pause target of the streams to count, in milliseconds.
      * @returns The number of streams.
      */
-    countDelayedStreams(serverId: string, pauseMs: number): number {
+    countStreams(maximumPauseMs: number): number {
         let count = 0;
-        for (const { pauseTargetMs } of this.byServer.get(serverId) ?? []) {
-            count += pauseTargetMs !== undefined && pauseTargetMs < pauseMs ? 1 : 0;
+        for (const { pauseTargetMs } of this.requests.values()) {
+            count += pauseTargetMs !== undefined && pauseTargetMs <= maximumPauseMs ? 1 : 0;
         }
         return count;
     }
+
+    /**
+     * Estimates how many streams on a server miss their pause target because of a pause. A stream counts in part when
+     * the pause comes near its target, since other prompts may arrive at the same time.
+     *
+     * @param serverId - The server.
+     * @param pauseMs - The predicted pause, in milliseconds.
+     * @returns The expected number of streams.
+     */
+    estimateDelayedStreams(serverId: string, pauseMs: number): number {
+        let expected = 0;
+        for (const { pauseTargetMs } of this.byServer.get(serverId) ?? []) {
+            expected += estimateDelayChance(pauseMs, pauseTargetMs);
+        }
+        return expected;
+    }
+}
+
+/**
+ * Estimates the chance that a predicted pause makes a stream miss its pause target.
+ *
+ * @param pauseMs - The predicted pause, in milliseconds.
+ * @param pauseTargetMs - The stream's pause target, in milliseconds; undefined if the answer isn't streamed.
+ * @returns The chance, 0 to 1.
+ */
+export function estimateDelayChance(pauseMs: number, pauseTargetMs: number | undefined): number {
+    if (pauseTargetMs === undefined) {
+        return 0;
+    }
+    const chance = (pauseMs / pauseTargetMs - safePauseShare) / (1 - safePauseShare);
+    return Math.min(1, Math.max(0, chance));
 }
--- a/packages/policy/src/placement/serverEstimate.ts
+++ b/packages/policy/src/placement/serverEstimate.ts
@@ -14,6 +14,8 @@
     readonly slots: number;
     /** Token capacity of the engine's KV cache; undefined for plain services. */
     readonly capacityTokens: number | undefined;
+    /** Whether the platform may reclaim the server at short notice. */
+    readonly isReclaimable: boolean;
 }
 
 /** The load that a server reported with an answer. */
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -7,8 +7,9 @@
 import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
 import type { PromptPart } from "./prefixCacheModel.js";
 import type { PlacementSettings } from "./placementSettings.js";
-import { InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
+import { estimateDelayChance, InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
+import { StreamIsolation } from "./streamIsolation.js";
 
 /** The properties of a request on which the choice depends. */
 export interface PlacementRequest {
@@ -39,16 +40,8 @@
 const preferredRankCacheChances: readonly number[] = [0.9, 0.3];
 /** Shared parts cached elsewhere are recomputed only if waiting there costs over this multiple of the prefill. */
 const recomputePenaltyFactor = 3;
-/** Rendezvous hashing key by which all nodes select the same servers for short prompts. */
-const shortPromptGroupKey = "quiet";
-/** Share of the servers that long prompts avoid, in favour of short ones, while there is a choice. */
-const shortPromptServerShare = 1 / 3;
-/** Penalty for a long prompt on a server preferred by short ones, or a short one elsewhere, in milliseconds. */
-const wrongGroupPenaltyMs = 20;
-/** A prompt is long when its prefill takes at least this share of the shortest pause target of any stream. */
-const longPromptPauseShare = 0.5;
-/** Share of a prefill's duration that streams see as one pause: engines prefill in chunks between their tokens. */
-const prefillPauseShare = 1;
+/** Maximum slowness by which a predicted pause is scaled; a higher measured one comes from waiting, not from speed. */
+const maximumPauseSlowness = 2;
 /** Penalty for each stream that would exceed its pause target, in milliseconds of the caller's time. */
 const lateStreamPenaltyMs = 400;
 /** Penalty for the slower decoding steps of a full batch, scaled by slot utilization, in milliseconds. */
@@ -65,15 +58,18 @@
 /** Additional cost of a server that always fails, as a multiple of the cost of one that never does. */
 const failurePenaltyFactor = 12;
 
-/** Where the shared parts of a prompt are cached, and which servers suit its length. */
-interface CacheView {
+/** What a choice depends on beside the single server. */
+interface ChoiceView {
     /** Ranks of the servers to which every node sends such prompts first; empty when a server is known to have them. */
     readonly preferredRanks: ReadonlyMap<string, number>;
     /** Maximum number of tokens of the shared parts that any server is known to have cached. */
     readonly maximumCachedTokens: number;
-    /** Servers that short prompts prefer and long prompts avoid; every node selects the same ones. */
-    readonly shortPromptServers: ReadonlySet<string>;
-    readonly isLongPrompt: boolean;
+    /** Servers that are kept for sensitive streams. */
+    readonly isolatedServers: ReadonlySet<string>;
+    /** Whether the request is a sensitive stream. */
+    readonly isSensitive: boolean;
+    /** Longest pause target of a sensitive stream, in milliseconds. */
+    readonly sensitivePauseMs: number;
 }
 
 /** Chooses servers for the requests of one service. */
@@ -81,8 +77,7 @@
     private readonly estimates = new Map<string, ServerEstimate>();
     private readonly inFlight = new InFlightRequests();
     private sequence = 0;
-    /** Shortest pause target of any stream seen so far, in milliseconds. */
-    private minimumPauseTargetMs = Number.POSITIVE_INFINITY;
+    private readonly isolation = new StreamIsolation();
 
     /**
      * @param settings - The assumed speeds and penalties.
@@ -143,11 +138,11 @@
         const notAvoided = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
         const pool = notAvoided.length > 0 ? notAvoided : candidates;
         this.inFlight.removeStale(nowMs);
-        const cache = this.summarizeCache(request, pool);
+        const view = this.buildView(request, pool, nowMs);
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of pool) {
-            const cost = this.estimateCost(server, request, cache, nowMs);
+            const cost = this.estimateCost(server, request, view, nowMs);
             if (cost < bestCost) {
                 best = server.id;
                 bestCost = cost;
@@ -174,7 +169,7 @@
         this.sequence += 1;
         const inFlightId = `own/${String(this.sequence)}`;
         const { pauseTargetMs } = request;
-        this.recordPauseTarget(pauseTargetMs);
+        this.isolation.recordPauseTarget(pauseTargetMs, sentMs);
         this.inFlight.add({ id: inFlightId, serverId, tokens: uncachedTokens, pauseTargetMs }, sentMs, true);
         if (estimate !== undefined) {
             estimate.inFlight += 1;
@@ -239,8 +234,9 @@
      * @param shared - The shared parts of the prompt, which the server will then have cached.
      */
     recordPeerDispatch(request: InFlightRequest, shared: readonly PromptPart[]): void {
-        this.recordPauseTarget(request.pauseTargetMs);
-        this.inFlight.add(request, this.clock.monotonicMs(), false);
+        const nowMs = this.clock.monotonicMs();
+        this.isolation.recordPauseTarget(request.pauseTargetMs, nowMs);
+        this.inFlight.add(request, nowMs, false);
         this.estimates.get(request.serverId)?.recordPrompt(shared);
     }
 
@@ -254,19 +250,6 @@
         this.inFlight.finish(id);
     }
 
-    private recordPauseTarget(pauseTargetMs: number | undefined): void {
-        this.minimumPauseTargetMs = Math.min(
-            this.minimumPauseTargetMs,
-            pauseTargetMs ?? Number.POSITIVE_INFINITY,
-        );
-    }
-
-    /** Checks whether prefilling the complete prompt could delay the most sensitive concurrent streams. */
-    private isLongPrompt(request: PlacementRequest): boolean {
-        const prefillMs = request.promptTokens / this.settings.prefillTokensPerMs;
-        return prefillMs >= longPromptPauseShare * this.minimumPauseTargetMs;
-    }
-
     private isAvoided(id: string, nowMs: number): boolean {
         return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
     }
@@ -274,7 +257,7 @@
     private estimateCost(
         server: PlacementServer,
         request: PlacementRequest,
-        cache: CacheView,
+        view: ChoiceView,
         nowMs: number,
     ): number {
         const estimate = this.estimates.get(server.id);
@@ -302,55 +285,62 @@
         }
         const cachedTokens = estimate.prefixCache.countCachedTokens(request.parts);
         const backlogMs = this.inFlight.countPrefillTokens(server.id) / this.settings.prefillTokensPerMs;
-        const uncachedTokens = this.estimatePrefillTokens(estimate, request, cache);
+        const uncachedTokens = this.estimatePrefillTokens(estimate, request, view);
         const prefillMs = (this.estimatePrefillMs(uncachedTokens) + backlogMs) * estimate.readSlowness();
         const fullBatchMs =
             utilization > nearlyFullShare ? fullBatchPenaltyMs * (utilization - nearlyFullShare) : 0;
         const newPrefillMs = (request.promptTokens - cachedTokens) / this.settings.prefillTokensPerMs;
-        const delayedStreams = this.inFlight.countDelayedStreams(
+        const pauseSlowness = Math.min(maximumPauseSlowness, Math.max(1, estimate.readSlowness()));
+        const delayedStreams = this.inFlight.estimateDelayedStreams(
             server.id,
-            (newPrefillMs + backlogMs) * prefillPauseShare,
+            (newPrefillMs + backlogMs) * pauseSlowness,
+        );
+        const ownDelay = estimateDelayChance(backlogMs * pauseSlowness, request.pauseTargetMs);
+        const lateStreamsMs = lateStreamPenaltyMs * (delayedStreams + ownDelay);
+        const isolationMs = this.isolation.computePenaltyMs(
+            view.isSensitive,
+            view.isolatedServers.has(server.id),
+            newPrefillMs,
+            view.sensitivePauseMs,
         );
-        const isDelayed = (request.pauseTargetMs ?? Number.POSITIVE_INFINITY) < backlogMs * prefillPauseShare;
-        const lateStreamsMs = lateStreamPenaltyMs * (delayedStreams + Number(isDelayed));
-        const wrongGroupMs =
-            cache.isLongPrompt === cache.shortPromptServers.has(server.id) ? wrongGroupPenaltyMs : 0;
         const waitMs =
             prefillMs + waiting * waitingRequestPenaltyMs + fullBatchMs + utilization * batchPenaltyMs;
-        return (waitMs + dataCentrePenaltyMs + lateStreamsMs + wrongGroupMs) * failureFactor;
+        return (waitMs + dataCentrePenaltyMs + lateStreamsMs + isolationMs) * failureFactor;
     }
 
-    private summarizeCache(request: PlacementRequest, pool: readonly PlacementServer[]): CacheView {
+    private buildView(
+        request: PlacementRequest,
+        pool: readonly PlacementServer[],
+        nowMs: number,
+    ): ChoiceView {
         const shared = request.parts.slice(0, -1);
         const maximumCachedTokens = Math.max(0, ...pool.map(({ id }) => this.countCachedTokens(id, shared)));
-        const shortPromptServers = selectShortPromptServers(pool);
-        const isLongPrompt = this.isLongPrompt(request);
-        const longPromptServers = pool.filter(({ id }) => !shortPromptServers.has(id));
+        const sensitivePauseMs = this.isolation.readSensitivePauseMs(nowMs);
+        const prefillMs = request.promptTokens / this.settings.prefillTokensPerMs;
+        const isSensitive = this.isolation.isSensitive(request.pauseTargetMs, prefillMs, sensitivePauseMs);
+        const isolatedServers = this.isolation.selectServers(
+            pool,
+            this.inFlight.countStreams(sensitivePauseMs),
+        );
+        const group = pool.filter(({ id }) => isolatedServers.has(id) === isSensitive);
         const preferredRanks =
-            maximumCachedTokens > 0
-                ? new Map<string, number>()
-                : selectPreferredServers(request, isLongPrompt ? longPromptServers : pool);
-        return {
-            preferredRanks,
-            maximumCachedTokens,
-            shortPromptServers,
-            isLongPrompt,
-        };
+            maximumCachedTokens > 0 ? new Map<string, number>() : selectPreferredServers(request, group);
+        return { preferredRanks, maximumCachedTokens, isolatedServers, isSensitive, sensitivePauseMs };
     }
 
     private estimatePrefillTokens(
         estimate: ServerEstimate,
         request: PlacementRequest,
-        cache: CacheView,
+        view: ChoiceView,
     ): number {
         const shared = request.parts.slice(0, -1);
         const cachedTokens = estimate.prefixCache.countCachedTokens(request.parts);
-        const preferredRank = cache.preferredRanks.get(estimate.server.id);
+        const preferredRank = view.preferredRanks.get(estimate.server.id);
         const chance = preferredRank === undefined ? 0 : (preferredRankCacheChances[preferredRank] ?? 0);
         const expectedCachedTokens = Math.max(cachedTokens, chance * sumTokens(shared));
         const recomputedTokens = Math.max(
             0,
-            cache.maximumCachedTokens - estimate.prefixCache.countCachedTokens(shared),
+            view.maximumCachedTokens - estimate.prefixCache.countCachedTokens(shared),
         );
         return (
             Math.max(0, request.promptTokens - expectedCachedTokens) +
@@ -367,14 +357,6 @@
     }
 }
 
-/** Selects the servers for short prompts by their identifiers alone, so that every node selects the same ones. */
-function selectShortPromptServers(pool: readonly PlacementServer[]): ReadonlySet<string> {
-    const ranked = pool
-        .map(({ id }) => ({ id, weight: computeRendezvousWeight(shortPromptGroupKey, id) }))
-        .sort((left, right) => right.weight - left.weight);
-    return new Set(ranked.slice(0, Math.floor(pool.length * shortPromptServerShare)).map(({ id }) => id));
-}
-
 function sumTokens(parts: readonly PromptPart[]): number {
     return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
