Pass news of requests on by readers where there are many nodes

Change: in larger deployments a node tells the reader of its data centre, which sends batches each 80 ms to its neighbours and to the readers of the other data centres.

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -9,7 +9,7 @@
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
-import type { DispatchAnnouncer } from "../peers/peerMessenger.js";
+import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import { BackendExchange } from "./backendExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -11,7 +11,7 @@
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
-import type { DispatchAnnouncer } from "../peers/peerMessenger.js";
+import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -20,6 +20,7 @@
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { RowFollower, type RowFollowerOptions } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
+import { DispatchNews } from "../peers/dispatchNews.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
 import { PeerMessenger } from "../peers/peerMessenger.js";
@@ -72,6 +73,8 @@
 const closingTimeMs = 900;
 /** Number of closing steps with a time limit; each may take an equal share of the closing time. */
 const closingStepCount = 3;
+/** Length of the random tag in this process's identifiers of dispatches; short, since each message carries some. */
+const dispatchTagLength = 8;
 /** Interval between two checks whether a stopping node has finished its requests, in milliseconds. */
 const drainCheckIntervalMs = 50;
 
@@ -84,6 +87,7 @@
     private readonly dispatches: ServiceDispatchRegistry;
     private readonly peers: PeerDirectory;
     private readonly messenger: PeerMessenger;
+    private readonly news: DispatchNews;
     private readonly relay: StoreRelay;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
@@ -115,18 +119,43 @@
             clock,
             logger,
         });
+        const recordContact = (name: string, wallMs: number): void => {
+            this.peers.recordContact(name);
+            medianClock.recordPeerTime(name, wallMs);
+        };
+        this.news = new DispatchNews({
+            incarnation: randomUUID().slice(0, dispatchTagLength),
+            clock,
+            dispatches: this.dispatches,
+            isRelayed: () => this.peers.isRelayed(),
+            isReader: () => this.relay.isReader(),
+            findReader: () => this.peers.findPeer(this.relay.findReader() ?? ""),
+            listPeers: () => this.peers.listPeers(),
+            listNeighbours: () => this.peers.listNeighbourAddresses(),
+            listOtherReaders: () => this.peers.listOtherReaders(),
+            send: (news, peers) => this.messenger.sendNews(news, peers),
+            recordContact: (name, wallMs) => {
+                if (name !== settings.name) {
+                    recordContact(name, wallMs);
+                }
+            },
+        });
         this.messenger = new PeerMessenger({
             name: settings.name,
             host,
             port,
-            incarnation,
             listPeers: () => this.peers.listPeers(),
             clock,
             recordContact: (name, wallMs) => {
-                this.peers.recordContact(name);
-                medianClock.recordPeerTime(name, wallMs);
+                recordContact(name, wallMs);
+                this.news.recordHeard(name, wallMs);
+            },
+            receiveNews: (news, from) => {
+                if (news.origin === "otherDataCentre") {
+                    this.peers.recordOtherReader(from);
+                }
+                this.news.receiveNews(news);
             },
-            dispatches: this.dispatches,
             logger,
             random,
             findPeer: (name) => this.peers.findPeer(name),
@@ -303,7 +332,7 @@
         const { configuration, directory, connections } = this;
         const runner = new RequestRunner({
             dispatches: this.dispatches,
-            announcer: this.messenger,
+            announcer: this.news,
             directory,
             configuration,
             connections,
--- /dev/null
+++ b/packages/gateway/src/peers/newsBatch.ts
@@ -0,0 +1,129 @@
+/**
+ * News of requests in flight as nodes send it to each other, and batches of it.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type { PromptPart, ServerPlacement } from "@pimentocleat/policy";
+
+/** A dispatched request that is announced to the other nodes. */
+export interface AnnouncedDispatch {
+    readonly service: string;
+    readonly serverId: string;
+    /** Prompt tokens that the server has to prefill. */
+    readonly tokens: number;
+    /** Target for the longest pause between events of the response, in milliseconds. */
+    readonly pauseTargetMs: number | undefined;
+    /** Parts of the prompt that other requests share. */
+    readonly shared: readonly PromptPart[];
+}
+
+/** Identifier, server, prompt tokens, pause target in milliseconds (0 if not streamed) and shared parts of a dispatch. */
+const dispatchSchema = z.tuple([
+    z.string(),
+    z.string(),
+    z.number().nonnegative(),
+    z.number().nonnegative(),
+    z.array(z.tuple([z.string(), z.number().nonnegative()])),
+]);
+
+/** Schema of the news of one service; the lists without a dispatch hold identifiers. */
+export const serviceNewsSchema = z.object({
+    service: z.string(),
+    sent: z.array(dispatchSchema),
+    started: z.array(z.string()),
+    ended: z.array(z.string()),
+});
+
+/** News of the requests of one service. */
+export type ServiceNews = z.infer<typeof serviceNewsSchema>;
+
+/** Collects news until it is sent. */
+export class NewsBatch {
+    private services = new Map<string, ServiceNews>();
+
+    /**
+     * Adds a request that was sent.
+     *
+     * @param id - Identifier of the dispatch, unique among all nodes.
+     * @param dispatch - The request.
+     */
+    addDispatch(id: string, dispatch: AnnouncedDispatch): void {
+        const { service, serverId, tokens, pauseTargetMs, shared } = dispatch;
+        const parts = shared.map((part): [string, number] => [part.id, part.tokens]);
+        this.ensureService(service).sent.push([id, serverId, tokens, pauseTargetMs ?? 0, parts]);
+    }
+
+    /**
+     * Adds the first event of a request.
+     *
+     * @param service - Name of the service.
+     * @param id - Identifier of the dispatch.
+     */
+    addFirstEvent(service: string, id: string): void {
+        this.ensureService(service).started.push(id);
+    }
+
+    /**
+     * Adds the end of a request.
+     *
+     * @param service - Name of the service.
+     * @param id - Identifier of the dispatch.
+     */
+    addEnd(service: string, id: string): void {
+        this.ensureService(service).ended.push(id);
+    }
+
+    /**
+     * Adds the news of another batch.
+     *
+     * @param news - The news, by service.
+     */
+    merge(news: readonly ServiceNews[]): void {
+        for (const { service, sent, started, ended } of news) {
+            const own = this.ensureService(service);
+            own.sent.push(...sent);
+            own.started.push(...started);
+            own.ended.push(...ended);
+        }
+    }
+
+    /** @returns Whether there is no news. */
+    isEmpty(): boolean {
+        return this.services.size === 0;
+    }
+
+    /** @returns The collected news; the batch is empty afterwards. */
+    take(): readonly ServiceNews[] {
+        const news = [...this.services.values()];
+        this.services = new Map();
+        return news;
+    }
+
+    private ensureService(service: string): ServiceNews {
+        const known = this.services.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const created: ServiceNews = { service, sent: [], started: [], ended: [] };
+        this.services.set(service, created);
+        return created;
+    }
+}
+
+/**
+ * Records the news of one service in its placement. Dispatches come first, so that the events of a request that was
+ * sent, started and ended within one batch apply in order.
+ *
+ * @param news - The news.
+ * @param placement - The placement of the service.
+ */
+export function recordNews(news: ServiceNews, placement: ServerPlacement): void {
+    for (const [id, serverId, tokens, pauseMs, parts] of news.sent) {
+        const pauseTargetMs = pauseMs === 0 ? undefined : pauseMs;
+        const shared = parts.map(([part, count]) => ({ id: part, tokens: count }));
+        placement.recordPeerDispatch({ id, serverId, tokens, pauseTargetMs }, shared);
+    }
+    news.started.forEach((id) => placement.recordPeerFirstEvent(id));
+    news.ended.forEach((id) => placement.recordPeerEnd(id));
+}
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import { computePreferenceRank } from "@pimentocleat/policy";
+import { computePreferenceRank, computeRendezvousWeight } from "@pimentocleat/policy";
 import type { Row, RowChange, TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
@@ -37,6 +37,10 @@
 const candidateRankKey = "watching";
 /** Nodes of each data centre that watch for expired leases; two, since one may be suspended or restarting. */
 const candidatesPerDataCentre = 2;
+/** Key that ranks the nodes of a data centre as its reader. */
+export const readerRankKey = "reading";
+/** Nodes of another data centre that get the news while its reader is not known. */
+const likelyReaders = 2;
 /** Delay before a failed registration is retried, in milliseconds. */
 const registrationRetryMs = 1_000;
 /**
@@ -53,6 +57,8 @@
     private readonly peers = new Map<string, PeerAddress>();
     /** Time at which the last message of a node arrived or its registration was first seen. */
     private readonly lastContactMs = new Map<string, number>();
+    /** The node of each other data centre that last sent a message as its reader, and when. */
+    private readonly otherReaders = new Map<string, { readonly name: string; readonly atMs: number }>();
     /** The peers that receive this node's messages about requests. */
     private chosen: readonly PeerAddress[] = [];
 
@@ -99,6 +105,50 @@
         return this.peers.get(name);
     }
 
+    /** @returns Whether there are more nodes than one node tells its news directly. */
+    isRelayed(): boolean {
+        return this.peers.size > maximumPeers;
+    }
+
+    /**
+     * Lists the likely readers of the other data centres: the node that last sent a reader's message from there, and
+     * without a recent one the first in rank.
+     *
+     * @returns The addresses.
+     */
+    listOtherReaders(): readonly PeerAddress[] {
+        const sinceMs = this.options.clock.monotonicMs() - contactTimeoutMs;
+        const byDataCentre = new Map<string, string[]>();
+        for (const [name, { dataCentre }] of this.peers) {
+            if (dataCentre !== this.options.address.dataCentre) {
+                byDataCentre.set(dataCentre, [...(byDataCentre.get(dataCentre) ?? []), name]);
+            }
+        }
+        return [...byDataCentre].flatMap(([dataCentre, names]) => {
+            const last = this.otherReaders.get(dataCentre);
+            const known = last !== undefined && last.atMs > sinceMs ? this.peers.get(last.name) : undefined;
+            if (known !== undefined) {
+                return [known];
+            }
+            const ranked = names
+                .map((name) => ({ name, weight: computeRendezvousWeight(readerRankKey, name) }))
+                .sort((left, right) => right.weight - left.weight);
+            return ranked.slice(0, likelyReaders).flatMap(({ name }) => this.peers.get(name) ?? []);
+        });
+    }
+
+    /**
+     * Records that a node sent a message as the reader of another data centre.
+     *
+     * @param name - Name of the node.
+     */
+    recordOtherReader(name: string): void {
+        const dataCentre = this.peers.get(name)?.dataCentre;
+        if (dataCentre !== undefined && dataCentre !== this.options.address.dataCentre) {
+            this.otherReaders.set(dataCentre, { name, atMs: this.options.clock.monotonicMs() });
+        }
+    }
+
     /**
      * Records that a message of a node has just arrived.
      *
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -6,11 +6,10 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
-import type { PromptPart } from "@pimentocleat/policy";
 import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
-import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
+import { newsSchema, type News } from "./dispatchNews.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeUpdateSchema, type StoreUpdate } from "./storeRelay.js";
 import {
@@ -23,58 +22,20 @@
     type StoredUsage,
 } from "./usageMessages.js";
 
-/** A dispatched request that is announced to the other nodes. */
-export interface AnnouncedDispatch {
-    readonly service: string;
-    readonly serverId: string;
-    /** Prompt tokens that the server has to prefill. */
-    readonly tokens: number;
-    /** Target for the longest pause between events of the response, in milliseconds. */
-    readonly pauseTargetMs: number | undefined;
-    /** Parts of the prompt that other requests share. */
-    readonly shared: readonly PromptPart[];
-}
-
-/** Announces dispatched requests to the other nodes. */
-export interface DispatchAnnouncer {
-    /**
-     * Announces a request that was sent to a server.
-     *
-     * @param dispatch - The request.
-     * @returns Identifier of the dispatch, unique among all nodes.
-     */
-    reportDispatch(dispatch: AnnouncedDispatch): string;
-    /**
-     * Announces that the first event of the response arrived.
-     *
-     * @param service - Name of the service.
-     * @param id - Identifier of the dispatch.
-     */
-    reportFirstEvent(service: string, id: string): void;
-    /**
-     * Announces that the request ended.
-     *
-     * @param service - Name of the service.
-     * @param id - Identifier of the dispatch.
-     */
-    reportEnd(service: string, id: string): void;
-}
-
 /** Options of {@link PeerMessenger}. */
 export interface PeerMessengerOptions {
     /** Name of this node. */
     readonly name: string;
     readonly host: string;
     readonly port: number;
-    /** Identifier of this process; makes the identifiers of its dispatches unique among all nodes. */
-    readonly incarnation: string;
-    /** Lists the nodes to which dispatches are announced. */
+    /** Lists the nodes that may receive copies of counts. */
     readonly listPeers: () => readonly PeerAddress[];
     /** The host's own clock, whose time each message carries. */
     readonly clock: Clock;
     /** Records that a message of a node arrived, and that node's wall time in milliseconds since the Unix epoch. */
     readonly recordContact: (name: string, wallMs: number) => void;
-    readonly dispatches: ServiceDispatchRegistry;
+    /** Receives news of requests in flight, and the name of its sender. */
+    readonly receiveNews: (news: News, from: string) => void;
     readonly logger: Logger;
     readonly random: () => number;
     /** Finds the address of a node. */
@@ -90,17 +51,7 @@
 }
 
 const bodySchema = z.discriminatedUnion("type", [
-    z.object({
-        type: z.literal("send"),
-        service: z.string(),
-        id: z.string(),
-        server: z.string(),
-        tokens: z.number().nonnegative(),
-        pauseTargetMs: z.number().nonnegative().optional(),
-        parts: z.array(z.tuple([z.string(), z.number().nonnegative()])),
-    }),
-    z.object({ type: z.literal("start"), service: z.string(), id: z.string() }),
-    z.object({ type: z.literal("end"), service: z.string(), id: z.string() }),
+    newsSchema,
     usageCopySchema,
     forwardedUsageSchema,
     storedUsageSchema,
@@ -111,7 +62,6 @@
 const messageSchema = z.object({ from: z.string(), wallMs: z.number(), body: bodySchema });
 
 type PeerMessage = z.infer<typeof bodySchema>;
-type PlacementMessage = Extract<PeerMessage, { type: "send" | "start" | "end" }>;
 
 /**
  * Number of nodes that receive a copy of counts; a datagram may be lost, and its receiver may be unable to write too.
@@ -119,9 +69,8 @@
 const usageCopyCount = 3;
 
 /** Sends and receives the peer messages of one node. */
-export class PeerMessenger implements DispatchAnnouncer {
+export class PeerMessenger {
     private socket: Socket | undefined;
-    private sequence = 0;
 
     /** @param options - This node's address and its peers. */
     constructor(private readonly options: PeerMessengerOptions) {}
@@ -146,23 +95,6 @@
         this.socket = undefined;
     }
 
-    reportDispatch(dispatch: AnnouncedDispatch): string {
-        this.sequence += 1;
-        const id = `${this.options.incarnation}/${String(this.sequence)}`;
-        const { service, serverId: server, tokens, pauseTargetMs, shared } = dispatch;
-        const parts = shared.map((part): [string, number] => [part.id, part.tokens]);
-        this.sendToPeers({ type: "send", service, id, server, tokens, pauseTargetMs, parts });
-        return id;
-    }
-
-    reportEnd(service: string, id: string): void {
-        this.sendToPeers({ type: "end", service, id });
-    }
-
-    reportFirstEvent(service: string, id: string): void {
-        this.sendToPeers({ type: "start", service, id });
-    }
-
     /**
      * Sends a few other nodes copies of counts that this node cannot write; they write them instead.
      *
@@ -202,8 +134,14 @@
         this.send(update, peers);
     }
 
-    private sendToPeers(message: PeerMessage): void {
-        this.send(message, this.options.listPeers());
+    /**
+     * Sends news of requests in flight to other nodes.
+     *
+     * @param news - The news.
+     * @param peers - Addresses of the nodes.
+     */
+    sendNews(news: News, peers: readonly PeerAddress[]): void {
+        this.send(news, peers);
     }
 
     private sendTo(name: string, message: PeerMessage): boolean {
@@ -253,8 +191,9 @@
             case "storedUsage":
                 options.recordStoredUsage(message);
                 break;
-            default:
-                this.handlePlacement(message);
+            case "news":
+                options.receiveNews(message, from);
+                break;
         }
     }
 
@@ -265,24 +204,6 @@
             this.sendTo(from, { type: "storedUsage", incarnation, windowStartMs, version, newVersion });
         });
     }
-
-    private handlePlacement(message: PlacementMessage): void {
-        const { placement } = this.options.dispatches.ensureService(message.service);
-        switch (message.type) {
-            case "start":
-                placement.recordPeerFirstEvent(message.id);
-                break;
-            case "end":
-                placement.recordPeerEnd(message.id);
-                break;
-            case "send": {
-                const { id, server: serverId, tokens, pauseTargetMs } = message;
-                const shared = message.parts.map(([part, count]) => ({ id: part, tokens: count }));
-                placement.recordPeerDispatch({ id, serverId, tokens, pauseTargetMs }, shared);
-                break;
-            }
-        }
-    }
 }
 
 function chooseRandom<Item>(items: readonly Item[], count: number, random: () => number): readonly Item[] {
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -11,6 +11,7 @@
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { readerRankKey } from "./peerDirectory.js";
 
 const serverSchema = z.object({
     id: z.string(),
@@ -60,8 +61,6 @@
     readonly sendUpdate: (update: StoreUpdate) => void;
 }
 
-/** Key that ranks the nodes as readers. */
-const readerRankKey = "reading";
 /** Interval between two regular updates of a reader, in milliseconds. */
 const updateIntervalMs = 300;
 /**
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,4 +1,5 @@
 export { computePreferenceRank } from "./leases/dutyPlacement.js";
+export { computeRendezvousWeight } from "./hashing/rendezvousWeight.js";
 export {
     computeFirstSendMs,
     computeTakeoverMs,
