Let a few nodes read the store for all, also when a reader is silent

A neighbour that had read after its reader took the difference for a lost message and read again (432 reads); the data of a reader on a slow host came over the age limit, and then all neighbours read, wrote their usage and failed calls at once; each configuration was read by every node. Change: only a newer version of the reader's makes a neighbour read; the age limit and the pause after a failed call follow from the site's bounds and grow with a node's rank, so that a deputy reads first and relays; the readers are the hosts with the most processor; a reader sends the new configuration, compressed; it also tells its neighbours that it lives while it can't reach the store. The check that a reader with old data sends nothing is replaced by one that its update bears the true age and does not count.

--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -34,22 +34,25 @@
     readonly longPollMs: number;
     /** Pause after a response with changes, in milliseconds; batches the changes of tables that change constantly. */
     readonly pauseMs: number;
-    /** Mean delay after a failed call, in milliseconds; the actual delay is random around it. */
-    readonly retryMs: number;
+    /** Computes the mean delay after a failed call, in milliseconds; the actual delay is random around it. */
+    readonly computeRetryMs: () => number;
     /** Whether another node relays changes to this one, so that it need not poll the store; absent means never. */
     readonly isRelayActive?: () => boolean;
 }
 
 /** Interval between two checks whether another node still relays changes, in milliseconds. */
-const relayCheckIntervalMs = 100;
+const relayCheckIntervalMs = 250;
 /** Minimum time between the last response of the store and a requested read, in milliseconds. */
 const minimumRequestedReadIntervalMs = 300;
 
 /** Follows a table until its task is stopped. */
 export class RowFollower {
     private position: number | undefined;
+    private version = 0;
     private isFailing = false;
     private isReadRequested = false;
+    /** Ends the wait for a request to read the table. */
+    private wakeUp: (() => void) | undefined;
     private lastContactMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - The table and its receiver. */
@@ -61,14 +64,14 @@
      * @param signal - Stops the task.
      */
     async run(signal: AbortSignal): Promise<void> {
-        const { clock, retryMs, random } = this.options;
+        const { clock, computeRetryMs, random } = this.options;
         while (!signal.aborted) {
             if (await this.waitWhileRelayed(signal)) {
                 this.position = undefined;
             }
             const pauseMs = await this.readNext(signal).catch((error: unknown) => {
                 this.recordFailure(error, signal);
-                return retryMs * (0.5 + random());
+                return computeRetryMs() * (0.5 + random());
             });
             if (pauseMs > 0) {
                 await clock.wait(pauseMs, signal);
@@ -81,9 +84,15 @@
         return this.lastContactMs;
     }
 
+    /** @returns The store version of the last response; 0 before the first one. */
+    readVersion(): number {
+        return this.version;
+    }
+
     /** Requests a read of the complete table, even while another node relays changes. */
     requestRead(): void {
         this.isReadRequested = true;
+        this.wakeUp?.();
     }
 
     /** Returns whether the complete table must be read, because changes were relayed in the meantime. */
@@ -94,14 +103,24 @@
         }
         const readAtMs = this.lastContactMs + minimumRequestedReadIntervalMs;
         while (!signal.aborted && isRelayActive()) {
-            if (this.isReadRequested && clock.monotonicMs() >= readAtMs) {
+            const nowMs = clock.monotonicMs();
+            if (this.isReadRequested && nowMs >= readAtMs) {
                 break;
             }
-            await clock.wait(relayCheckIntervalMs, signal);
+            const pauseMs = this.isReadRequested ? readAtMs - nowMs : relayCheckIntervalMs;
+            await this.waitUntilRequested(Math.min(pauseMs, relayCheckIntervalMs), signal);
         }
         return true;
     }
 
+    /** Waits, but not beyond the moment at which a read is requested. */
+    private async waitUntilRequested(pauseMs: number, signal: AbortSignal): Promise<void> {
+        const requested = new AbortController();
+        this.wakeUp = () => requested.abort();
+        await this.options.clock.wait(pauseMs, AbortSignal.any([signal, requested.signal]));
+        this.wakeUp = undefined;
+    }
+
     /** Returns the pause before the next read, in milliseconds. */
     private async readNext(signal: AbortSignal): Promise<number> {
         const { feed, table, receiver, longPollMs, pauseMs } = this.options;
@@ -122,6 +141,7 @@
 
     private recordContact(position: number): void {
         this.position = Math.max(position, this.position ?? 0);
+        this.version = Math.max(position, this.version);
         this.lastContactMs = this.options.clock.monotonicMs();
         if (this.isFailing) {
             this.isFailing = false;
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -20,10 +20,12 @@
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { RowFollower, type RowFollowerOptions } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
+import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
 import { PeerMessenger } from "../peers/peerMessenger.js";
+import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
@@ -58,8 +60,6 @@
 const peerLongPollMs = 28_000;
 /** Pause after a change of the nodes, in milliseconds; batches the changes when all nodes start at once. */
 const peerReadPauseMs = 2_500;
-/** Mean delay after a failed read of the store, in milliseconds; several retries fit the time to apply a change. */
-const meanFollowRetryDelayMs = 200;
 /** Number of nodes among which the retry slack is divided; in a larger deployment each node has less of the load. */
 const retrySlackShares = 20;
 /** Time within which the load balancer detects that a node is not ready, in milliseconds. */
@@ -89,6 +89,8 @@
     private readonly messenger: PeerMessenger;
     private readonly news: DispatchNews;
     private readonly relay: StoreRelay;
+    private readonly relayTiming: RelayTiming;
+    private readonly configurationRelay: ConfigurationRelay;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -111,10 +113,11 @@
         this.dispatches = this.buildDispatches();
         const { peerHost: host, dataCentre } = settings;
         const [port] = settings.peerPorts;
+        this.relayTiming = new RelayTiming(settings);
         const medianClock = new MedianClock(clock);
         this.peers = new PeerDirectory({
             name: settings.name,
-            address: { host, port, dataCentre },
+            address: { host, port, dataCentre, processorShare: settings.processorShare },
             tableService: adapter.tableService,
             clock,
             logger,
@@ -128,7 +131,7 @@
             clock,
             dispatches: this.dispatches,
             isRelayed: () => this.peers.isRelayed(),
-            isReader: () => this.relay.isReader(),
+            isReader: () => this.relay.isServing(),
             findReader: () => this.peers.findPeer(this.relay.findReader() ?? ""),
             listPeers: () => this.peers.listPeers(),
             listNeighbours: () => this.peers.listNeighbourAddresses(),
@@ -160,6 +163,7 @@
             random,
             findPeer: (name) => this.peers.findPeer(name),
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
+            receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
             addForwardedUsage: (usage, reply) => this.duties.usage.addForwardedUsage(usage, reply),
             recordStoredUsage: (stored) => this.duties.usage.recordStored(stored),
@@ -169,10 +173,18 @@
             clock,
             directory: this.directory,
             configuration: this.configuration,
-            listLiveNeighbours: () => this.peers.listLiveNeighbours(),
+            computeLiveRank: () => this.peers.computeLiveReaderRank(),
+            computeRank: () => this.peers.computeReaderRank(),
+            timing: this.relayTiming,
             sendUpdate: (update) =>
                 this.messenger.sendStoreUpdate(update, this.peers.listNeighbourAddresses()),
         });
+        this.configurationRelay = new ConfigurationRelay({
+            receiver: new ConfigurationReceiver(adapter, this.configuration, logger),
+            isServing: () => this.relay.isServing(),
+            send: (message) => this.messenger.sendConfiguration(message, this.peers.listNeighbourAddresses()),
+            logger,
+        });
         this.duties = new NodeDuties({
             node: settings.name,
             incarnation,
@@ -209,13 +221,12 @@
     /** Starts the listeners and the background tasks, which follow the store. */
     async start(): Promise<void> {
         const { settings, adapter, logger } = this.options;
-        const configurationReceiver = new ConfigurationReceiver(adapter, this.configuration, logger);
         const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         const isRelayActive = (): boolean => this.relay.isRelayActive();
         this.relay.setFollowers(
             this.startFollower({
                 table: adapter.configurationTable,
-                receiver: configurationReceiver,
+                receiver: this.configurationRelay,
                 longPollMs: configurationLongPollMs,
                 pauseMs: 0,
                 isRelayActive,
@@ -304,7 +315,7 @@
             logger,
             metrics,
             random,
-            retryMs: meanFollowRetryDelayMs,
+            computeRetryMs: () => this.relayTiming.computeRetryMs(this.peers.computeReaderRank()),
         };
         const follower = new RowFollower({ ...followed, ...sharedOptions });
         this.tasks.push(follower.run(this.stopping.signal));
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -19,6 +19,8 @@
     readonly host: string;
     readonly port: number;
     readonly dataCentre: string;
+    /** Processor capacity of the host, in cores of normal speed. */
+    readonly processorShare: number;
 }
 
 /** Options of {@link PeerDirectory}. */
@@ -30,7 +32,12 @@
     readonly logger: Logger;
 }
 
-const addressSchema = z.object({ host: z.string(), port: z.number(), dataCentre: z.string() });
+const addressSchema = z.object({
+    host: z.string(),
+    port: z.number(),
+    dataCentre: z.string(),
+    processorShare: z.number(),
+});
 /** Time without a message of a node after which it is considered dead, in milliseconds. */
 const contactTimeoutMs = 3_000;
 /** Key that ranks the nodes as lease candidates. */
@@ -38,7 +45,7 @@
 /** Nodes of each data centre that watch for expired leases; two, since one may be suspended or restarting. */
 const candidatesPerDataCentre = 2;
 /** Key that ranks the nodes of a data centre as its reader. */
-export const readerRankKey = "reading";
+const readerRankKey = "reading";
 /** Nodes of another data centre that get the news while its reader is not known. */
 const likelyReaders = 2;
 /** Delay before a failed registration is retried, in milliseconds. */
@@ -59,6 +66,8 @@
     private readonly lastContactMs = new Map<string, number>();
     /** The node of each other data centre that last sent a message as its reader, and when. */
     private readonly otherReaders = new Map<string, { readonly name: string; readonly atMs: number }>();
+    /** This node's rank as a reader; undefined until it is computed again. */
+    private readerRank: number | undefined;
     /** The peers that receive this node's messages about requests. */
     private chosen: readonly PeerAddress[] = [];
 
@@ -131,9 +140,9 @@
                 return [known];
             }
             const ranked = names
-                .map((name) => ({ name, weight: computeRendezvousWeight(readerRankKey, name) }))
-                .sort((left, right) => right.weight - left.weight);
-            return ranked.slice(0, likelyReaders).flatMap(({ name }) => this.peers.get(name) ?? []);
+                .map((name) => ({ name, peer: this.peers.get(name)! }))
+                .sort((left, right) => compareReaders(left.name, left.peer, right.name, right.peer));
+            return ranked.slice(0, likelyReaders).map(({ peer }) => peer);
         });
     }
 
@@ -194,6 +203,25 @@
         );
     }
 
+    /**
+     * Computes this node's rank as a reader among the registered nodes of its data centre, alive or not.
+     *
+     * @returns The rank; 0 is first.
+     */
+    computeReaderRank(): number {
+        this.readerRank ??= this.countPreferredReaders(this.listRegisteredNeighbours());
+        return this.readerRank;
+    }
+
+    /**
+     * Computes this node's rank as a reader among the nodes of its data centre from which messages arrived recently.
+     *
+     * @returns The rank; 0 is first.
+     */
+    computeLiveReaderRank(): number {
+        return this.countPreferredReaders(this.listLiveNeighbours());
+    }
+
     /** @returns The number of registered nodes, including this one. */
     countNodes(): number {
         return this.peers.size + 1;
@@ -228,15 +256,34 @@
         this.peers.set(row.key, address.data);
     }
 
+    private countPreferredReaders(names: readonly string[]): number {
+        const { name: own, address } = this.options;
+        return names.filter((name) => {
+            const peer = this.peers.get(name);
+            return peer !== undefined && compareReaders(name, peer, own, address) < 0;
+        }).length;
+    }
+
     private listRegisteredNeighbours(): readonly string[] {
         const { dataCentre } = this.options.address;
         return [...this.peers].filter(([, peer]) => peer.dataCentre === dataCentre).map(([name]) => name);
     }
 
     private choosePeers(): void {
+        this.readerRank = undefined;
         const { dataCentre } = this.options.address;
         const isNear = (peer: PeerAddress): number => Number(peer.dataCentre === dataCentre);
         const sorted = [...this.peers.values()].sort((left, right) => isNear(right) - isNear(left));
         this.chosen = sorted.slice(0, maximumPeers);
     }
 }
+
+/** Orders the readers of a data centre: the hosts with the highest processor capacity first, since a reader does more. */
+function compareReaders(leftName: string, left: PeerAddress, rightName: string, right: PeerAddress): number {
+    return (
+        right.processorShare - left.processorShare ||
+        computeRendezvousWeight(readerRankKey, rightName) -
+            computeRendezvousWeight(readerRankKey, leftName) ||
+        leftName.localeCompare(rightName)
+    );
+}
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -9,6 +9,7 @@
 import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
+import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
 import { newsSchema, type News } from "./dispatchNews.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeUpdateSchema, type StoreUpdate } from "./storeRelay.js";
@@ -42,6 +43,8 @@
     readonly findPeer: (name: string) => PeerAddress | undefined;
     /** Receives an update from the node that reads the store for this one, and its name. */
     readonly receiveStoreUpdate: (update: StoreUpdate, from: string) => void;
+    /** Receives a configuration from the node that reads the store for this one. */
+    readonly receiveConfiguration: (message: ConfigurationMessage) => void;
     /** Stores a copy of counts that another node cannot write. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
     /** Accepts counts to write for another node; the reply carries the new version of the row. */
@@ -52,6 +55,7 @@
 
 const bodySchema = z.discriminatedUnion("type", [
     newsSchema,
+    configurationMessageSchema,
     usageCopySchema,
     forwardedUsageSchema,
     storedUsageSchema,
@@ -134,6 +138,16 @@
         this.send(update, peers);
     }
 
+    /**
+     * Sends a configuration to other nodes.
+     *
+     * @param message - The configuration.
+     * @param peers - Addresses of the nodes.
+     */
+    sendConfiguration(message: ConfigurationMessage, peers: readonly PeerAddress[]): void {
+        this.send(message, peers);
+    }
+
     /**
      * Sends news of requests in flight to other nodes.
      *
@@ -191,6 +205,9 @@
             case "storedUsage":
                 options.recordStoredUsage(message);
                 break;
+            case "configuration":
+                options.receiveConfiguration(message);
+                break;
             case "news":
                 options.receiveNews(message, from);
                 break;
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -5,13 +5,12 @@
  *
  * @packageDocumentation
  */
-import { computePreferenceRank } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import { z } from "zod";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
-import { readerRankKey } from "./peerDirectory.js";
+import type { RelayTiming } from "./relayTiming.js";
 
 const serverSchema = z.object({
     id: z.string(),
@@ -32,6 +31,8 @@
     ageMs: z.number().nonnegative(),
     /** Version of the reader's active configuration; absent when it has none. */
     configurationVersion: z.number().optional(),
+    /** Store version at which the reader knew the servers. */
+    serversVersion: z.number().nonnegative(),
     /** Digest of the servers that the reader knows. */
     digest: z.string(),
     changed: z.array(serverSchema),
@@ -45,6 +46,8 @@
 export interface TableFollower {
     /** Returns the monotonic time of the last response of the store, in milliseconds. */
     readLastContactMs(): number;
+    /** Returns the store version of the last response; 0 before the first one. */
+    readVersion(): number;
     /** Requests a read of the table. */
     requestRead(): void;
 }
@@ -55,19 +58,17 @@
     readonly clock: WaitingClock;
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
-    /** Lists the names of the other live nodes of this data centre. */
-    readonly listLiveNeighbours: () => readonly string[];
+    /** Computes this node's rank as a reader among the live nodes of its data centre. */
+    readonly computeLiveRank: () => number;
+    /** Computes this node's rank as a reader among the registered nodes of its data centre. */
+    readonly computeRank: () => number;
+    readonly timing: RelayTiming;
     /** Sends an update to all other nodes of this data centre. */
     readonly sendUpdate: (update: StoreUpdate) => void;
 }
 
 /** Interval between two regular updates of a reader, in milliseconds. */
 const updateIntervalMs = 300;
-/**
- * Maximum age of the data on which a neighbour may rely, in milliseconds. It allows for the pauses of the reader and
- * a message; together with a read of the neighbour's own, it stays well below the time in which a change must apply.
- */
-const maximumAgeMs = 1_250;
 /** Time during which updates repeat a change, in milliseconds, so that a lost message is followed by others. */
 const repeatWindowMs = 1_000;
 /**
@@ -90,6 +91,8 @@
     /** Monotonic time at which the reader's last received data was current, in milliseconds. */
     private lastReadMs = Number.NEGATIVE_INFINITY;
     private reader: string | undefined;
+    /** Store version of the last update that matched the servers of this node. */
+    private knownVersion = 0;
     /** Whether changes from another node's update are being applied; these are not forwarded. */
     private isApplying = false;
 
@@ -116,13 +119,28 @@
 
     /** @returns Whether another node reads the store for this one and its data is recent enough. */
     isRelayActive(): boolean {
-        return !this.isReader() && this.options.clock.monotonicMs() - this.lastReadMs < maximumAgeMs;
+        return (
+            !this.isReader() &&
+            this.options.clock.monotonicMs() - this.lastReadMs < this.computeMaximumAgeMs()
+        );
     }
 
     /** @returns Whether this node ranks first among the live nodes of its data centre and so reads for the others. */
     isReader(): boolean {
-        const { name, listLiveNeighbours } = this.options;
-        return computePreferenceRank(readerRankKey, name, listLiveNeighbours()) === 0;
+        return this.options.computeLiveRank() === 0;
+    }
+
+    /**
+     * Checks whether this node reads the store for its neighbours: as the reader, or as a deputy that reads it because
+     * the reader is silent.
+     *
+     * @returns Whether it sends updates.
+     */
+    isServing(): boolean {
+        const hadReader = this.lastReadMs > Number.NEGATIVE_INFINITY;
+        return (
+            this.isReader() || (hadReader && !this.isRelayActive() && this.readContactMs() > this.lastReadMs)
+        );
     }
 
     /**
@@ -131,7 +149,7 @@
      * @returns The reader's name; this node's own when it is the reader, undefined without a recent update.
      */
     findReader(): string | undefined {
-        if (this.isReader()) {
+        if (this.isServing()) {
             return this.options.name;
         }
         return this.isRelayActive() ? this.reader : undefined;
@@ -165,23 +183,39 @@
         this.isApplying = true;
         directory.updateServers(update.changed, update.removed);
         this.isApplying = false;
-        if (update.digest !== directory.computeDigest()) {
+        if (update.digest === directory.computeDigest()) {
+            this.knownVersion = Math.max(this.knownVersion, update.serversVersion);
+        } else if (update.serversVersion > this.readKnownVersion()) {
+            // A node that has read the store after the reader did knows more than the reader.
             this.followers?.servers.requestRead();
         }
     }
 
-    private sendUpdate(): void {
+    /** Returns the store version up to which this node knows the servers. */
+    private readKnownVersion(): number {
+        return Math.max(this.knownVersion, this.followers?.servers.readVersion() ?? 0);
+    }
+
+    private computeMaximumAgeMs(): number {
+        return this.options.timing.computeMaximumAgeMs(this.options.computeRank());
+    }
+
+    /** Returns the monotonic time of the least recent response among the followed tables, in milliseconds. */
+    private readContactMs(): number {
         const { followers } = this;
-        if (followers === undefined || !this.isReader()) {
+        return followers === undefined
+            ? Number.NEGATIVE_INFINITY
+            : Math.min(followers.configuration.readLastContactMs(), followers.servers.readLastContactMs());
+    }
+
+    private sendUpdate(): void {
+        if (this.followers === undefined || !this.isServing()) {
             return;
         }
         const { clock, directory, configuration, sendUpdate } = this.options;
         const nowMs = clock.monotonicMs();
-        const contactMs = Math.min(
-            followers.configuration.readLastContactMs(),
-            followers.servers.readLastContactMs(),
-        );
-        if (nowMs - contactMs > maximumAgeMs) {
+        const contactMs = this.readContactMs();
+        if (contactMs === Number.NEGATIVE_INFINITY) {
             return;
         }
         this.recentChanges = this.recentChanges.filter(({ atMs }) => nowMs - atMs < repeatWindowMs);
@@ -192,6 +226,7 @@
             type: "store",
             ageMs: nowMs - contactMs,
             configurationVersion: configuration.readCurrent()?.version,
+            serversVersion: this.readKnownVersion(),
             digest: directory.computeDigest(),
             changed: fits ? [...changed] : [],
             removed: fits ? [...removed] : [],
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -33,10 +33,16 @@
         /** Whether the deployment starts for the first time. */
         isFirstStart: z.boolean(),
         memoryMegabytes: z.number().positive(),
+        /** Part of the host's processor that this process may use, in cores. */
+        processorShare: z.number().positive(),
         /** Time between the stop signal and the end of the process, in seconds. */
         stopGraceSeconds: secondsSchema,
         /** Time after which the holder of a duty may be replaced, in milliseconds; the duration of a lease derives from it. */
         leaseMs: millisecondsSchema,
+        /** Time within which a change of the configuration must apply on every node, in milliseconds. */
+        configurationApplyMs: millisecondsSchema,
+        /** Time within which every node must stop sending requests to a leaving server, in milliseconds. */
+        leavingNoticeMs: millisecondsSchema,
         usageWindowSeconds: secondsSchema,
         /** Time after the end of a usage window by which its report is due, in seconds. */
         usageDueSeconds: secondsSchema,
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -121,6 +121,7 @@
             dutiesAddress: addresses.cloud,
             isFirstStart: true,
             memoryMegabytes: 200,
+            processorShare: 0.675,
             stopGraceSeconds: 8,
             leaseMs: 1_000,
             usageWindowSeconds: this.options.usageWindowSeconds,
@@ -128,6 +129,8 @@
             retryWindowSeconds: 10,
             retryShare: 0.2,
             retrySlack: 60,
+            configurationApplyMs: 2_000,
+            leavingNoticeMs: 2_000,
         };
         const settingsPath = join(this.settingsFolder, `${name}.json`);
         await writeFile(settingsPath, JSON.stringify(settings));
