Poll the store less while a reader is sought and when nodes register

Cause: until its reader had read the table of nodes (2.5 s and more after a start) each node polled both followed tables without a pause, and each change of the nodes was read by all of them. Change: a node that is not the reader polls at a share of the age at which it would read, in proportion to its rank; the nodes are first read 0.7 s after the start, later changes at a pause that grows with their number, except by readers and deputies.

--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -49,7 +49,7 @@
         metrics: new MemoryMetrics(),
         random: () => 0.5,
         longPollMs: 1_000,
-        pauseMs: 100,
+        computePauseMs: () => 100,
         computeRetryMs: () => 200,
         receiver: {
             setRows: (rows) => seen.push(`all ${rows.map(({ key }) => key).join(" ")}`),
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -32,8 +32,15 @@
     readonly random: () => number;
     /** Maximum time for which the store holds a long poll until there is a change, in milliseconds. */
     readonly longPollMs: number;
-    /** Pause after a response with changes, in milliseconds; batches the changes of tables that change constantly. */
-    readonly pauseMs: number;
+    /** Computes the pause after a response with changes, in milliseconds; batches changes of tables that change often. */
+    readonly computePauseMs: () => number;
+    /** Delay before the first read, in milliseconds. */
+    readonly startDelayMs?: number;
+    /**
+     * Computes the time for which a response counts as recent, so that this node need not poll the store, in
+     * milliseconds; absent means 0.
+     */
+    readonly computePollIntervalMs?: () => number;
     /** Computes the mean delay after a failed call, in milliseconds; the actual delay is random around it. */
     readonly computeRetryMs: () => number;
     /** Whether another node relays changes to this one, so that it need not poll the store; absent means never. */
@@ -65,6 +72,7 @@
      */
     async run(signal: AbortSignal): Promise<void> {
         const { clock, computeRetryMs, random } = this.options;
+        await clock.wait(this.options.startDelayMs ?? 0, signal);
         while (!signal.aborted) {
             if (await this.waitWhileRelayed(signal)) {
                 this.position = undefined;
@@ -95,22 +103,27 @@
         this.wakeUp?.();
     }
 
-    /** Returns whether the complete table must be read, because changes were relayed in the meantime. */
+    /**
+     * Waits while this node need not poll the store. Returns whether the complete table must be read, because changes
+     * were relayed in the meantime.
+     */
     private async waitWhileRelayed(signal: AbortSignal): Promise<boolean> {
         const { isRelayActive, clock } = this.options;
-        if (this.position === undefined || isRelayActive?.() !== true) {
-            return false;
-        }
-        const readAtMs = this.lastContactMs + minimumRequestedReadIntervalMs;
-        while (!signal.aborted && isRelayActive()) {
+        let wasRelayed = false;
+        while (!signal.aborted && this.position !== undefined) {
             const nowMs = clock.monotonicMs();
-            if (this.isReadRequested && nowMs >= readAtMs) {
+            const isRelayed = isRelayActive?.() === true;
+            wasRelayed ||= isRelayed;
+            const pollAtMs = this.lastContactMs + (this.options.computePollIntervalMs?.() ?? 0);
+            const requestedAtMs = this.lastContactMs + minimumRequestedReadIntervalMs;
+            const readAtMs = this.isReadRequested ? requestedAtMs : pollAtMs;
+            if (nowMs >= readAtMs && (this.isReadRequested || !isRelayed)) {
                 break;
             }
-            const pauseMs = this.isReadRequested ? readAtMs - nowMs : relayCheckIntervalMs;
+            const pauseMs = readAtMs > nowMs ? readAtMs - nowMs : relayCheckIntervalMs;
             await this.waitUntilRequested(Math.min(pauseMs, relayCheckIntervalMs), signal);
         }
-        return true;
+        return wasRelayed;
     }
 
     /** Waits, but not beyond the moment at which a read is requested. */
@@ -123,7 +136,7 @@
 
     /** Returns the pause before the next read, in milliseconds. */
     private async readNext(signal: AbortSignal): Promise<number> {
-        const { feed, table, receiver, longPollMs, pauseMs } = this.options;
+        const { feed, table, receiver, longPollMs, computePauseMs } = this.options;
         if (this.position === undefined) {
             this.isReadRequested = false;
             const { rows, position } = await feed.readAll(table, signal);
@@ -136,7 +149,7 @@
             receiver.applyChanges(changes);
         }
         this.recordContact(position);
-        return changes.length > 0 ? pauseMs : 0;
+        return changes.length > 0 ? computePauseMs() : 0;
     }
 
     private recordContact(position: number): void {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -58,8 +58,8 @@
 const serverReadPauseMs = 500;
 /** Maximum time for which the store holds a long poll of the nodes, in milliseconds; a late change costs little. */
 const peerLongPollMs = 28_000;
-/** Pause after a change of the nodes, in milliseconds; batches the changes when all nodes start at once. */
-const peerReadPauseMs = 2_500;
+/** Delay before the first read of the nodes, in milliseconds; nodes that start together have registered by then. */
+const peerReadDelayMs = 700;
 /** Number of nodes among which the retry slack is divided; in a larger deployment each node has less of the load. */
 const retrySlackShares = 20;
 /** Time within which the load balancer detects that a node is not ready, in milliseconds. */
@@ -223,19 +223,25 @@
         const { settings, adapter, logger } = this.options;
         const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         const isRelayActive = (): boolean => this.relay.isRelayActive();
+        const computePollIntervalMs = (): number =>
+            this.relay.isReader()
+                ? 0
+                : this.relayTiming.computePollIntervalMs(this.peers.computeReaderRank());
         this.relay.setFollowers(
             this.startFollower({
                 table: adapter.configurationTable,
                 receiver: this.configurationRelay,
                 longPollMs: configurationLongPollMs,
-                pauseMs: 0,
+                computePauseMs: () => 0,
+                computePollIntervalMs,
                 isRelayActive,
             }),
             this.startFollower({
                 table: adapter.serverTable,
                 receiver: serverReceiver,
                 longPollMs: serverLongPollMs,
-                pauseMs: serverReadPauseMs,
+                computePauseMs: () => serverReadPauseMs,
+                computePollIntervalMs,
                 isRelayActive,
             }),
         );
@@ -243,7 +249,9 @@
             table: peerTable,
             receiver: this.peers,
             longPollMs: peerLongPollMs,
-            pauseMs: peerReadPauseMs,
+            computePauseMs: () =>
+                this.relayTiming.computeNodesPauseMs(this.peers.computeReaderRank(), this.peers.countNodes()),
+            startDelayMs: peerReadDelayMs,
         });
         this.messenger.start();
         this.tasks.push(this.relay.run(this.stopping.signal));
@@ -306,7 +314,10 @@
     }
 
     private startFollower(
-        followed: Pick<RowFollowerOptions, "table" | "receiver" | "longPollMs" | "pauseMs" | "isRelayActive">,
+        followed: Omit<
+            RowFollowerOptions,
+            "feed" | "clock" | "logger" | "metrics" | "random" | "computeRetryMs"
+        >,
     ): RowFollower {
         const { adapter, clock, logger, metrics, random } = this.options;
         const sharedOptions = {
--- a/packages/gateway/src/peers/relayTiming.ts
+++ b/packages/gateway/src/peers/relayTiming.ts
@@ -25,6 +25,16 @@
 const lastDeputyShare = 0.6;
 /** Rank from which on a node waits the longest time. */
 const lastDeputyRank = 8;
+/** Time between two polls of a node without a reader, as a share of the age at which it reads. */
+const pollShare = 0.6;
+/** Pause after a change of the nodes, in milliseconds; batches the changes when all nodes start at once. */
+const nodesPauseMs = 2_500;
+/** Maximum pause after a change of the nodes, in milliseconds. */
+const maximumNodesPauseMs = 20_000;
+/** Number of nodes up to which every node reads the table of nodes after the shortest pause. */
+const fullRateNodes = 20;
+/** Number of readers and deputies in a data centre that read the table of nodes after the shortest pause. */
+const nodesReaders = 3;
 /** Pause after a failed read of the reader, in milliseconds; each rank adds as much. */
 const retryMsPerRank = 200;
 /** Maximum pause after a failed read, as a share of the shorter bound. */
@@ -52,6 +62,29 @@
         return Math.max(minimumAgeMs, share * this.boundMs);
     }
 
+    /**
+     * Computes the time after a read in which a node without a reader does not poll the store again.
+     *
+     * @param rank - The node's rank as a reader; the first one polls without a pause.
+     * @returns The interval, in milliseconds.
+     */
+    computePollIntervalMs(rank: number): number {
+        return rank === 0 ? 0 : pollShare * this.computeMaximumAgeMs(rank);
+    }
+
+    /**
+     * Computes the pause between two reads of the table of nodes. The readers and their deputies follow it closely;
+     * for the others a late change costs little, and all of them together read it the more often the more they are.
+     *
+     * @param rank - The node's rank as a reader.
+     * @param nodes - The number of registered nodes.
+     * @returns The pause, in milliseconds.
+     */
+    computeNodesPauseMs(rank: number, nodes: number): number {
+        const factor = rank < nodesReaders ? 1 : Math.max(1, nodes / fullRateNodes);
+        return Math.min(maximumNodesPauseMs, nodesPauseMs * factor);
+    }
+
     /**
      * Computes the mean pause after a failed read.
      *
