--- a/packages/gateway/src/peers/dispatchNews.ts
+++ b/packages/gateway/src/peers/dispatchNews.ts
@@ -120,7 +120,8 @@
     receiveNews(news: News): void {
         const { options } = this;
         for (const service of news.services) {
-            recordNews(service, options.dispatches.ensureService(service.service).placement);
+            const { placement } = options.dispatches.ensureService(service.service);
+            recordNews(service, placement, (id) => id.startsWith(`${options.incarnation}.`));
         }
         news.heard?.forEach(([name, wallMs]) => options.recordContact(name, wallMs));
         if (news.origin === "reader" || !options.isRelayed()) {
--- a/packages/gateway/src/peers/newsBatch.ts
+++ b/packages/gateway/src/peers/newsBatch.ts
@@ -117,9 +117,17 @@
  *
  * @param news - The news.
  * @param placement - The placement of the service.
+ * @param isOwn - Whether a dispatch is one of this node's, which the placement knows already.
  */
-export function recordNews(news: ServiceNews, placement: ServerPlacement): void {
+export function recordNews(
+    news: ServiceNews,
+    placement: ServerPlacement,
+    isOwn: (id: string) => boolean,
+): void {
     for (const [id, serverId, tokens, pauseMs, parts] of news.sent) {
+        if (isOwn(id)) {
+            continue;
+        }
         const pauseTargetMs = pauseMs === 0 ? undefined : pauseMs;
         const shared = parts.map(([part, count]) => ({ id: part, tokens: count }));
         placement.recordPeerDispatch({ id, serverId, tokens, pauseTargetMs }, shared);
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -125,6 +125,16 @@
         return this.estimates.get(id);
     }
 
+    /**
+     * Counts the requests of this node and its peers that are known to be in flight on a server.
+     *
+     * @param id - The server.
+     * @returns The number of requests.
+     */
+    countInFlight(id: string): number {
+        return this.inFlight.countRequests(id);
+    }
+
     /**
      * Chooses the server with the lowest estimated cost.
      *
