Send no orders in vain while the platform has no servers or fails

Change: only an order below the ready servers gives some back; after a failed order the duty pauses for a second. The new test fails on the code before.

--- a/packages/gateway/src/duties/__tests__/orderPlan.test.ts
+++ b/packages/gateway/src/duties/__tests__/orderPlan.test.ts
@@ -105,6 +105,22 @@
         expect(lost).toEqual([expect.objectContaining({ dataCentre: "b", reclaimable: true })]);
     });
 
+    it("platform without servers: asks neither for more nor for fewer of a kind of which none is ready", () => {
+        const { clock, plan } = buildSettledPlan();
+        plan.planOrders(rule, started).forEach((order) => plan.recordAccepted(order));
+        const inB = { dataCentre: "b", reclaimable: true };
+        plan.recordAccepted({ ...inB, count: 8 });
+        plan.recordNoneAvailable({ ...inB, count: 8 }, 120_000);
+        const withoutB = [...started, ...reclaimable.filter(({ dataCentre }) => dataCentre !== "b")];
+        const isInB = (order: { dataCentre: string; reclaimable: boolean }): boolean =>
+            order.dataCentre === "b" && order.reclaimable;
+        plan.planOrders(rule, withoutB);
+        clock.advance(31_000);
+        expect(plan.planOrders(rule, withoutB).filter(isInB)).toEqual([]);
+        const surplus = buildServers("b", 8, { isReclaimable: true, bornMs: 2_000_000_000_000 });
+        expect(plan.planOrders(rule, [...withoutB, ...surplus]).filter(isInB)).toHaveLength(1);
+    });
+
     it("stays within the limits of a data centre", () => {
         const clock = new ManualClock();
         const plan = new OrderPlan(clock);
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -131,7 +131,8 @@
         // enough to be ordered before.
         return orders
             .filter((order) => this.isComplete || order.reclaimable)
-            .filter((order) => !this.isUnavailable(order, nowMs) && !this.isAlreadyPresent(order, servers))
+            .filter((order) => !this.isUnavailable(order, servers, nowMs))
+            .filter((order) => !this.isAlreadyPresent(order, servers))
             .sort((left, right) => this.computeIncrease(right) - this.computeIncrease(left));
     }
 
@@ -178,12 +179,7 @@
         return [...this.ordered.entries()].flatMap(([key, count]) => {
             const [dataCentre = "", kind] = key.split("/");
             const reclaimable = kind === "reclaimable";
-            const ready = servers.filter(
-                (server) =>
-                    server.state === "ready" &&
-                    server.dataCentre === dataCentre &&
-                    server.isReclaimable === reclaimable,
-            ).length;
+            const ready = countReady({ dataCentre, reclaimable }, servers);
             const lastAcceptedMs = this.lastAcceptedMs.get(key) ?? Number.NEGATIVE_INFINITY;
             const unavailableUntilMs = this.unavailableUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
             const isSettled =
@@ -235,20 +231,17 @@
 
     /** Returns whether the desired servers are present without ever having been ordered, so that no order is needed. */
     private isAlreadyPresent(desired: PlannedServers, servers: readonly RegisteredServer[]): boolean {
-        const present = servers.filter(
-            ({ state, dataCentre, isReclaimable }) =>
-                state === "ready" &&
-                dataCentre === desired.dataCentre &&
-                isReclaimable === desired.reclaimable,
-        ).length;
-        return !this.ordered.has(formatKind(desired)) && desired.count === present;
+        return !this.ordered.has(formatKind(desired)) && desired.count === countReady(desired, servers);
     }
 
-    /** Returns whether the platform has no servers for this order; only a lower number is worth a call then. */
-    private isUnavailable(servers: PlannedServers, nowMs: number): boolean {
-        const key = formatKind(servers);
-        const unavailableUntilMs = this.unavailableUntilMs.get(key) ?? Number.NEGATIVE_INFINITY;
-        return nowMs < unavailableUntilMs && servers.count >= (this.ordered.get(key) ?? 0);
+    /** Returns whether the platform has no servers for this order; only an order that gives some back is worth a call. */
+    private isUnavailable(
+        order: PlannedServers,
+        servers: readonly RegisteredServer[],
+        nowMs: number,
+    ): boolean {
+        const unavailableUntilMs = this.unavailableUntilMs.get(formatKind(order)) ?? Number.NEGATIVE_INFINITY;
+        return nowMs < unavailableUntilMs && order.count >= countReady(order, servers);
     }
 
     private isUnderNotice(dataCentre: string, nowMs: number): boolean {
@@ -318,6 +311,19 @@
     return `${dataCentre}/${reclaimable ? "reclaimable" : "standard"}`;
 }
 
+/** Counts the ready servers of a data centre and kind. */
+function countReady(
+    { dataCentre, reclaimable }: Pick<PlannedServers, "dataCentre" | "reclaimable">,
+    servers: readonly RegisteredServer[],
+): number {
+    return servers.filter(
+        (server) =>
+            server.state === "ready" &&
+            server.dataCentre === dataCentre &&
+            server.isReclaimable === reclaimable,
+    ).length;
+}
+
 /** Limits the numbers of servers; the limits apply to both kinds of a data centre together. */
 function applyBounds(planned: readonly PlannedServers[], rule: OrderingRule): PlannedServers[] {
     const totals = new Map<string, number>();
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -12,6 +12,9 @@
 import type { DutySettings } from "./dutySettings.js";
 import { OrderPlan } from "./orderPlan.js";
 
+/** Delay after a failed order, in milliseconds; every order of a failing store or platform costs calls in vain. */
+const failedOrderRetryMs = 1_000;
+
 /** Options of {@link OrderingDuty}. */
 export interface OrderingDutyOptions {
     readonly lease: LeaseHandle;
@@ -30,6 +33,8 @@
     private readonly sender: OrderSender;
     private readonly plan: OrderPlan;
     private hasLoadedIntents = false;
+    /** Monotonic time until which no order is sent, in milliseconds. */
+    private retryAtMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - The lease, the service and the platform. */
     constructor(private readonly options: OrderingDutyOptions) {
@@ -55,6 +60,9 @@
      * @param servers - All registered servers of the service.
      */
     async advanceOnce(rule: OrderingRule, servers: readonly RegisteredServer[]): Promise<void> {
+        if (this.options.clock.monotonicMs() < this.retryAtMs) {
+            return;
+        }
         if (!this.hasLoadedIntents) {
             this.plan.recordIntents(await this.sender.loadIntents());
             this.hasLoadedIntents = true;
@@ -72,7 +80,10 @@
                 logger.writeEvent("serversOrdered", fields);
             }
             if (result.type === "failed") {
+                // The store or the platform fails; the other orders would fail alike.
                 logger.writeEvent("orderFailed", { ...fields, reason: result.reason });
+                this.retryAtMs = this.options.clock.monotonicMs() + failedOrderRetryMs;
+                return;
             }
             if (result.type === "noneAvailable") {
                 this.plan.recordNoneAvailable(desired, result.retryAfterMs);
