Learn how long prefill can delay a stream

An engine prefills in chunks, so no pause exceeds a few. Change: the limit is learned from pauses after which the server has more prefill left than the pause took; predicted pauses do not exceed it.

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Placement, PlacementOutcome, PlacementRequest, ServerPlacement } from "@pimentocleat/policy";
+import type { Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
@@ -43,6 +44,7 @@
     readonly request: GatewayRequest;
     readonly server: RegisteredServer;
     readonly placement: ServerPlacement;
+    readonly clock: Clock;
     readonly placementRequest: PlacementRequest;
     readonly protocol: BackendProtocol;
     readonly connections: ConnectionPool;
@@ -62,6 +64,9 @@
 /** Responses above this size are streamed to the caller; smaller ones are buffered and checked first. */
 const maximumBufferedBytes = 256 * 1_024;
 
+/** Minimum time between two events that is recorded as a pause, in milliseconds. */
+const minimumRecordedPauseMs = 100;
+
 /** Sends a request to one server and forwards or buffers the response. */
 export class Attempt {
     /** Identifier of the last event that was forwarded. */
@@ -76,6 +81,8 @@
     private chunks: Buffer[] = [];
     private receivedBytes = 0;
     private hasReceivedData = false;
+    /** Monotonic time of the last data of a stream, in milliseconds. */
+    private lastDataMs = Number.POSITIVE_INFINITY;
     private hasForwardedBytes = false;
     private hasEnded = false;
     private announcedId: string | undefined;
@@ -171,6 +178,7 @@
         this.recordRunning();
         this.startInactivityTimer();
         if (this.isStream) {
+            this.recordPause();
             const events = this.splitter.takeEvents(chunk);
             if (events !== undefined) {
                 this.lastEventId = events.lastId ?? this.lastEventId;
@@ -186,6 +194,16 @@
         }
     }
 
+    /** Records the time since the last event; short pauses show nothing about the server's prefill. */
+    private recordPause(): void {
+        const nowMs = this.options.clock.monotonicMs();
+        const pauseMs = nowMs - this.lastDataMs;
+        this.lastDataMs = nowMs;
+        if (pauseMs >= minimumRecordedPauseMs) {
+            this.options.placement.recordPause(this.placed, pauseMs);
+        }
+    }
+
     private forwardBytes(bytes: Buffer): void {
         const { answer } = this.options;
         answer.startStream(this.status, this.headers);
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -150,6 +150,7 @@
             request,
             server,
             placement: dispatch.placement,
+            clock: this.options.clock,
             placementRequest: { parts, promptTokens, pauseTargetMs: request.route.pauseTargetMs, excluded },
             protocol,
             connections,
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -9,6 +9,7 @@
 import type { PlacementSettings } from "./placementSettings.js";
 import { estimateDelayChance, InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
+import { PauseModel } from "./pauseModel.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
 /** The properties of a request on which the choice depends. */
@@ -78,6 +79,7 @@
     private readonly inFlight = new InFlightRequests();
     private sequence = 0;
     private readonly isolation = new StreamIsolation();
+    private readonly pauses = new PauseModel();
 
     /**
      * @param settings - The assumed speeds and penalties.
@@ -207,6 +209,17 @@
         }
     }
 
+    /**
+     * Records a pause between two events of a stream.
+     *
+     * @param placement - The placement of the request.
+     * @param pauseMs - The pause, in milliseconds.
+     */
+    recordPause(placement: Placement, pauseMs: number): void {
+        const tokens = this.inFlight.countPrefillTokens(placement.serverId);
+        this.pauses.recordPause(pauseMs, tokens / this.settings.prefillTokensPerMs);
+    }
+
     /**
      * Records the end of an exchange.
      *
@@ -303,9 +316,12 @@
         const pauseSlowness = Math.min(maximumPauseSlowness, Math.max(1, estimate.readSlowness()));
         const delayedStreams = this.inFlight.estimateDelayedStreams(
             server.id,
-            (newPrefillMs + backlogMs) * pauseSlowness,
+            this.pauses.predictPauseMs((newPrefillMs + backlogMs) * pauseSlowness),
+        );
+        const ownDelay = estimateDelayChance(
+            this.pauses.predictPauseMs(backlogMs * pauseSlowness),
+            request.pauseTargetMs,
         );
-        const ownDelay = estimateDelayChance(backlogMs * pauseSlowness, request.pauseTargetMs);
         const lateStreamsMs = lateStreamPenaltyMs * (delayedStreams + ownDelay);
         const isolationMs = this.isolation.computePenaltyMs(
             view.isSensitive,
