--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -66,6 +66,8 @@
     private readonly lastContactMs = new Map<string, number>();
     /** The node of each other data centre that last sent a message as its reader, and when. */
     private readonly otherReaders = new Map<string, { readonly name: string; readonly atMs: number }>();
+    /** Whether the registrations were read; before that, this node cannot tell its rank. */
+    private hasRows = false;
     /** This node's rank as a reader; undefined until it is computed again. */
     private readerRank: number | undefined;
     /** The peers that receive this node's messages about requests. */
@@ -193,10 +195,13 @@
      * Checks whether this node is one of the first in rank that watch the leases for its data centre. The rank includes
      * nodes that seem dead, since a node that has no message to send cannot be distinguished from a dead one.
      *
-     * @returns True for {@link candidatesPerDataCentre} nodes of each data centre, and for every node that
-     * knows no other.
+     * @returns True for {@link candidatesPerDataCentre} nodes of each data centre, and for a node that knows no other;
+     * false while the registrations are unknown.
      */
     isLeaseCandidate(): boolean {
+        if (!this.hasRows) {
+            return false;
+        }
         const neighbours = this.listRegisteredNeighbours();
         return (
             computePreferenceRank(candidateRankKey, this.options.name, neighbours) < candidatesPerDataCentre
@@ -206,9 +211,12 @@
     /**
      * Computes this node's rank as a reader among the registered nodes of its data centre, alive or not.
      *
-     * @returns The rank; 0 is first.
+     * @returns The rank; 0 is first, and infinity is returned while the registrations are unknown.
      */
     computeReaderRank(): number {
+        if (!this.hasRows) {
+            return Number.POSITIVE_INFINITY;
+        }
         this.readerRank ??= this.countPreferredReaders(this.listRegisteredNeighbours());
         return this.readerRank;
     }
@@ -216,10 +224,12 @@
     /**
      * Computes this node's rank as a reader among the nodes of its data centre from which messages arrived recently.
      *
-     * @returns The rank; 0 is first.
+     * @returns The rank; 0 is first, and infinity is returned while the registrations are unknown.
      */
     computeLiveReaderRank(): number {
-        return this.countPreferredReaders(this.listLiveNeighbours());
+        return this.hasRows
+            ? this.countPreferredReaders(this.listLiveNeighbours())
+            : Number.POSITIVE_INFINITY;
     }
 
     /** @returns The number of registered nodes, including this one. */
@@ -228,6 +238,7 @@
     }
 
     setRows(rows: readonly Row[]): void {
+        this.hasRows = true;
         this.peers.clear();
         rows.forEach((row) => this.applyRow(row));
         this.choosePeers();
--- a/packages/gateway/src/peers/relayTiming.ts
+++ b/packages/gateway/src/peers/relayTiming.ts
@@ -29,6 +29,8 @@
 const pollShare = 0.6;
 /** Pause after a change of the nodes, in milliseconds; batches the changes when all nodes start at once. */
 const nodesPauseMs = 2_500;
+/** The same pause for the readers and their deputies, in milliseconds: they relay only to the nodes that they know. */
+const readerNodesPauseMs = 800;
 /** Maximum pause after a change of the nodes, in milliseconds. */
 const maximumNodesPauseMs = 20_000;
 /** Number of nodes up to which every node reads the table of nodes after the shortest pause. */
@@ -81,8 +83,10 @@
      * @returns The pause, in milliseconds.
      */
     computeNodesPauseMs(rank: number, nodes: number): number {
-        const factor = rank < nodesReaders ? 1 : Math.max(1, nodes / fullRateNodes);
-        return Math.min(maximumNodesPauseMs, nodesPauseMs * factor);
+        if (rank < nodesReaders) {
+            return readerNodesPauseMs;
+        }
+        return Math.min(maximumNodesPauseMs, nodesPauseMs * Math.max(1, nodes / fullRateNodes));
     }
 
     /**
