Compare a sample of the servers while news is under way

Change: the number of servers compared falls with the requests that start within the delay of the news, to two; servers that cache the prompt are always compared. Where nodes know of each other at once, as in small deployments, all are.

--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -7,6 +7,7 @@
     defaultPlacementSettings,
     RetryAllowance,
     ServerPlacement,
+    type PlacementNews,
     type PlacementServer,
     type RetryAllowanceSettings,
 } from "@pimentocleat/policy";
@@ -28,6 +29,7 @@
     readonly clock: Clock;
     readonly dataCentre: string;
     readonly retries: RetryAllowanceSettings;
+    readonly news: PlacementNews;
 }
 
 /** Creates the dispatch state of each service and updates its servers. */
@@ -57,9 +59,9 @@
         if (known !== undefined) {
             return known;
         }
-        const { clock, dataCentre, retries } = this.options;
+        const { clock, dataCentre, retries, news } = this.options;
         const created = {
-            placement: new ServerPlacement({ ...defaultPlacementSettings, dataCentre }, clock),
+            placement: new ServerPlacement({ ...defaultPlacementSettings, dataCentre }, clock, news),
             retries: new RetryAllowance(retries),
         };
         this.services.set(service, created);
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -341,6 +341,10 @@
             configuration,
             clock,
             dataCentre: settings.dataCentre,
+            news: {
+                readDelayMs: (isAnnounced) => this.news.readDelayMs(isAnnounced),
+                random: this.options.random,
+            },
             retries: {
                 windowMs: settings.retryWindowMs,
                 share: settings.retryShare,
--- a/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
+++ b/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
@@ -42,6 +42,7 @@
             clock: this.clock,
             dataCentre,
             retries: { windowMs: 1, share: 0, slack: 0 },
+            news: { readDelayMs: () => 0, random: () => 0 },
         });
         const others = (names: readonly string[]) =>
             names.filter((other) => other !== name).map((other) => buildAddress(other, dataCentre));
--- a/packages/gateway/src/peers/dispatchNews.ts
+++ b/packages/gateway/src/peers/dispatchNews.ts
@@ -74,6 +74,15 @@
 
 /** Time for which a reader collects news before it sends a batch, in milliseconds. */
 const batchIntervalMs = 80;
+/** Time until the other nodes know of a request that is told directly, in milliseconds. */
+const directDelayMs = 5;
+/** The same time when readers pass the news on, in milliseconds: on average half a batch here and one elsewhere. */
+const relayedDelayMs = 1.5 * batchIntervalMs;
+/**
+ * The same time for requests that are not announced in a large deployment, in milliseconds: far longer than a request, as
+ * a node sees its own few requests only.
+ */
+const unannouncedDelayMs = 60_000;
 /** Time for which the answer whether this node is the reader is reused, in milliseconds. */
 const readerCheckIntervalMs = 250;
 
@@ -112,6 +121,19 @@
         this.spread((batch) => batch.addEnd(service, id));
     }
 
+    /**
+     * Estimates the time until all nodes know of a request.
+     *
+     * @param isAnnounced - Whether nodes announce the requests of the service.
+     * @returns The time, in milliseconds.
+     */
+    readDelayMs(isAnnounced: boolean): number {
+        if (!this.options.isRelayed()) {
+            return directDelayMs;
+        }
+        return isAnnounced ? relayedDelayMs : unannouncedDelayMs;
+    }
+
     /**
      * Applies the news of another node, and passes it on where this node is the reader.
      *
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -60,5 +60,5 @@
 export { defaultPlacementSettings } from "./placement/placementSettings.js";
 export type { PlacementSettings } from "./placement/placementSettings.js";
 export { ServerPlacement } from "./placement/serverPlacement.js";
-export type { Placement, PlacementRequest } from "./placement/serverPlacement.js";
+export type { Placement, PlacementNews, PlacementRequest } from "./placement/serverPlacement.js";
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -9,6 +9,7 @@
 import type { PlacementSettings } from "./placementSettings.js";
 import { estimateDelayChance, InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
+import { CandidateSampling } from "./candidateSampling.js";
 import { PauseModel } from "./pauseModel.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
@@ -73,6 +74,22 @@
     readonly sensitivePauseMs: number;
 }
 
+/** What a node learns of the requests of other nodes. */
+export interface PlacementNews {
+    /**
+     * Reads the time until nodes know of each other's requests.
+     *
+     * @param isAnnounced - Whether nodes announce the requests of the service to each other.
+     * @returns The time, in milliseconds.
+     */
+    readonly readDelayMs: (isAnnounced: boolean) => number;
+    /** Source of randomness, 0 to 1. */
+    readonly random: () => number;
+}
+
+/** The news of a node that learns of every request at once. */
+const immediateNews: PlacementNews = { readDelayMs: () => 0, random: () => 0 };
+
 /** Chooses servers for the requests of one service. */
 export class ServerPlacement {
     private readonly estimates = new Map<string, ServerEstimate>();
@@ -80,15 +97,20 @@
     private sequence = 0;
     private readonly isolation = new StreamIsolation();
     private readonly pauses = new PauseModel();
+    private readonly sampling: CandidateSampling;
 
     /**
      * @param settings - The assumed speeds and penalties.
      * @param clock - The node's clock.
+     * @param news - How late this node learns of the requests of others, and its source of randomness.
      */
     constructor(
         private readonly settings: PlacementSettings,
         private readonly clock: Clock,
-    ) {}
+        private readonly news: PlacementNews = immediateNews,
+    ) {
+        this.sampling = new CandidateSampling(news.random);
+    }
 
     /**
      * Replaces the servers. The estimates of servers that remain, or still have requests in flight, are kept.
@@ -153,7 +175,7 @@
         const view = this.buildView(request, pool, nowMs);
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const server of pool) {
+        for (const server of this.sampleCandidates(request, pool, view, nowMs)) {
             const cost = this.estimateCost(server, request, view, nowMs);
             if (cost < bestCost) {
                 best = server.id;
@@ -182,6 +204,7 @@
         const inFlightId = `own/${String(this.sequence)}`;
         const { pauseTargetMs } = request;
         this.isolation.recordPauseTarget(pauseTargetMs, sentMs);
+        this.sampling.recordRequest(sentMs);
         this.inFlight.add({ id: inFlightId, serverId, tokens: uncachedTokens, pauseTargetMs }, sentMs, true);
         if (estimate !== undefined) {
             estimate.inFlight += 1;
@@ -259,6 +282,7 @@
     recordPeerDispatch(request: InFlightRequest, shared: readonly PromptPart[]): void {
         const nowMs = this.clock.monotonicMs();
         this.isolation.recordPauseTarget(request.pauseTargetMs, nowMs);
+        this.sampling.recordRequest(nowMs);
         this.inFlight.add(request, nowMs, false);
         this.estimates.get(request.serverId)?.recordPrompt(shared);
     }
@@ -273,6 +297,32 @@
         this.inFlight.finish(id);
     }
 
+    /** Samples the servers to compare: of those that suit the request, a few others, and all that cache its prompt. */
+    private sampleCandidates(
+        request: PlacementRequest,
+        pool: readonly PlacementServer[],
+        view: ChoiceView,
+        nowMs: number,
+    ): readonly PlacementServer[] {
+        const isAnnounced = pool[0]?.capacityTokens !== undefined;
+        const delayMs = this.news.readDelayMs(isAnnounced);
+        const size = this.sampling.computeSampleSize(pool.length, delayMs, nowMs);
+        if (size >= pool.length) {
+            return pool;
+        }
+        const shared = request.parts.slice(0, -1);
+        const caching = pool.filter(
+            ({ id }) => view.preferredRanks.has(id) || this.countCachedTokens(id, shared) > 0,
+        );
+        const group = pool.filter(({ id }) => view.isolatedServers.has(id) === view.isSensitive);
+        const others = pool.filter(({ id }) => view.isolatedServers.has(id) !== view.isSensitive);
+        return [
+            ...caching,
+            ...this.sampling.chooseSample(group, size),
+            ...this.sampling.chooseSample(others, 1),
+        ];
+    }
+
     private isAvoided(id: string, nowMs: number): boolean {
         return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
     }
