Keep the need of servers with the orders, and tell replaced from reclaimed ones

Besides, a reader that the store turned away told of itself as if its data were new: nodes sent it their usage, which it could not write, and copies to three others each (2,856 of 11,014 calls in ten seconds). Change: a notice needs half of a data centre's reclaimable servers to leave; orders bear the number needed; a node follows whoever has the newest data, and a reader that knows of newer data is none; one watcher of leases a data centre where there are five.

--- a/packages/gateway/src/duties/__tests__/orderPlan.test.ts
+++ b/packages/gateway/src/duties/__tests__/orderPlan.test.ts
@@ -121,6 +121,34 @@
         expect(plan.planOrders(rule, [...withoutB, ...surplus]).filter(isInB)).toHaveLength(1);
     });
 
+    it("release: servers that are replaced one after the other are no reclaim notice", () => {
+        const { clock, plan } = buildSettledPlan();
+        plan.planOrders(rule, started).forEach((order) => plan.recordAccepted(order));
+        plan.planOrders(rule, [...started, ...reclaimable]);
+        clock.advance(5_001);
+        plan.planOrders(rule, [...started, ...reclaimable]).forEach((order) => plan.recordAccepted(order));
+        const standard = started.slice(0, 2);
+        const released = reclaimable.map((server) =>
+            server.id.includes("-0-") ? { ...server, state: "leaving" as const } : server,
+        );
+        const orders = plan.planOrders(rule, [...standard, ...released]);
+        // Beside the planned ones, standard servers are kept only in place of those that are being replaced.
+        const replaced = released.filter(({ state }) => state === "leaving").length;
+        expect(sumCounts(orders, false)).toBeLessThanOrEqual(standard.length + replaced);
+    });
+
+    it("change of holders while standard servers replace reclaimed ones: keeps the number that is needed", () => {
+        const { plan } = buildSettledPlan();
+        const baseline = plan.readBaseline();
+        const successor = new OrderPlan(new ManualClock());
+        const doubled = ["a", "b", "c"].flatMap((dataCentre) => [
+            { dataCentre, reclaimable: true, count: 4, baseline },
+            { dataCentre, reclaimable: false, count: 4, baseline },
+        ]);
+        successor.recordIntents(doubled);
+        expect(successor.readBaseline()).toBe(started.length);
+    });
+
     it("stays within the limits of a data centre", () => {
         const clock = new ManualClock();
         const plan = new OrderPlan(clock);
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -20,6 +20,8 @@
 const reclaimableShare = 0.9;
 /** Time during which no reclaimable servers are ordered in a data centre after some were reclaimed, in milliseconds. */
 const reclaimCooldownMs = 8_000;
+/** Share of a data centre's reclaimable servers that leave at once when the platform reclaims them. */
+const reclaimedShare = 0.5;
 /** Time for which surplus reclaimable servers are kept, in milliseconds; returning a server loses its cache. */
 const reclaimableSurplusMs = 30_000;
 /** Time for which surplus standard servers are kept, in milliseconds; they cost several times as much. */
@@ -43,6 +45,11 @@
     readonly sinceMs: number;
 }
 
+/** An order as it is stored, with the number of servers that the deployment needs. */
+export interface StoredPlan extends PlannedServers {
+    readonly baseline?: number | undefined;
+}
+
 /** Plans the orders of one service from one acquisition of its lease until its loss. */
 export class OrderPlan {
     readonly planner = new ServerPlanner();
@@ -79,12 +86,14 @@
     /**
      * Restores the orders of an earlier holder of the duty.
      *
-     * @param intents - The stored orders; empty when there are none.
+     * @param intents - The stored orders; empty when there are none. The sum of their counts is no measure of the need
+     * while servers of one kind replace those of another, so that the need is stored with them.
      */
-    recordIntents(intents: readonly PlannedServers[]): void {
+    recordIntents(intents: readonly StoredPlan[]): void {
         const total = intents.reduce((sum, { count }) => sum + count, 0);
         if (total > 0) {
-            this.baseline = total / (1 + spareShare);
+            const baselines = intents.flatMap(({ baseline }) => baseline ?? []);
+            this.baseline = baselines.length > 0 ? Math.max(...baselines) : total / (1 + spareShare);
             this.isComplete = true;
             this.isFirstHolder = false;
             this.planner.recordStoredPlan(intents, this.clock.monotonicMs());
@@ -95,6 +104,11 @@
         });
     }
 
+    /** @returns The number of servers that the deployment needs, without spare ones; undefined until known. */
+    readBaseline(): number | undefined {
+        return this.baseline;
+    }
+
     /**
      * Plans the desired numbers of servers.
      *
@@ -218,11 +232,17 @@
         this.baseline = Math.max(this.baseline ?? 0, this.initialServers.size);
     }
 
-    /** Records a notice when a server is first seen leaving; its entry may remain in the store long afterwards. */
+    /**
+     * Records a notice when servers are first seen leaving, since their entries may remain in the store long afterwards.
+     * The platform reclaims all servers of a data centre at once; a few that leave are being replaced or given back.
+     */
     private recordNotices(servers: readonly RegisteredServer[], nowMs: number): void {
-        const leaving = servers.filter(({ isReclaimable, state }) => isReclaimable && state === "leaving");
+        const reclaimable = servers.filter(({ isReclaimable }) => isReclaimable);
+        const leaving = reclaimable.filter(({ state }) => state === "leaving");
         for (const { id, dataCentre } of leaving) {
-            if (!this.leaving.has(id)) {
+            const isIn = (server: RegisteredServer): boolean => server.dataCentre === dataCentre;
+            const leavingShare = leaving.filter(isIn).length / reclaimable.filter(isIn).length;
+            if (!this.leaving.has(id) && leavingShare >= reclaimedShare) {
                 this.lastNoticeMs.set(dataCentre, nowMs);
             }
         }
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -72,7 +72,8 @@
             this.sender.clearAccepted({ ...lost, pool: service });
         }
         for (const desired of this.plan.planOrders(rule, servers)) {
-            const result = await this.sender.sendDesired({ ...desired, pool: service });
+            const baseline = this.plan.readBaseline();
+            const result = await this.sender.sendDesired({ ...desired, pool: service, baseline });
             const { dataCentre, reclaimable, count } = desired;
             const fields = { service, dataCentre, reclaimable, count };
             if (result.type === "accepted") {
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -42,8 +42,9 @@
 const contactTimeoutMs = 3_000;
 /** Key that ranks the nodes as lease candidates. */
 const candidateRankKey = "watching";
-/** Nodes of each data centre that watch for expired leases; two, since one may be suspended or restarting. */
-const candidatesPerDataCentre = 2;
+/** Nodes that watch for expired leases besides the readers; each data centre has one at least and two at most. */
+const candidates = 4;
+const maximumCandidatesPerDataCentre = 2;
 /** Key that ranks the nodes of a data centre as its reader. */
 const readerRankKey = "reading";
 /** Nodes of another data centre that get the news while its reader is not known. */
@@ -195,17 +196,19 @@
      * Checks whether this node is one of the first in rank that watch the leases for its data centre. The rank includes
      * nodes that seem dead, since a node that has no message to send cannot be distinguished from a dead one.
      *
-     * @returns True for {@link candidatesPerDataCentre} nodes of each data centre, and for a node that knows no other;
-     * false while the registrations are unknown.
+     * @returns True for one or two nodes of each data centre, and for a node that knows no other; false while the registrations are unknown.
      */
     isLeaseCandidate(): boolean {
         if (!this.hasRows) {
             return false;
         }
         const neighbours = this.listRegisteredNeighbours();
-        return (
-            computePreferenceRank(candidateRankKey, this.options.name, neighbours) < candidatesPerDataCentre
+        const dataCentres = new Set([...this.peers.values()].map(({ dataCentre }) => dataCentre)).size;
+        const count = Math.min(
+            maximumCandidatesPerDataCentre,
+            Math.ceil(candidates / Math.max(1, dataCentres)),
         );
+        return computePreferenceRank(candidateRankKey, this.options.name, neighbours) < count;
     }
 
     /**
--- a/packages/gateway/src/peers/relayTiming.ts
+++ b/packages/gateway/src/peers/relayTiming.ts
@@ -26,7 +26,7 @@
 /** Rank from which on a node waits the longest time. */
 const lastDeputyRank = 8;
 /** Time between two polls of a node without a reader, as a share of the age at which it reads. */
-const pollShare = 0.6;
+const pollShare = 0.9;
 /** Pause after a change of the nodes, in milliseconds; batches the changes when all nodes start at once. */
 const nodesPauseMs = 2_500;
 /** The same pause for the readers and their deputies, in milliseconds: they relay only to the nodes that they know. */
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -127,7 +127,7 @@
 
     /** @returns Whether this node ranks first among the live nodes of its data centre and so reads for the others. */
     isReader(): boolean {
-        return this.options.computeLiveRank() === 0;
+        return this.options.computeLiveRank() === 0 && !this.isBehind();
     }
 
     /**
@@ -175,8 +175,12 @@
      */
     receiveUpdate(update: StoreUpdate, from: string): void {
         const { clock, directory, configuration } = this.options;
-        this.reader = from;
-        this.lastReadMs = Math.max(this.lastReadMs, clock.monotonicMs() - update.ageMs);
+        const readMs = clock.monotonicMs() - update.ageMs;
+        if (readMs >= this.lastReadMs) {
+            // A reader that cannot reach the store still tells that it lives; a deputy's data is newer.
+            this.reader = from;
+            this.lastReadMs = readMs;
+        }
         if ((update.configurationVersion ?? 0) > (configuration.readCurrent()?.version ?? 0)) {
             this.followers?.configuration.requestRead();
         }
@@ -191,6 +195,11 @@
         }
     }
 
+    /** Returns whether another node's data is newer than what this node has read itself. */
+    private isBehind(): boolean {
+        return this.lastReadMs > this.readContactMs();
+    }
+
     /** Returns the store version up to which this node knows the servers. */
     private readKnownVersion(): number {
         return Math.max(this.knownVersion, this.followers?.servers.readVersion() ?? 0);
--- a/packages/state/src/orders/orderRecord.ts
+++ b/packages/state/src/orders/orderRecord.ts
@@ -17,13 +17,16 @@
     count: z.int().nonnegative(),
     /** Increases with each change of the desired state, regardless of which node changes it. */
     generation: z.int().positive(),
+    /** Number of servers that the pool needs in all, from which the next holder of the duty plans. */
+    baseline: z.number().nonnegative().optional(),
 });
 
 /** The content of an intent row. */
 export type OrderIntent = z.infer<typeof orderIntentSchema>;
 
 /** The desired number of servers of one kind, without its generation. */
-export type DesiredServers = Pick<ServerOrder, "pool" | "dataCentre" | "reclaimable" | "count">;
+export type DesiredServers = Pick<ServerOrder, "pool" | "dataCentre" | "reclaimable" | "count"> &
+    Pick<OrderIntent, "baseline">;
 
 /**
  * Formats the common prefix of the keys of a pool's intents.
--- a/packages/state/src/orders/orderSender.ts
+++ b/packages/state/src/orders/orderSender.ts
@@ -116,9 +116,16 @@
         if (stored?.intent.count === desired.count) {
             return stored.intent;
         }
-        const { pool, dataCentre, reclaimable, count } = desired;
+        const { pool, dataCentre, reclaimable, count, baseline } = desired;
         const generation = (stored?.intent.generation ?? 0) + 1;
-        const intent: OrderIntent = { pool, dataCentre, reclaimable, count, generation };
+        const intent: OrderIntent = {
+            pool,
+            dataCentre,
+            reclaimable,
+            count,
+            generation,
+            ...(baseline === undefined ? {} : { baseline }),
+        };
         this.intents = undefined;
         const { tableService, lease } = this.options;
         const condition = { table: orderTable, key, version: stored?.version ?? 0 };
@@ -145,7 +152,9 @@
         if (!this.isAllowed(intent)) {
             return { type: "notAllowed" };
         }
-        const order = { ...intent, fencingNumber: lease.fencingNumber, sender };
+        const { pool, dataCentre, reclaimable, count, generation } = intent;
+        const { fencingNumber } = lease;
+        const order = { pool, dataCentre, reclaimable, count, generation, fencingNumber, sender };
         const sentMs = clock.monotonicMs();
         try {
             const isSendAllowed = (): boolean => lease.isReadyFor(receiver);
