Split the cost of a server from the choice, and isolate engines only

Reading it showed that a server of a plain service was isolated too: with a sample of the servers, as in large deployments, one of five got no requests or all of some nodes; the new test fails on the code before. Change: ServerCost estimates, ServerPlacement chooses; only engines are isolated.

--- a/packages/policy/src/placement/__tests__/candidateSampling.test.ts
+++ b/packages/policy/src/placement/__tests__/candidateSampling.test.ts
@@ -4,7 +4,8 @@
 import { CandidateSampling } from "../candidateSampling.js";
 import { defaultPlacementSettings } from "../placementSettings.js";
 import type { PlacementServer } from "../serverEstimate.js";
-import { ServerPlacement, type PlacementNews, type PlacementRequest } from "../serverPlacement.js";
+import type { PlacementRequest } from "../serverCost.js";
+import { ServerPlacement, type PlacementNews } from "../serverPlacement.js";
 
 const serverCount = 60;
 const servers: readonly PlacementServer[] = Array.from({ length: serverCount }, (...[, index]) => ({
@@ -83,4 +84,22 @@
         expect(measureLargestShare({ readDelayMs: () => 120, random })).toBeLessThanOrEqual(6);
         expect(measureLargestShare({ readDelayMs: () => 0, random })).toBeGreaterThan(30);
     });
+
+    it("plain service of a few servers before many routers: all get their share", () => {
+        const plain = servers.slice(0, 5).map((server) => ({ ...server, capacityTokens: undefined }));
+        const random = createRandom(11);
+        const clock = new ManualClock();
+        const settings = { ...defaultPlacementSettings, dataCentre: "a" };
+        const news = { readDelayMs: () => 60_000, random };
+        const counts = new Map<string, number>();
+        for (let node = 0; node < 500; node += 1) {
+            const placement = new ServerPlacement(settings, clock, news);
+            placement.updateServers(plain);
+            const request = { ...buildRequest("x"), parts: [], promptTokens: 0, pauseTargetMs: undefined };
+            placement.recordEnd(placement.recordDispatch("server-0", request), "answered");
+            const chosen = placement.chooseServer(request, plain)!;
+            counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+        }
+        expect(Math.min(...plain.map(({ id }) => counts.get(id) ?? 0))).toBeGreaterThan(60);
+    });
 });
--- a/packages/policy/src/placement/__tests__/streamIsolation.test.ts
+++ b/packages/policy/src/placement/__tests__/streamIsolation.test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from "vitest";
 import { defaultPlacementSettings } from "../placementSettings.js";
 import type { PlacementServer } from "../serverEstimate.js";
-import { ServerPlacement, type PlacementRequest } from "../serverPlacement.js";
+import type { PlacementRequest } from "../serverCost.js";
+import { ServerPlacement } from "../serverPlacement.js";
 import { StreamIsolation } from "../streamIsolation.js";
 
 const shortPauseMs = 300;
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -4,25 +4,15 @@
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
-import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
 import type { PromptPart } from "./prefixCacheModel.js";
 import type { PlacementSettings } from "./placementSettings.js";
-import { estimateDelayChance, InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
+import { InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 import { CandidateSampling } from "./candidateSampling.js";
 import { PauseModel } from "./pauseModel.js";
+import { selectPreferredServers, ServerCost, type ChoiceView, type PlacementRequest } from "./serverCost.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
-/** The properties of a request on which the choice depends. */
-export interface PlacementRequest {
-    readonly parts: readonly PromptPart[];
-    readonly promptTokens: number;
-    /** Maximum pause between events that meets the target, in milliseconds; undefined if the answer isn't streamed. */
-    readonly pauseTargetMs: number | undefined;
-    /** Servers that already failed this request. */
-    readonly excluded: ReadonlySet<string>;
-}
-
 /** A request that was sent to a server. */
 export interface Placement {
     /** Identifies the in-flight request on this node. */
@@ -35,45 +25,6 @@
     readonly expectedMs: number;
 }
 
-/**
- * Probability that a server has cached a request's shared parts, by preference rank, while no server is known to have
- * them. Every node ranks the servers in the same order, so other nodes send such requests to the same servers.
- */
-const preferredRankCacheChances: readonly number[] = [0.9, 0.3];
-/** Shared parts cached elsewhere are recomputed only if waiting there costs over this multiple of the prefill. */
-const recomputePenaltyFactor = 3;
-/** Maximum slowness by which a predicted pause is scaled; a higher measured one comes from waiting, not from speed. */
-const maximumPauseSlowness = 2;
-/** Penalty for each stream that would exceed its pause target, in milliseconds of the caller's time. */
-const lateStreamPenaltyMs = 400;
-/** Penalty for the slower decoding steps of a full batch, scaled by slot utilization, in milliseconds. */
-const batchPenaltyMs = 60;
-/** Penalty for each waiting request that a server reported, in milliseconds. */
-const waitingRequestPenaltyMs = 60;
-/**
- * Penalty for a nearly full batch, scaled by the utilization above the threshold, in milliseconds: more urgent requests
- * still get in, others wait for a slot.
- */
-const fullBatchPenaltyMs = 1_500;
-/** Slot utilization above which a batch counts as nearly full. */
-const nearlyFullShare = 0.85;
-/** Additional cost of a server that always fails, as a multiple of the cost of one that never does. */
-const failurePenaltyFactor = 12;
-
-/** What a choice depends on beside the single server. */
-interface ChoiceView {
-    /** Ranks of the servers to which every node sends such prompts first; empty when a server is known to have them. */
-    readonly preferredRanks: ReadonlyMap<string, number>;
-    /** Maximum number of tokens of the shared parts that any server is known to have cached. */
-    readonly maximumCachedTokens: number;
-    /** Servers that are kept for sensitive streams. */
-    readonly isolatedServers: ReadonlySet<string>;
-    /** Whether the request is a sensitive stream. */
-    readonly isSensitive: boolean;
-    /** Longest pause target of a sensitive stream, in milliseconds. */
-    readonly sensitivePauseMs: number;
-}
-
 /** What a node learns of the requests of other nodes. */
 export interface PlacementNews {
     /**
@@ -98,6 +49,7 @@
     private readonly isolation = new StreamIsolation();
     private readonly pauses = new PauseModel();
     private readonly sampling: CandidateSampling;
+    private readonly cost: ServerCost;
 
     /**
      * @param settings - The assumed speeds and penalties.
@@ -110,6 +62,8 @@
         private readonly news: PlacementNews = immediateNews,
     ) {
         this.sampling = new CandidateSampling(news.random);
+        const { inFlight, pauses, isolation } = this;
+        this.cost = new ServerCost({ settings, inFlight, pauses, isolation });
     }
 
     /**
@@ -176,7 +130,11 @@
         let best: string | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of this.sampleCandidates(request, pool, view, nowMs)) {
-            const cost = this.estimateCost(server, request, view, nowMs);
+            const estimate = this.estimates.get(server.id);
+            const cost =
+                estimate === undefined
+                    ? Number.MAX_VALUE
+                    : this.cost.estimateCost(estimate, request, view, nowMs);
             if (cost < bestCost) {
                 best = server.id;
                 bestCost = cost;
@@ -197,7 +155,7 @@
         const sentMs = this.clock.monotonicMs();
         const cachedTokens = estimate?.prefixCache.countCachedTokens(request.parts) ?? 0;
         const uncachedTokens = Math.max(0, request.promptTokens - cachedTokens);
-        const expectedMs = this.estimatePrefillMs(
+        const expectedMs = this.cost.estimatePrefillMs(
             this.inFlight.countPrefillTokens(serverId) + uncachedTokens,
         );
         this.sequence += 1;
@@ -327,63 +285,6 @@
         return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
     }
 
-    private estimateCost(
-        server: PlacementServer,
-        request: PlacementRequest,
-        view: ChoiceView,
-        nowMs: number,
-    ): number {
-        const estimate = this.estimates.get(server.id);
-        if (estimate === undefined) {
-            return Number.MAX_VALUE;
-        }
-        const dataCentrePenaltyMs =
-            server.dataCentre === this.settings.dataCentre ? 0 : this.settings.otherDataCentrePenaltyMs;
-        const failureFactor = 1 + failurePenaltyFactor * estimate.readFailureShare() ** 2;
-        const isRecent =
-            estimate.load !== undefined && nowMs - estimate.load.atMs < this.settings.maximumLoadAgeMs;
-        const waiting = isRecent ? (estimate.load?.waiting ?? 0) : 0;
-        const running = Math.max(
-            this.inFlight.countRequests(server.id),
-            isRecent ? (estimate.load?.running ?? 0) : 0,
-        );
-        const utilization = running / Math.max(1, server.slots);
-        if (server.capacityTokens === undefined) {
-            const answerMs = estimate.answerMs.readMean();
-            return (
-                (answerMs * (1 + utilization + waiting / Math.max(1, server.slots)) +
-                    dataCentrePenaltyMs / 4) *
-                failureFactor
-            );
-        }
-        const cachedTokens = estimate.prefixCache.countCachedTokens(request.parts);
-        const backlogMs = this.inFlight.countPrefillTokens(server.id) / this.settings.prefillTokensPerMs;
-        const uncachedTokens = this.estimatePrefillTokens(estimate, request, view);
-        const prefillMs = (this.estimatePrefillMs(uncachedTokens) + backlogMs) * estimate.readSlowness();
-        const fullBatchMs =
-            utilization > nearlyFullShare ? fullBatchPenaltyMs * (utilization - nearlyFullShare) : 0;
-        const newPrefillMs = (request.promptTokens - cachedTokens) / this.settings.prefillTokensPerMs;
-        const pauseSlowness = Math.min(maximumPauseSlowness, Math.max(1, estimate.readSlowness()));
-        const delayedStreams = this.inFlight.estimateDelayedStreams(
-            server.id,
-            this.pauses.predictPauseMs((newPrefillMs + backlogMs) * pauseSlowness),
-        );
-        const ownDelay = estimateDelayChance(
-            this.pauses.predictPauseMs(backlogMs * pauseSlowness),
-            request.pauseTargetMs,
-        );
-        const lateStreamsMs = lateStreamPenaltyMs * (delayedStreams + ownDelay);
-        const isolationMs = this.isolation.computePenaltyMs(
-            view.isSensitive,
-            view.isolatedServers.has(server.id),
-            newPrefillMs,
-            view.sensitivePauseMs,
-        );
-        const waitMs =
-            prefillMs + waiting * waitingRequestPenaltyMs + fullBatchMs + utilization * batchPenaltyMs;
-        return (waitMs + dataCentrePenaltyMs + lateStreamsMs + isolationMs) * failureFactor;
-    }
-
     private buildView(
         request: PlacementRequest,
         pool: readonly PlacementServer[],
@@ -394,8 +295,9 @@
         const sensitivePauseMs = this.isolation.readSensitivePauseMs(nowMs);
         const prefillMs = request.promptTokens / this.settings.prefillTokensPerMs;
         const isSensitive = this.isolation.isSensitive(request.pauseTargetMs, prefillMs, sensitivePauseMs);
+        const engines = pool.filter(({ capacityTokens }) => capacityTokens !== undefined);
         const isolatedServers = this.isolation.selectServers(
-            pool,
+            engines,
             this.inFlight.countStreams(sensitivePauseMs),
         );
         const group = pool.filter(({ id }) => isolatedServers.has(id) === isSensitive);
@@ -404,51 +306,7 @@
         return { preferredRanks, maximumCachedTokens, isolatedServers, isSensitive, sensitivePauseMs };
     }
 
-    private estimatePrefillTokens(
-        estimate: ServerEstimate,
-        request: PlacementRequest,
-        view: ChoiceView,
-    ): number {
-        const shared = request.parts.slice(0, -1);
-        const cachedTokens = estimate.prefixCache.countCachedTokens(request.parts);
-        const preferredRank = view.preferredRanks.get(estimate.server.id);
-        const chance = preferredRank === undefined ? 0 : (preferredRankCacheChances[preferredRank] ?? 0);
-        const expectedCachedTokens = Math.max(cachedTokens, chance * sumTokens(shared));
-        const recomputedTokens = Math.max(
-            0,
-            view.maximumCachedTokens - estimate.prefixCache.countCachedTokens(shared),
-        );
-        return (
-            Math.max(0, request.promptTokens - expectedCachedTokens) +
-            (recomputePenaltyFactor - 1) * recomputedTokens
-        );
-    }
-
     private countCachedTokens(id: string, parts: readonly PromptPart[]): number {
         return this.estimates.get(id)?.prefixCache.countCachedTokens(parts) ?? 0;
     }
-
-    private estimatePrefillMs(tokens: number): number {
-        return this.settings.baseFirstEventMs + tokens / this.settings.prefillTokensPerMs;
-    }
-}
-
-function sumTokens(parts: readonly PromptPart[]): number {
-    return parts.reduce((sum, part) => sum + part.tokens, 0);
-}
-
-/** Ranks servers for the shared parts, alike on every node; only ranks with a cache probability are kept. */
-function selectPreferredServers(
-    request: PlacementRequest,
-    pool: readonly PlacementServer[],
-): ReadonlyMap<string, number> {
-    const shared = request.parts.at(-2);
-    if (shared === undefined) {
-        return new Map();
-    }
-    const ranked = pool
-        .map((server) => ({ id: server.id, weight: computeRendezvousWeight(shared.id, server.id) }))
-        .sort((left, right) => right.weight - left.weight)
-        .slice(0, preferredRankCacheChances.length);
-    return new Map(ranked.map(({ id }, rank) => [id, rank]));
 }
