--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -64,8 +64,8 @@
 /** Responses above this size are streamed to the caller; smaller ones are buffered and checked first. */
 const maximumBufferedBytes = 256 * 1_024;
 
-/** Minimum time between two events that is recorded as a pause, in milliseconds. */
-const minimumRecordedPauseMs = 100;
+/** Minimum time between two events that is recorded as a pause, as a share of the stream's pause target. */
+const minimumRecordedPauseShare = 0.3;
 
 /** Sends a request to one server and forwards or buffers the response. */
 export class Attempt {
@@ -194,13 +194,17 @@
         }
     }
 
-    /** Records the time since the last event; short pauses show nothing about the server's prefill. */
+    /** Records the time since the last event. Pauses far below the target don't matter to any stream like it. */
     private recordPause(): void {
         const nowMs = this.options.clock.monotonicMs();
         const pauseMs = nowMs - this.lastDataMs;
         this.lastDataMs = nowMs;
-        if (pauseMs >= minimumRecordedPauseMs) {
-            this.options.placement.recordPause(this.placed, pauseMs);
+        const { placement, request } = this.options;
+        if (
+            pauseMs >=
+            minimumRecordedPauseShare * (request.route.pauseTargetMs ?? Number.POSITIVE_INFINITY)
+        ) {
+            placement.recordPause(this.placed, pauseMs);
         }
     }
 
--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -28,7 +28,8 @@
     readonly configuration: ActiveConfiguration;
     readonly clock: Clock;
     readonly dataCentre: string;
-    readonly retries: RetryAllowanceSettings;
+    /** Reads the limits of retries, which change with the number of nodes. */
+    readonly readRetrySettings: () => RetryAllowanceSettings;
     readonly news: PlacementNews;
 }
 
@@ -59,10 +60,10 @@
         if (known !== undefined) {
             return known;
         }
-        const { clock, dataCentre, retries, news } = this.options;
+        const { clock, dataCentre, readRetrySettings, news } = this.options;
         const created = {
             placement: new ServerPlacement({ ...defaultPlacementSettings, dataCentre }, clock, news),
-            retries: new RetryAllowance(retries),
+            retries: new RetryAllowance(readRetrySettings),
         };
         this.services.set(service, created);
         this.updateService(service);
--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -8,7 +8,7 @@
 import { MemoryMetrics, SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
-import { RowFollower } from "../rowFollower.js";
+import { RowFollower, type RowFollowerOptions } from "../rowFollower.js";
 
 type Answer = { changes: readonly RowChange[]; position: number } | Error;
 
@@ -38,7 +38,12 @@
     }
 }
 
-async function follow(feed: ListFeed, rounds: number) {
+async function follow(
+    feed: ListFeed,
+    rounds: number,
+    options: Partial<RowFollowerOptions> = {},
+    onRound: (follower: RowFollower, round: number) => void = () => undefined,
+) {
     const clock = new ManualClock();
     const seen: string[] = [];
     const follower = new RowFollower({
@@ -60,10 +65,12 @@
                         .join(" "),
                 ),
         },
+        ...options,
     });
     void follower.run(new AbortController().signal);
     for (let round = 0; round < rounds; round += 1) {
         await new Promise((resolve) => setImmediate(resolve));
+        onRound(follower, round);
         clock.advance(200);
     }
     return seen;
@@ -98,4 +105,34 @@
         );
         expect(await follow(feed, 6)).toEqual(["all a", "all c"]);
     });
+
+    it("polls once for a request to read while no node relays changes", async () => {
+        const feed = new ListFeed(
+            [{ rows: [row("a", 1)], position: 5 }],
+            Array.from({ length: 20 }, () => ({ changes: [], position: 5 })),
+        );
+        const options = { computePollIntervalMs: () => 1_000_000 };
+        await follow(feed, 30, options, (follower, round) => {
+            if (round === 3) {
+                follower.requestRead();
+            }
+        });
+        expect(feed.calls).toEqual(["all", "changes after 5"]);
+    });
+
+    it("reads the complete table at once for a request while another node relays changes", async () => {
+        const feed = new ListFeed(
+            [
+                { rows: [row("a", 1)], position: 5 },
+                { rows: [row("c", 9)], position: 9 },
+            ],
+            [],
+        );
+        const seen = await follow(feed, 8, { isRelayActive: () => true }, (follower, round) => {
+            if (round === 3) {
+                follower.requestRead();
+            }
+        });
+        expect(seen).toEqual(["all a", "all c"]);
+    });
 });
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -128,17 +128,18 @@
 
     /** Waits, but not beyond the moment at which a read is requested. */
     private async waitUntilRequested(pauseMs: number, signal: AbortSignal): Promise<void> {
-        const requested = new AbortController();
-        this.wakeUp = () => requested.abort();
-        await this.options.clock.wait(pauseMs, AbortSignal.any([signal, requested.signal]));
+        const requested = new Promise<void>((resolve) => {
+            this.wakeUp = resolve;
+        });
+        await Promise.race([this.options.clock.wait(pauseMs, signal), requested]);
         this.wakeUp = undefined;
     }
 
     /** Returns the pause before the next read, in milliseconds. */
     private async readNext(signal: AbortSignal): Promise<number> {
         const { feed, table, receiver, longPollMs, computePauseMs } = this.options;
+        this.isReadRequested = false;
         if (this.position === undefined) {
-            this.isReadRequested = false;
             const { rows, position } = await feed.readAll(table, signal);
             receiver.setRows(rows, position);
             this.recordContact(position);
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -6,6 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { FastifyInstance } from "fastify";
+import { computeSlackPart } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { ConnectionPool } from "@pimentocleat/upstream";
@@ -60,8 +61,6 @@
 const peerLongPollMs = 28_000;
 /** Delay before the first read of the nodes, in milliseconds; nodes that start together have registered by then. */
 const peerReadDelayMs = 700;
-/** Number of nodes among which the retry slack is divided; in a larger deployment each node has less of the load. */
-const retrySlackShares = 20;
 /** Time within which the load balancer detects that a node is not ready, in milliseconds. */
 const balancerReactionMs = 2_600;
 /**
@@ -345,11 +344,11 @@
                 readDelayMs: (isAnnounced) => this.news.readDelayMs(isAnnounced),
                 random: this.options.random,
             },
-            retries: {
+            readRetrySettings: () => ({
                 windowMs: settings.retryWindowMs,
                 share: settings.retryShare,
-                slack: Math.floor(settings.retrySlack / retrySlackShares),
-            },
+                slack: computeSlackPart(settings.retrySlack, this.peers.countNodes()),
+            }),
         });
     }
 
--- a/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
+++ b/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
@@ -41,7 +41,7 @@
             configuration: new ActiveConfiguration(logger),
             clock: this.clock,
             dataCentre,
-            retries: { windowMs: 1, share: 0, slack: 0 },
+            readRetrySettings: () => ({ windowMs: 1, share: 0, slack: 0 }),
             news: { readDelayMs: () => 0, random: () => 0 },
         });
         const others = (names: readonly string[]) =>
--- a/packages/gateway/src/peers/__tests__/storeRelay.test.ts
+++ b/packages/gateway/src/peers/__tests__/storeRelay.test.ts
@@ -148,6 +148,28 @@
         expect(neighbour.reads.servers).toBe(0);
     });
 
+    it("store turning the reader away: the reader follows its deputy and is none until it reads again", () => {
+        const { clock, reader, neighbour } = buildPair();
+        clock.advance(1_500);
+        const update = { ...reader.sent.at(-1)!, ageMs: 10 };
+        reader.relay.receiveUpdate(update, "deputy");
+        expect(reader.relay.isReader()).toBe(false);
+        expect(reader.relay.isRelayActive()).toBe(true);
+        expect(reader.relay.findReader()).toBe("deputy");
+        reader.contactMs = clock.monotonicMs();
+        expect(reader.relay.isReader()).toBe(true);
+        expect(neighbour.relay.findReader()).toBeUndefined();
+    });
+
+    it("store turning the reader away: neighbours keep to the deputy, whose data is newer", () => {
+        const { clock, reader, neighbour } = buildPair();
+        clock.advance(1_500);
+        const update = reader.sent.at(-1)!;
+        neighbour.relay.receiveUpdate({ ...update, ageMs: 10 }, "deputy");
+        neighbour.relay.receiveUpdate({ ...update, ageMs: 1_500 }, "stale");
+        expect(neighbour.relay.findReader()).toBe("deputy");
+    });
+
     it("silent reader: the first deputy reads the store before the others and sends them updates", () => {
         const { clock, reader, neighbour } = buildPair();
         neighbour.rank = 1;
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -32,6 +32,13 @@
     readonly logger: Logger;
 }
 
+/** What ranks a node as a reader. */
+interface ReaderRank {
+    readonly name: string;
+    readonly processorShare: number;
+    readonly weight: number;
+}
+
 const addressSchema = z.object({
     host: z.string(),
     port: z.number(),
@@ -63,6 +70,9 @@
  */
 export class PeerDirectory implements RowReceiver {
     private readonly peers = new Map<string, PeerAddress>();
+    /** What ranks the other nodes as readers, by name; the weights are costly to compute. */
+    private readonly readerRanks = new Map<string, ReaderRank>();
+    private readonly ownRank: ReaderRank;
     /** Time at which the last message of a node arrived or its registration was first seen. */
     private readonly lastContactMs = new Map<string, number>();
     /** The node of each other data centre that last sent a message as its reader, and when. */
@@ -75,7 +85,9 @@
     private chosen: readonly PeerAddress[] = [];
 
     /** @param options - This node and the store. */
-    constructor(private readonly options: PeerDirectoryOptions) {}
+    constructor(private readonly options: PeerDirectoryOptions) {
+        this.ownRank = buildReaderRank(options.name, options.address);
+    }
 
     /**
      * Registers this node, and retries until that succeeds.
@@ -142,10 +154,8 @@
             if (known !== undefined) {
                 return [known];
             }
-            const ranked = names
-                .map((name) => ({ name, peer: this.peers.get(name)! }))
-                .sort((left, right) => compareReaders(left.name, left.peer, right.name, right.peer));
-            return ranked.slice(0, likelyReaders).map(({ peer }) => peer);
+            const ranked = names.map((name) => this.readerRanks.get(name)!).sort(compareReaders);
+            return ranked.slice(0, likelyReaders).map(({ name }) => this.peers.get(name)!);
         });
     }
 
@@ -243,6 +253,7 @@
     setRows(rows: readonly Row[]): void {
         this.hasRows = true;
         this.peers.clear();
+        this.readerRanks.clear();
         rows.forEach((row) => this.applyRow(row));
         this.choosePeers();
     }
@@ -253,6 +264,7 @@
                 this.applyRow(change.row);
             } else {
                 this.peers.delete(change.key);
+                this.readerRanks.delete(change.key);
             }
         }
         this.choosePeers();
@@ -268,13 +280,15 @@
             this.recordContact(row.key);
         }
         this.peers.set(row.key, address.data);
+        if (this.readerRanks.get(row.key)?.processorShare !== address.data.processorShare) {
+            this.readerRanks.set(row.key, buildReaderRank(row.key, address.data));
+        }
     }
 
     private countPreferredReaders(names: readonly string[]): number {
-        const { name: own, address } = this.options;
         return names.filter((name) => {
-            const peer = this.peers.get(name);
-            return peer !== undefined && compareReaders(name, peer, own, address) < 0;
+            const rank = this.readerRanks.get(name);
+            return rank !== undefined && compareReaders(rank, this.ownRank) < 0;
         }).length;
     }
 
@@ -292,12 +306,15 @@
     }
 }
 
+function buildReaderRank(name: string, { processorShare }: PeerAddress): ReaderRank {
+    return { name, processorShare, weight: computeRendezvousWeight(readerRankKey, name) };
+}
+
 /** Orders the readers of a data centre: the hosts with the highest processor capacity first, since a reader does more. */
-function compareReaders(leftName: string, left: PeerAddress, rightName: string, right: PeerAddress): number {
+function compareReaders(left: ReaderRank, right: ReaderRank): number {
     return (
         right.processorShare - left.processorShare ||
-        computeRendezvousWeight(readerRankKey, rightName) -
-            computeRendezvousWeight(readerRankKey, leftName) ||
-        leftName.localeCompare(rightName)
+        right.weight - left.weight ||
+        left.name.localeCompare(right.name)
     );
 }
--- a/packages/node/src/daemon/gatedConfiguration.ts
+++ b/packages/node/src/daemon/gatedConfiguration.ts
@@ -13,7 +13,7 @@
 }
 
 /**
- * Hides the configuration from the request path while the node may not serve requests. Changes are always
+ * Hides the configuration from the request path while the node must not serve requests. Changes are always
  * passed on, so that the pools are up to date once the node may serve again.
  */
 export class GatedConfiguration implements ConfigurationSource {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -55,7 +55,7 @@
 export type { InFlightRequest } from "./placement/inFlightRequests.js";
 export { PrefixCacheModel } from "./placement/prefixCacheModel.js";
 export type { PromptPart } from "./placement/prefixCacheModel.js";
-export { RetryAllowance } from "./placement/retryAllowance.js";
+export { computeSlackPart, RetryAllowance } from "./placement/retryAllowance.js";
 export type { RetryAllowanceSettings } from "./placement/retryAllowance.js";
 export { defaultPlacementSettings } from "./placement/placementSettings.js";
 export type { PlacementSettings } from "./placement/placementSettings.js";
--- a/packages/policy/src/placement/inFlightRequests.ts
+++ b/packages/policy/src/placement/inFlightRequests.ts
@@ -36,6 +36,8 @@
 export class InFlightRequests {
     private readonly requests = new Map<string, TrackedRequest>();
     private readonly byServer = new Map<string, Set<TrackedRequest>>();
+    /** Number of streams in flight, by pause target in milliseconds. */
+    private readonly streamCounts = new Map<number, number>();
 
     /**
      * Adds a request that was sent, replacing one with the same identifier.
@@ -50,6 +52,7 @@
         this.requests.set(request.id, tracked);
         const serverRequests = this.byServer.get(request.serverId) ?? new Set();
         this.byServer.set(request.serverId, serverRequests.add(tracked));
+        this.addToStreamCount(request.pauseTargetMs, 1);
     }
 
     /** Records the first event of a request, which ends its prefill. */
@@ -66,6 +69,7 @@
         if (request !== undefined) {
             this.requests.delete(id);
             this.byServer.get(request.serverId)?.delete(request);
+            this.addToStreamCount(request.pauseTargetMs, -1);
         }
     }
 
@@ -107,8 +111,8 @@
      */
     countStreams(maximumPauseMs: number): number {
         let count = 0;
-        for (const { pauseTargetMs } of this.requests.values()) {
-            count += pauseTargetMs !== undefined && pauseTargetMs <= maximumPauseMs ? 1 : 0;
+        for (const [pauseTargetMs, streams] of this.streamCounts) {
+            count += pauseTargetMs <= maximumPauseMs ? streams : 0;
         }
         return count;
     }
@@ -128,6 +132,18 @@
         }
         return expected;
     }
+
+    private addToStreamCount(pauseTargetMs: number | undefined, change: number): void {
+        if (pauseTargetMs === undefined) {
+            return;
+        }
+        const count = (this.streamCounts.get(pauseTargetMs) ?? 0) + change;
+        if (count > 0) {
+            this.streamCounts.set(pauseTargetMs, count);
+        } else {
+            this.streamCounts.delete(pauseTargetMs);
+        }
+    }
 }
 
 /**
--- a/packages/policy/src/placement/retryAllowance.ts
+++ b/packages/policy/src/placement/retryAllowance.ts
@@ -14,22 +14,30 @@
     readonly slack: number;
 }
 
+/**
+ * Minimum number of nodes among which the slack is divided: a deployment may grow while each node still counts with the
+ * former number, and a node that has just started does not know the others yet.
+ */
+const minimumSlackShares = 20;
+
+/**
+ * Computes a node's part of the slack of all nodes.
+ *
+ * @param slack - Retries that all nodes combined may make in a window beyond the share.
+ * @param nodes - Number of nodes that this node knows of, including itself.
+ * @returns The node's part, rounded down, so that the parts never exceed the slack.
+ */
+export function computeSlackPart(slack: number, nodes: number): number {
+    return Math.floor(slack / Math.max(minimumSlackShares, nodes));
+}
+
 /** Limits the retries of one service on one node by counting its first attempts and retries. */
 export class RetryAllowance {
     private firstAttempts: number[] = [];
     private retries: number[] = [];
 
-    /** @param settings - The limits. */
-    constructor(private settings: RetryAllowanceSettings) {}
-
-    /**
-     * Replaces the settings.
-     *
-     * @param settings - The new limits.
-     */
-    updateSettings(settings: RetryAllowanceSettings): void {
-        this.settings = settings;
-    }
+    /** @param readSettings - Reads the limits, which change with the number of nodes. */
+    constructor(private readonly readSettings: () => RetryAllowanceSettings) {}
 
     /**
      * Records the first attempt of a request.
@@ -49,7 +57,7 @@
      */
     takeRetry(nowMs: number): boolean {
         this.removeExpired(nowMs);
-        const { share, slack } = this.settings;
+        const { share, slack } = this.readSettings();
         if (this.retries.length + 1 > share * this.firstAttempts.length + slack) {
             return false;
         }
@@ -58,7 +66,7 @@
     }
 
     private removeExpired(nowMs: number): void {
-        const startMs = nowMs - this.settings.windowMs;
+        const startMs = nowMs - this.readSettings().windowMs;
         this.firstAttempts = removeBefore(this.firstAttempts, startMs);
         this.retries = removeBefore(this.retries, startMs);
     }
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -73,6 +73,7 @@
      */
     updateServers(servers: readonly PlacementServer[]): void {
         const present = new Set(servers.map((server) => server.id));
+        this.isolation.updateServers(servers);
         for (const [id, estimate] of this.estimates) {
             if (!present.has(id) && estimate.inFlight === 0) {
                 this.estimates.delete(id);
--- a/packages/policy/src/placement/streamIsolation.ts
+++ b/packages/policy/src/placement/streamIsolation.ts
@@ -30,6 +30,17 @@
 export class StreamIsolation {
     /** Monotonic time at which each pause target was last seen, in milliseconds. */
     private readonly lastSeenMs = new Map<number, number>();
+    /** Rank weights of the known servers. */
+    private weights = new Map<string, number>();
+
+    /**
+     * Replaces the servers whose rank weights are kept, so that a choice need not compute them.
+     *
+     * @param servers - The servers that may get new requests.
+     */
+    updateServers(servers: readonly PlacementServer[]): void {
+        this.weights = new Map(servers.map(({ id }) => [id, this.readWeight(id)]));
+    }
 
     /**
      * Records the pause target of a request.
@@ -97,7 +108,7 @@
         const ranked = servers
             .map(({ id, isReclaimable }) => ({
                 id,
-                weight: computeRendezvousWeight(isolationRankKey, id),
+                weight: this.readWeight(id),
                 isReclaimable,
             }))
             .sort(
@@ -131,4 +142,8 @@
         const harmlessMs = harmlessPrefillShare * sensitivePauseMs;
         return harmlessMs === 0 ? 0 : disturbancePenaltyMs * Math.min(1, prefillMs / harmlessMs);
     }
+
+    private readWeight(id: string): number {
+        return this.weights.get(id) ?? computeRendezvousWeight(isolationRankKey, id);
+    }
 }
