Log the software version of back ends and what a request continues

Registrations now carry the version (also from a reader to its neighbours, where a node of an earlier release omits it), and events 2002 and 2004 and the registration events log it, with the last event forwarded and the request that is continued. No decision reads it yet.

--- a/packages/gateway/src/backends/backendServer.ts
+++ b/packages/gateway/src/backends/backendServer.ts
@@ -17,6 +17,8 @@
     readonly state: "ready" | "leaving";
     /** Start time of the server, in milliseconds since the Unix epoch; distinguishes restarts under one identifier. */
     readonly bornMs?: number | undefined;
+    /** Version of the server's software, not of its model; undefined when its registration names none. */
+    readonly softwareVersion?: string | undefined;
     /** Whether the platform may reclaim the server at any time. */
     readonly isReclaimable: boolean;
 }
--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -74,7 +74,9 @@
      * @param removed - Servers that are no longer registered.
      */
     updateServers(changed: readonly RegisteredServer[], removed: readonly RemovedServer[]): void {
-        const newer = changed.filter((server) => this.isNewer(server));
+        const newer = changed
+            .filter((server) => this.isNewer(server))
+            .map((server) => this.restoreSoftwareVersion(server));
         const routingChanges = newer.filter(
             (server) => !isRoutingUnchanged(this.servers.get(server.id), server),
         );
@@ -144,6 +146,14 @@
         return server.version >= known && server.version > removed;
     }
 
+    /** Keeps the software version that a node of an earlier release omits when it relays a registration. */
+    private restoreSoftwareVersion(server: RegisteredServer): RegisteredServer {
+        const known = this.servers.get(server.id);
+        return server.softwareVersion === undefined && known?.version === server.version
+            ? { ...server, softwareVersion: known.softwareVersion }
+            : server;
+    }
+
     private removeServer({ id, version }: RemovedServer, services: Set<string>): boolean {
         const known = this.servers.get(id);
         if (known === undefined || known.version > version) {
@@ -159,8 +169,10 @@
     private buildDigest(): string {
         const hash = createHash("sha1");
         for (const id of [...this.servers.keys()].sort()) {
-            const { service, address, dataCentre, slots, state, bornMs } = this.servers.get(id)!;
-            hash.update(JSON.stringify([id, service, address, dataCentre, slots, state, bornMs]));
+            const { service, address, dataCentre, slots, state, bornMs, softwareVersion } =
+                this.servers.get(id)!;
+            const fields = [id, service, address, dataCentre, slots, state, bornMs, softwareVersion];
+            hash.update(JSON.stringify(fields));
         }
         return hash.digest("base64");
     }
@@ -172,10 +184,10 @@
     }
 
     private writeChangeEvent(known: RegisteredServer | undefined, server: RegisteredServer): void {
-        const { id, service, dataCentre, state } = server;
-        if (known === undefined || known.state !== state || known.bornMs !== server.bornMs) {
+        const { id, service, dataCentre, state, softwareVersion, bornMs } = server;
+        if (known === undefined || known.state !== state || known.bornMs !== bornMs) {
             const event = state === "leaving" ? "backendLeaving" : "backendRegistered";
-            this.logger.writeEvent(event, { server: id, service, dataCentre });
+            this.logger.writeEvent(event, { server: id, service, dataCentre, softwareVersion, bornMs });
         }
     }
 }
@@ -189,6 +201,7 @@
         known.dataCentre === server.dataCentre &&
         known.slots === server.slots &&
         known.state === server.state &&
-        known.bornMs === server.bornMs
+        known.bornMs === server.bornMs &&
+        known.softwareVersion === server.softwareVersion
     );
 }
--- a/packages/gateway/src/dispatch/gatewayRequest.ts
+++ b/packages/gateway/src/dispatch/gatewayRequest.ts
@@ -21,6 +21,8 @@
     readonly promptTokens: number;
     /** Identifier of the last event that the caller received before it reconnected. */
     readonly lastEventId: string | undefined;
+    /** Identifier of the request whose response brought the first event of a stream that this request continues. */
+    readonly resumedRequestId: string | undefined;
     /** Headers that are forwarded to the backend server, as alternating names and values. */
     readonly forwardedHeaders: readonly string[];
 }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -166,8 +166,11 @@
             requestId,
             server: server.id,
             route: request.route.name,
+            softwareVersion: server.softwareVersion,
             attempt: state.attemptCount + 1,
             remainingMs: Math.round(remainingMs),
+            resumedRequestId: request.head.resumedRequestId,
+            lastEventId: state.lastEventId,
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
@@ -277,6 +280,7 @@
             server: server.id,
             reason,
             attempt: state.attemptCount,
+            lastEventId: state.lastEventId,
         });
         return false;
     }
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -21,6 +21,7 @@
     slots: z.number(),
     state: z.enum(["ready", "leaving"]),
     bornMs: z.number().optional(),
+    softwareVersion: z.string().optional(),
     isReclaimable: z.boolean(),
 }) satisfies z.ZodType<RegisteredServer>;
 
