Continue a stream only at the software version that began it

Cause: the version of an engine was no input of the choice. A node resumed its own broken stream on the cheapest engine, and a node at which a caller took a stream up knew nothing of it; 'Resumes' was not read. Class of fault: an answer is continued by a server whose identity is not compared with the first one's. Change: the first forwarded event fixes the version; it is told to three nodes that the request's identifier selects on a hash ring, and a resumption asks five. Where only one version served for long enough, no record is needed. Unknown, or no engine of the version: 503 and not run, or a visible cut within a response. Why it works: each choice of a server for a stream that has begun is filtered by the version, whoever sent the first event.

--- a/packages/gateway/src/configuration/activeConfiguration.ts
+++ b/packages/gateway/src/configuration/activeConfiguration.ts
@@ -6,6 +6,9 @@
 import type { Logger } from "@pimentocleat/telemetry";
 import type { CustomerRule, GatewayConfiguration, RouteRule, ServiceRule } from "./gatewayConfiguration.js";
 
+/** Number of requests over whose timeouts a caller may spread one stream. */
+const triesPerStream = 2;
+
 interface ConfigurationIndex {
     readonly configuration: GatewayConfiguration;
     /** Routes by host, sorted by descending length of the path prefix. */
@@ -74,6 +77,21 @@
         return this.index?.customers.get(key);
     }
 
+    /**
+     * Estimates how long ago a stream may have begun that a caller takes up.
+     *
+     * @param service - Service of the stream.
+     * @returns The time, in milliseconds; infinite before the first configuration.
+     */
+    readLongestStreamMs(service: string): number {
+        const timeouts = (this.readCurrent()?.routes ?? [])
+            .filter(
+                (route) => route.isResumable && route.targets.some((target) => target.service === service),
+            )
+            .map(({ timeoutMs }) => timeoutMs);
+        return timeouts.length === 0 ? Number.POSITIVE_INFINITY : triesPerStream * Math.max(...timeouts);
+    }
+
     /**
      * Finds a service by its name.
      *
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -57,6 +57,8 @@
     readonly inactivityTimeoutMs: number | undefined;
     /** Called when the first data, or the end of an empty response, shows that the server runs the request. */
     readonly onRunning: () => void;
+    /** Called before the first bytes of a response are forwarded to the caller. */
+    readonly onForwarding: () => void;
     /** Announces the attempt to the other nodes. */
     readonly announcer: DispatchAnnouncer;
 }
@@ -210,6 +212,9 @@
 
     private forwardBytes(bytes: Buffer): void {
         const { answer } = this.options;
+        if (!this.hasForwardedBytes) {
+            this.options.onForwarding();
+        }
         answer.startStream(this.status, this.headers);
         this.hasForwardedBytes = true;
         if (!answer.writeBytes(bytes)) {
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -12,9 +12,11 @@
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
+import type { OriginDirectory } from "../peers/originDirectory.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import {
+    buildUnknownOriginError,
     buildUnservedError,
     isRepeatable,
     minimumRemainingMs,
@@ -39,6 +41,7 @@
     readonly protocol: BackendProtocol;
     readonly usage: UsageCounter;
     readonly announcer: DispatchAnnouncer;
+    readonly origins: OriginDirectory;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -71,6 +74,7 @@
         );
         answer.setDisconnectListener(() => this.cancelRun(state));
         try {
+            await this.resolveOrigin(state);
             await this.runAttempts(state);
         } finally {
             clearTimeout(timer);
@@ -90,6 +94,7 @@
             isUsageCounted: false,
             isStreamStarted: false,
             lastEventId: request.head.lastEventId,
+            streamOrigin: undefined,
             failedAnswer: undefined,
             currentAttempt: undefined,
             isCancelled: false,
@@ -105,6 +110,19 @@
         state.currentAttempt?.cancel();
     }
 
+    /** Finds where a stream began that the caller takes up, so that it goes on at the same software version. */
+    private async resolveOrigin(state: RunState): Promise<void> {
+        const { head, route, service } = state.request;
+        if (head.lastEventId === undefined || !route.isResumable) {
+            return;
+        }
+        const softwareVersion = await this.options.origins.resolveVersion(service, head.resumedRequestId);
+        if (softwareVersion === undefined) {
+            throw buildUnknownOriginError();
+        }
+        state.streamOrigin = { softwareVersion };
+    }
+
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
             const server = this.chooseServer(state);
@@ -122,7 +140,9 @@
 
     private chooseServer(state: RunState): RegisteredServer | undefined {
         const { request, dispatch, excluded } = state;
-        const ready = this.options.directory.listReadyServers(request.service);
+        const ready = this.options.directory
+            .listReadyServers(request.service)
+            .filter((server) => canContinue(state, server));
         const capacityTokens = this.options.configuration.findService(request.service)?.engine
             ?.capacityTokens;
         const candidates = ready.map((server) => convertToPlacementServer(server, capacityTokens));
@@ -159,6 +179,7 @@
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
+            onForwarding: () => this.recordOrigin(state, server),
             announcer: this.options.announcer,
         });
         this.options.metrics.addCount("request.sent", 1, { route: request.route.name });
@@ -199,6 +220,18 @@
         }
     }
 
+    /** Records the software version that begins a stream which may be resumed. */
+    private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
+        const { route, head } = state.request;
+        if (state.streamOrigin !== undefined || !route.isResumable) {
+            return;
+        }
+        state.streamOrigin = { softwareVersion };
+        if (softwareVersion !== undefined) {
+            this.options.origins.reportOrigin(head.requestId, softwareVersion);
+        }
+    }
+
     /** Returns whether the request is finished; otherwise another attempt follows. */
     private handleResult(state: RunState, server: RegisteredServer, result: AttemptResult): boolean {
         const { answer } = state;
@@ -333,3 +366,11 @@
         return this.options.clock.monotonicMs();
     }
 }
+
+/** What two software versions write doesn't fit together, so a stream goes on only at the version that began it. */
+function canContinue(state: RunState, { softwareVersion }: RegisteredServer): boolean {
+    return (
+        state.streamOrigin === undefined ||
+        (softwareVersion !== undefined && softwareVersion === state.streamOrigin.softwareVersion)
+    );
+}
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -13,6 +13,8 @@
 export const minimumRemainingMs = 40;
 /** Retry delay suggested to callers when no server is available, in milliseconds. */
 const noServerRetryAfterMs = 500;
+/** Retry delay suggested to callers whose stream is not known on any node that was asked, in milliseconds. */
+const unknownOriginRetryAfterMs = 250;
 
 /** Mutable state of a running request. */
 export interface RunState {
@@ -30,6 +32,8 @@
     isUsageCounted: boolean;
     isStreamStarted: boolean;
     lastEventId: string | undefined;
+    /** Where the stream began; undefined before its first event. */
+    streamOrigin: { readonly softwareVersion: string | undefined } | undefined;
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
     failedAnswer: CompleteBackendAnswer | undefined;
     currentAttempt: Attempt | undefined;
@@ -74,6 +78,19 @@
     return request.route.kind === "repeatable" || request.route.isResumable;
 }
 
+/**
+ * Builds the error for a resumption of a stream of which no node knows the software version.
+ *
+ * @returns The error; another node may know more a moment later.
+ */
+export function buildUnknownOriginError(): RouterError {
+    const message = "it is not known which software version began the stream";
+    return new RouterError(ErrorKind.StreamNotResumable, message, {
+        executed: "no",
+        retryAfterMs: unknownOriginRetryAfterMs,
+    });
+}
+
 /**
  * Builds the error for a request to which no server responded.
  *
@@ -83,6 +100,9 @@
  * @returns The error; it states that the request did not run only when no server can have run it.
  */
 export function buildUnservedError(state: RunState, noServer: boolean, remainingMs: number): RouterError {
+    if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun) {
+        return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
+    }
     const executed = state.mayHaveRun ? "unknown" : "no";
     const reason = state.lastFailureReason === "" ? undefined : `last try: ${state.lastFailureReason}`;
     if (state.mayHaveRun) {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -6,7 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { FastifyInstance } from "fastify";
-import { computeSlackPart } from "@pimentocleat/policy";
+import { computeSlackPart, VersionHistory } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { ConnectionPool } from "@pimentocleat/upstream";
@@ -23,6 +23,7 @@
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
+import { OriginDirectory } from "../peers/originDirectory.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
 import { PeerMessenger } from "../peers/peerMessenger.js";
@@ -87,6 +88,8 @@
     private readonly peers: PeerDirectory;
     private readonly messenger: PeerMessenger;
     private readonly news: DispatchNews;
+    private readonly versions: VersionHistory;
+    private readonly origins: OriginDirectory;
     private readonly relay: StoreRelay;
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
@@ -142,6 +145,22 @@
                 }
             },
         });
+        this.versions = new VersionHistory(clock);
+        this.directory.addReadyListener((service) => {
+            const servers = this.directory.listServers(service);
+            this.versions.recordServers(
+                service,
+                servers.map(({ softwareVersion }) => softwareVersion),
+            );
+        });
+        this.origins = new OriginDirectory({
+            name: settings.name,
+            clock,
+            history: this.versions,
+            readLongestStreamMs: (service) => this.configuration.readLongestStreamMs(service),
+            listKeepers: (requestId, count) => this.peers.listKeepers(requestId, count),
+            send: (name, message) => this.messenger.sendOrigin(name, message),
+        });
         this.messenger = new PeerMessenger({
             name: settings.name,
             host,
@@ -162,6 +181,7 @@
             random,
             findPeer: (name) => this.peers.findPeer(name),
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
+            receiveOrigin: (message, from) => this.origins.receiveMessage(message, from),
             receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
             addForwardedUsage: (usage, reply) => this.duties.usage.addForwardedUsage(usage, reply),
@@ -175,6 +195,7 @@
             computeLiveRank: () => this.peers.computeLiveReaderRank(),
             computeRank: () => this.peers.computeReaderRank(),
             timing: this.relayTiming,
+            onOutdated: () => this.versions.clearHistory(),
             sendUpdate: (update) =>
                 this.messenger.sendStoreUpdate(update, this.peers.listNeighbourAddresses()),
         });
@@ -260,7 +281,11 @@
             startListening(this.readinessServer, settings.readinessAddress),
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
-        this.tasks.push(new StallDetector(this.options.clock, logger).run(this.stopping.signal));
+        this.tasks.push(
+            new StallDetector(this.options.clock, logger, () => this.versions.clearHistory()).run(
+                this.stopping.signal,
+            ),
+        );
         logger.writeEvent("nodeStarted", { name: settings.name });
     }
 
@@ -358,6 +383,7 @@
         const runner = new RequestRunner({
             dispatches: this.dispatches,
             announcer: this.news,
+            origins: this.origins,
             directory,
             configuration,
             connections,
--- a/packages/gateway/src/lifecycle/stallDetector.ts
+++ b/packages/gateway/src/lifecycle/stallDetector.ts
@@ -21,10 +21,12 @@
     /**
      * @param clock - Clocks of the host.
      * @param logger - Records stalls and clock steps.
+     * @param onStall - Called after each of them.
      */
     constructor(
         private readonly clock: WaitingClock,
         private readonly logger: Logger,
+        private readonly onStall: () => void = () => undefined,
     ) {}
 
     /**
@@ -46,10 +48,12 @@
     private recordElapsed(monotonicMs: number, wallMs: number): void {
         if (monotonicMs > checkIntervalMs + toleratedDelayMs) {
             this.logger.writeEvent("nodeStalled", { passedMs: Math.round(monotonicMs) });
+            this.onStall();
         }
         const aheadMs = Math.round(wallMs - monotonicMs);
         if (Math.abs(aheadMs) > toleratedDelayMs) {
             this.logger.writeEvent("clockJumped", { aheadMs });
+            this.onStall();
         }
     }
 }
--- /dev/null
+++ b/packages/gateway/src/peers/__tests__/originDirectory.test.ts
@@ -0,0 +1,126 @@
+import { createRandom, HashRing, VersionHistory } from "@pimentocleat/policy";
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import { OriginDirectory } from "../originDirectory.js";
+import type { OriginMessage } from "../originMessages.js";
+
+const spanMs = 16_000;
+
+/** Nodes that exchange messages at once; messages to nodes in `dead` are lost. */
+class Deployment {
+    readonly clock = new ManualClock();
+    readonly dead = new Set<string>();
+    readonly received = new Map<string, number>();
+    readonly histories = new Map<string, VersionHistory>();
+    private readonly nodes = new Map<string, OriginDirectory>();
+    private readonly names: readonly string[];
+    private readonly ring: HashRing;
+
+    constructor(count: number) {
+        this.names = [...Array(count).keys()].map((index) => `node-${String(index)}`);
+        this.ring = new HashRing(this.names);
+        this.names.forEach((name) => this.startNode(name));
+    }
+
+    /** Starts a node, or restarts it with nothing of what it knew. */
+    startNode(name: string): void {
+        const history = new VersionHistory(this.clock);
+        history.recordServers("s", ["v1", "v2"]);
+        this.histories.set(name, history);
+        const node = new OriginDirectory({
+            name,
+            clock: this.clock,
+            history,
+            readLongestStreamMs: () => spanMs,
+            listKeepers: (key, limit) => this.ring.listSuccessors(key, limit),
+            send: (to, message) => this.deliver(name, to, message),
+        });
+        this.nodes.set(name, node);
+    }
+
+    readNode(index: number): OriginDirectory {
+        return this.nodes.get(this.names[index]!)!;
+    }
+
+    /** Advances the clock until the answer is there. */
+    async resolve(index: number, requestId: string | undefined): Promise<string | undefined> {
+        const answer = this.readNode(index).resolveVersion("s", requestId);
+        await Promise.resolve();
+        this.clock.advance(1_000);
+        return answer;
+    }
+
+    listKeepers(requestId: string): readonly string[] {
+        return this.ring.listSuccessors(requestId, 3);
+    }
+
+    private deliver(from: string, to: string, message: OriginMessage): boolean {
+        if (!this.dead.has(to) && !this.dead.has(from)) {
+            this.received.set(to, (this.received.get(to) ?? 0) + 1);
+            this.nodes.get(to)!.receiveMessage(message, from);
+        }
+        return true;
+    }
+}
+
+describe("OriginDirectory", () => {
+    // Guards against a node that continues the stream of another node at any version.
+    it.each([9, 195])("finds at any of %i nodes where a stream began", async (count) => {
+        const deployment = new Deployment(count);
+        const random = createRandom(7);
+        for (let index = 0; index < 40; index += 1) {
+            const id = `request-${String(index)}`;
+            const [first, second] = [random(), random()].map((draw) => Math.floor(draw * count));
+            deployment.readNode(first!).reportOrigin(id, index % 2 === 0 ? "v1" : "v2");
+            expect(await deployment.resolve(second!, id)).toBe(index % 2 === 0 ? "v1" : "v2");
+        }
+    });
+
+    it("finds it after the node that began the stream has ended and another node has restarted", async () => {
+        const deployment = new Deployment(9);
+        deployment.readNode(0).reportOrigin("a", "v2");
+        deployment.dead.add("node-0");
+        const keeper = deployment.listKeepers("a").find((name) => name !== "node-0")!;
+        deployment.startNode(keeper);
+        for (let index = 1; index < 9; index += 1) {
+            expect(await deployment.resolve(index, "a")).toBe("v2");
+        }
+    });
+
+    it("keeps the first record of a stream", async () => {
+        const deployment = new Deployment(9);
+        deployment.readNode(0).reportOrigin("a", "v1");
+        deployment.readNode(1).reportOrigin("a", "v2");
+        expect(await deployment.resolve(5, "a")).toBe("v1");
+    });
+
+    // Guards against a guess where nobody knows, and against waiting long for silent nodes.
+    it.each([
+        { name: "no node was told", dead: [] },
+        { name: "all other nodes are silent", dead: [1, 2, 3, 4, 5, 6, 7, 8] },
+    ])("knows no version when $name", async ({ dead }) => {
+        const deployment = new Deployment(9);
+        dead.forEach((index) => deployment.dead.add(`node-${String(index)}`));
+        expect(await deployment.resolve(0, "unknown")).toBeUndefined();
+        expect(await deployment.resolve(0, undefined)).toBeUndefined();
+    });
+
+    it("takes the only version of late from itself, or from a node that has run for longer", async () => {
+        const deployment = new Deployment(9);
+        deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
+        deployment.clock.advance(spanMs + 1);
+        deployment.startNode("node-0");
+        deployment.histories.get("node-0")!.recordServers("s", ["v2"]);
+        expect(await deployment.resolve(1, undefined)).toBe("v2");
+        expect(await deployment.resolve(0, "unknown")).toBe("v2");
+    });
+
+    it("costs each node a constant number of messages a stream, whatever the number of nodes", () => {
+        const deployment = new Deployment(195);
+        for (let index = 0; index < 1_950; index += 1) {
+            deployment.readNode(index % 195).reportOrigin(`request-${String(index)}`, "v1");
+        }
+        const sum = [...deployment.received.values()].reduce((total, count) => total + count, 0);
+        expect(sum).toBeLessThanOrEqual(3 * 1_950);
+    });
+});
--- a/packages/gateway/src/peers/__tests__/storeRelay.test.ts
+++ b/packages/gateway/src/peers/__tests__/storeRelay.test.ts
@@ -50,6 +50,7 @@
             directory: this.directory,
             configuration: this.configuration,
             computeLiveRank: () => computePreferenceRank("reading", name, this.neighbours),
+            onOutdated: () => undefined,
             computeRank: () => this.rank,
             timing: new RelayTiming({ configurationApplyMs: 2_000, leavingNoticeMs: 2_000 }),
             sendUpdate: (update) => this.sent.push(update),
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import { computePreferenceRank, computeRendezvousWeight } from "@pimentocleat/policy";
+import { computePreferenceRank, computeRendezvousWeight, HashRing } from "@pimentocleat/policy";
 import type { Row, RowChange, TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
@@ -81,6 +81,8 @@
     private hasRows = false;
     /** This node's rank as a reader; undefined until it is computed again. */
     private readerRank: number | undefined;
+    /** All registered nodes, including this one; undefined until it is built again. */
+    private ring: HashRing | undefined;
     /** The peers that receive this node's messages about requests. */
     private chosen: readonly PeerAddress[] = [];
 
@@ -129,6 +131,18 @@
         return this.peers.get(name);
     }
 
+    /**
+     * Lists the nodes that a key selects; nodes with the same registrations select the same ones.
+     *
+     * @param key - The key.
+     * @param count - Maximum number of nodes.
+     * @returns The names, the most preferred first; this node may be among them.
+     */
+    listKeepers(key: string, count: number): readonly string[] {
+        this.ring ??= new HashRing([...this.peers.keys(), this.options.name]);
+        return this.ring.listSuccessors(key, count);
+    }
+
     /** @returns Whether there are more nodes than one node tells its news directly. */
     isRelayed(): boolean {
         return this.peers.size > maximumPeers;
@@ -299,6 +313,7 @@
 
     private choosePeers(): void {
         this.readerRank = undefined;
+        this.ring = undefined;
         const { dataCentre } = this.options.address;
         const isNear = (peer: PeerAddress): number => Number(peer.dataCentre === dataCentre);
         const sorted = [...this.peers.values()].sort((left, right) => isNear(right) - isNear(left));
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "@pimentocleat/types";
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
 import { newsSchema, type News } from "./dispatchNews.js";
+import { originMessageSchema, type OriginMessage } from "./originMessages.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeUpdateSchema, type StoreUpdate } from "./storeRelay.js";
 import {
@@ -45,6 +46,8 @@
     readonly receiveStoreUpdate: (update: StoreUpdate, from: string) => void;
     /** Receives a configuration from the node that reads the store for this one. */
     readonly receiveConfiguration: (message: ConfigurationMessage) => void;
+    /** Receives a message about the origin of a stream, and the name of its sender. */
+    readonly receiveOrigin: (message: OriginMessage, from: string) => void;
     /** Stores a copy of counts that another node cannot write. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
     /** Accepts counts to write for another node; the reply carries the new version of the row. */
@@ -60,6 +63,7 @@
     forwardedUsageSchema,
     storedUsageSchema,
     storeUpdateSchema,
+    originMessageSchema,
 ]);
 
 /** Each message carries its sender's name, which shows that the node is alive, and the time of its clock. */
@@ -158,6 +162,17 @@
         this.send(news, peers);
     }
 
+    /**
+     * Sends a message about the origin of a stream.
+     *
+     * @param name - Name of the node.
+     * @param message - The message.
+     * @returns Whether that node is registered.
+     */
+    sendOrigin(name: string, message: OriginMessage): boolean {
+        return this.sendTo(name, message);
+    }
+
     private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
@@ -211,6 +226,11 @@
             case "news":
                 options.receiveNews(message, from);
                 break;
+            case "streamOrigin":
+            case "originQuery":
+            case "originReply":
+                options.receiveOrigin(message, from);
+                break;
         }
     }
 
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -64,6 +64,8 @@
     /** Computes this node's rank as a reader among the registered nodes of its data centre. */
     readonly computeRank: () => number;
     readonly timing: RelayTiming;
+    /** Called while the data of this node is older than a relayed update may be. */
+    readonly onOutdated: () => void;
     /** Sends an update to all other nodes of this data centre. */
     readonly sendUpdate: (update: StoreUpdate) => void;
 }
@@ -164,6 +166,7 @@
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             this.sendUpdate();
+            this.checkAge();
             await this.options.clock.wait(updateIntervalMs, signal);
         }
     }
@@ -196,6 +199,13 @@
         }
     }
 
+    private checkAge(): void {
+        const readMs = Math.max(this.lastReadMs, this.readContactMs());
+        if (this.options.clock.monotonicMs() - readMs > this.computeMaximumAgeMs()) {
+            this.options.onOutdated();
+        }
+    }
+
     /** Returns whether another node's data is newer than what this node has read itself. */
     private isBehind(): boolean {
         return this.lastReadMs > this.readContactMs();
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,3 +63,6 @@
 export type { Placement, PlacementNews } from "./placement/serverPlacement.js";
 export type { PlacementRequest } from "./placement/serverCost.js";
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
+export { HashRing } from "./hashing/hashRing.js";
+export { StreamOrigins } from "./streams/streamOrigins.js";
+export { VersionHistory } from "./streams/versionHistory.js";
--- a/packages/types/src/errorKinds.ts
+++ b/packages/types/src/errorKinds.ts
@@ -31,6 +31,7 @@
     Shed = "shed",
     QueueDeadline = "queue_deadline",
     NoBackendServer = "no_backend_server",
+    StreamNotResumable = "stream_not_resumable",
     BackendRefused = "backend_refused",
     BackendFailed = "backend_failed",
     BackendTimeout = "backend_timeout",
@@ -127,6 +128,12 @@
         true,
         "The pool has no backend server that can take work.",
     ),
+    [ErrorKind.StreamNotResumable]: buildAnswer(
+        503,
+        "no",
+        true,
+        "No backend server can continue the stream at the software version that began it.",
+    ),
     [ErrorKind.BackendRefused]: buildAnswer(
         503,
         "no",
