--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -22,6 +22,16 @@
     readonly body: Buffer;
 }
 
+/** An attempt that failed after the request may have run. */
+export interface LostAttempt {
+    readonly type: "lost";
+    readonly reason: string;
+    /** Whether bytes of the response were forwarded to the caller. */
+    readonly streamed: boolean;
+    /** Time since the first data of the response, in milliseconds; undefined when none had arrived. */
+    readonly runningMs: number | undefined;
+}
+
 /** Outcome of an attempt. */
 export type AttemptResult =
     /** A complete response that was not yet forwarded. */
@@ -33,7 +43,7 @@
     /** No byte reached a server. */
     | { readonly type: "notSent"; readonly reason: string }
     /** The attempt failed after the request may have run. */
-    | { readonly type: "lost"; readonly reason: string; readonly streamed: boolean }
+    | LostAttempt
     /** The server sent no data within the inactivity timeout. */
     | { readonly type: "silent"; readonly streamed: boolean }
     /** The caller disconnected, or the request's deadline passed. */
@@ -83,6 +93,8 @@
     private chunks: Buffer[] = [];
     private receivedBytes = 0;
     private hasReceivedData = false;
+    /** Monotonic time of the first data, in milliseconds. */
+    private firstDataMs: number | undefined;
     /** Monotonic time of the last data of a stream, in milliseconds. */
     private lastDataMs = Number.POSITIVE_INFINITY;
     private hasForwardedBytes = false;
@@ -163,6 +175,7 @@
                         type: "lost",
                         reason: `status ${String(status)} that does not fit the request`,
                         streamed: this.hasForwardedBytes,
+                        runningMs: this.computeRunningMs(),
                     },
                     "broken",
                 );
@@ -230,6 +243,7 @@
                     type: "lost",
                     reason: "the stream ended within an event",
                     streamed: this.hasForwardedBytes,
+                    runningMs: this.computeRunningMs(),
                 },
                 "broken",
             );
@@ -248,14 +262,26 @@
 
     private handleFailure(message: string, sent: boolean): void {
         const result: AttemptResult = sent
-            ? { type: "lost", reason: message, streamed: this.hasForwardedBytes }
+            ? {
+                  type: "lost",
+                  reason: message,
+                  streamed: this.hasForwardedBytes,
+                  runningMs: this.computeRunningMs(),
+              }
             : { type: "notSent", reason: message };
         this.finish(result, "broken");
     }
 
+    private computeRunningMs(): number | undefined {
+        return this.firstDataMs === undefined
+            ? undefined
+            : this.options.clock.monotonicMs() - this.firstDataMs;
+    }
+
     private recordRunning(): void {
         if (!this.hasReceivedData) {
             this.hasReceivedData = true;
+            this.firstDataMs = this.options.clock.monotonicMs();
             this.options.placement.recordFirstEvent(this.placed);
             this.options.onRunning();
             this.reportFirstEvent();
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -13,7 +13,7 @@
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { OriginDirectory } from "../peers/originDirectory.js";
-import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
+import { Attempt, type AttemptResult, type CompleteBackendAnswer, type LostAttempt } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import {
     buildUnknownOriginError,
@@ -195,9 +195,30 @@
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
+        if (result.type === "lost") {
+            this.writeLostEvent(request, server, result);
+        }
         return result;
     }
 
+    private writeLostEvent(
+        { head }: GatewayRequest,
+        server: RegisteredServer,
+        { reason, streamed, runningMs }: LostAttempt,
+    ): void {
+        this.options.logger.writeEvent("attemptLost", {
+            requestId: head.requestId,
+            server: server.id,
+            reason,
+            streamed,
+            runningMs: runningMs === undefined ? undefined : Math.round(runningMs),
+            sharedParts: head.parts
+                .slice(0, -1)
+                .map(({ id }) => id)
+                .join(","),
+        });
+    }
+
     /** Returns undefined when the request may not be retried or no time would remain for a retry. */
     private computeInactivityTimeoutMs(state: RunState, remainingMs: number): number | undefined {
         const { route } = state.request;
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -47,6 +47,11 @@
     requestRetried: defineEvent(2002, "info", "request retried"),
     requestSent: defineEvent(2004, "info", "request sent to a backend server"),
     requestEnded: defineEvent(2005, "info", "request ended"),
+    attemptLost: defineEvent(
+        2007,
+        "info",
+        "connection to a backend server lost while a request was in flight on it",
+    ),
     callerConnectionBroken: defineEvent(
         2006,
         "info",
