--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -14,6 +14,8 @@
 
 /** How the server handles one request. */
 export type ServerBehaviour =
+    /** Sends the beginning of a response, then loses all connections of the server at once. */
+    | { readonly type: "crash" }
     /** Sends a complete response, or streams all its events. */
     | { readonly type: "answer" }
     /** Sends a signed response with an error status. */
@@ -61,6 +63,7 @@
     /** Received requests, in the order of arrival. */
     readonly received: ReceivedRequest[] = [];
     private behaviours: ServerBehaviour[] = [];
+    private crashingPart: string | undefined;
     private readonly server: Server;
 
     /**
@@ -109,12 +112,27 @@
         this.behaviours = behaviours;
     }
 
+    /** @param part - Identifier of a prompt part on which the server crashes; undefined for none. */
+    setCrashingPart(part: string | undefined): void {
+        this.crashingPart = part;
+    }
+
+    private isCrashing(request: IncomingMessage): boolean {
+        const parts = String(request.headers["x-prompt-prefix"]).split(",");
+        return (
+            this.crashingPart !== undefined &&
+            parts.some((entry) => entry.split(":")[0] === this.crashingPart)
+        );
+    }
+
     private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         let body = "";
         for await (const chunk of request) {
             body += String(chunk);
         }
-        const behaviour = this.behaviours.shift() ?? { type: "answer" };
+        const behaviour = this.isCrashing(request)
+            ? ({ type: "crash" } as const)
+            : (this.behaviours.shift() ?? ({ type: "answer" } as const));
         const received: ReceivedRequest = {
             behaviour: behaviour.type,
             requestId: String(request.headers["x-request-id"]),
@@ -144,6 +162,10 @@
             "x-instance-load": "1,0,8",
         };
         switch (behaviour.type) {
+            case "crash":
+                response.writeHead(200, signedHeaders);
+                response.write("id: 0\nda", () => setTimeout(() => this.server.closeAllConnections(), 1));
+                break;
             case "answer":
                 this.sendComplete(request, response, signedHeaders);
                 break;
