Keep prompts with a part that crashes engines away from them

Cause: nothing connected the loss of an engine with what it had just begun, and each node sees few of the losses, so requests with the part, new ones and repeats, went to the next engine without end. Class of fault: an input that kills its server is treated as a failure of the server. Change: losses count against the shared parts of prompts that had just begun; nodes pool the evidence by datagram; as few parts as explain the losses are refused with 503 and not run, then tested ever less often; an answer clears a part. Why it works: two losses of a part that was never answered suffice, at once on all peers; shared parts are answered all the time, and a loss that the harmful part explains does not count against them.

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -11,7 +11,7 @@
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
-import { BackendExchange } from "./backendExchange.js";
+import { BackendExchange, type ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 
@@ -28,6 +28,8 @@
     readonly reason: string;
     /** Whether bytes of the response were forwarded to the caller. */
     readonly streamed: boolean;
+    /** Whether the connection ended, rather than that what arrived on it was no answer to the request. */
+    readonly isServerLost: boolean;
     /** Time since the first data of the response, in milliseconds; undefined when none had arrived. */
     readonly runningMs: number | undefined;
 }
@@ -121,7 +123,7 @@
                 onHead: (status, answerHeaders) => this.handleHead(status, answerHeaders),
                 onData: (chunk) => this.handleData(chunk),
                 onEnd: () => this.handleEnd(),
-                onFailure: (message, sent) => this.handleFailure(message, sent),
+                onFailure: (failure) => this.handleFailure(failure),
             },
         );
     }
@@ -175,6 +177,7 @@
                         type: "lost",
                         reason: `status ${String(status)} that does not fit the request`,
                         streamed: this.hasForwardedBytes,
+                        isServerLost: false,
                         runningMs: this.computeRunningMs(),
                     },
                     "broken",
@@ -243,6 +246,7 @@
                     type: "lost",
                     reason: "the stream ended within an event",
                     streamed: this.hasForwardedBytes,
+                    isServerLost: true,
                     runningMs: this.computeRunningMs(),
                 },
                 "broken",
@@ -260,12 +264,13 @@
         this.finish({ type: "answer", answer }, this.status >= 500 ? "failedStatus" : "answered");
     }
 
-    private handleFailure(message: string, sent: boolean): void {
+    private handleFailure({ message, sent, isServerLost }: ExchangeFailure): void {
         const result: AttemptResult = sent
             ? {
                   type: "lost",
                   reason: message,
                   streamed: this.hasForwardedBytes,
+                  isServerLost,
                   runningMs: this.computeRunningMs(),
               }
             : { type: "notSent", reason: message };
--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { isFramedAnswer, type BackendConnection, type ConnectionPool } from "@pimentocleat/upstream";
-import type { Dispatcher } from "undici";
+import { errors, type Dispatcher } from "undici";
 
 /** The request of a {@link BackendExchange}. */
 export interface ExchangeOptions {
@@ -24,11 +24,16 @@
     onHead(status: number, headers: IncomingHttpHeaders): void;
     onData(chunk: Buffer): void;
     onEnd(): void;
-    /**
-     * @param message - Description of the failure.
-     * @param sent - Whether a byte of the request may have reached the server.
-     */
-    onFailure(message: string, sent: boolean): void;
+    onFailure(failure: ExchangeFailure): void;
+}
+
+/** Why an exchange failed. */
+export interface ExchangeFailure {
+    readonly message: string;
+    /** Whether a byte of the request may have reached the server. */
+    readonly sent: boolean;
+    /** Whether the connection ended, rather than that the server sent bytes that are no response. */
+    readonly isServerLost: boolean;
 }
 
 /** Sends a request and receives its response. */
@@ -138,6 +143,7 @@
         this.hasEnded = true;
         const sent = this.connection.hasSentBytes();
         this.connection.close();
-        this.receiver.onFailure(error.message, sent);
+        const isServerLost = !(error instanceof errors.HTTPParserError);
+        this.receiver.onFailure({ message: error.message, sent, isServerLost });
     }
 }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { PromptQuarantine } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
@@ -11,10 +12,11 @@
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { CrashNews } from "../peers/crashNews.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { OriginDirectory } from "../peers/originDirectory.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer, type LostAttempt } from "./attempt.js";
-import type { GatewayRequest } from "./gatewayRequest.js";
+import type { CallerHead, GatewayRequest } from "./gatewayRequest.js";
 import {
     buildUnknownOriginError,
     buildUnservedError,
@@ -42,6 +44,8 @@
     readonly usage: UsageCounter;
     readonly announcer: DispatchAnnouncer;
     readonly origins: OriginDirectory;
+    readonly quarantine: PromptQuarantine;
+    readonly crashNews: CrashNews;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -95,6 +99,7 @@
             isStreamStarted: false,
             lastEventId: request.head.lastEventId,
             streamOrigin: undefined,
+            quarantinedPart: undefined,
             failedAnswer: undefined,
             currentAttempt: undefined,
             isCancelled: false,
@@ -125,6 +130,10 @@
 
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
+            if (!this.checkQuarantine(state)) {
+                this.finishWithoutAnswer(state, false);
+                return;
+            }
             const server = this.chooseServer(state);
             const remainingMs = state.request.deadlineMs - this.readNowMs();
             if (state.isCancelled || server === undefined || remainingMs < minimumRemainingMs) {
@@ -138,6 +147,23 @@
         }
     }
 
+    /** Returns whether the prompt may be sent; after a lost attempt it may not be a test. */
+    private checkQuarantine(state: RunState): boolean {
+        const { requestId, parts } = state.request.head;
+        const decision = this.options.quarantine.checkPrompt(parts, state.attemptCount === 0);
+        switch (decision.type) {
+            case "send":
+                return true;
+            case "probe":
+                this.options.logger.writeEvent("promptPartTested", { requestId, part: decision.part });
+                this.options.crashNews.reportChange();
+                return true;
+            case "refuse":
+                state.quarantinedPart = decision.part;
+                return false;
+        }
+    }
+
     private chooseServer(state: RunState): RegisteredServer | undefined {
         const { request, dispatch, excluded } = state;
         const ready = this.options.directory
@@ -195,14 +221,29 @@
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
+        this.recordEvidence(request, server, result);
+        return result;
+    }
+
+    /** Records what the end of an attempt says about the parts of its prompt. */
+    private recordEvidence({ head }: GatewayRequest, server: RegisteredServer, result: AttemptResult): void {
+        const { quarantine, crashNews } = this.options;
+        const isAnswered =
+            result.type === "streamed" || (result.type === "answer" && isSuccess(result.answer.status));
+        if (isAnswered && quarantine.recordAnswer(head.parts)) {
+            crashNews.reportChange();
+        }
         if (result.type === "lost") {
-            this.writeLostEvent(request, server, result);
+            this.writeLostEvent(head, server, result);
+            const start = `${server.id}@${String(server.bornMs)}`;
+            if (result.isServerLost && quarantine.recordLoss(head.parts, start, result.runningMs)) {
+                crashNews.reportChange();
+            }
         }
-        return result;
     }
 
     private writeLostEvent(
-        { head }: GatewayRequest,
+        head: CallerHead,
         server: RegisteredServer,
         { reason, streamed, runningMs }: LostAttempt,
     ): void {
@@ -388,6 +429,10 @@
     }
 }
 
+function isSuccess(status: number): boolean {
+    return status >= 200 && status < 300;
+}
+
 /** What two software versions write doesn't fit together, so a stream goes on only at the version that began it. */
 function canContinue(state: RunState, { softwareVersion }: RegisteredServer): boolean {
     return (
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -34,6 +34,8 @@
     lastEventId: string | undefined;
     /** Where the stream began; undefined before its first event. */
     streamOrigin: { readonly softwareVersion: string | undefined } | undefined;
+    /** The part of the prompt because of which the request is not sent; undefined when there is none. */
+    quarantinedPart: string | undefined;
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
     failedAnswer: CompleteBackendAnswer | undefined;
     currentAttempt: Attempt | undefined;
@@ -100,6 +102,10 @@
  * @returns The error; it states that the request did not run only when no server can have run it.
  */
 export function buildUnservedError(state: RunState, noServer: boolean, remainingMs: number): RouterError {
+    if (state.quarantinedPart !== undefined && !state.mayHaveRun) {
+        const message = `the prompt holds part ${state.quarantinedPart}, on which servers crash`;
+        return new RouterError(ErrorKind.PromptQuarantined, message, { executed: "no" });
+    }
     if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun) {
         return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
     }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -6,7 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { FastifyInstance } from "fastify";
-import { computeSlackPart, VersionHistory } from "@pimentocleat/policy";
+import { computeSlackPart, PromptQuarantine, VersionHistory } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { ConnectionPool } from "@pimentocleat/upstream";
@@ -26,7 +26,8 @@
 import { OriginDirectory } from "../peers/originDirectory.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
-import { PeerMessenger } from "../peers/peerMessenger.js";
+import { CrashNews } from "../peers/crashNews.js";
+import { chooseRandomItems, PeerMessenger } from "../peers/peerMessenger.js";
 import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
@@ -90,6 +91,8 @@
     private readonly news: DispatchNews;
     private readonly versions: VersionHistory;
     private readonly origins: OriginDirectory;
+    private readonly quarantine: PromptQuarantine;
+    private readonly crashNews: CrashNews;
     private readonly relay: StoreRelay;
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
@@ -161,6 +164,16 @@
             listKeepers: (requestId, count) => this.peers.listKeepers(requestId, count),
             send: (name, message) => this.messenger.sendOrigin(name, message),
         });
+        this.quarantine = new PromptQuarantine(clock);
+        this.crashNews = new CrashNews({
+            quarantine: this.quarantine,
+            clock,
+            logger,
+            metrics: options.metrics,
+            listPeers: () => this.peers.listPeers(),
+            chooseRandomPeers: (count) => chooseRandomItems(this.peers.listAllPeers(), count, random),
+            send: (message, peers) => this.messenger.sendCrashes(message, peers),
+        });
         this.messenger = new PeerMessenger({
             name: settings.name,
             host,
@@ -181,6 +194,7 @@
             random,
             findPeer: (name) => this.peers.findPeer(name),
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
+            receiveCrashes: (message) => this.crashNews.receiveMessage(message),
             receiveOrigin: (message, from) => this.origins.receiveMessage(message, from),
             receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
@@ -275,6 +289,7 @@
         });
         this.messenger.start();
         this.tasks.push(this.relay.run(this.stopping.signal));
+        this.tasks.push(this.crashNews.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             startListening(this.callerServer, settings.callerAddress),
@@ -384,6 +399,8 @@
             dispatches: this.dispatches,
             announcer: this.news,
             origins: this.origins,
+            quarantine: this.quarantine,
+            crashNews: this.crashNews,
             directory,
             configuration,
             connections,
--- /dev/null
+++ b/packages/gateway/src/peers/crashNews.ts
@@ -0,0 +1,112 @@
+/**
+ * Pools the evidence about prompt parts that crash servers: each node sees few of the losses. New evidence is sent to the
+ * peers at once, and all evidence to a few random nodes at an interval, so that it also reaches nodes that have just
+ * started or lost a message.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type { CrashReport, PromptQuarantine } from "@pimentocleat/policy";
+import type { Logger, Metrics } from "@pimentocleat/telemetry";
+import type { WaitingClock } from "@pimentocleat/types";
+import type { PeerAddress } from "./peerDirectory.js";
+
+const crashReportSchema = z.object({
+    part: z.string(),
+    depth: z.number().nonnegative(),
+    crashes: z.array(z.tuple([z.string(), z.number()])),
+    goodAgeMs: z.number().optional(),
+    probeAgeMs: z.number().optional(),
+}) satisfies z.ZodType<CrashReport>;
+
+/** Schema of a message with evidence. */
+export const crashMessageSchema = z.object({
+    type: z.literal("crashes"),
+    reports: z.array(crashReportSchema),
+});
+
+/** A message with evidence. */
+export type CrashMessage = z.infer<typeof crashMessageSchema>;
+
+/** Options of {@link CrashNews}. */
+export interface CrashNewsOptions {
+    readonly quarantine: PromptQuarantine;
+    readonly clock: WaitingClock;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+    /** Lists the nodes that are told at once. */
+    readonly listPeers: () => readonly PeerAddress[];
+    /** Chooses nodes at random among all. */
+    readonly chooseRandomPeers: (count: number) => readonly PeerAddress[];
+    readonly send: (message: CrashMessage, peers: readonly PeerAddress[]) => void;
+}
+
+/** Interval at which all evidence is sent again, in milliseconds. */
+const repeatIntervalMs = 500;
+/** Number of nodes that get it each time. */
+const repeatedNodes = 3;
+/** Maximum number of parts in a message, limited by the size of a datagram. */
+const maximumReports = 20;
+
+/** Sends and receives the evidence of one node. */
+export class CrashNews {
+    private known: ReadonlySet<string> = new Set();
+
+    /** @param options - The evidence of this node and its peers. */
+    constructor(private readonly options: CrashNewsOptions) {}
+
+    /** Sends the evidence to the peers at once, because this node has something new. */
+    reportChange(): void {
+        this.writeChanges();
+        this.sendReports(this.options.listPeers());
+    }
+
+    /**
+     * Merges the evidence of another node.
+     *
+     * @param message - The evidence.
+     */
+    receiveMessage(message: CrashMessage): void {
+        this.options.quarantine.mergeReports(message.reports);
+        this.writeChanges();
+    }
+
+    /**
+     * Sends the evidence at an interval, as long as there is any.
+     *
+     * @param signal - Ends the task.
+     */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.options.clock.wait(repeatIntervalMs, signal);
+            this.sendReports(this.options.chooseRandomPeers(repeatedNodes));
+        }
+    }
+
+    private sendReports(peers: readonly PeerAddress[]): void {
+        const reports = this.options.quarantine.buildReports(maximumReports);
+        if (reports.length > 0) {
+            this.options.send({ type: "crashes", reports: reports.map(copyReport) }, peers);
+        }
+    }
+
+    private writeChanges(): void {
+        const harmful = new Set(this.options.quarantine.listHarmfulParts());
+        for (const part of harmful) {
+            if (!this.known.has(part)) {
+                this.options.logger.writeEvent("promptPartQuarantined", { part });
+                this.options.metrics.addCount("prompt.quarantined", 1, {});
+            }
+        }
+        for (const part of this.known) {
+            if (!harmful.has(part)) {
+                this.options.logger.writeEvent("promptPartCleared", { part });
+            }
+        }
+        this.known = harmful;
+    }
+}
+
+function copyReport({ crashes, ...report }: CrashReport): CrashMessage["reports"][number] {
+    return { ...report, crashes: crashes.map(([server, ageMs]) => [server, ageMs]) };
+}
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -121,6 +121,11 @@
         return this.chosen;
     }
 
+    /** @returns Addresses of all other registered nodes. */
+    listAllPeers(): readonly PeerAddress[] {
+        return [...this.peers.values()];
+    }
+
     /**
      * Finds the address of a node.
      *
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
+import { crashMessageSchema, type CrashMessage } from "./crashNews.js";
 import { newsSchema, type News } from "./dispatchNews.js";
 import { originMessageSchema, type OriginMessage } from "./originMessages.js";
 import type { PeerAddress } from "./peerDirectory.js";
@@ -48,6 +49,8 @@
     readonly receiveConfiguration: (message: ConfigurationMessage) => void;
     /** Receives a message about the origin of a stream, and the name of its sender. */
     readonly receiveOrigin: (message: OriginMessage, from: string) => void;
+    /** Receives evidence about prompt parts that crash servers. */
+    readonly receiveCrashes: (message: CrashMessage) => void;
     /** Stores a copy of counts that another node cannot write. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
     /** Accepts counts to write for another node; the reply carries the new version of the row. */
@@ -64,6 +67,7 @@
     storedUsageSchema,
     storeUpdateSchema,
     originMessageSchema,
+    crashMessageSchema,
 ]);
 
 /** Each message carries its sender's name, which shows that the node is alive, and the time of its clock. */
@@ -111,7 +115,7 @@
      */
     sendUsageCopies(copy: UsageCopy): boolean {
         const { incarnation, windowStartMs, customers } = copy;
-        const peers = chooseRandom(this.options.listPeers(), usageCopyCount, this.options.random);
+        const peers = chooseRandomItems(this.options.listPeers(), usageCopyCount, this.options.random);
         this.send({ type: "usage", incarnation, windowStartMs, requests: encodeRequests(customers) }, peers);
         return peers.length > 0;
     }
@@ -173,6 +177,16 @@
         return this.sendTo(name, message);
     }
 
+    /**
+     * Sends evidence about prompt parts that crash servers.
+     *
+     * @param message - The evidence.
+     * @param peers - Addresses of the nodes.
+     */
+    sendCrashes(message: CrashMessage, peers: readonly PeerAddress[]): void {
+        this.send(message, peers);
+    }
+
     private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
@@ -226,6 +240,9 @@
             case "news":
                 options.receiveNews(message, from);
                 break;
+            case "crashes":
+                options.receiveCrashes(message);
+                break;
             case "streamOrigin":
             case "originQuery":
             case "originReply":
@@ -243,7 +260,19 @@
     }
 }
 
-function chooseRandom<Item>(items: readonly Item[], count: number, random: () => number): readonly Item[] {
+/**
+ * Chooses some of a list's items at random.
+ *
+ * @param items - The list.
+ * @param count - Maximum number of items to choose.
+ * @param random - Source of randomness, 0 to 1.
+ * @returns The chosen items.
+ */
+export function chooseRandomItems<Item>(
+    items: readonly Item[],
+    count: number,
+    random: () => number,
+): readonly Item[] {
     const ranked = items.map((item) => ({ item, order: random() }));
     return ranked
         .sort((left, right) => left.order - right.order)
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -66,3 +66,6 @@
 export { HashRing } from "./hashing/hashRing.js";
 export { StreamOrigins } from "./streams/streamOrigins.js";
 export { VersionHistory } from "./streams/versionHistory.js";
+export { PromptQuarantine } from "./quarantine/promptQuarantine.js";
+export type { QuarantineDecision } from "./quarantine/promptQuarantine.js";
+export type { CrashReport } from "./quarantine/crashRecord.js";
--- /dev/null
+++ b/packages/policy/src/quarantine/crashRecord.ts
@@ -0,0 +1,149 @@
+/**
+ * What is known of a prompt part that was in a request which had just begun on a server when that server was lost.
+ *
+ * @packageDocumentation
+ */
+
+/** A loss of a server. */
+export interface Crash {
+    /** The server and its start. */
+    readonly server: string;
+    /** Monotonic time of the first report, in milliseconds. */
+    readonly atMs: number;
+}
+
+/** The evidence about one part; times are monotonic, in milliseconds. */
+export interface CrashRecord {
+    readonly part: string;
+    /** Largest number of parts that preceded this one in a prompt; parts at the front are shared by more prompts. */
+    depth: number;
+    /** The last losses, in any order. */
+    crashes: readonly Crash[];
+    /** Time of the last complete answer to a prompt with the part; minus infinity without one. */
+    goodMs: number;
+    /** Time of the last request that was sent to test the part; minus infinity without one. */
+    probeMs: number;
+}
+
+/** A {@link CrashRecord} as nodes tell it to each other: ages in place of times, since their clocks differ. */
+export interface CrashReport {
+    readonly part: string;
+    readonly depth: number;
+    /** Server and start, and age in milliseconds, of each loss. */
+    readonly crashes: readonly (readonly [string, number])[];
+    readonly goodAgeMs?: number | undefined;
+    readonly probeAgeMs?: number | undefined;
+}
+
+/** Maximum number of losses kept for a part; the last ones are kept. */
+const maximumCrashes = 8;
+/** Nodes notice one loss of a server at times that differ by less than this, in milliseconds. */
+const sameCrashMs = 1_500;
+/** Losses of several servers within this time count as one, in milliseconds: they may have a common cause. */
+const sameMomentMs = 60;
+
+/**
+ * Creates an empty record.
+ *
+ * @param part - Identifier of the part.
+ * @returns The record.
+ */
+export function createCrashRecord(part: string): CrashRecord {
+    return {
+        part,
+        depth: 0,
+        crashes: [],
+        goodMs: Number.NEGATIVE_INFINITY,
+        probeMs: Number.NEGATIVE_INFINITY,
+    };
+}
+
+/**
+ * Adds a loss to a record. Of two reports of one loss the earlier one holds.
+ *
+ * @param record - The record.
+ * @param crash - The loss.
+ * @returns Whether the record did not know the loss.
+ */
+export function addCrash(record: CrashRecord, crash: Crash): boolean {
+    const known = record.crashes.find((other) => isSameCrash(other, crash));
+    if (known !== undefined && known.atMs <= crash.atMs) {
+        return false;
+    }
+    record.crashes = [...record.crashes.filter((other) => other !== known), crash]
+        .sort((left, right) => left.atMs - right.atMs)
+        .slice(-maximumCrashes);
+    return known === undefined;
+}
+
+/**
+ * Compares two reports of losses.
+ *
+ * @param left - A report.
+ * @param right - Another report.
+ * @returns Whether they are of the same loss.
+ */
+export function isSameCrash(left: Crash, right: Crash): boolean {
+    return left.server === right.server && Math.abs(left.atMs - right.atMs) < sameCrashMs;
+}
+
+/**
+ * Lists the losses since the last complete answer.
+ *
+ * @param record - The record.
+ * @returns The losses.
+ */
+export function listOpenCrashes(record: CrashRecord): readonly Crash[] {
+    return record.crashes.filter(({ atMs }) => atMs > record.goodMs);
+}
+
+/**
+ * Counts the separate moments of losses.
+ *
+ * @param crashes - The losses, in any order.
+ * @returns The number of moments.
+ */
+export function countMoments(crashes: readonly Crash[]): number {
+    let count = 0;
+    let lastMs = Number.NEGATIVE_INFINITY;
+    for (const { atMs } of [...crashes].sort((left, right) => left.atMs - right.atMs)) {
+        if (atMs - lastMs > sameMomentMs) {
+            count += 1;
+            lastMs = atMs;
+        }
+    }
+    return count;
+}
+
+/**
+ * Converts a record to the form in which nodes tell it to each other.
+ *
+ * @param record - The record.
+ * @param nowMs - The monotonic time, in milliseconds.
+ * @returns The report.
+ */
+export function buildCrashReport(record: CrashRecord, nowMs: number): CrashReport {
+    const computeAgeMs = (atMs: number): number | undefined =>
+        Number.isFinite(atMs) ? Math.round(nowMs - atMs) : undefined;
+    return {
+        part: record.part,
+        depth: record.depth,
+        crashes: record.crashes.map(({ server, atMs }) => [server, Math.round(nowMs - atMs)] as const),
+        goodAgeMs: computeAgeMs(record.goodMs),
+        probeAgeMs: computeAgeMs(record.probeMs),
+    };
+}
+
+/**
+ * Merges what another node knows into a record.
+ *
+ * @param record - The record.
+ * @param report - The other node's knowledge.
+ * @param nowMs - The monotonic time, in milliseconds.
+ */
+export function mergeCrashReport(record: CrashRecord, report: CrashReport, nowMs: number): void {
+    record.depth = Math.max(record.depth, report.depth);
+    record.goodMs = Math.max(record.goodMs, nowMs - (report.goodAgeMs ?? Number.POSITIVE_INFINITY));
+    record.probeMs = Math.max(record.probeMs, nowMs - (report.probeAgeMs ?? Number.POSITIVE_INFINITY));
+    report.crashes.forEach(([server, ageMs]) => addCrash(record, { server, atMs: nowMs - ageMs }));
+}
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -56,6 +56,8 @@
 }
 
 const loopbackHost = "127.0.0.1";
+/** Time from the beginning of a response until the server crashes on it, in milliseconds. */
+const crashDelayMs = 80;
 const signature = "s1.test";
 
 /** Runs one backend server as an HTTP server in this process. */
@@ -164,7 +166,9 @@
         switch (behaviour.type) {
             case "crash":
                 response.writeHead(200, signedHeaders);
-                response.write("id: 0\nda", () => setTimeout(() => this.server.closeAllConnections(), 1));
+                response.write("id: 0\nda", () =>
+                    setTimeout(() => this.server.closeAllConnections(), crashDelayMs),
+                );
                 break;
             case "answer":
                 this.sendComplete(request, response, signedHeaders);
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -52,6 +52,13 @@
         "info",
         "connection to a backend server lost while a request was in flight on it",
     ),
+    promptPartQuarantined: defineEvent(
+        2008,
+        "warn",
+        "prompts with a part are refused: servers were lost just after they began to answer such prompts",
+    ),
+    promptPartCleared: defineEvent(2009, "info", "prompts with a part are no longer refused"),
+    promptPartTested: defineEvent(2010, "info", "one prompt with a quarantined part is sent as a test"),
     callerConnectionBroken: defineEvent(
         2006,
         "info",
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -37,6 +37,12 @@
     "request.retried": defineMetric("counter", "retries", ["reason"], "Retries, by reason."),
     "request.firstToken": defineMetric("timer", "ms", ["class"], "Time to the first token."),
     "request.complete": defineMetric("timer", "ms", ["class"], "Time to the complete answer."),
+    "prompt.quarantined": defineMetric(
+        "counter",
+        "parts",
+        [],
+        "Prompt parts that were taken for harmful, because servers crashed on them.",
+    ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
     "log.dropped": defineMetric(
         "counter",
--- a/packages/types/src/errorKinds.ts
+++ b/packages/types/src/errorKinds.ts
@@ -31,6 +31,7 @@
     Shed = "shed",
     QueueDeadline = "queue_deadline",
     NoBackendServer = "no_backend_server",
+    PromptQuarantined = "prompt_quarantined",
     StreamNotResumable = "stream_not_resumable",
     BackendRefused = "backend_refused",
     BackendFailed = "backend_failed",
@@ -128,6 +129,12 @@
         true,
         "The pool has no backend server that can take work.",
     ),
+    [ErrorKind.PromptQuarantined]: buildAnswer(
+        503,
+        "no",
+        false,
+        "The prompt holds a part on which backend servers crash; it was not sent.",
+    ),
     [ErrorKind.StreamNotResumable]: buildAnswer(
         503,
         "no",
