--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -76,7 +76,7 @@
     updateServers(changed: readonly RegisteredServer[], removed: readonly RemovedServer[]): void {
         const newer = changed
             .filter((server) => this.isNewer(server))
-            .map((server) => this.restoreSoftwareVersion(server));
+            .map((server) => this.copyKnownVersion(server));
         const routingChanges = newer.filter(
             (server) => !isRoutingUnchanged(this.servers.get(server.id), server),
         );
@@ -147,7 +147,7 @@
     }
 
     /** Keeps the software version that a node of an earlier release omits when it relays a registration. */
-    private restoreSoftwareVersion(server: RegisteredServer): RegisteredServer {
+    private copyKnownVersion(server: RegisteredServer): RegisteredServer {
         const known = this.servers.get(server.id);
         return server.softwareVersion === undefined && known?.version === server.version
             ? { ...server, softwareVersion: known.softwareVersion }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -168,7 +168,7 @@
         const { request, dispatch, excluded } = state;
         const ready = this.options.directory
             .listReadyServers(request.service)
-            .filter((server) => canContinue(state, server));
+            .filter((server) => isEligible(state, server));
         const capacityTokens = this.options.configuration.findService(request.service)?.engine
             ?.capacityTokens;
         const candidates = ready.map((server) => convertToPlacementServer(server, capacityTokens));
@@ -434,7 +434,7 @@
 }
 
 /** What two software versions write doesn't fit together, so a stream goes on only at the version that began it. */
-function canContinue(state: RunState, { softwareVersion }: RegisteredServer): boolean {
+function isEligible(state: RunState, { softwareVersion }: RegisteredServer): boolean {
     return (
         state.streamOrigin === undefined ||
         (softwareVersion !== undefined && softwareVersion === state.streamOrigin.softwareVersion)
--- a/packages/policy/src/quarantine/harmfulParts.ts
+++ b/packages/policy/src/quarantine/harmfulParts.ts
@@ -39,7 +39,7 @@
         })
         .sort(
             (left, right) =>
-                Number(wasAnswered(left.record)) - Number(wasAnswered(right.record)) ||
+                Number(isAnswered(left.record)) - Number(isAnswered(right.record)) ||
                 right.moments - left.moments ||
                 right.record.depth - left.record.depth ||
                 left.record.part.localeCompare(right.record.part),
@@ -48,7 +48,7 @@
     const harmful = new Map<string, HarmfulPart>();
     for (const { record, crashes } of candidates) {
         const open = crashes.filter((crash) => !explained.some((other) => isSameCrash(other, crash)));
-        const needed = wasAnswered(record) ? crashesOfKnownPart : crashesOfUnknownPart;
+        const needed = isAnswered(record) ? crashesOfKnownPart : crashesOfUnknownPart;
         const further = countMoments(open) - needed;
         if (further >= 0 && nowMs - record.goodMs >= unansweredMs) {
             const lastCrashMs = Math.max(...open.map(({ atMs }) => atMs));
@@ -59,6 +59,6 @@
     return harmful;
 }
 
-function wasAnswered(record: CrashRecord): boolean {
+function isAnswered(record: CrashRecord): boolean {
     return record.goodMs > Number.NEGATIVE_INFINITY;
 }
