Heed what back ends say in their answers: that they leave, or want a pause

A 503 with Retry-After keeps requests of that node away for so long, at most a minute; of several pauses the latest end counts. While every server pauses, callers are refused at once with the time until the first pause ends. Events 7006 to 7008, counter server.notice. Cause: neither header was read. What an answer says is kept apart from the registration, so that neither erases the other.

--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { GatewayRequest } from "../dispatch/gatewayRequest.js";
+import type { ServerNotice } from "./serverNotice.js";
 
 /** Request data from which the headers to a backend server are built. */
 export interface BackendCall {
@@ -52,6 +53,14 @@
      * @returns The meaning.
      */
     selectMeaning(status: number, headers: IncomingHttpHeaders, request: GatewayRequest): AnswerMeaning;
+    /**
+     * Reads what the server says of itself.
+     *
+     * @param status - Status code of the response.
+     * @param headers - Headers of the response.
+     * @returns The notice.
+     */
+    readNotice(status: number, headers: IncomingHttpHeaders): ServerNotice;
     /**
      * Reads the reported load from response headers.
      *
--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -20,6 +20,9 @@
     readonly removed: readonly RemovedServer[];
 }
 
+/** Maximum number of servers that said that they leave of which this is remembered. */
+const maximumLeavingStarts = 1_000;
+
 /** Receives the ready servers of a service when they change. */
 export type DirectoryListener = (service: string, servers: readonly RegisteredServer[]) => void;
 
@@ -28,6 +31,11 @@
     private readonly servers = new Map<string, RegisteredServer>();
     /** Store versions at which servers were removed, so that an older update does not restore them. */
     private readonly removedVersions = new Map<string, number>();
+    /**
+     * Start of each server that said itself that it leaves, the least recent first. Kept apart from the registrations:
+     * neither erases the other, and only another start of the server ends it.
+     */
+    private readonly leavingStarts = new Map<string, number | undefined>();
     private readonly changeListeners: ((changes: DirectoryChanges) => void)[] = [];
     private digest: string | undefined;
     private readonly readyByService = new Map<string, readonly RegisteredServer[]>();
@@ -104,6 +112,31 @@
         }
     }
 
+    /**
+     * Records that a server said itself that it leaves.
+     *
+     * @param id - The server.
+     * @param bornMs - Start of the server that said so, in milliseconds since the Unix epoch.
+     * @returns Whether this was not known.
+     */
+    recordLeaving(id: string, bornMs: number | undefined): boolean {
+        if (this.leavingStarts.has(id) && this.leavingStarts.get(id) === bornMs) {
+            return false;
+        }
+        this.leavingStarts.delete(id);
+        this.leavingStarts.set(id, bornMs);
+        const [oldest] = this.leavingStarts.keys();
+        if (this.leavingStarts.size > maximumLeavingStarts && oldest !== undefined) {
+            this.leavingStarts.delete(oldest);
+        }
+        const server = this.servers.get(id);
+        if (server !== undefined) {
+            this.logger.writeEvent("serverSaysLeaving", { server: id, service: server.service, bornMs });
+            this.updateReadyServers(server.service);
+        }
+        return true;
+    }
+
     /** @returns A digest of all fields that affect routing; equal on nodes that know the same servers. */
     computeDigest(): string {
         this.digest ??= this.buildDigest();
@@ -127,7 +160,9 @@
      * @returns The servers.
      */
     listServers(service: string): readonly RegisteredServer[] {
-        return [...this.servers.values()].filter((server) => server.service === service);
+        return [...this.servers.values()]
+            .filter((server) => server.service === service)
+            .map((server) => (this.isLeaving(server) ? { ...server, state: "leaving" } : server));
     }
 
     /**
@@ -140,6 +175,10 @@
         return this.servers.get(id);
     }
 
+    private isLeaving({ id, bornMs }: RegisteredServer): boolean {
+        return this.leavingStarts.has(id) && this.leavingStarts.get(id) === bornMs;
+    }
+
     private isNewer(server: RegisteredServer): boolean {
         const known = this.servers.get(server.id)?.version ?? Number.NEGATIVE_INFINITY;
         const removed = this.removedVersions.get(server.id) ?? Number.NEGATIVE_INFINITY;
--- /dev/null
+++ b/packages/gateway/src/backends/serverNotice.ts
@@ -0,0 +1,19 @@
+/**
+ * What a server says of itself in the head of a response.
+ *
+ * @packageDocumentation
+ */
+
+/** How long a server wants nothing more from this node. */
+export type RequestedPause =
+    | { readonly type: "none" }
+    | { readonly type: "pause"; readonly durationMs: number }
+    /** The server asked for a pause in a form that cannot be read. */
+    | { readonly type: "unreadable"; readonly text: string };
+
+/** The notice of a server. */
+export interface ServerNotice {
+    /** Whether the server is about to end and wants no new requests. */
+    readonly isLeaving: boolean;
+    readonly pause: RequestedPause;
+}
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -9,6 +9,7 @@
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
+import type { ServerNotice } from "../backends/serverNotice.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import { BackendExchange, type ExchangeFailure } from "./backendExchange.js";
@@ -69,6 +70,8 @@
     readonly inactivityTimeoutMs: number | undefined;
     /** Called when the first data, or the end of an empty response, shows that the server runs the request. */
     readonly onRunning: () => void;
+    /** Called with what the server says of itself in the head of its response. */
+    readonly onNotice: (notice: ServerNotice) => void;
     /** Called before the first bytes of a response are forwarded to the caller. */
     readonly onForwarding: () => void;
     /** Announces the attempt to the other nodes. */
@@ -161,7 +164,11 @@
         if (load !== undefined) {
             placement.recordLoad(server.id, load.running, load.waiting);
         }
-        switch (protocol.selectMeaning(status, headers, request)) {
+        const meaning = protocol.selectMeaning(status, headers, request);
+        if (meaning === "answer" || meaning === "notRun") {
+            this.options.onNotice(protocol.readNotice(status, headers));
+        }
+        switch (meaning) {
             case "notRun":
                 this.abortExchange(
                     { type: "notRun", reason: `status ${String(status)}, not run` },
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -10,6 +10,8 @@
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
+import type { ServerNotice } from "../backends/serverNotice.js";
+import { ServerPauses } from "../backends/serverPauses.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { CrashNews } from "../peers/crashNews.js";
@@ -46,6 +48,8 @@
     readonly origins: OriginDirectory;
     readonly quarantine: PromptQuarantine;
     readonly crashNews: CrashNews;
+    /** Tells the other nodes of a server that said that it leaves. */
+    readonly reportLeaving: (server: RegisteredServer) => void;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -60,8 +64,12 @@
 
 /** Runs requests and retries failed attempts. */
 export class RequestRunner {
+    private readonly pauses: ServerPauses;
+
     /** @param options - Servers, protocol, clock and recorders. */
-    constructor(private readonly options: RequestRunnerOptions) {}
+    constructor(private readonly options: RequestRunnerOptions) {
+        this.pauses = new ServerPauses(options.clock);
+    }
 
     /**
      * Runs a request to its end.
@@ -166,9 +174,9 @@
 
     private chooseServer(state: RunState): RegisteredServer | undefined {
         const { request, dispatch, excluded } = state;
-        const ready = this.options.directory
-            .listReadyServers(request.service)
-            .filter((server) => isEligible(state, server));
+        const ready = this.listEligibleServers(state).filter(
+            ({ id }) => this.pauses.computeRemainingMs(id) === 0,
+        );
         const capacityTokens = this.options.configuration.findService(request.service)?.engine
             ?.capacityTokens;
         const candidates = ready.map((server) => convertToPlacementServer(server, capacityTokens));
@@ -181,6 +189,19 @@
         return ready.find((server) => server.id === id);
     }
 
+    private listEligibleServers(state: RunState): readonly RegisteredServer[] {
+        return this.options.directory
+            .listReadyServers(state.request.service)
+            .filter((server) => isEligible(state, server));
+    }
+
+    /** Returns the time until the first server takes requests again; undefined when one takes them now. */
+    private computePauseMs(state: RunState): number | undefined {
+        const pauses = this.listEligibleServers(state).map(({ id }) => this.pauses.computeRemainingMs(id));
+        const shortestMs = Math.min(...pauses);
+        return pauses.length > 0 && shortestMs > 0 ? shortestMs : undefined;
+    }
+
     private async runAttempt(
         state: RunState,
         server: RegisteredServer,
@@ -205,6 +226,7 @@
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
+            onNotice: (notice) => this.handleNotice(server, notice),
             onForwarding: () => this.recordOrigin(state, server),
             announcer: this.options.announcer,
         });
@@ -282,6 +304,23 @@
         }
     }
 
+    private handleNotice(server: RegisteredServer, { isLeaving, pause }: ServerNotice): void {
+        const { directory, logger, metrics, reportLeaving } = this.options;
+        if (isLeaving && directory.recordLeaving(server.id, server.bornMs)) {
+            metrics.addCount("server.notice", 1, { kind: "leaving" });
+            reportLeaving(server);
+        }
+        if (pause.type === "unreadable") {
+            logger.writeEvent("serverPauseUnreadable", { server: server.id, text: pause.text });
+        }
+        if (pause.type === "pause") {
+            const isGranted = this.pauses.recordPause(server.id, pause.durationMs);
+            const { durationMs } = pause;
+            metrics.addCount("server.notice", 1, { kind: "pause" });
+            logger.writeEvent("serverPaused", { server: server.id, durationMs, isGranted });
+        }
+    }
+
     /** Records the software version that begins a stream which may be resumed. */
     private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
         const { route, head } = state.request;
@@ -404,7 +443,8 @@
             answer.abort();
             return true;
         }
-        throw buildUnservedError(state, noServer, request.deadlineMs - this.readNowMs());
+        const remainingMs = request.deadlineMs - this.readNowMs();
+        throw buildUnservedError(state, noServer, remainingMs, this.computePauseMs(state));
     }
 
     private recordEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -99,14 +99,20 @@
  * @param state - State of the request.
  * @param noServer - Whether no eligible server was available.
  * @param remainingMs - Time until the caller's deadline, in milliseconds.
+ * @param pauseMs - Time until the first server takes requests again, in milliseconds; undefined when one does now.
  * @returns The error; it states that the request did not run only when no server can have run it.
  */
-export function buildUnservedError(state: RunState, noServer: boolean, remainingMs: number): RouterError {
+export function buildUnservedError(
+    state: RunState,
+    noServer: boolean,
+    remainingMs: number,
+    pauseMs: number | undefined,
+): RouterError {
     if (state.quarantinedPart !== undefined && !state.mayHaveRun) {
         const message = `the prompt holds part ${state.quarantinedPart}, on which servers crash`;
         return new RouterError(ErrorKind.PromptQuarantined, message, { executed: "no" });
     }
-    if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun) {
+    if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun && pauseMs === undefined) {
         return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
     }
     const executed = state.mayHaveRun ? "unknown" : "no";
@@ -116,5 +122,5 @@
         return new RouterError(kind, reason, { executed });
     }
     const kind = noServer ? ErrorKind.NoBackendServer : ErrorKind.Overloaded;
-    return new RouterError(kind, reason, { executed, retryAfterMs: noServerRetryAfterMs });
+    return new RouterError(kind, reason, { executed, retryAfterMs: pauseMs ?? noServerRetryAfterMs });
 }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -194,6 +194,7 @@
             random,
             findPeer: (name) => this.peers.findPeer(name),
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
+            receiveLeaving: ({ serverId, bornMs }) => this.directory.recordLeaving(serverId, bornMs),
             receiveCrashes: (message) => this.crashNews.receiveMessage(message),
             receiveOrigin: (message, from) => this.origins.receiveMessage(message, from),
             receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
@@ -401,6 +402,11 @@
             origins: this.origins,
             quarantine: this.quarantine,
             crashNews: this.crashNews,
+            reportLeaving: ({ id: serverId, bornMs }) =>
+                this.messenger.sendLeaving(
+                    { type: "serverLeaving", serverId, bornMs },
+                    this.peers.listPeers(),
+                ),
             directory,
             configuration,
             connections,
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -12,6 +12,7 @@
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
 import { crashMessageSchema, type CrashMessage } from "./crashNews.js";
 import { newsSchema, type News } from "./dispatchNews.js";
+import { leavingMessageSchema, type LeavingMessage } from "./leavingNews.js";
 import { originMessageSchema, type OriginMessage } from "./originMessages.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeUpdateSchema, type StoreUpdate } from "./storeRelay.js";
@@ -51,6 +52,8 @@
     readonly receiveOrigin: (message: OriginMessage, from: string) => void;
     /** Receives evidence about prompt parts that crash servers. */
     readonly receiveCrashes: (message: CrashMessage) => void;
+    /** Receives a message about a server that said that it leaves. */
+    readonly receiveLeaving: (message: LeavingMessage) => void;
     /** Stores a copy of counts that another node cannot write. */
     readonly storeUsageCopy: (copy: UsageCopy) => void;
     /** Accepts counts to write for another node; the reply carries the new version of the row. */
@@ -68,6 +71,7 @@
     storeUpdateSchema,
     originMessageSchema,
     crashMessageSchema,
+    leavingMessageSchema,
 ]);
 
 /** Each message carries its sender's name, which shows that the node is alive, and the time of its clock. */
@@ -187,6 +191,16 @@
         this.send(message, peers);
     }
 
+    /**
+     * Tells other nodes of a server that said that it leaves.
+     *
+     * @param message - The server.
+     * @param peers - Addresses of the nodes.
+     */
+    sendLeaving(message: LeavingMessage, peers: readonly PeerAddress[]): void {
+        this.send(message, peers);
+    }
+
     private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
@@ -243,6 +257,9 @@
             case "crashes":
                 options.receiveCrashes(message);
                 break;
+            case "serverLeaving":
+                options.receiveLeaving(message);
+                break;
             case "streamOrigin":
             case "originQuery":
             case "originReply":
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -21,7 +21,9 @@
     /** Sends a signed response with an error status. */
     | { readonly type: "failure"; readonly status: number }
     /** Responds that it did not execute the request. */
-    | { readonly type: "notRun"; readonly status: 429 | 503 }
+    | { readonly type: "notRun"; readonly status: 429 | 503; readonly retryAfter?: string }
+    /** Sends a complete response that says that the server leaves. */
+    | { readonly type: "leaving" }
     /** Responds with 421 and the identifier of another server. */
     | { readonly type: "otherServer" }
     /** Executes the request and resets the connection before the response. */
@@ -177,7 +179,17 @@
                 response.writeHead(behaviour.status, signedHeaders).end("failed");
                 break;
             case "notRun":
-                response.writeHead(behaviour.status, { "x-not-executed": "1" }).end();
+                response
+                    .writeHead(behaviour.status, {
+                        "x-not-executed": "1",
+                        ...(behaviour.retryAfter === undefined
+                            ? {}
+                            : { "retry-after": behaviour.retryAfter }),
+                    })
+                    .end();
+                break;
+            case "leaving":
+                this.sendComplete(request, response, { ...signedHeaders, "server-leaving": "1" });
                 break;
             case "otherServer":
                 response.writeHead(421, { "x-instance-id": "other" }).end();
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -147,6 +147,13 @@
     ),
     backendPollFailed: defineEvent(7000, "warn", "poll of a backend server failed"),
     backendLeaving: defineEvent(7001, "warn", "backend server is leaving"),
+    serverSaysLeaving: defineEvent(7006, "info", "backend server says in a response that it is leaving"),
+    serverPaused: defineEvent(7007, "info", "backend server asked for a pause in its response"),
+    serverPauseUnreadable: defineEvent(
+        7008,
+        "warn",
+        "backend server asked for a pause that cannot be read; ignored",
+    ),
     hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -43,6 +43,12 @@
         [],
         "Prompt parts that were taken for harmful, because servers crashed on them.",
     ),
+    "server.notice": defineMetric(
+        "counter",
+        "notices",
+        ["kind"],
+        "Responses in which a backend server said that it leaves or asked for a pause.",
+    ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
     "log.dropped": defineMetric(
         "counter",
