Split the guard of prompts and the notices of servers from the runner

No change of behaviour: requestRunner.ts had grown to 482 lines. What the end of an attempt says about prompt parts is in promptGuard.ts, what servers say of themselves in serverNotices.ts.

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,22 +3,20 @@
  *
  * @packageDocumentation
  */
-import type { PromptQuarantine } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
-import type { ServerNotice } from "../backends/serverNotice.js";
-import { ServerPauses } from "../backends/serverPauses.js";
+import type { ServerNotices } from "../backends/serverNotices.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
-import type { CrashNews } from "../peers/crashNews.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { OriginDirectory } from "../peers/originDirectory.js";
-import { Attempt, type AttemptResult, type CompleteBackendAnswer, type LostAttempt } from "./attempt.js";
-import type { CallerHead, GatewayRequest } from "./gatewayRequest.js";
+import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
+import type { GatewayRequest } from "./gatewayRequest.js";
+import type { PromptGuard } from "./promptGuard.js";
 import {
     buildUnknownOriginError,
     buildUnservedError,
@@ -46,10 +44,8 @@
     readonly usage: UsageCounter;
     readonly announcer: DispatchAnnouncer;
     readonly origins: OriginDirectory;
-    readonly quarantine: PromptQuarantine;
-    readonly crashNews: CrashNews;
-    /** Tells the other nodes of a server that said that it leaves. */
-    readonly reportLeaving: (server: RegisteredServer) => void;
+    readonly guard: PromptGuard;
+    readonly notices: ServerNotices;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -64,12 +60,8 @@
 
 /** Runs requests and retries failed attempts. */
 export class RequestRunner {
-    private readonly pauses: ServerPauses;
-
     /** @param options - Servers, protocol, clock and recorders. */
-    constructor(private readonly options: RequestRunnerOptions) {
-        this.pauses = new ServerPauses(options.clock);
-    }
+    constructor(private readonly options: RequestRunnerOptions) {}
 
     /**
      * Runs a request to its end.
@@ -107,7 +99,7 @@
             isStreamStarted: false,
             lastEventId: request.head.lastEventId,
             streamOrigin: undefined,
-            quarantinedPart: undefined,
+            harmfulPart: undefined,
             failedAnswer: undefined,
             currentAttempt: undefined,
             isCancelled: false,
@@ -138,7 +130,11 @@
 
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
-            if (!this.checkQuarantine(state)) {
+            state.harmfulPart = this.options.guard.findHarmfulPart(
+                state.request.head,
+                state.attemptCount === 0,
+            );
+            if (state.harmfulPart !== undefined) {
                 this.finishWithoutAnswer(state, false);
                 return;
             }
@@ -155,28 +151,9 @@
         }
     }
 
-    /** Returns whether the prompt may be sent; after a lost attempt it may not be a test. */
-    private checkQuarantine(state: RunState): boolean {
-        const { requestId, parts } = state.request.head;
-        const decision = this.options.quarantine.checkPrompt(parts, state.attemptCount === 0);
-        switch (decision.type) {
-            case "send":
-                return true;
-            case "probe":
-                this.options.logger.writeEvent("promptPartTested", { requestId, part: decision.part });
-                this.options.crashNews.reportChange();
-                return true;
-            case "refuse":
-                state.quarantinedPart = decision.part;
-                return false;
-        }
-    }
-
     private chooseServer(state: RunState): RegisteredServer | undefined {
         const { request, dispatch, excluded } = state;
-        const ready = this.listEligibleServers(state).filter(
-            ({ id }) => this.pauses.computeRemainingMs(id) === 0,
-        );
+        const ready = this.listEligibleServers(state).filter((server) => this.options.notices.isOpen(server));
         const capacityTokens = this.options.configuration.findService(request.service)?.engine
             ?.capacityTokens;
         const candidates = ready.map((server) => convertToPlacementServer(server, capacityTokens));
@@ -195,13 +172,6 @@
             .filter((server) => isEligible(state, server));
     }
 
-    /** Returns the time until the first server takes requests again; undefined when one takes them now. */
-    private computePauseMs(state: RunState): number | undefined {
-        const pauses = this.listEligibleServers(state).map(({ id }) => this.pauses.computeRemainingMs(id));
-        const shortestMs = Math.min(...pauses);
-        return pauses.length > 0 && shortestMs > 0 ? shortestMs : undefined;
-    }
-
     private async runAttempt(
         state: RunState,
         server: RegisteredServer,
@@ -226,7 +196,7 @@
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
-            onNotice: (notice) => this.handleNotice(server, notice),
+            onNotice: (notice) => this.options.notices.recordNotice(server, notice),
             onForwarding: () => this.recordOrigin(state, server),
             announcer: this.options.announcer,
         });
@@ -243,45 +213,10 @@
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
-        this.recordEvidence(request, server, result);
+        this.options.guard.recordResult(request.head, server, result);
         return result;
     }
 
-    /** Records what the end of an attempt says about the parts of its prompt. */
-    private recordEvidence({ head }: GatewayRequest, server: RegisteredServer, result: AttemptResult): void {
-        const { quarantine, crashNews } = this.options;
-        const isAnswered =
-            result.type === "streamed" || (result.type === "answer" && isSuccess(result.answer.status));
-        if (isAnswered && quarantine.recordAnswer(head.parts)) {
-            crashNews.reportChange();
-        }
-        if (result.type === "lost") {
-            this.writeLostEvent(head, server, result);
-            const start = `${server.id}@${String(server.bornMs)}`;
-            if (result.isServerLost && quarantine.recordLoss(head.parts, start, result.runningMs)) {
-                crashNews.reportChange();
-            }
-        }
-    }
-
-    private writeLostEvent(
-        head: CallerHead,
-        server: RegisteredServer,
-        { reason, streamed, runningMs }: LostAttempt,
-    ): void {
-        this.options.logger.writeEvent("attemptLost", {
-            requestId: head.requestId,
-            server: server.id,
-            reason,
-            streamed,
-            runningMs: runningMs === undefined ? undefined : Math.round(runningMs),
-            sharedParts: head.parts
-                .slice(0, -1)
-                .map(({ id }) => id)
-                .join(","),
-        });
-    }
-
     /** Returns undefined when the request may not be retried or no time would remain for a retry. */
     private computeInactivityTimeoutMs(state: RunState, remainingMs: number): number | undefined {
         const { route } = state.request;
@@ -304,23 +239,6 @@
         }
     }
 
-    private handleNotice(server: RegisteredServer, { isLeaving, pause }: ServerNotice): void {
-        const { directory, logger, metrics, reportLeaving } = this.options;
-        if (isLeaving && directory.recordLeaving(server.id, server.bornMs)) {
-            metrics.addCount("server.notice", 1, { kind: "leaving" });
-            reportLeaving(server);
-        }
-        if (pause.type === "unreadable") {
-            logger.writeEvent("serverPauseUnreadable", { server: server.id, text: pause.text });
-        }
-        if (pause.type === "pause") {
-            const isGranted = this.pauses.recordPause(server.id, pause.durationMs);
-            const { durationMs } = pause;
-            metrics.addCount("server.notice", 1, { kind: "pause" });
-            logger.writeEvent("serverPaused", { server: server.id, durationMs, isGranted });
-        }
-    }
-
     /** Records the software version that begins a stream which may be resumed. */
     private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
         const { route, head } = state.request;
@@ -444,7 +362,8 @@
             return true;
         }
         const remainingMs = request.deadlineMs - this.readNowMs();
-        throw buildUnservedError(state, noServer, remainingMs, this.computePauseMs(state));
+        const closedMs = this.options.notices.computeClosedMs(this.listEligibleServers(state));
+        throw buildUnservedError(state, noServer, remainingMs, closedMs);
     }
 
     private recordEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
@@ -469,10 +388,6 @@
     }
 }
 
-function isSuccess(status: number): boolean {
-    return status >= 200 && status < 300;
-}
-
 /** What two software versions write doesn't fit together, so a stream goes on only at the version that began it. */
 function isEligible(state: RunState, { softwareVersion }: RegisteredServer): boolean {
     return (
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -35,7 +35,7 @@
     /** Where the stream began; undefined before its first event. */
     streamOrigin: { readonly softwareVersion: string | undefined } | undefined;
     /** The part of the prompt because of which the request is not sent; undefined when there is none. */
-    quarantinedPart: string | undefined;
+    harmfulPart: string | undefined;
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
     failedAnswer: CompleteBackendAnswer | undefined;
     currentAttempt: Attempt | undefined;
@@ -99,20 +99,20 @@
  * @param state - State of the request.
  * @param noServer - Whether no eligible server was available.
  * @param remainingMs - Time until the caller's deadline, in milliseconds.
- * @param pauseMs - Time until the first server takes requests again, in milliseconds; undefined when one does now.
+ * @param closedMs - Time until the first server takes requests again, in milliseconds; undefined when one does now.
  * @returns The error; it states that the request did not run only when no server can have run it.
  */
 export function buildUnservedError(
     state: RunState,
     noServer: boolean,
     remainingMs: number,
-    pauseMs: number | undefined,
+    closedMs: number | undefined,
 ): RouterError {
-    if (state.quarantinedPart !== undefined && !state.mayHaveRun) {
-        const message = `the prompt holds part ${state.quarantinedPart}, on which servers crash`;
+    if (state.harmfulPart !== undefined && !state.mayHaveRun) {
+        const message = `the prompt holds part ${state.harmfulPart}, on which servers crash`;
         return new RouterError(ErrorKind.PromptQuarantined, message, { executed: "no" });
     }
-    if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun && pauseMs === undefined) {
+    if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun && closedMs === undefined) {
         return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
     }
     const executed = state.mayHaveRun ? "unknown" : "no";
@@ -122,5 +122,5 @@
         return new RouterError(kind, reason, { executed });
     }
     const kind = noServer ? ErrorKind.NoBackendServer : ErrorKind.Overloaded;
-    return new RouterError(kind, reason, { executed, retryAfterMs: pauseMs ?? noServerRetryAfterMs });
+    return new RouterError(kind, reason, { executed, retryAfterMs: closedMs ?? noServerRetryAfterMs });
 }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -11,9 +11,11 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import { ConnectionPool } from "@pimentocleat/upstream";
 import { ServerDirectory } from "../backends/serverDirectory.js";
+import { ServerNotices } from "../backends/serverNotices.js";
 import { buildCallerServer, buildReadinessServer } from "../callers/callerServer.js";
 import { RequestAdmission } from "../callers/requestAdmission.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { PromptGuard } from "../dispatch/promptGuard.js";
 import { RequestRunner } from "../dispatch/requestRunner.js";
 import { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
@@ -400,13 +402,18 @@
             dispatches: this.dispatches,
             announcer: this.news,
             origins: this.origins,
-            quarantine: this.quarantine,
-            crashNews: this.crashNews,
-            reportLeaving: ({ id: serverId, bornMs }) =>
-                this.messenger.sendLeaving(
-                    { type: "serverLeaving", serverId, bornMs },
-                    this.peers.listPeers(),
-                ),
+            guard: new PromptGuard({ quarantine: this.quarantine, crashNews: this.crashNews, logger }),
+            notices: new ServerNotices({
+                directory,
+                clock,
+                logger,
+                metrics,
+                reportLeaving: ({ id: serverId, bornMs }) =>
+                    this.messenger.sendLeaving(
+                        { type: "serverLeaving", serverId, bornMs },
+                        this.peers.listPeers(),
+                    ),
+            }),
             directory,
             configuration,
             connections,
