Resume a stream only at the service that began it

The origin of a stream now holds its service; a resumption goes there as long as the route leads there, else it is refused. A version that alone served lately counts only where the route has one service. Test: 'guesses no version where the stream may have begun at another service' (without the change the query has no list of services to tell it from).

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { StreamOrigin } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
@@ -18,6 +19,7 @@
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { PromptGuard } from "./promptGuard.js";
 import {
+    buildUnavailableOriginError,
     buildUnknownOriginError,
     buildUnservedError,
     isRepeatable,
@@ -71,14 +73,17 @@
      * @throws RouterError when no backend server responded and no response to the caller was started.
      */
     async runRequest(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
-        const state = this.buildState(request, answer);
+        const resumed = await this.resolveOrigin(request);
+        if (answer.isDisconnected) {
+            return;
+        }
+        const state = this.buildState(resumed?.request ?? request, answer, resumed?.origin);
         const timer = setTimeout(
             () => this.cancelRun(state),
             Math.max(0, request.deadlineMs - this.readNowMs()),
         );
         answer.setDisconnectListener(() => this.cancelRun(state));
         try {
-            await this.resolveOrigin(state);
             await this.runAttempts(state);
         } finally {
             clearTimeout(timer);
@@ -86,7 +91,33 @@
         }
     }
 
-    private buildState(request: GatewayRequest, answer: CallerAnswer): RunState {
+    /**
+     * Finds where a stream began that the caller takes up, so that it goes on at the same service and software version.
+     * Returns undefined for a request that continues no stream.
+     */
+    private async resolveOrigin(
+        request: GatewayRequest,
+    ): Promise<{ readonly request: GatewayRequest; readonly origin: StreamOrigin } | undefined> {
+        const { head, route } = request;
+        if (head.lastEventId === undefined || !route.isResumable) {
+            return undefined;
+        }
+        const services = route.targets.map(({ service }) => service);
+        const origin = await this.options.origins.resolveOrigin(services, head.resumedRequestId);
+        if (origin === undefined) {
+            throw buildUnknownOriginError();
+        }
+        if (!services.includes(origin.service)) {
+            throw buildUnavailableOriginError();
+        }
+        return { request: { ...request, service: origin.service }, origin };
+    }
+
+    private buildState(
+        request: GatewayRequest,
+        answer: CallerAnswer,
+        streamOrigin: StreamOrigin | undefined,
+    ): RunState {
         return {
             request,
             answer,
@@ -98,7 +129,7 @@
             isUsageCounted: false,
             isStreamStarted: false,
             lastEventId: request.head.lastEventId,
-            streamOrigin: undefined,
+            streamOrigin,
             harmfulPart: undefined,
             failedAnswer: undefined,
             currentAttempt: undefined,
@@ -115,19 +146,6 @@
         state.currentAttempt?.cancel();
     }
 
-    /** Finds where a stream began that the caller takes up, so that it goes on at the same software version. */
-    private async resolveOrigin(state: RunState): Promise<void> {
-        const { head, route, service } = state.request;
-        if (head.lastEventId === undefined || !route.isResumable) {
-            return;
-        }
-        const softwareVersion = await this.options.origins.resolveVersion(service, head.resumedRequestId);
-        if (softwareVersion === undefined) {
-            throw buildUnknownOriginError();
-        }
-        state.streamOrigin = { softwareVersion };
-    }
-
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
             state.harmfulPart = this.options.guard.findHarmfulPart(
@@ -241,14 +259,12 @@
 
     /** Records the software version that begins a stream which may be resumed. */
     private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
-        const { route, head } = state.request;
+        const { route, head, service } = state.request;
         if (state.streamOrigin !== undefined || !route.isResumable) {
             return;
         }
-        state.streamOrigin = { softwareVersion };
-        if (softwareVersion !== undefined) {
-            this.options.origins.reportOrigin(head.requestId, softwareVersion);
-        }
+        state.streamOrigin = { service, softwareVersion };
+        this.options.origins.reportOrigin(head.requestId, state.streamOrigin);
     }
 
     /** Returns whether the request is finished; otherwise another attempt follows. */
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { StreamOrigin } from "@pimentocleat/policy";
 import { ErrorKind, RouterError } from "@pimentocleat/types";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { Attempt, CompleteBackendAnswer } from "./attempt.js";
@@ -33,7 +34,7 @@
     isStreamStarted: boolean;
     lastEventId: string | undefined;
     /** Where the stream began; undefined before its first event. */
-    streamOrigin: { readonly softwareVersion: string | undefined } | undefined;
+    streamOrigin: StreamOrigin | undefined;
     /** The part of the prompt because of which the request is not sent; undefined when there is none. */
     harmfulPart: string | undefined;
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
@@ -93,6 +94,15 @@
     });
 }
 
+/**
+ * Builds the error for a resumption of a stream that no server can continue where it began.
+ *
+ * @returns The error.
+ */
+export function buildUnavailableOriginError(): RouterError {
+    return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
+}
+
 /**
  * Builds the error for a request to which no server responded.
  *
@@ -113,7 +123,7 @@
         return new RouterError(ErrorKind.PromptQuarantined, message, { executed: "no" });
     }
     if (noServer && state.streamOrigin !== undefined && !state.mayHaveRun && closedMs === undefined) {
-        return new RouterError(ErrorKind.StreamNotResumable, undefined, { executed: "no" });
+        return buildUnavailableOriginError();
     }
     const executed = state.mayHaveRun ? "unknown" : "no";
     const reason = state.lastFailureReason === "" ? undefined : `last try: ${state.lastFailureReason}`;
--- a/packages/gateway/src/peers/__tests__/originDirectory.test.ts
+++ b/packages/gateway/src/peers/__tests__/originDirectory.test.ts
@@ -5,6 +5,7 @@
 import type { OriginMessage } from "../originMessages.js";
 
 const spanMs = 16_000;
+const buildOrigin = (softwareVersion: string) => ({ service: "s", softwareVersion });
 
 /** Nodes that exchange messages at once; messages to nodes in `dead` are lost. */
 class Deployment {
@@ -44,10 +45,10 @@
 
     /** Advances the clock until the answer is there. */
     async resolve(index: number, requestId: string | undefined): Promise<string | undefined> {
-        const answer = this.readNode(index).resolveVersion("s", requestId);
+        const answer = this.readNode(index).resolveOrigin(["s"], requestId);
         await Promise.resolve();
         this.clock.advance(1_000);
-        return answer;
+        return (await answer)?.softwareVersion;
     }
 
     listKeepers(requestId: string): readonly string[] {
@@ -71,14 +72,14 @@
         for (let index = 0; index < 40; index += 1) {
             const id = `request-${String(index)}`;
             const [first, second] = [random(), random()].map((draw) => Math.floor(draw * count));
-            deployment.readNode(first!).reportOrigin(id, index % 2 === 0 ? "v1" : "v2");
+            deployment.readNode(first!).reportOrigin(id, buildOrigin(index % 2 === 0 ? "v1" : "v2"));
             expect(await deployment.resolve(second!, id)).toBe(index % 2 === 0 ? "v1" : "v2");
         }
     });
 
     it("finds it after the node that began the stream has ended and another node has restarted", async () => {
         const deployment = new Deployment(9);
-        deployment.readNode(0).reportOrigin("a", "v2");
+        deployment.readNode(0).reportOrigin("a", buildOrigin("v2"));
         deployment.dead.add("node-0");
         const keeper = deployment.listKeepers("a").find((name) => name !== "node-0")!;
         deployment.startNode(keeper);
@@ -89,8 +90,8 @@
 
     it("keeps the first record of a stream", async () => {
         const deployment = new Deployment(9);
-        deployment.readNode(0).reportOrigin("a", "v1");
-        deployment.readNode(1).reportOrigin("a", "v2");
+        deployment.readNode(0).reportOrigin("a", buildOrigin("v1"));
+        deployment.readNode(1).reportOrigin("a", buildOrigin("v2"));
         expect(await deployment.resolve(5, "a")).toBe("v1");
     });
 
@@ -118,9 +119,21 @@
     it("costs each node a constant number of messages a stream, whatever the number of nodes", () => {
         const deployment = new Deployment(195);
         for (let index = 0; index < 1_950; index += 1) {
-            deployment.readNode(index % 195).reportOrigin(`request-${String(index)}`, "v1");
+            deployment.readNode(index % 195).reportOrigin(`request-${String(index)}`, buildOrigin("v1"));
         }
         const sum = [...deployment.received.values()].reduce((total, count) => total + count, 0);
         expect(sum).toBeLessThanOrEqual(3 * 1_950);
     });
+
+    // Guards against the version of one service being taken for that of another one.
+    it("guesses no version where the stream may have begun at another service", async () => {
+        const deployment = new Deployment(9);
+        deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
+        deployment.clock.advance(spanMs + 1);
+        expect(await deployment.resolve(1, "unknown")).toBe("v2");
+        const answer = deployment.readNode(1).resolveOrigin(["s", "other"], "unknown");
+        await Promise.resolve();
+        deployment.clock.advance(1_000);
+        expect(await answer).toBeUndefined();
+    });
 });
--- a/packages/gateway/src/peers/originDirectory.ts
+++ b/packages/gateway/src/peers/originDirectory.ts
@@ -1,10 +1,10 @@
 /**
- * Finds the software version at which a stream began, on whichever node its caller takes it up. The node that begins a
+ * Finds the service and software version at which a stream began, on whichever node its caller takes it up. The node that begins a
  * stream tells a few nodes that the request's identifier selects; any other node asks them.
  *
  * @packageDocumentation
  */
-import { StreamOrigins, type VersionHistory } from "@pimentocleat/policy";
+import { StreamOrigins, type StreamOrigin, type VersionHistory } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { OriginMessage } from "./originMessages.js";
 
@@ -31,7 +31,7 @@
 interface PendingQuery {
     /** Number of nodes that have not replied yet. */
     missing: number;
-    readonly resolve: (softwareVersion: string | undefined) => void;
+    readonly resolve: (origin: StreamOrigin | undefined) => void;
 }
 
 /** Records the origins of streams and asks other nodes for them. */
@@ -49,24 +49,27 @@
      * Records that a stream began, and tells the nodes that keep its origin.
      *
      * @param requestId - Identifier of the request whose response brings the first event.
-     * @param softwareVersion - Version of the server that sent the event.
+     * @param origin - Where it began.
      */
-    reportOrigin(requestId: string, softwareVersion: string): void {
-        this.origins.recordOrigin(requestId, softwareVersion);
+    reportOrigin(requestId: string, origin: StreamOrigin): void {
+        this.origins.recordOrigin(requestId, origin);
         for (const keeper of this.listOtherKeepers(requestId, toldNodes)) {
-            this.options.send(keeper, { type: "streamOrigin", requestId, softwareVersion });
+            this.options.send(keeper, { type: "streamOrigin", requestId, origin: { ...origin } });
         }
     }
 
     /**
-     * Finds the software version at which a stream began.
+     * Finds where a stream began.
      *
-     * @param service - Service of the stream.
+     * @param services - Services at which it may have begun.
      * @param requestId - Identifier of the request whose response brought the first event; undefined when unknown.
-     * @returns The version; undefined when no node knows it and several versions may have served.
+     * @returns The origin; undefined when no node knows it and several versions or services are possible.
      */
-    async resolveVersion(service: string, requestId: string | undefined): Promise<string | undefined> {
-        return this.findVersion(service, requestId) ?? this.requestVersion(service, requestId);
+    async resolveOrigin(
+        services: readonly string[],
+        requestId: string | undefined,
+    ): Promise<StreamOrigin | undefined> {
+        return this.findOrigin(services, requestId) ?? this.requestOrigin(services, requestId);
     }
 
     /**
@@ -78,57 +81,67 @@
     receiveMessage(message: OriginMessage, from: string): void {
         switch (message.type) {
             case "streamOrigin":
-                this.origins.recordOrigin(message.requestId, message.softwareVersion);
+                this.origins.recordOrigin(message.requestId, message.origin);
                 break;
             case "originQuery": {
-                const softwareVersion = this.findVersion(message.service, message.requestId);
-                this.options.send(from, { type: "originReply", query: message.query, softwareVersion });
+                const origin = this.findOrigin(message.services, message.requestId);
+                this.options.send(from, { type: "originReply", query: message.query, origin });
                 break;
             }
             case "originReply":
-                this.handleReply(message.query, message.softwareVersion);
+                this.handleReply(message.query, message.origin);
                 break;
         }
     }
 
-    private findVersion(service: string, requestId: string | undefined): string | undefined {
-        const recorded = requestId === undefined ? undefined : this.origins.findVersion(requestId);
+    private findOrigin(services: readonly string[], requestId: string | undefined): StreamOrigin | undefined {
+        const recorded = requestId === undefined ? undefined : this.origins.findOrigin(requestId);
+        return recorded ?? this.findOnlyOrigin(services);
+    }
+
+    private findOnlyOrigin([service, ...others]: readonly string[]): StreamOrigin | undefined {
+        if (service === undefined || others.length > 0) {
+            return undefined;
+        }
         const spanMs = this.options.readLongestStreamMs(service);
-        return recorded ?? this.options.history.findOnlyVersion(service, spanMs);
+        const softwareVersion = this.options.history.findOnlyVersion(service, spanMs);
+        return softwareVersion === undefined ? undefined : { service, softwareVersion };
     }
 
-    private async requestVersion(
-        service: string,
+    private async requestOrigin(
+        services: readonly string[],
         requestId: string | undefined,
-    ): Promise<string | undefined> {
-        const keepers = this.listOtherKeepers(requestId ?? service, askedNodes);
+    ): Promise<StreamOrigin | undefined> {
+        const keepers = this.listOtherKeepers(requestId ?? services.join(), askedNodes);
         if (keepers.length === 0) {
             return undefined;
         }
         this.lastQuery += 1;
         const query = this.lastQuery;
-        const reply = new Promise<string | undefined>((resolve) => {
+        const reply = new Promise<StreamOrigin | undefined>((resolve) => {
             this.pending.set(query, { missing: keepers.length, resolve });
         });
         for (const keeper of keepers) {
-            if (!this.options.send(keeper, { type: "originQuery", query, service, requestId })) {
+            if (
+                !this.options.send(keeper, { type: "originQuery", query, services: [...services], requestId })
+            ) {
                 this.handleReply(query, undefined);
             }
         }
         const timeout = this.options.clock.wait(replyTimeoutMs).then(() => undefined);
-        const softwareVersion = await Promise.race([reply, timeout]);
+        const origin = await Promise.race([reply, timeout]);
         this.pending.delete(query);
-        return softwareVersion;
+        return origin;
     }
 
-    private handleReply(query: number, softwareVersion: string | undefined): void {
+    private handleReply(query: number, origin: StreamOrigin | undefined): void {
         const pending = this.pending.get(query);
         if (pending === undefined) {
             return;
         }
         pending.missing -= 1;
-        if (softwareVersion !== undefined || pending.missing === 0) {
-            pending.resolve(softwareVersion);
+        if (origin !== undefined || pending.missing === 0) {
+            pending.resolve(origin);
         }
     }
 
--- a/packages/gateway/src/peers/originMessages.ts
+++ b/packages/gateway/src/peers/originMessages.ts
@@ -1,41 +1,42 @@
 /**
- * Messages about the software versions at which streams began.
+ * Messages about where streams began.
  *
  * @packageDocumentation
  */
 import { z } from "zod";
+import type { StreamOrigin } from "@pimentocleat/policy";
 
-/** Schema of the message that tells another node where a stream began. */
-export const streamOriginSchema = z.object({
-    type: z.literal("streamOrigin"),
-    /** Identifier of the request whose response brought the first event. */
-    requestId: z.string(),
-    softwareVersion: z.string(),
-});
-
-/** Schema of the message that asks another node where a stream began. */
-export const originQuerySchema = z.object({
-    type: z.literal("originQuery"),
-    /** Identifies the query at its sender. */
-    query: z.number(),
+const originSchema = z.object({
     service: z.string(),
-    /** Absent when the caller did not name the request. */
-    requestId: z.string().optional(),
-});
-
-/** Schema of the reply to a query. */
-export const originReplySchema = z.object({
-    type: z.literal("originReply"),
-    query: z.number(),
-    /** Absent when the sender doesn't know it. */
     softwareVersion: z.string().optional(),
-});
+}) satisfies z.ZodType<StreamOrigin>;
 
 /** Schema of all messages about origins. */
 export const originMessageSchema = z.discriminatedUnion("type", [
-    streamOriginSchema,
-    originQuerySchema,
-    originReplySchema,
+    /** Tells another node where a stream began. */
+    z.object({
+        type: z.literal("streamOrigin"),
+        /** Identifier of the request whose response brought the first event. */
+        requestId: z.string(),
+        origin: originSchema,
+    }),
+    /** Asks another node where a stream began. */
+    z.object({
+        type: z.literal("originQuery"),
+        /** Identifies the query at its sender. */
+        query: z.number(),
+        /** Services at which the stream may have begun. */
+        services: z.array(z.string()),
+        /** Absent when the caller did not name the request. */
+        requestId: z.string().optional(),
+    }),
+    /** Replies to a query. */
+    z.object({
+        type: z.literal("originReply"),
+        query: z.number(),
+        /** Absent when the sender doesn't know it. */
+        origin: originSchema.optional(),
+    }),
 ]);
 
 /** A message about the origin of a stream. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -65,6 +65,7 @@
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
 export { HashRing } from "./hashing/hashRing.js";
 export { StreamOrigins } from "./streams/streamOrigins.js";
+export type { StreamOrigin } from "./streams/streamOrigins.js";
 export { VersionHistory } from "./streams/versionHistory.js";
 export { PromptQuarantine } from "./quarantine/promptQuarantine.js";
 export type { QuarantineDecision } from "./quarantine/promptQuarantine.js";
--- a/packages/policy/src/streams/streamOrigins.ts
+++ b/packages/policy/src/streams/streamOrigins.ts
@@ -1,24 +1,26 @@
 /**
- * Records at which software version streams began, for as long as they may be resumed.
+ * Records where streams began, for as long as they may be resumed.
  *
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
 
+/** Where a stream began; it goes on nowhere else. */
+export interface StreamOrigin {
+    readonly service: string;
+    /** Software version of the server that sent the first event; undefined when its registration names none. */
+    readonly softwareVersion?: string | undefined;
+}
+
 /** Time for which the origin of a stream is kept, in milliseconds; longer than a caller waits for a stream. */
 const retentionMs = 60_000;
 /** Maximum number of streams whose origin is kept; beyond it the oldest are forgotten. */
 const maximumOrigins = 20_000;
 
-interface StreamOrigin {
-    readonly softwareVersion: string;
-    readonly atMs: number;
-}
-
 /** Keeps the origins of streams by the identifier of the request that began them. */
 export class StreamOrigins {
     /** In the order in which they were recorded. */
-    private readonly origins = new Map<string, StreamOrigin>();
+    private readonly origins = new Map<string, { readonly origin: StreamOrigin; readonly atMs: number }>();
 
     /** @param clock - The node's clock. */
     constructor(private readonly clock: Clock) {}
@@ -27,12 +29,12 @@
      * Records the origin of a stream. The first record of a stream holds.
      *
      * @param requestId - Identifier of the request whose response brought the first event.
-     * @param softwareVersion - Version of the server that sent the event.
+     * @param origin - Where it began.
      */
-    recordOrigin(requestId: string, softwareVersion: string): void {
+    recordOrigin(requestId: string, origin: StreamOrigin): void {
         const nowMs = this.clock.monotonicMs();
         if (!this.origins.has(requestId)) {
-            this.origins.set(requestId, { softwareVersion, atMs: nowMs });
+            this.origins.set(requestId, { origin, atMs: nowMs });
         }
         for (const [id, { atMs }] of this.origins) {
             if (nowMs - atMs <= retentionMs && this.origins.size <= maximumOrigins) {
@@ -43,14 +45,14 @@
     }
 
     /**
-     * Finds the software version at which a stream began.
+     * Finds where a stream began.
      *
      * @param requestId - Identifier of the request whose response brought the first event.
-     * @returns The version, or undefined when it is not recorded.
+     * @returns The origin, or undefined when it is not recorded.
      */
-    findVersion(requestId: string): string | undefined {
-        const origin = this.origins.get(requestId);
-        const isRecent = origin !== undefined && this.clock.monotonicMs() - origin.atMs <= retentionMs;
-        return isRecent ? origin.softwareVersion : undefined;
+    findOrigin(requestId: string): StreamOrigin | undefined {
+        const found = this.origins.get(requestId);
+        const isRecent = found !== undefined && this.clock.monotonicMs() - found.atMs <= retentionMs;
+        return isRecent ? found.origin : undefined;
     }
 }
