Follow a store that comes back from an older copy

Cause: versions, positions, fences and reported windows were taken for ever-growing. The stand-in of the platform learns eras. Not done: the stateful fuzz with a store that goes back, counts of windows without a further count, 195 nodes at once.

--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { createHash } from "node:crypto";
+import { readEra } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { RegisteredServer } from "./backendServer.js";
 
@@ -37,6 +38,8 @@
      */
     private readonly leavingStarts = new Map<string, number | undefined>();
     private readonly changeListeners: ((changes: DirectoryChanges) => void)[] = [];
+    /** Store version at which this node first read the servers of the current era. */
+    private eraStartVersion = 0;
     private digest: string | undefined;
     private readonly readyByService = new Map<string, readonly RegisteredServer[]>();
     private readonly readyListeners: DirectoryListener[] = [];
@@ -67,6 +70,9 @@
      * @param version - Store version at which they were read.
      */
     setServers(servers: readonly RegisteredServer[], version: number): void {
+        if (readEra(version) > readEra(this.eraStartVersion)) {
+            this.eraStartVersion = version;
+        }
         const present = new Set(servers.map((server) => server.id));
         const removedIds = [...this.servers.keys()].filter((id) => !present.has(id));
         this.updateServers(
@@ -83,8 +89,8 @@
      */
     updateServers(changed: readonly RegisteredServer[], removed: readonly RemovedServer[]): void {
         const newer = changed
-            .filter((server) => this.isNewer(server))
-            .map((server) => this.copyKnownVersion(server));
+            .filter((server) => this.isNewer(server) && !this.isRevived(server))
+            .map((server) => this.copyLeavingState(this.copyKnownVersion(server)));
         const routingChanges = newer.filter(
             (server) => !isRoutingUnchanged(this.servers.get(server.id), server),
         );
@@ -175,6 +181,30 @@
         return this.servers.get(id);
     }
 
+    /**
+     * Checks whether an entry is only in the store because it has come back from an older copy: it was removed before,
+     * and nobody has written it since.
+     */
+    private isRevived({ id, version }: RegisteredServer): boolean {
+        const removed = this.removedVersions.get(id);
+        return (
+            removed !== undefined &&
+            readEra(version) > readEra(removed) &&
+            version <= this.eraStartVersion &&
+            !this.servers.has(id)
+        );
+    }
+
+    /** Keeps a server leaving that an older copy of the store calls ready; only another start of it ends that. */
+    private copyLeavingState(server: RegisteredServer): RegisteredServer {
+        const known = this.servers.get(server.id);
+        const isOlderCopy =
+            known?.state === "leaving" &&
+            known.bornMs === server.bornMs &&
+            readEra(server.version) > readEra(known.version);
+        return isOlderCopy ? { ...server, state: "leaving" } : server;
+    }
+
     private isLeaving({ id, bornMs }: RegisteredServer): boolean {
         return this.leavingStarts.has(id) && this.leavingStarts.get(id) === bornMs;
     }
--- a/packages/gateway/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDuty.test.ts
@@ -56,6 +56,7 @@
         settings,
         random: () => 0.5,
         countNodes: () => 3,
+        sendReported: () => undefined,
         sendCopy: () => {
             testBed.copies += 1;
             return true;
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -6,6 +6,7 @@
 import type { TableService, UsageReportService } from "@pimentocleat/services";
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import {
+    ReportedWindows,
     UsageCollector,
     UsageCopyStore,
     UsageLedger,
@@ -13,6 +14,7 @@
     UsageRowWriter,
     type ForwardedUsage,
     type LeaseHandle,
+    type ReportedMark,
     type UnstoredUsage,
     type UsageCopy,
 } from "@pimentocleat/state";
@@ -57,6 +59,8 @@
      * @returns Whether that node is registered.
      */
     readonly forwardUsage: (usage: ForwardedUsage, collector: string) => boolean;
+    /** Tells other nodes how far windows are reported. */
+    readonly sendReported: (mark: ReportedMark) => void;
 }
 
 /** Delay before counts are written again after a failure, in milliseconds. */
@@ -90,6 +94,7 @@
     private readonly ledger: UsageLedger;
     private readonly copyStore: UsageCopyStore;
     private readonly collector: UsageCollector;
+    private readonly reportedWindows: ReportedWindows;
     /** Counts that another node was asked to write. */
     private forwarded: readonly UnstoredUsage[] = [];
     /** Last window for which all due reports were sent. */
@@ -101,6 +106,7 @@
         const { tableService, clock, logger, incarnation, windowMs, settings, sendCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
         this.collector = new UsageCollector({ writer, clock, logger, collectionDelayMs: collectMs });
+        this.reportedWindows = new ReportedWindows(options.sendReported);
         this.copyStore = new UsageCopyStore({
             writer,
             clock,
@@ -134,6 +140,15 @@
         void this.copyStore.storeCopy(copy);
     }
 
+    /**
+     * Records how far another node has reported windows.
+     *
+     * @param mark - That node's mark.
+     */
+    recordReported(mark: ReportedMark): void {
+        this.reportedWindows.recordMark(mark);
+    }
+
     recordRequest(customer: string): void {
         this.ledger.recordUsage({ customer, requests: 1, promptTokens: 0, completionTokens: 0 });
     }
@@ -258,6 +273,7 @@
                 maximumWindowsPerStep: windowsPerStep,
                 retentionMs: retainedWindows * windowMs,
                 callTimeoutMs: settings.callTimeoutMs,
+                reportedWindows: this.reportedWindows,
             });
             this.reporter = { lease, reporter };
             this.reportedWindow = undefined;
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -77,6 +77,10 @@
     private readonly lastContactMs = new Map<string, number>();
     /** The node of each other data centre that last sent a message as its reader, and when. */
     private readonly otherReaders = new Map<string, { readonly name: string; readonly atMs: number }>();
+    /** Whether this node's registration was stored and not removed since. */
+    private isRegistered = false;
+    /** Ends the retries of a later registration. */
+    private readonly removal = new AbortController();
     /** Whether the registrations were read; before that, this node cannot tell its rank. */
     private hasRows = false;
     /** This node's rank as a reader; undefined until it is computed again. */
@@ -102,6 +106,7 @@
             try {
                 const writes = [{ table: peerTable, key, value: { ...address } }];
                 await tableService.commitTransaction({ conditions: [], writes });
+                this.isRegistered = true;
                 return;
             } catch (error) {
                 logger.writeEvent("peerRegistrationFailed", { reason: String(error) });
@@ -112,6 +117,8 @@
 
     /** Removes this node's registration. */
     async removeRegistration(): Promise<void> {
+        this.isRegistered = false;
+        this.removal.abort();
         const writes = [{ table: peerTable, key: this.options.name }];
         await this.options.tableService.commitTransaction({ conditions: [], writes });
     }
@@ -271,6 +278,11 @@
 
     setRows(rows: readonly Row[]): void {
         this.hasRows = true;
+        if (this.isRegistered && !rows.some((row) => row.key === this.options.name)) {
+            // The store has come back from an older copy.
+            this.isRegistered = false;
+            void this.register(this.removal.signal);
+        }
         this.peers.clear();
         this.readerRanks.clear();
         rows.forEach((row) => this.applyRow(row));
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -6,7 +6,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
-import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
+import type { ForwardedUsage, ReportedMark, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
@@ -20,6 +20,7 @@
     decodeRequests,
     encodeRequests,
     forwardedUsageSchema,
+    reportedUsageSchema,
     storedUsageSchema,
     usageCopySchema,
     type ForwardedUsageMessage,
@@ -52,6 +53,8 @@
     readonly receiveOrigin: (message: OriginMessage, from: string) => void;
     /** Receives evidence about prompt parts that crash servers. */
     readonly receiveCrashes: (message: CrashMessage) => void;
+    /** Receives how far another node has reported usage windows. */
+    readonly recordReported: (mark: ReportedMark) => void;
     /** Receives a message about a server that said that it leaves. */
     readonly receiveLeaving: (message: LeavingMessage) => void;
     /** Stores a copy of counts that another node cannot write. */
@@ -72,6 +75,7 @@
     originMessageSchema,
     crashMessageSchema,
     leavingMessageSchema,
+    reportedUsageSchema,
 ]);
 
 /** Each message carries its sender's name, which shows that the node is alive, and the time of its clock. */
@@ -201,6 +205,15 @@
         this.send(message, peers);
     }
 
+    /**
+     * Tells the peers how far usage windows are reported.
+     *
+     * @param mark - The mark.
+     */
+    sendReported({ nextStartMs, era }: ReportedMark): void {
+        this.send({ type: "reportedUsage", nextStartMs, era }, this.options.listPeers());
+    }
+
     private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
@@ -257,6 +270,9 @@
             case "crashes":
                 options.receiveCrashes(message);
                 break;
+            case "reportedUsage":
+                options.recordReported(message);
+                break;
             case "serverLeaving":
                 options.receiveLeaving(message);
                 break;
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -32,9 +32,15 @@
     readonly Delete?: readonly RowId[];
 }
 
+/** All rows of a store at one moment. */
+export interface RowStoreCopy {
+    readonly rows: ReadonlyMap<string, StoredRow>;
+    readonly version: number;
+}
+
 /** Stores rows and their change history in memory. */
 export class RowStore {
-    private readonly rows = new Map<string, StoredRow>();
+    private rows = new Map<string, StoredRow>();
     private changes: StoredChange[] = [];
     private waiters: (() => void)[] = [];
     private version = 0;
@@ -130,7 +136,7 @@
      * @returns The changes, or undefined when some of them were discarded from the history.
      */
     listChanges(table: string, after: number): readonly StoredChange[] | undefined {
-        if (after < this.discardedVersion) {
+        if (after < this.discardedVersion || after > this.version) {
             return undefined;
         }
         return this.changes.filter((change) => change.Table === table && change.Ver > after);
@@ -151,6 +157,23 @@
         });
     }
 
+    /** @returns A copy of all rows, to restore later. */
+    copyRows(): RowStoreCopy {
+        return { rows: new Map(this.rows), version: this.version };
+    }
+
+    /**
+     * Goes back to a copy: everything written since is gone, and its versions are given out again.
+     *
+     * @param copy - The copy.
+     */
+    restoreCopy(copy: RowStoreCopy): void {
+        this.rows = new Map(copy.rows);
+        this.version = copy.version;
+        this.clearHistory();
+        this.waiters.splice(0).forEach((wake) => wake());
+    }
+
     /** Discards the change history, so that readers of an older version must read all rows again. */
     clearHistory(): void {
         this.changes = [];
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { RowStore, type RowTransaction } from "./rowStore.js";
+import { RowStore, type RowStoreCopy, type RowTransaction } from "./rowStore.js";
 
 /**
  * How the store handles calls: normally (`usual`), with status 503 (`busy`) or 429 (`limited`), by resetting the
@@ -43,6 +43,7 @@
     /** HTTP status of subsequent calls that order servers. */
     orderStatus = 200;
     private storeMode: StoreMode = "usual";
+    private era = 1;
     private writeFaults: WriteFault[] = [];
     private lateWrites: (() => void)[] = [];
     private storeCalls = 0;
@@ -78,6 +79,16 @@
         this.storeMode = mode;
     }
 
+    /**
+     * Brings the store back from an older copy, which starts a new era.
+     *
+     * @param copy - The copy; the operator's and the servers' rows have to be written again by the caller.
+     */
+    restoreStore(copy: RowStoreCopy): void {
+        this.era += 1;
+        this.rows.restoreCopy(copy);
+    }
+
     /** @param faults - Faults of the next writes, one per write, in order. */
     setWriteFaults(faults: readonly WriteFault[]): void {
         this.writeFaults = [...faults];
@@ -95,6 +106,7 @@
 
     private async handleStoreCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
         this.storeCalls += 1;
+        response.setHeader("store-era", String(this.era));
         const body = await readBody(request);
         switch (this.storeMode) {
             case "silent":
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -57,3 +57,5 @@
 export { BoundedTableService } from "./retrying/boundedTableService.js";
 export { runEvery } from "./retrying/runEvery.js";
 export type { RepeatedStepOptions } from "./retrying/runEvery.js";
+export { ReportedWindows } from "./usage/reportedWindows.js";
+export type { ReportedMark } from "./usage/reportedWindows.js";
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -4,7 +4,13 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import type { CommitResult, Row, TableService, Transaction } from "@pimentocleat/services";
+import {
+    readEra,
+    type CommitResult,
+    type Row,
+    type TableService,
+    type Transaction,
+} from "@pimentocleat/services";
 import {
     computePreferenceRank,
     computeTakeoverMs,
@@ -68,6 +74,8 @@
 const defaultCallTimeoutMs = 1_000;
 const defaultPreferenceDelayMs = 1_000;
 const maximumPreferenceRank = 5;
+/** Fencing numbers of one era: those of a later era are larger than any that an earlier one has forgotten. */
+const fencingNumbersPerEra = 1_000_000;
 /** Delay after a failed step, as a share of the regular interval. */
 const retryIntervalShare = 0.2;
 
@@ -84,6 +92,10 @@
     private desired: readonly string[] = [];
     private contactSinceMs: number | undefined;
     private stopping = false;
+    /** Highest era of the table service in which a lease was read. */
+    private era = 0;
+    /** Monotonic time before which no lease is acquired, because an earlier era's holder may still be valid. */
+    private eraSettledMs = Number.NEGATIVE_INFINITY;
 
     /** @param options - The table service, the clock and the timing. */
     constructor(private readonly options: LeaseManagerOptions) {
@@ -145,6 +157,7 @@
     async advanceOnce(): Promise<boolean> {
         try {
             const rows = await this.scanLeases();
+            this.recordEra(rows);
             for (const name of new Set([...this.desired, ...this.held.keys()])) {
                 this.recordLease(name, findStoredLease(rows, name));
             }
@@ -209,6 +222,31 @@
         return Math.min(intervalMs, ...pauses.filter((pauseMs) => pauseMs > 0));
     }
 
+    /**
+     * Gives all leases up when the table service has come back from an older copy: what it says of holders and fencing
+     * numbers is of the past. After the longest validity of an earlier holder they are acquired anew.
+     */
+    private recordEra(rows: ReadonlyMap<string, Row>): void {
+        const era = Math.max(0, ...[...rows.values()].map(({ version }) => readEra(version)));
+        if (era <= this.era) {
+            return;
+        }
+        const isFirst = this.era === 0;
+        this.era = era;
+        if (isFirst) {
+            return;
+        }
+        this.options.logger.writeEvent("leaseEraStarted", { era });
+        const { durationMs, marginMs } = this.timing;
+        this.eraSettledMs = this.options.clock.monotonicMs() + durationMs + marginMs;
+        [...this.held.values()].forEach((lease) => {
+            lease.close();
+            this.removeLease(lease);
+        });
+        this.acquisitions.clear();
+        this.observed.clear();
+    }
+
     private recordLease(name: string, stored: StoredLease): void {
         const { record, version } = stored;
         const seen = { version, released: record?.released ?? false };
@@ -247,7 +285,8 @@
     private async acquireIfDue(name: string, stored: StoredLease): Promise<void> {
         const { clock, node, listNodes, preferenceDelayMs = defaultPreferenceDelayMs } = this.options;
         const observed = this.observed.get(name);
-        const isAllowed = !this.stopping && clock.monotonicMs() >= (this.options.earliestAcquisitionMs ?? 0);
+        const earliestMs = Math.max(this.options.earliestAcquisitionMs ?? 0, this.eraSettledMs);
+        const isAllowed = !this.stopping && clock.monotonicMs() >= earliestMs;
         if (observed === undefined || this.held.has(name) || !isAllowed) {
             return;
         }
@@ -255,7 +294,8 @@
         if (!isTakeoverDue(observed, clock.monotonicMs(), this.timing, rank * preferenceDelayMs)) {
             return;
         }
-        const record = this.buildRecord((stored.record?.fencingNumber ?? 0) + 1, false);
+        const lastNumber = Math.max(stored.record?.fencingNumber ?? 0, this.era * fencingNumbersPerEra);
+        const record = this.buildRecord(lastNumber + 1, false);
         const { token, fencingNumber } = record;
         const pending = {
             token,
@@ -266,6 +306,7 @@
         this.acquisitions.set(name, pending);
         const result = await this.commitAcquisition(name, stored, record);
         if (result?.outcome === "committed") {
+            this.era = Math.max(this.era, readEra(result.version));
             this.addLease(name, pending, result.version, result.version);
         }
     }
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import {
     maximumTransactionEntries,
+    readEra,
     type CommitResult,
     type Row,
     type RowCondition,
@@ -22,6 +23,7 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { LeaseHandle } from "../leases/heldLease.js";
 import { runWithTimeout } from "../retrying/callTimeout.js";
+import { ReportedWindows } from "./reportedWindows.js";
 import {
     buildUnsealedCondition,
     formatWindowKey,
@@ -64,6 +66,8 @@
      * report in time is worth more than a late one that includes the last counts. Unlimited when absent.
      */
     readonly maximumSealDelayMs?: number;
+    /** What is known of reports beyond the table service; only this reporter's own when absent. */
+    readonly reportedWindows?: ReportedWindows;
 }
 
 interface Progress {
@@ -88,12 +92,14 @@
  */
 export class UsageReporter {
     private earliestSealMs: number;
+    private readonly reportedWindows: ReportedWindows;
     /** Start times of the windows before {@link Progress.firstStartMs} that this reporter has reported. */
     private readonly reportedEarlierWindows = new Set<number>();
 
     /** @param options - The services, the lease, the receiver and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
         this.earliestSealMs = options.clock.monotonicMs() + (options.firstSealDelayMs ?? 0);
+        this.reportedWindows = options.reportedWindows ?? new ReportedWindows();
     }
 
     /**
@@ -139,7 +145,7 @@
     /** Returns undefined if the lease was lost or the report was not sent. */
     private async finishWindow(progress: Progress): Promise<Progress | undefined> {
         const { version, nextStartMs, firstStartMs } = progress;
-        if (!(await this.reportWindow(nextStartMs))) {
+        if (!(await this.reportWindow(nextStartMs, readEra(version)))) {
             return undefined;
         }
         return this.storeProgress(version, {
@@ -149,17 +155,21 @@
     }
 
     /** Returns false if the lease was lost or the report was not sent. */
-    private async reportWindow(windowStartMs: number): Promise<boolean> {
+    private async reportWindow(windowStartMs: number, era: number): Promise<boolean> {
+        if (this.reportedWindows.isForgotten(windowStartMs, era)) {
+            this.options.logger.writeEvent("usageReportForgotten", { windowStartMs, era });
+            return true;
+        }
         if (!(await this.sealWindow(windowStartMs))) {
             return false;
         }
         const usage = await this.sumWindow(windowStartMs);
-        return Object.keys(usage).length === 0 || this.sendReport(windowStartMs, usage);
+        return Object.keys(usage).length === 0 || this.sendReport(windowStartMs, usage, era);
     }
 
-    private async removeExpiredRows({ nextStartMs, firstStartMs }: Progress): Promise<void> {
+    private async removeExpiredRows({ version, nextStartMs, firstStartMs }: Progress): Promise<void> {
         const rows = await this.scanRows(usageTable);
-        await this.reportEarlierWindows(rows, firstStartMs);
+        await this.reportEarlierWindows(rows, firstStartMs, readEra(version));
         const beforeMs = nextStartMs - this.options.retentionMs;
         // Seals are removed first: a row removed while its window is still sealed would look like a row from which
         // all usage is missing, and the usage would be moved.
@@ -169,11 +179,15 @@
     }
 
     /** Reports windows before the first reporter's first one, whose usage a node may have written only later. */
-    private async reportEarlierWindows(rows: readonly Row[], firstStartMs: number): Promise<void> {
+    private async reportEarlierWindows(
+        rows: readonly Row[],
+        firstStartMs: number,
+        era: number,
+    ): Promise<void> {
         const windows = new Set(rows.map((row) => parseWindowStartMs(row.key)));
         for (const windowStartMs of windows) {
             const isEarlier = windowStartMs < firstStartMs && !this.reportedEarlierWindows.has(windowStartMs);
-            if (isEarlier && (await this.reportWindow(windowStartMs))) {
+            if (isEarlier && (await this.reportWindow(windowStartMs, era))) {
                 this.reportedEarlierWindows.add(windowStartMs);
             }
         }
@@ -204,7 +218,7 @@
         return usage;
     }
 
-    private async sendReport(windowStartMs: number, usage: UsageByCustomer): Promise<boolean> {
+    private async sendReport(windowStartMs: number, usage: UsageByCustomer, era: number): Promise<boolean> {
         const { lease, windowMs, node: sender, receiver, reportService } = this.options;
         const customers = Object.entries(usage)
             .map(([customer, counters]) => ({ customer, ...counters }))
@@ -213,6 +227,7 @@
         if (!this.isLeaseReady()) {
             return false;
         }
+        this.reportedWindows.reportMark({ nextStartMs: windowStartMs + windowMs, era });
         await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isLeaseReady());
         return true;
     }
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -72,6 +72,11 @@
         "info",
         "lease not released during a graceful stop; it expires on its own",
     ),
+    leaseEraStarted: defineEvent(
+        4005,
+        "warn",
+        "the table service came back from an older copy; all leases are given up and acquired anew",
+    ),
     dutyStepFailed: defineEvent(4002, "warn", "step of a duty failed; retrying"),
     serversOrdered: defineEvent(4100, "info", "backend servers ordered"),
     serversNotAvailable: defineEvent(4101, "warn", "no backend servers of this kind are available"),
@@ -84,6 +89,11 @@
     ),
     keyRequestsEnded: defineEvent(2003, "info", "running requests of a withdrawn key were ended"),
     usageMoved: defineEvent(5000, "info", "usage missing from a sealed window was moved to a later window"),
+    usageReportForgotten: defineEvent(
+        5007,
+        "warn",
+        "a usage window was reported before the table service came back from an older copy; not reported again",
+    ),
     usageNotForwarded: defineEvent(
         5003,
         "info",
