--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -14,7 +14,7 @@
 } from "./table/tableService.js";
 export type { CustomerUsage, UsageReport, UsageReportService } from "./usageReports/usageReportService.js";
 export type { WeightEntry, WeightStore } from "./weights/weightStore.js";
-export { composeVersion, maximumEra, readCounter, readEra } from "./table/storeVersion.js";
+export { buildVersion, maximumEra, readCounter, readEra } from "./table/storeVersion.js";
 export { maximumTransactionEntries } from "./table/tableService.js";
 export type { RowChange, RowFeed } from "./table/rowFeed.js";
 export { MemoryTableService } from "./memory/memoryTableService.js";
--- a/packages/services/src/table/storeVersion.ts
+++ b/packages/services/src/table/storeVersion.ts
@@ -17,7 +17,7 @@
  * @param counter - The store's own counter; 0 for a row that does not exist.
  * @returns The version; 0 for a row that does not exist.
  */
-export function composeVersion(era: number, counter: number): number {
+export function buildVersion(era: number, counter: number): number {
     return counter === 0 ? 0 : era * versionsPerEra + counter;
 }
 
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -167,7 +167,7 @@
      *
      * @param copy - The copy.
      */
-    restoreCopy(copy: RowStoreCopy): void {
+    recoverCopy(copy: RowStoreCopy): void {
         this.rows = new Map(copy.rows);
         this.version = copy.version;
         this.clearHistory();
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -84,9 +84,9 @@
      *
      * @param copy - The copy; the operator's and the servers' rows have to be written again by the caller.
      */
-    restoreStore(copy: RowStoreCopy): void {
+    recoverStore(copy: RowStoreCopy): void {
         this.era += 1;
-        this.rows.restoreCopy(copy);
+        this.rows.recoverCopy(copy);
     }
 
     /** @param faults - Faults of the next writes, one per write, in order. */
