Refuse requests from the moment at which a stopping node has drained

Cause: a node ends its wait when no request is left at 2.6 s after SIGTERM, but refuses only from 2.88 s on; what it takes between is cut when the process ends. Evidence: the request was sent at 40.997 s, event 1003 followed at 41.007 s with one active. Change: it refuses from the same turn in which the last check found nothing. Why it works: nothing can be accepted between that check and the refusal.

--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -325,6 +325,8 @@
                 this.callerServer.server.closeIdleConnections();
             }
         }
+        // In the same turn as the last check, so that no request is accepted that the next steps would cut.
+        this.refusalStartMs = clock.monotonicMs();
         this.callerServer.server.closeIdleConnections();
         await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
         this.stopping.abort();
