Reword comments and test titles, and name a file of messages for what it holds

A newcomer's reading of the change: idioms ('with nothing of what it knew', 'guesses', 'strikes') become plain terms; leavingNews.ts, which holds a message schema only, is leavingMessages.ts beside originMessages.ts.

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -257,7 +257,7 @@
         }
     }
 
-    /** Records the software version that begins a stream which may be resumed. */
+    /** Records the service and software version at which a resumable stream begins. */
     private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
         const { route, head, service } = state.request;
         if (state.streamOrigin !== undefined || !route.isResumable) {
--- a/packages/gateway/src/peers/__tests__/originDirectory.test.ts
+++ b/packages/gateway/src/peers/__tests__/originDirectory.test.ts
@@ -7,7 +7,7 @@
 const spanMs = 16_000;
 const buildOrigin = (softwareVersion: string) => ({ service: "s", softwareVersion });
 
-/** Nodes that exchange messages at once; messages to nodes in `dead` are lost. */
+/** Nodes that exchange messages without delay; messages to and from nodes in `dead` are lost. */
 class Deployment {
     readonly clock = new ManualClock();
     readonly dead = new Set<string>();
@@ -23,7 +23,7 @@
         this.names.forEach((name) => this.startNode(name));
     }
 
-    /** Starts a node, or restarts it with nothing of what it knew. */
+    /** Starts a node; a node that restarts has lost its state. */
     startNode(name: string): void {
         const history = new VersionHistory(this.clock);
         history.recordServers("s", ["v1", "v2"]);
@@ -95,7 +95,7 @@
         expect(await deployment.resolve(5, "a")).toBe("v1");
     });
 
-    // Guards against a guess where nobody knows, and against waiting long for silent nodes.
+    // Guards against resuming a stream of unknown origin, and against waiting for silent nodes without end.
     it.each([
         { name: "no node was told", dead: [] },
         { name: "all other nodes are silent", dead: [1, 2, 3, 4, 5, 6, 7, 8] },
@@ -106,7 +106,7 @@
         expect(await deployment.resolve(0, undefined)).toBeUndefined();
     });
 
-    it("takes the only version of late from itself, or from a node that has run for longer", async () => {
+    it("uses the only recent version, which a node that has run for longer may know", async () => {
         const deployment = new Deployment(9);
         deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
         deployment.clock.advance(spanMs + 1);
@@ -126,7 +126,7 @@
     });
 
     // Guards against the version of one service being taken for that of another one.
-    it("guesses no version where the stream may have begun at another service", async () => {
+    it("names no origin where the stream may have begun at another service", async () => {
         const deployment = new Deployment(9);
         deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
         deployment.clock.advance(spanMs + 1);
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -12,7 +12,7 @@
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
 import { crashMessageSchema, type CrashMessage } from "./crashNews.js";
 import { newsSchema, type News } from "./dispatchNews.js";
-import { leavingMessageSchema, type LeavingMessage } from "./leavingNews.js";
+import { leavingMessageSchema, type LeavingMessage } from "./leavingMessages.js";
 import { originMessageSchema, type OriginMessage } from "./originMessages.js";
 import type { PeerAddress } from "./peerDirectory.js";
 import { storeUpdateSchema, type StoreUpdate } from "./storeRelay.js";
--- a/packages/policy/src/quarantine/promptQuarantine.ts
+++ b/packages/policy/src/quarantine/promptQuarantine.ts
@@ -33,7 +33,7 @@
 const goodRetentionMs = 120_000;
 /** Maximum number of parts whose answers are remembered; beyond it the oldest are forgotten. */
 const maximumGoodParts = 4_000;
-/** Time for which a response may have run when its server was lost, in milliseconds; a harmful part strikes sooner. */
+/** Time for which a response may have run when its server was lost, in milliseconds; a harmful part crashes it sooner. */
 const maximumRunningMs = 1_000;
 
 /** Decides which prompts are refused because of a harmful part. */
