Split the stop, the followers of the store and the resumption of streams off

No change of behaviour. gatewayDaemon.ts (447 lines) and requestRunner.ts (413) held more than one concern: drainState.ts counts the running requests and decides when a stopping node refuses and ends, storeFollowers.ts starts the followers of the three tables, streamResumption.ts finds and records where streams began.

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -14,13 +14,10 @@
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
-import type { OriginDirectory } from "../peers/originDirectory.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { PromptGuard } from "./promptGuard.js";
 import {
-    buildUnavailableOriginError,
-    buildUnknownOriginError,
     buildUnservedError,
     isRepeatable,
     minimumRemainingMs,
@@ -28,6 +25,7 @@
     selectStatusTag,
     type RunState,
 } from "./runState.js";
+import { isEligible, type StreamResumption } from "./streamResumption.js";
 import { convertToPlacementServer, type ServiceDispatchRegistry } from "./serviceDispatch.js";
 
 /** Counts the requests that backend servers started to run. */
@@ -45,7 +43,7 @@
     readonly protocol: BackendProtocol;
     readonly usage: UsageCounter;
     readonly announcer: DispatchAnnouncer;
-    readonly origins: OriginDirectory;
+    readonly resumption: StreamResumption;
     readonly guard: PromptGuard;
     readonly notices: ServerNotices;
     readonly clock: Clock;
@@ -73,7 +71,7 @@
      * @throws RouterError when no backend server responded and no response to the caller was started.
      */
     async runRequest(request: GatewayRequest, answer: CallerAnswer): Promise<void> {
-        const resumed = await this.resolveOrigin(request);
+        const resumed = await this.options.resumption.resolveRequest(request);
         if (answer.isDisconnected) {
             return;
         }
@@ -91,28 +89,6 @@
         }
     }
 
-    /**
-     * Finds where a stream began that the caller takes up, so that it goes on at the same service and software version.
-     * Returns undefined for a request that continues no stream.
-     */
-    private async resolveOrigin(
-        request: GatewayRequest,
-    ): Promise<{ readonly request: GatewayRequest; readonly origin: StreamOrigin } | undefined> {
-        const { head, route } = request;
-        if (head.lastEventId === undefined || !route.isResumable) {
-            return undefined;
-        }
-        const services = route.targets.map(({ service }) => service);
-        const origin = await this.options.origins.resolveOrigin(services, head.resumedRequestId);
-        if (origin === undefined) {
-            throw buildUnknownOriginError();
-        }
-        if (!services.includes(origin.service)) {
-            throw buildUnavailableOriginError();
-        }
-        return { request: { ...request, service: origin.service }, origin };
-    }
-
     private buildState(
         request: GatewayRequest,
         answer: CallerAnswer,
@@ -215,7 +191,7 @@
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
             onNotice: (notice) => this.options.notices.recordNotice(server, notice),
-            onForwarding: () => this.recordOrigin(state, server),
+            onForwarding: () => this.options.resumption.recordOrigin(state, server),
             announcer: this.options.announcer,
         });
         this.options.metrics.addCount("request.sent", 1, { route: request.route.name });
@@ -257,16 +233,6 @@
         }
     }
 
-    /** Records the service and software version at which a resumable stream begins. */
-    private recordOrigin(state: RunState, { softwareVersion }: RegisteredServer): void {
-        const { route, head, service } = state.request;
-        if (state.streamOrigin !== undefined || !route.isResumable) {
-            return;
-        }
-        state.streamOrigin = { service, softwareVersion };
-        this.options.origins.reportOrigin(head.requestId, state.streamOrigin);
-    }
-
     /** Returns whether the request is finished; otherwise another attempt follows. */
     private handleResult(state: RunState, server: RegisteredServer, result: AttemptResult): boolean {
         const { answer } = state;
@@ -403,11 +369,3 @@
         return this.options.clock.monotonicMs();
     }
 }
-
-/** What two software versions write doesn't fit together, so a stream goes on only at the version that began it. */
-function isEligible(state: RunState, { softwareVersion }: RegisteredServer): boolean {
-    return (
-        state.streamOrigin === undefined ||
-        (softwareVersion !== undefined && softwareVersion === state.streamOrigin.softwareVersion)
-    );
-}
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -18,23 +18,25 @@
 import { PromptGuard } from "../dispatch/promptGuard.js";
 import { RequestRunner } from "../dispatch/requestRunner.js";
 import { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
+import { StreamResumption } from "../dispatch/streamResumption.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
-import { RowFollower, type RowFollowerOptions } from "../following/rowFollower.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
 import { OriginDirectory } from "../peers/originDirectory.js";
 import { MedianClock } from "../peers/medianClock.js";
-import { PeerDirectory, peerTable } from "../peers/peerDirectory.js";
+import { PeerDirectory } from "../peers/peerDirectory.js";
 import { CrashNews } from "../peers/crashNews.js";
 import { chooseRandomItems, PeerMessenger } from "../peers/peerMessenger.js";
 import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
+import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 import { StallDetector } from "./stallDetector.js";
+import { startStoreFollowers } from "./storeFollowers.js";
 
 /** Options of a {@link GatewayDaemon}. */
 export interface GatewayDaemonOptions {
@@ -52,35 +54,12 @@
 const idleConnectionTimeoutMs = 8_000;
 /** Maximum number of idle connections that a node keeps to one backend server. */
 const maximumIdleConnections = 16;
-/**
- * Maximum time for which the store holds a long poll of the configuration, in milliseconds. It adds to the age of
- * the state that a reading node relays to its neighbours, and so does the long poll of the servers.
- */
-const configurationLongPollMs = 800;
-/** Maximum time for which the store holds a long poll of the backend servers, in milliseconds. */
-const serverLongPollMs = 400;
-/** Pause between two reads of server changes, in milliseconds; well below the time to react to a leaving server. */
-const serverReadPauseMs = 500;
-/** Maximum time for which the store holds a long poll of the nodes, in milliseconds; a late change costs little. */
-const peerLongPollMs = 28_000;
-/** Delay before the first read of the nodes, in milliseconds; nodes that start together have registered by then. */
-const peerReadDelayMs = 700;
-/** Time within which the load balancer detects that a node is not ready, in milliseconds. */
-const balancerReactionMs = 2_600;
-/**
- * Fraction of the stop grace period in which a stopping node still accepts requests. By its end the load balancer has
- * detected that the node is not ready, and accepted requests still have time to finish.
- */
-const acceptingGraceShare = 0.36;
 /** Time reserved for closing at the end of the stop grace period, in milliseconds. */
 const closingTimeMs = 900;
 /** Number of closing steps with a time limit; each may take an equal share of the closing time. */
 const closingStepCount = 3;
 /** Length of the random tag in this process's identifiers of dispatches; short, since each message carries some. */
 const dispatchTagLength = 8;
-/** Interval between two checks whether a stopping node has finished its requests, in milliseconds. */
-const drainCheckIntervalMs = 50;
-
 /** Starts, runs and stops a gateway node. */
 export class GatewayDaemon {
     private readonly configuration: ActiveConfiguration;
@@ -102,13 +81,12 @@
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
-    private isDraining = false;
-    private refusalStartMs = Number.POSITIVE_INFINITY;
-    private activeRequests = 0;
+    private readonly drain: DrainState;
 
     /** @param options - Settings, platform adapter and environment. */
     constructor(private readonly options: GatewayDaemonOptions) {
         const { settings, adapter, clock, random, logger } = options;
+        this.drain = new DrainState({ clock, stopGraceMs: settings.stopGraceMs, closingTimeMs });
         this.configuration = new ActiveConfiguration(logger);
         this.directory = new ServerDirectory(logger);
         this.connections = new ConnectionPool({
@@ -261,37 +239,17 @@
     async start(): Promise<void> {
         const { settings, adapter, logger } = this.options;
         const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
-        const isRelayActive = (): boolean => this.relay.isRelayActive();
-        const computePollIntervalMs = (): number =>
-            this.relay.isReader()
-                ? 0
-                : this.relayTiming.computePollIntervalMs(this.peers.computeReaderRank());
-        this.relay.setFollowers(
-            this.startFollower({
-                table: adapter.configurationTable,
-                receiver: this.configurationRelay,
-                longPollMs: configurationLongPollMs,
-                computePauseMs: () => 0,
-                computePollIntervalMs,
-                isRelayActive,
-            }),
-            this.startFollower({
-                table: adapter.serverTable,
-                receiver: serverReceiver,
-                longPollMs: serverLongPollMs,
-                computePauseMs: () => serverReadPauseMs,
-                computePollIntervalMs,
-                isRelayActive,
+        this.tasks.push(
+            ...startStoreFollowers({
+                ...this.options,
+                configurationReceiver: this.configurationRelay,
+                serverReceiver,
+                peers: this.peers,
+                relay: this.relay,
+                timing: this.relayTiming,
+                signal: this.stopping.signal,
             }),
         );
-        this.startFollower({
-            table: peerTable,
-            receiver: this.peers,
-            longPollMs: peerLongPollMs,
-            computePauseMs: () =>
-                this.relayTiming.computeNodesPauseMs(this.peers.computeReaderRank(), this.peers.countNodes()),
-            startDelayMs: peerReadDelayMs,
-        });
         this.messenger.start();
         this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.crashNews.run(this.stopping.signal));
@@ -311,30 +269,19 @@
 
     /** Stops gracefully: reports not ready at once, then finishes all requests within the grace period. */
     async stop(): Promise<void> {
-        const { settings, clock, logger, adapter } = this.options;
-        const startMs = clock.monotonicMs();
-        const endMs = startMs + settings.stopGraceMs - closingTimeMs;
-        this.isDraining = true;
-        logger.writeEvent("nodeStopping", { active: this.activeRequests });
+        const { logger, adapter } = this.options;
+        this.drain.start();
+        logger.writeEvent("nodeStopping", { active: this.drain.countActive() });
         // Requests are still served, so the store is followed and usage is written until the end.
         const dutiesStopped = this.duties.stop();
-        this.refusalStartMs = startMs + settings.stopGraceMs * acceptingGraceShare;
-        while (!this.isDrained(startMs) && clock.monotonicMs() < endMs) {
-            await clock.wait(drainCheckIntervalMs);
-            if (this.isRefusing()) {
-                this.callerServer.server.closeIdleConnections();
-            }
-        }
-        // In the same turn as the last check, so that no request is accepted that the next steps would cut.
-        this.refusalStartMs = clock.monotonicMs();
-        this.callerServer.server.closeIdleConnections();
+        await this.drain.waitUntilDrained(() => this.callerServer.server.closeIdleConnections());
         await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
         this.stopping.abort();
         this.connections.close();
         await this.runBounded(this.peers.removeRegistration());
         this.messenger.close();
         await this.runBounded(adapter.close());
-        logger.writeEvent("nodeStopped", { active: this.activeRequests });
+        logger.writeEvent("nodeStopped", { active: this.drain.countActive() });
     }
 
     /** Limits the time of a stop step, so that a failed or slow step does not prevent the later ones. */
@@ -346,37 +293,8 @@
         );
     }
 
-    private isDrained(startMs: number): boolean {
-        const sinceStartMs = this.options.clock.monotonicMs() - startMs;
-        return this.activeRequests === 0 && sinceStartMs >= balancerReactionMs;
-    }
-
-    private isRefusing(): boolean {
-        return this.options.clock.monotonicMs() >= this.refusalStartMs;
-    }
-
     private isReady(): boolean {
-        return !this.isDraining && this.configuration.readCurrent() !== undefined;
-    }
-
-    private startFollower(
-        followed: Omit<
-            RowFollowerOptions,
-            "feed" | "clock" | "logger" | "metrics" | "random" | "computeRetryMs"
-        >,
-    ): RowFollower {
-        const { adapter, clock, logger, metrics, random } = this.options;
-        const sharedOptions = {
-            feed: adapter.rowFeed,
-            clock,
-            logger,
-            metrics,
-            random,
-            computeRetryMs: () => this.relayTiming.computeRetryMs(this.peers.computeReaderRank()),
-        };
-        const follower = new RowFollower({ ...followed, ...sharedOptions });
-        this.tasks.push(follower.run(this.stopping.signal));
-        return follower;
+        return !this.drain.isDraining() && this.configuration.readCurrent() !== undefined;
     }
 
     private buildDispatches(): ServiceDispatchRegistry {
@@ -405,7 +323,7 @@
         const runner = new RequestRunner({
             dispatches: this.dispatches,
             announcer: this.news,
-            origins: this.origins,
+            resumption: new StreamResumption(this.origins),
             guard: new PromptGuard({ quarantine: this.quarantine, crashNews: this.crashNews, logger }),
             notices: new ServerNotices({
                 directory,
@@ -434,11 +352,9 @@
             clock,
             logger,
             metrics,
-            isDraining: () => this.isDraining,
-            isRefusing: () => this.isRefusing(),
-            onActiveChange: (change) => {
-                this.activeRequests += change;
-            },
+            isDraining: () => this.drain.isDraining(),
+            isRefusing: () => this.drain.isRefusing(),
+            onActiveChange: (change) => this.drain.recordActive(change),
         });
     }
 }
