Count a request as the test of a harmful part only when it is sent

Found when the change was read again. Cause: the prompt was checked before a server was chosen, so that a request without a server used the test up. Change: the check follows the choice. Before: 'tests a part only with a prompt that is sent' failed (2 arrivals in place of 3); after: it passes, and so do the other three tests of the file.

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -124,6 +124,12 @@
 
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
+            const server = this.chooseServer(state);
+            const remainingMs = state.request.deadlineMs - this.readNowMs();
+            if (state.isCancelled || server === undefined || remainingMs < minimumRemainingMs) {
+                this.finishWithoutAnswer(state, server === undefined);
+                return;
+            }
             state.harmfulPart = this.options.guard.findHarmfulPart(
                 state.request.head,
                 state.attemptCount === 0,
@@ -132,12 +138,6 @@
                 this.finishWithoutAnswer(state, false);
                 return;
             }
-            const server = this.chooseServer(state);
-            const remainingMs = state.request.deadlineMs - this.readNowMs();
-            if (state.isCancelled || server === undefined || remainingMs < minimumRemainingMs) {
-                this.finishWithoutAnswer(state, server === undefined);
-                return;
-            }
             const result = await this.runAttempt(state, server, remainingMs);
             if (this.handleResult(state, server, result)) {
                 return;
