Log which connections to servers could not be opened, and which were kept

Change: event 7012 and the field isKeptConnection of event 2004; sockets to servers may be opened by another opener, for tests that cut a node off. No logic changed.

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -150,6 +150,11 @@
         return this.exchange.hasSentBytes();
     }
 
+    /** @returns Whether the request goes over a connection that was opened before; only valid before it is sent. */
+    isOnKeptConnection(): boolean {
+        return this.exchange.isOnKeptConnection();
+    }
+
     /** Cancels the attempt because the caller disconnected or the deadline passed. */
     cancel(): void {
         if (!this.hasEnded) {
--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -110,6 +110,11 @@
         return this.connection.hasSentBytes();
     }
 
+    /** @returns Whether the request goes over a connection that was opened before. */
+    isOnKeptConnection(): boolean {
+        return this.connection.isOpen;
+    }
+
     /** Ends the exchange without a call to the receiver; closing the connection makes the server stop. */
     cancel(): void {
         if (!this.hasEnded) {
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -177,6 +177,7 @@
             softwareVersion: server.softwareVersion,
             attempt: state.attemptCount + 1,
             remainingMs: Math.round(remainingMs),
+            isKeptConnection: state.currentAttempt.isOnKeptConnection(),
             resumedRequestId: request.head.resumedRequestId,
             lastEventId: state.lastEventId,
         });
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -10,7 +10,7 @@
 import { computeSlackPart, RequestQuarantine, VersionHistory } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
-import { ConnectionPool } from "@pimentocleat/upstream";
+import { ConnectionPool, type SocketOpener } from "@pimentocleat/upstream";
 import type { LimitDirectory } from "../backends/limitDirectory.js";
 import { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
@@ -47,6 +47,8 @@
     readonly random: () => number;
     readonly logger: Logger;
     readonly metrics: TextMetrics;
+    /** Opens sockets to backend servers; the default opens TCP connections. */
+    readonly openServerSocket?: SocketOpener;
 }
 
 /** Timeout for opening a connection to a backend server, in milliseconds; a healthy server takes a few. */
@@ -101,6 +103,12 @@
             connectTimeoutMs,
             idleConnectionTimeoutMs,
             maximumIdleConnections,
+            openSocket: options.openServerSocket,
+            observer: {
+                onOpened: () => undefined,
+                onOpenFailed: (address, reason) =>
+                    logger.writeEvent("connectionNotOpened", { address, reason }),
+            },
         });
         const incarnation = `${settings.name}-${randomUUID().slice(0, 8)}`;
         this.dispatches = this.buildDispatches();
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -179,6 +179,7 @@
     serverLimited: defineEvent(7009, "info", "backend server names a limit of its requests"),
     serverLimitEnded: defineEvent(7010, "info", "backend server no longer names a limit"),
     serverLimitUnreadable: defineEvent(7011, "warn", "backend server named a limit that cannot be read"),
+    connectionNotOpened: defineEvent(7012, "info", "a connection to a backend server could not be opened"),
     hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -11,12 +11,29 @@
 /** Servers ignore an empty line before a request line (RFC 9112, section 2.2). */
 const ignoredLineBreak = "\r\n";
 
+/** Opens a socket and reports it, or why it could not be opened. */
+export type SocketOpener = buildConnector.connector;
+
+/** Receives what becomes of connections that are opened. */
+export interface ConnectionObserver {
+    /** @param address - IP address and port to which a connection was opened. */
+    onOpened(address: string): void;
+    /**
+     * @param address - IP address and port to which no connection could be opened.
+     * @param reason - Why.
+     */
+    onOpenFailed(address: string, reason: string): void;
+}
+
 /** Options of a {@link BackendConnection}. */
 export interface BackendConnectionOptions {
     /** IP address and port of the backend server. */
     readonly address: string;
     readonly connectTimeoutMs: number;
     readonly idleConnectionTimeoutMs: number;
+    readonly observer?: ConnectionObserver | undefined;
+    /** Opens the socket; the default opens a TCP connection. */
+    readonly openSocket?: SocketOpener | undefined;
     /** Called when the connection is closed. */
     readonly onClosed: (connection: BackendConnection) => void;
 }
@@ -46,7 +63,8 @@
     constructor(private readonly options: BackendConnectionOptions) {
         this.address = options.address;
         // Keeps the socket writable after the server has closed its side; checkCleanClose relies on it.
-        this.connect = buildConnector({ timeout: options.connectTimeoutMs, allowHalfOpen: true });
+        this.connect =
+            options.openSocket ?? buildConnector({ timeout: options.connectTimeoutMs, allowHalfOpen: true });
         this.client = new Client(`http://${options.address}`, {
             pipelining: 1,
             maxHeaderSize: maximumHeadBytes,
@@ -127,7 +145,17 @@
         this.connect(options, (...result) => {
             this.socket = result[1] ?? undefined;
             this.socket?.on("readable", () => this.currentAnswer?.checkFraming());
+            this.reportOpening(result[0] ?? undefined);
             callback(...result);
         });
     }
+
+    private reportOpening(error: Error | undefined): void {
+        const { observer, address } = this.options;
+        if (error === undefined) {
+            observer?.onOpened(address);
+        } else {
+            observer?.onOpenFailed(address, error.message);
+        }
+    }
 }
--- a/packages/upstream/src/connectionPool.ts
+++ b/packages/upstream/src/connectionPool.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { BackendConnection } from "./backendConnection.js";
+import { BackendConnection, type ConnectionObserver, type SocketOpener } from "./backendConnection.js";
 
 /** Options of a {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -11,6 +11,10 @@
     readonly idleConnectionTimeoutMs: number;
     /** Maximum number of idle connections kept per address. */
     readonly maximumIdleConnections: number;
+    /** Receives what becomes of connections that are opened. */
+    readonly observer?: ConnectionObserver;
+    /** Opens sockets; the default opens TCP connections. */
+    readonly openSocket?: SocketOpener | undefined;
 }
 
 /** Owns all connections to backend servers. */
@@ -73,6 +77,8 @@
             address,
             connectTimeoutMs: this.options.connectTimeoutMs,
             idleConnectionTimeoutMs: this.options.idleConnectionTimeoutMs,
+            observer: this.options.observer,
+            openSocket: this.options.openSocket,
             onClosed: (closed) => this.removeConnection(closed),
         });
         this.all.add(connection);
