--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -40,6 +40,7 @@
     usersStreamEventCount,
 } from "./usersPlatform/usersConfiguration.js";
 export { sendUsersCall } from "./usersPlatform/usersCaller.js";
+export { ServerLinks, type LinkState } from "./usersPlatform/serverLinks.js";
 export type { ReceivedAnswer, UsersCallOptions } from "./usersPlatform/usersCaller.js";
 export { findFreePort, UsersDeployment } from "./usersPlatform/usersDeployment.js";
 export type { UsersDeploymentOptions, UsersNode } from "./usersPlatform/usersDeployment.js";
