--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -17,6 +17,11 @@
     readonly lastEventId: string | undefined;
 }
 
+/** What a response must fit. */
+export interface SentRequest {
+    readonly head: { readonly requestId: string };
+}
+
 /** Meaning of a response head. */
 export type AnswerMeaning =
     /** The server's response to this request. */
@@ -52,7 +57,7 @@
      * @param request - The request that was sent.
      * @returns The meaning.
      */
-    selectMeaning(status: number, headers: IncomingHttpHeaders, request: GatewayRequest): AnswerMeaning;
+    selectMeaning(status: number, headers: IncomingHttpHeaders, request: SentRequest): AnswerMeaning;
     /**
      * Reads what the server says of itself.
      *
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -6,13 +6,13 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Placement, PlacementOutcome, PlacementRequest, ServerPlacement } from "@pimentocleat/policy";
 import type { Clock } from "@pimentocleat/types";
-import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerNotice } from "../backends/serverNotice.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
-import { BackendExchange, type ExchangeFailure } from "./backendExchange.js";
+import type { ServerPath } from "../relaying/serverPaths.js";
+import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 
@@ -43,8 +43,8 @@
     | { readonly type: "streamed" }
     /** The server reported that it did not run the request. */
     | { readonly type: "notRun"; readonly reason: string }
-    /** No byte reached a server. */
-    | { readonly type: "notSent"; readonly reason: string }
+    /** No byte reached a server; the node that was to relay the request may be the cause. */
+    | { readonly type: "notSent"; readonly reason: string; readonly isNodeUnable: boolean }
     /** The attempt failed after the request may have run. */
     | LostAttempt
     /** The server sent no data within the inactivity timeout. */
@@ -60,7 +60,7 @@
     readonly clock: Clock;
     readonly placementRequest: PlacementRequest;
     readonly protocol: BackendProtocol;
-    readonly connections: ConnectionPool;
+    readonly path: ServerPath;
     readonly answer: CallerAnswer;
     /** Time until the caller's deadline, in milliseconds. */
     readonly remainingMs: number;
@@ -88,7 +88,7 @@
 export class Attempt {
     /** Identifier of the last event that was forwarded. */
     lastEventId: string | undefined;
-    private readonly exchange: BackendExchange;
+    private readonly exchange: Exchange;
     private readonly placed: Placement;
     private readonly splitter = new EventSplitter();
     private resolve: (result: AttemptResult) => void = () => undefined;
@@ -109,7 +109,7 @@
 
     /** @param options - The request, the server and the response to the caller. */
     constructor(private readonly options: AttemptOptions) {
-        const { request, server, placement, placementRequest, protocol, connections } = options;
+        const { request, server, placement, placementRequest, protocol, path: serverPath } = options;
         this.lastEventId = options.lastEventId;
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
@@ -120,8 +120,8 @@
             lastEventId: options.lastEventId,
         });
         const { method, path } = head;
-        this.exchange = new BackendExchange(
-            { connections, address: server.address, method, path, headers, body },
+        this.exchange = serverPath.openExchange(
+            { requestId: head.requestId, method, path, headers, body },
             {
                 onHead: (status, answerHeaders) => this.handleHead(status, answerHeaders),
                 onData: (chunk) => this.handleData(chunk),
@@ -291,7 +291,7 @@
         this.finish({ type: "answer", answer }, this.status >= 500 ? "failedStatus" : "answered");
     }
 
-    private handleFailure({ message, sent, isServerLost }: ExchangeFailure): void {
+    private handleFailure({ message, sent, isServerLost, isNodeUnable }: ExchangeFailure): void {
         const result: AttemptResult = sent
             ? {
                   type: "lost",
@@ -300,8 +300,8 @@
                   isServerLost,
                   runningMs: this.computeRunningMs(),
               }
-            : { type: "notSent", reason: message };
-        this.finish(result, "broken");
+            : { type: "notSent", reason: message, isNodeUnable };
+        this.finish(result, isNodeUnable ? "cancelled" : "broken");
     }
 
     private computeRunningMs(): number | undefined {
--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -28,7 +28,7 @@
 export interface ExchangeReceiver {
     onHead(status: number, headers: IncomingHttpHeaders): void;
     onData(chunk: Buffer): void;
-    onEnd(): void;
+    onEnd(trailers: IncomingHttpHeaders): void;
     onFailure(failure: ExchangeFailure): void;
 }
 
@@ -39,10 +39,28 @@
     readonly sent: boolean;
     /** Whether the connection ended, rather than that the server sent bytes that are no response. */
     readonly isServerLost: boolean;
+    /** Whether the node that was to relay the request did not send it, for a reason of its own. */
+    readonly isNodeUnable: boolean;
+}
+
+/** A request and its response. */
+export interface Exchange {
+    /** Sends the request. */
+    start(): void;
+    /** Stops reading until {@link Exchange.startReading}. */
+    stopReading(): void;
+    /** Resumes reading. */
+    startReading(): void;
+    /** @returns Whether a byte of the request may have left this node. */
+    hasSentBytes(): boolean;
+    /** @returns Whether the request goes over a connection that was opened before; only valid before it is sent. */
+    isOnKeptConnection(): boolean;
+    /** Ends the exchange without a call to the receiver; closing the connection makes the server stop. */
+    cancel(): void;
 }
 
 /** Sends a request and receives its response. */
-export class BackendExchange {
+export class BackendExchange implements Exchange {
     private readonly connection: BackendConnection;
     private controller: Dispatcher.DispatchController | undefined;
     private hasEnded = false;
@@ -59,7 +77,6 @@
         this.connection = options.connections.acquireConnection(options.address, false);
     }
 
-    /** Sends the request. */
     start(): void {
         const { method, path, headers, body } = this.options;
         this.connection.dispatchRequest(
@@ -89,33 +106,28 @@
                         this.receiver.onData(chunk);
                     }
                 },
-                onResponseEnd: () => this.handleEnd(),
+                onResponseEnd: (...[, trailers]) => this.handleEnd(trailers),
                 onResponseError: (...[, error]) => this.handleError(error),
             },
         );
     }
 
-    /** Stops reading until {@link BackendExchange.startReading}. */
     stopReading(): void {
         this.controller?.pause();
     }
 
-    /** Resumes reading. */
     startReading(): void {
         this.controller?.resume();
     }
 
-    /** @returns Whether a byte of the request may have reached the server. */
     hasSentBytes(): boolean {
         return this.connection.hasSentBytes();
     }
 
-    /** @returns Whether the request goes over a connection that was opened before. */
     isOnKeptConnection(): boolean {
         return this.connection.isOpen;
     }
 
-    /** Ends the exchange without a call to the receiver; closing the connection makes the server stop. */
     cancel(): void {
         if (!this.hasEnded) {
             this.hasEnded = true;
@@ -123,27 +135,27 @@
         }
     }
 
-    private handleEnd(): void {
+    private handleEnd(trailers: IncomingHttpHeaders): void {
         if (this.hasEnded) {
             return;
         }
         if (this.isFramed) {
-            this.finishAnswer();
+            this.finishAnswer(trailers);
             return;
         }
         void this.connection.checkCleanClose().then((isClean) => {
             if (isClean && !this.hasEnded) {
-                this.finishAnswer();
+                this.finishAnswer(trailers);
             } else {
                 this.handleError(new Error("the connection was reset within an answer without a length"));
             }
         });
     }
 
-    private finishAnswer(): void {
+    private finishAnswer(trailers: IncomingHttpHeaders): void {
         this.hasEnded = true;
         this.options.connections.releaseConnection(this.connection);
-        this.receiver.onEnd();
+        this.receiver.onEnd(trailers);
     }
 
     private handleError(error: Error): void {
@@ -154,6 +166,6 @@
         const sent = this.connection.hasSentBytes();
         this.connection.close();
         const isServerLost = !isMalformedAnswer(error);
-        this.receiver.onFailure({ message: error.message, sent, isServerLost });
+        this.receiver.onFailure({ message: error.message, sent, isServerLost, isNodeUnable: false });
     }
 }
--- a/packages/gateway/src/dispatch/requestGuard.ts
+++ b/packages/gateway/src/dispatch/requestGuard.ts
@@ -16,6 +16,7 @@
 import type { CrashNews } from "../peers/crashNews.js";
 import type { AttemptResult, LostAttempt } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { isServerGone } from "./isServerGone.js";
 import { computeRequestDigest } from "./requestDigest.js";
 
 /** Options of a {@link RequestGuard}. */
@@ -27,9 +28,6 @@
     readonly logger: Logger;
 }
 
-/** Time in which a server that has crashed loses all of its connections, in milliseconds. */
-const crashTimeMs = 25;
-
 /** Checks requests and records what became of them. */
 export class RequestGuard {
     /** Digests that were read, since a request is checked for each attempt. */
@@ -66,12 +64,14 @@
      * @param server - The server to which it was sent.
      * @param result - Outcome of the attempt.
      * @param sentMs - Monotonic time at which it was sent, in milliseconds.
+     * @param isRelayed - Whether another node sent it, which has then checked whether the server is lost.
      */
     recordResult(
         request: GatewayRequest,
         server: RegisteredServer,
         result: AttemptResult,
         sentMs: number,
+        isRelayed: boolean,
     ): void {
         const { quarantine, crashNews } = this.options;
         if (isAnswered(result) && quarantine.recordAnswer(this.buildTraits(request))) {
@@ -83,29 +83,33 @@
                 const start = `${server.id}@${String(server.bornMs)}`;
                 const atMs = this.options.clock.monotonicMs();
                 const loss = { server: start, runningMs: result.runningMs, sentMs, atMs };
-                this.recordLoss(request, server, loss);
+                this.recordLoss(request, server, loss, isRelayed);
             }
         }
     }
 
     /** Counts a loss as a crash, unless other connections to the server stay open. */
-    private recordLoss(request: GatewayRequest, server: RegisteredServer, loss: ServerLoss): void {
+    private recordLoss(
+        request: GatewayRequest,
+        server: RegisteredServer,
+        loss: ServerLoss,
+        isRelayed: boolean,
+    ): void {
         const { quarantine, crashNews, connections, clock } = this.options;
-        const others = connections.listOpenConnections(server.address);
         const record = (): void => {
             if (quarantine.recordLoss(this.buildTraits(request), loss)) {
                 crashNews.reportChange();
             }
         };
-        if (others.length === 0) {
+        if (isRelayed || connections.listOpenConnections(server.address).length === 0) {
             record();
             return;
         }
-        void clock.wait(crashTimeMs).then(() => {
-            if (others.some((connection) => connection.isOpen)) {
-                this.options.logger.writeEvent("connectionLost", { server: server.id });
-            } else {
+        void isServerGone(connections, server.address, clock).then((isGone) => {
+            if (isGone) {
                 record();
+            } else {
+                this.options.logger.writeEvent("connectionLost", { server: server.id });
             }
         });
     }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -6,12 +6,12 @@
 import type { StreamOrigin } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
-import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
+import type { ServerPaths } from "../relaying/serverPaths.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { RequestGuard } from "./requestGuard.js";
@@ -36,7 +36,7 @@
 /** Options of a {@link RequestRunner}. */
 export interface RequestRunnerOptions {
     readonly dispatches: ServiceDispatchRegistry;
-    readonly connections: ConnectionPool;
+    readonly paths: ServerPaths;
     readonly protocol: BackendProtocol;
     readonly usage: UsageCounter;
     readonly announcer: DispatchAnnouncer;
@@ -51,6 +51,8 @@
 
 /** Maximum number of attempts per request that fail before any byte is sent. */
 const maximumConnectFailures = 4;
+/** Maximum number of nodes and servers per request to which no relayed request could be sent. */
+const maximumRelayFailures = 8;
 /** Inactivity timeout of a repeatable request, as a multiple of the route's latency target. */
 const inactivityFactor = 1.6;
 /** Minimum inactivity timeout, in milliseconds; response times of healthy servers vary by this much. */
@@ -99,6 +101,9 @@
             excluded: new Set(),
             attemptCount: 0,
             connectFailures: 0,
+            relayFailures: 0,
+            unableNodes: new Set(),
+            relayNode: undefined,
             mayHaveRun: false,
             isUsageCounted: false,
             isStreamStarted: false,
@@ -146,12 +151,14 @@
         remainingMs: number,
     ): Promise<AttemptResult> {
         const { request, answer, dispatch, excluded } = state;
-        const { protocol, connections, logger } = this.options;
+        const { protocol, paths, logger } = this.options;
         const { parts, promptTokens, requestId } = request.head;
         if (state.attemptCount === 0) {
             dispatch.retries.recordFirstAttempt(this.readNowMs());
         }
         const sentMs = this.readNowMs();
+        const path = paths.choosePath(server, state.unableNodes);
+        state.relayNode = path.relayNode;
         state.currentAttempt = new Attempt({
             request,
             server,
@@ -159,7 +166,7 @@
             clock: this.options.clock,
             placementRequest: { parts, promptTokens, pauseTargetMs: request.route.pauseTargetMs, excluded },
             protocol,
-            connections,
+            path,
             answer,
             remainingMs,
             lastEventId: state.lastEventId,
@@ -177,13 +184,14 @@
             softwareVersion: server.softwareVersion,
             attempt: state.attemptCount + 1,
             remainingMs: Math.round(remainingMs),
+            relayNode: path.relayNode,
             isKeptConnection: state.currentAttempt.isOnKeptConnection(),
             resumedRequestId: request.head.resumedRequestId,
             lastEventId: state.lastEventId,
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
-        this.options.guard.recordResult(request, server, result, sentMs);
+        this.options.guard.recordResult(request, server, result, sentMs, path.relayNode !== undefined);
         return result;
     }
 
@@ -222,10 +230,8 @@
                 this.finishWithoutAnswer(state, false);
                 return true;
             case "notSent":
-                state.connectFailures += 1;
-                state.excluded.add(server.id);
                 state.lastFailureReason = result.reason;
-                return state.connectFailures < maximumConnectFailures
+                return this.hasWayLeft(state, server, result.isNodeUnable)
                     ? false
                     : this.finishWithoutAnswer(state, false);
             case "notRun":
@@ -245,6 +251,24 @@
         }
     }
 
+    /** Records that a request could not be sent, and returns whether it may be tried another way. */
+    private hasWayLeft(state: RunState, server: RegisteredServer, isNodeUnable: boolean): boolean {
+        if (state.relayNode === undefined) {
+            state.connectFailures += 1;
+            if (!this.options.paths.hasRelay(state.unableNodes)) {
+                state.excluded.add(server.id);
+            }
+            return state.connectFailures < maximumConnectFailures;
+        }
+        state.relayFailures += 1;
+        if (isNodeUnable) {
+            state.unableNodes.add(state.relayNode);
+        } else {
+            state.excluded.add(server.id);
+        }
+        return state.relayFailures < maximumRelayFailures;
+    }
+
     private handleAnswer(
         state: RunState,
         server: RegisteredServer,
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -28,6 +28,12 @@
     attemptCount: number;
     /** Number of attempts that failed before any byte was sent. */
     connectFailures: number;
+    /** Number of attempts through other nodes that failed before any byte was sent to a server. */
+    relayFailures: number;
+    /** Names of the other nodes that could not relay the request. */
+    readonly unableNodes: Set<string>;
+    /** The node through which the current attempt goes; undefined for a direct one. */
+    relayNode: string | undefined;
     /** Whether a server may have run the request. */
     mayHaveRun: boolean;
     isUsageCounted: boolean;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
     BackendCall,
     BackendProtocol,
     ResponseHeaderLoad,
+    SentRequest,
 } from "./backends/backendProtocol.js";
 export type { NamedLimit, RequestedPause, ServerNotice } from "./backends/serverNotice.js";
 export type { RegisteredServer } from "./backends/backendServer.js";
--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -5,34 +5,29 @@
  */
 import type { RequestQuarantine } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
-import type { RegisteredServer } from "../backends/backendServer.js";
-import type { LimitDirectory } from "../backends/limitDirectory.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
-import { ServerNotices } from "../backends/serverNotices.js";
+import type { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { RequestGuard } from "../dispatch/requestGuard.js";
 import { RequestRunner, type RequestRunnerOptions } from "../dispatch/requestRunner.js";
 import { ServerSelection } from "../dispatch/serverSelection.js";
 import { StreamResumption } from "../dispatch/streamResumption.js";
+import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { CrashNews } from "../peers/crashNews.js";
 import type { OriginDirectory } from "../peers/originDirectory.js";
 
 /** Options of {@link createRequestRunner}: those that it passes on, and what it connects. */
-export interface RunnerConnections extends Omit<
-    RequestRunnerOptions,
-    "resumption" | "guard" | "notices" | "selection"
-> {
+export interface RunnerConnections extends Omit<RequestRunnerOptions, "resumption" | "guard" | "selection"> {
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
     readonly origins: OriginDirectory;
     readonly quarantine: RequestQuarantine;
     readonly crashNews: CrashNews;
-    readonly limits: LimitDirectory;
+    readonly connections: ConnectionPool;
+    readonly notices: ServerNotices;
     readonly permits: ServerPermits;
     readonly clock: WaitingClock;
-    /** Tells the other nodes of a server that said that it leaves. */
-    readonly reportLeaving: (server: RegisteredServer) => void;
 }
 
 /**
@@ -42,12 +37,10 @@
  * @returns The runner.
  */
 export function createRequestRunner(options: RunnerConnections): RequestRunner {
-    const notices = new ServerNotices(options);
     return new RequestRunner({
         ...options,
         resumption: new StreamResumption(options.origins),
         guard: new RequestGuard(options),
-        notices,
-        selection: new ServerSelection({ ...options, notices }),
+        selection: new ServerSelection(options),
     });
 }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -10,9 +10,10 @@
 import { computeSlackPart, RequestQuarantine, VersionHistory } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
-import { ConnectionPool, type SocketOpener } from "@pimentocleat/upstream";
+import type { SocketOpener } from "@pimentocleat/upstream";
 import type { LimitDirectory } from "../backends/limitDirectory.js";
 import { ServerDirectory } from "../backends/serverDirectory.js";
+import { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
 import { buildCallerServer, buildReadinessServer } from "../callers/callerServer.js";
 import { RequestAdmission } from "../callers/requestAdmission.js";
@@ -31,9 +32,11 @@
 import { chooseRandomItems, PeerMessenger } from "../peers/peerMessenger.js";
 import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
+import { buildRelayServer } from "../relaying/relayServer.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import { createRequestRunner } from "./createRequestRunner.js";
 import { createServerLimits } from "./createServerLimits.js";
+import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 import { StallDetector } from "./stallDetector.js";
@@ -51,16 +54,10 @@
     readonly openServerSocket?: SocketOpener;
 }
 
-/** Timeout for opening a connection to a backend server, in milliseconds; a healthy server takes a few. */
-const connectTimeoutMs = 400;
-/** Idle timeout of a connection to a backend server, unless the server sets a shorter one, in milliseconds. */
-const idleConnectionTimeoutMs = 8_000;
-/** Maximum number of idle connections that a node keeps to one backend server. */
-const maximumIdleConnections = 16;
 /** Time reserved for closing at the end of the stop grace period, in milliseconds. */
 const closingTimeMs = 900;
 /** Number of closing steps with a time limit; each may take an equal share of the closing time. */
-const closingStepCount = 3;
+const closingStepCount = 4;
 /** Length of the random tag in this process's identifiers of dispatches; short, since each message carries some. */
 const dispatchTagLength = 8;
 /** Number of background tasks that may wait for the stop of the node at the same time. */
@@ -72,7 +69,7 @@
 export class GatewayDaemon {
     private readonly configuration: ActiveConfiguration;
     private readonly directory: ServerDirectory;
-    private readonly connections: ConnectionPool;
+    private readonly servers: ServerConnections;
     private readonly duties: NodeDuties;
     private readonly dispatches: ServiceDispatchRegistry;
     private readonly peers: PeerDirectory;
@@ -87,6 +84,9 @@
     private readonly relay: StoreRelay;
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
+    private readonly notices: ServerNotices;
+    private readonly relayKey = randomUUID();
+    private readonly relayServer: FastifyInstance;
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -99,17 +99,6 @@
         this.drain = new DrainState({ clock, stopGraceMs: settings.stopGraceMs, closingTimeMs });
         this.configuration = new ActiveConfiguration(logger);
         this.directory = new ServerDirectory(logger);
-        this.connections = new ConnectionPool({
-            connectTimeoutMs,
-            idleConnectionTimeoutMs,
-            maximumIdleConnections,
-            openSocket: options.openServerSocket,
-            observer: {
-                onOpened: () => undefined,
-                onOpenFailed: (address, reason) =>
-                    logger.writeEvent("connectionNotOpened", { address, reason }),
-            },
-        });
         const incarnation = `${settings.name}-${randomUUID().slice(0, 8)}`;
         this.dispatches = this.buildDispatches();
         const { peerHost: host, dataCentre } = settings;
@@ -118,11 +107,18 @@
         const medianClock = new MedianClock(clock);
         this.peers = new PeerDirectory({
             name: settings.name,
-            address: { host, port, dataCentre, processorShare: settings.processorShare },
+            address: {
+                host,
+                port,
+                dataCentre,
+                processorShare: settings.processorShare,
+                relayKey: this.relayKey,
+            },
             tableService: adapter.tableService,
             clock,
             logger,
         });
+        this.servers = createServerPaths({ ...options, dataCentre, peers: this.peers });
         const recordContact = (name: string, wallMs: number): void => {
             this.peers.recordContact(name);
             medianClock.recordPeerTime(name, wallMs);
@@ -179,8 +175,20 @@
             peers: this.peers,
             getMessenger: () => this.messenger,
         });
-        this.limits = limits;
         this.permits = permits;
+        this.limits = limits;
+        this.notices = new ServerNotices({
+            directory: this.directory,
+            limits,
+            clock,
+            logger,
+            metrics: options.metrics,
+            reportLeaving: ({ id: serverId, bornMs }) =>
+                this.messenger.sendLeaving(
+                    { type: "serverLeaving", serverId, bornMs },
+                    this.peers.listPeers(),
+                ),
+        });
         this.messenger = new PeerMessenger({
             name: settings.name,
             host,
@@ -254,6 +262,7 @@
         });
         this.peers.addRegistrationListener((name) => this.reportToStartedNode(name));
         this.callerServer = this.buildCallerServer();
+        this.relayServer = this.buildRelayServer();
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
             () => this.isReady(),
@@ -281,6 +290,7 @@
             }),
         );
         this.messenger.start();
+        await this.startRelaying();
         this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.crashNews.run(this.stopping.signal));
         this.tasks.push(this.limits.run(this.stopping.signal));
@@ -308,7 +318,10 @@
         await this.drain.waitUntilDrained(() => this.callerServer.server.closeIdleConnections());
         await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
         this.stopping.abort();
-        this.connections.close();
+        this.servers.connections.close();
+        this.servers.relayConnections.close();
+        this.relayServer.server.closeAllConnections();
+        await this.runBounded(this.relayServer.close());
         await this.runBounded(this.peers.removeRegistration());
         this.messenger.close();
         await this.runBounded(adapter.close());
@@ -357,6 +370,32 @@
         });
     }
 
+    private buildRelayServer(): FastifyInstance {
+        const { adapter, clock, logger, metrics } = this.options;
+        return buildRelayServer({
+            key: this.relayKey,
+            directory: this.directory,
+            notices: this.notices,
+            paths: this.servers.direct,
+            connections: this.servers.connections,
+            protocol: adapter.backendProtocol,
+            clock,
+            logger,
+            metrics,
+            isStopping: () => this.drain.isDraining(),
+            onActiveChange: (change) => this.drain.recordActive(change),
+        });
+    }
+
+    /** Other nodes do without this one when its port cannot be opened. */
+    private async startRelaying(): Promise<void> {
+        const { peerHost, peerPorts } = this.options.settings;
+        const address = `${peerHost}:${String(peerPorts[0])}`;
+        await startListening(this.relayServer, address).catch((error: unknown) =>
+            this.options.logger.writeEvent("relayUnavailable", { address, reason: String(error) }),
+        );
+    }
+
     private buildCallerServer(): FastifyInstance {
         const { adapter, clock, random, logger, metrics } = this.options;
         const { configuration } = this;
@@ -366,21 +405,17 @@
             origins: this.origins,
             quarantine: this.quarantine,
             crashNews: this.crashNews,
-            limits: this.limits,
+            notices: this.notices,
             permits: this.permits,
             directory: this.directory,
             configuration,
-            connections: this.connections,
+            connections: this.servers.connections,
+            paths: this.servers.paths,
             protocol: adapter.backendProtocol,
             usage: this.duties.usage,
             clock,
             logger,
             metrics,
-            reportLeaving: ({ id: serverId, bornMs }) =>
-                this.messenger.sendLeaving(
-                    { type: "serverLeaving", serverId, bornMs },
-                    this.peers.listPeers(),
-                ),
         });
         return buildCallerServer({
             protocol: adapter.callerProtocol,
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -21,6 +21,13 @@
     readonly dataCentre: string;
     /** Processor capacity of the host, in cores of normal speed. */
     readonly processorShare: number;
+    /** Secret of the node; who presents it may have requests relayed. Nodes of earlier releases have none. */
+    readonly relayKey?: string | undefined;
+}
+
+/** A node and its address. */
+export interface NamedPeer extends PeerAddress {
+    readonly name: string;
 }
 
 /** Options of {@link PeerDirectory}. */
@@ -44,6 +51,7 @@
     port: z.number(),
     dataCentre: z.string(),
     processorShare: z.number(),
+    relayKey: z.string().optional(),
 });
 /** Time without a message of a node after which it is considered dead, in milliseconds. */
 const contactTimeoutMs = 3_000;
@@ -139,6 +147,18 @@
         return [...this.peers.values()];
     }
 
+    /**
+     * Lists the other nodes, those with recent messages if there are any.
+     *
+     * @returns The nodes.
+     */
+    listLiveNodes(): readonly NamedPeer[] {
+        const sinceMs = this.options.clock.monotonicMs() - contactTimeoutMs;
+        const nodes = [...this.peers].map(([name, address]) => ({ name, ...address }));
+        const live = nodes.filter(({ name }) => (this.lastContactMs.get(name) ?? sinceMs) > sinceMs);
+        return live.length > 0 ? live : nodes;
+    }
+
     /**
      * Finds the address of a node.
      *
--- /dev/null
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -0,0 +1,165 @@
+/**
+ * The ways of a request to a backend server: over this node's own links, or through another node that reaches the server.
+ *
+ * @packageDocumentation
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { Metrics } from "@pimentocleat/telemetry";
+import type { ConnectionPool } from "@pimentocleat/upstream";
+import type { RegisteredServer } from "../backends/backendServer.js";
+import type { DirectPaths } from "../backends/directPaths.js";
+import {
+    BackendExchange,
+    type Exchange,
+    type ExchangeFailure,
+    type ExchangeReceiver,
+} from "../dispatch/backendExchange.js";
+import { RelayExchange } from "./relayExchange.js";
+import type { RelayPeer, RelayPeers } from "./relayPeers.js";
+
+/** A request in the form in which a server gets it. */
+export interface ServerCall {
+    readonly requestId: string;
+    readonly method: string;
+    readonly path: string;
+    /** Alternating names and values. */
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+}
+
+/** A way to a server. */
+export interface ServerPath {
+    /** Name of the node that relays; undefined for a direct path. */
+    readonly relayNode: string | undefined;
+    /**
+     * Opens an exchange, which is to be started at once.
+     *
+     * @param call - The request.
+     * @param receiver - Receives the response.
+     * @returns The exchange.
+     */
+    openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange;
+}
+
+/** Options of {@link ServerPaths}. */
+export interface ServerPathsOptions {
+    readonly direct: DirectPaths;
+    readonly connections: ConnectionPool;
+    readonly relays: RelayPeers;
+    /** Connections to other nodes. */
+    readonly relayConnections: ConnectionPool;
+    readonly metrics: Metrics;
+}
+
+/** Chooses the way of each attempt. */
+export class ServerPaths {
+    /** @param options - The links of this node, and the nodes that relay. */
+    constructor(private readonly options: ServerPathsOptions) {}
+
+    /**
+     * Chooses the way to a server.
+     *
+     * @param server - The server.
+     * @param unableNodes - Names of nodes that could not relay the request.
+     * @returns The direct path, unless this node does not reach the server and another node may.
+     */
+    choosePath(server: RegisteredServer, unableNodes: ReadonlySet<string>): ServerPath {
+        const { direct, connections, relays } = this.options;
+        const node = direct.isUsable(server) ? undefined : relays.chooseNode(unableNodes);
+        return node === undefined
+            ? new DirectPath(server, direct, connections)
+            : new RelayPath(server, node, this.options);
+    }
+
+    /**
+     * Checks whether a request can go through another node.
+     *
+     * @param unableNodes - Names of nodes that could not relay the request.
+     * @returns Whether there is one.
+     */
+    hasRelay(unableNodes: ReadonlySet<string>): boolean {
+        return this.options.relays.chooseNode(unableNodes) !== undefined;
+    }
+}
+
+/** The way over this node's own links. */
+class DirectPath implements ServerPath {
+    readonly relayNode = undefined;
+
+    constructor(
+        private readonly server: RegisteredServer,
+        private readonly direct: DirectPaths,
+        private readonly connections: ConnectionPool,
+    ) {}
+
+    openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange {
+        const { server, direct, connections } = this;
+        const watched = new WatchedReceiver(receiver, direct);
+        const exchange = new BackendExchange({ ...call, connections, address: server.address }, watched);
+        if (exchange.isOnKeptConnection()) {
+            watched.stopWatch = direct.watchSilence(server);
+        }
+        return exchange;
+    }
+}
+
+/** Tells from the response that a server is reached. */
+class WatchedReceiver implements ExchangeReceiver {
+    stopWatch: () => void = () => undefined;
+
+    constructor(
+        private readonly receiver: ExchangeReceiver,
+        private readonly direct: DirectPaths,
+    ) {}
+
+    onHead(status: number, headers: IncomingHttpHeaders): void {
+        this.recordHeard();
+        this.receiver.onHead(status, headers);
+    }
+
+    onData(chunk: Buffer): void {
+        this.recordHeard();
+        this.receiver.onData(chunk);
+    }
+
+    onEnd(trailers: IncomingHttpHeaders): void {
+        this.receiver.onEnd(trailers);
+    }
+
+    onFailure(failure: ExchangeFailure): void {
+        this.stopWatch();
+        this.receiver.onFailure(failure);
+    }
+
+    private recordHeard(): void {
+        this.stopWatch();
+        this.direct.recordHeard();
+    }
+}
+
+/** The way through another node. */
+class RelayPath implements ServerPath {
+    readonly relayNode: string;
+
+    constructor(
+        private readonly server: RegisteredServer,
+        private readonly node: RelayPeer,
+        private readonly options: ServerPathsOptions,
+    ) {
+        this.relayNode = node.name;
+    }
+
+    openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange {
+        const { relays, relayConnections: connections, metrics } = this.options;
+        const { node, server } = this;
+        relays.recordInFlight(node.name, 1);
+        metrics.addCount("request.relayed", 1, { role: "sender" });
+        const onFinished = (isNodeUnable: boolean): void => {
+            relays.recordInFlight(node.name, -1);
+            if (isNodeUnable) {
+                relays.recordUnable(node.name);
+            }
+        };
+        return new RelayExchange({ ...call, connections, node, serverId: server.id, onFinished }, receiver);
+    }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -72,3 +72,5 @@
 export { isRequestCause } from "./quarantine/crashRecord.js";
 export type { CrashReport } from "./quarantine/crashRecord.js";
 export * from "./serverLimits/index.js";
+export { ServerReach } from "./reachability/serverReach.js";
+export type { ServerLocation } from "./reachability/serverReach.js";
--- a/packages/standins/src/usersPlatform/serverLinks.ts
+++ b/packages/standins/src/usersPlatform/serverLinks.ts
@@ -72,18 +72,18 @@
 
     private async openLinkedSocket(target: string, callback: buildConnector.Callback): Promise<void> {
         if (this.state === "hanging") {
-            setTimeout(() => fail(callback, "Connect Timeout Error"), openTimeoutMs);
+            setTimeout(() => finishFailed(callback, "Connect Timeout Error"), openTimeoutMs);
             return;
         }
         if (this.state !== "open") {
-            setImmediate(() => fail(callback, "connect ECONNREFUSED"));
+            setImmediate(() => finishFailed(callback, "connect ECONNREFUSED"));
             return;
         }
         const listener = await this.ensureListener(target);
         const { port } = listener.address() as AddressInfo;
         const socket = connect({ host: loopbackHost, port, allowHalfOpen: true, noDelay: true });
         socket.once("connect", () => (callback as unknown as OpenCallback)(undefined, socket));
-        socket.once("error", (error) => fail(callback, error.message));
+        socket.once("error", (error) => finishFailed(callback, error.message));
     }
 
     private ensureListener(target: string): Promise<Server> {
@@ -98,8 +98,8 @@
             const far = connect({ host, port: Number(port), allowHalfOpen: true, noDelay: true });
             const pair = { near, far };
             this.pairs.add(pair);
-            joinSockets(near, far);
-            joinSockets(far, near);
+            forwardBytes(near, far);
+            forwardBytes(far, near);
             near.once("close", () => this.pairs.delete(pair));
         });
         await new Promise<void>((resolve) => server.listen(0, loopbackHost, resolve));
@@ -107,13 +107,13 @@
     }
 }
 
-function joinSockets(from: Socket, to: Socket): void {
+function forwardBytes(from: Socket, to: Socket): void {
     from.on("data", (bytes) => to.write(bytes));
     from.once("end", () => to.end());
     from.once("error", () => to.resetAndDestroy());
     from.once("close", () => to.destroy());
 }
 
-function fail(callback: buildConnector.Callback, message: string): void {
+function finishFailed(callback: buildConnector.Callback, message: string): void {
     (callback as unknown as OpenCallback)(new Error(message));
 }
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -159,6 +159,16 @@
         "warn",
         "a message of a peer could not be decoded and was dropped",
     ),
+    relayRefused: defineEvent(
+        6007,
+        "warn",
+        "a request to relay was refused because its sender is not a node",
+    ),
+    relayUnavailable: defineEvent(
+        6008,
+        "warn",
+        "the TCP port of the peer interface could not be opened; no requests of other nodes are relayed",
+    ),
     peerGone: defineEvent(6002, "warn", "peer declared dead"),
     backendRegistered: defineEvent(7003, "info", "backend server registered"),
     backendGone: defineEvent(7004, "info", "backend server is no longer registered"),
@@ -180,6 +190,7 @@
     serverLimitEnded: defineEvent(7010, "info", "backend server no longer names a limit"),
     serverLimitUnreadable: defineEvent(7011, "warn", "backend server named a limit that cannot be read"),
     connectionNotOpened: defineEvent(7012, "info", "a connection to a backend server could not be opened"),
+    serverReachedAgain: defineEvent(7013, "info", "a connection to a backend server could be opened again"),
     hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -62,6 +62,12 @@
         "Permits asked for requests to backend servers with a limit.",
     ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
+    "request.relayed": defineMetric(
+        "counter",
+        "requests",
+        ["role"],
+        "Requests that went through another node, at their sender and at the node that relays them.",
+    ),
     "log.dropped": defineMetric(
         "counter",
         "lines",
--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -5,15 +5,13 @@
  * @packageDocumentation
  */
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { Client, type buildConnector, type Dispatcher } from "undici";
+import { buildTcpOpener, type SocketOpener } from "./tcpOpener.js";
 import { BoundedHandler, maximumAnswerBytes, maximumHeadBytes } from "./unboundedAnswer.js";
 
 /** Servers ignore an empty line before a request line (RFC 9112, section 2.2). */
 const ignoredLineBreak = "\r\n";
 
-/** Opens a socket and reports it, or why it could not be opened. */
-export type SocketOpener = buildConnector.connector;
-
 /** Receives what becomes of connections that are opened. */
 export interface ConnectionObserver {
     /** @param address - IP address and port to which a connection was opened. */
@@ -57,14 +55,16 @@
     private isOpened = false;
     private isClosed = false;
     private bytesWrittenBefore = 0;
+    /** The socket of a connection that was opened before its first request. */
+    private waitingSocket: Socket | undefined;
     private currentAnswer: BoundedHandler | undefined;
+    /** Whether the connection has carried a response since its pool last doubted its connections. */
+    isTrusted = true;
 
     /** @param options - Address, timeouts and the close callback. */
     constructor(private readonly options: BackendConnectionOptions) {
         this.address = options.address;
-        // Keeps the socket writable after the server has closed its side; checkCleanClose relies on it.
-        this.connect =
-            options.openSocket ?? buildConnector({ timeout: options.connectTimeoutMs, allowHalfOpen: true });
+        this.connect = options.openSocket ?? buildTcpOpener(options.connectTimeoutMs);
         this.client = new Client(`http://${options.address}`, {
             pipelining: 1,
             maxHeaderSize: maximumHeadBytes,
@@ -125,6 +125,27 @@
         this.client.dispatch(request, this.currentAnswer);
     }
 
+    /**
+     * Opens the connection before its first request.
+     *
+     * @param onOpened - Called when the connection is established; it is not called when that fails.
+     */
+    open(onOpened: () => void): void {
+        const [hostname = "", port = ""] = this.address.split(":");
+        this.openOnce({ hostname, port, host: this.address, protocol: "http:" }, (...[, opened]) => {
+            const socket = opened ?? undefined;
+            if (socket === undefined || this.isClosed) {
+                socket?.destroy();
+                this.close();
+                return;
+            }
+            this.waitingSocket = socket;
+            socket.once("end", this.closeWaiting).once("close", this.closeWaiting);
+            socket.resume();
+            onOpened();
+        });
+    }
+
     /** Closes the connection immediately; a request in flight fails. */
     close(): void {
         if (this.isClosed) {
@@ -136,7 +157,16 @@
         this.socket?.destroy();
     }
 
+    private readonly closeWaiting = (): void => this.close();
+
     private openOnce(options: buildConnector.Options, callback: buildConnector.Callback): void {
+        const { waitingSocket } = this;
+        if (waitingSocket !== undefined) {
+            this.waitingSocket = undefined;
+            waitingSocket.off("end", this.closeWaiting).off("close", this.closeWaiting).pause();
+            (callback as unknown as (error: undefined, socket: Socket) => void)(undefined, waitingSocket);
+            return;
+        }
         if (this.isOpened) {
             (callback as unknown as (error: Error) => void)(new ConnectionClosedError());
             return;
--- a/packages/upstream/src/connectionPool.ts
+++ b/packages/upstream/src/connectionPool.ts
@@ -3,7 +3,8 @@
  *
  * @packageDocumentation
  */
-import { BackendConnection, type ConnectionObserver, type SocketOpener } from "./backendConnection.js";
+import { BackendConnection, type ConnectionObserver } from "./backendConnection.js";
+import type { SocketOpener } from "./tcpOpener.js";
 
 /** Options of a {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
@@ -33,12 +34,14 @@
      * @returns A connection without a request in flight.
      */
     acquireConnection(address: string, mustBeNew: boolean): BackendConnection {
-        const idle = mustBeNew ? undefined : this.idle.get(address);
-        let connection = idle?.pop();
-        while (connection !== undefined && !connection.isUsable) {
-            connection = idle?.pop();
+        const idle = mustBeNew ? [] : (this.idle.get(address) ?? []);
+        const usable = idle.filter(({ isUsable }) => isUsable);
+        const connection = usable.findLast(({ isTrusted }) => isTrusted) ?? usable.at(-1);
+        if (connection === undefined) {
+            return this.createConnection(address);
         }
-        return connection ?? this.openConnection(address);
+        this.removeIdle(connection);
+        return connection;
     }
 
     /**
@@ -48,6 +51,46 @@
      * @param connection - The connection.
      */
     releaseConnection(connection: BackendConnection): void {
+        connection.isTrusted = true;
+        this.addIdle(connection);
+    }
+
+    /**
+     * Opens a connection that waits in the pool for a request.
+     *
+     * @param address - IP address and port.
+     */
+    openIdleConnection(address: string): void {
+        const connection = this.createConnection(address);
+        connection.open(() => this.addIdle(connection));
+    }
+
+    /** Doubts all idle connections: they may have died with the links of this node. */
+    clearConnectionTrust(): void {
+        [...this.idle.values()].flat().forEach((connection) => (connection.isTrusted = false));
+    }
+
+    /**
+     * Closes the idle connections to a server that are doubted.
+     *
+     * @param address - IP address and port.
+     */
+    closeDistrustedConnections(address: string): void {
+        const idle = this.idle.get(address) ?? [];
+        idle.filter(({ isTrusted }) => !isTrusted).forEach((connection) => connection.close());
+    }
+
+    /**
+     * Checks whether an idle connection to a server is not doubted.
+     *
+     * @param address - IP address and port.
+     * @returns Whether there is one.
+     */
+    hasTrustedConnection(address: string): boolean {
+        return this.idle.get(address)?.some(({ isTrusted, isUsable }) => isTrusted && isUsable) ?? false;
+    }
+
+    private addIdle(connection: BackendConnection): void {
         const idle = this.idle.get(connection.address) ?? [];
         if (!connection.isUsable || idle.length >= this.options.maximumIdleConnections) {
             connection.close();
@@ -72,7 +115,7 @@
         [...this.all].forEach((connection) => connection.close());
     }
 
-    private openConnection(address: string): BackendConnection {
+    private createConnection(address: string): BackendConnection {
         const connection = new BackendConnection({
             address,
             connectTimeoutMs: this.options.connectTimeoutMs,
@@ -87,6 +130,10 @@
 
     private removeConnection(connection: BackendConnection): void {
         this.all.delete(connection);
+        this.removeIdle(connection);
+    }
+
+    private removeIdle(connection: BackendConnection): void {
         const idle = this.idle.get(connection.address);
         const index = idle?.indexOf(connection) ?? -1;
         if (index >= 0) {
