--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -140,8 +140,7 @@
                 return;
             }
             this.waitingSocket = socket;
-            socket.once("end", this.closeWaiting).once("close", this.closeWaiting);
-            socket.resume();
+            socket.on("readable", this.closeWaiting).once("close", this.closeWaiting);
             onOpened();
         });
     }
@@ -157,14 +156,19 @@
         this.socket?.destroy();
     }
 
+    /** A server sends nothing before a request; what becomes readable is the end of the connection. */
     private readonly closeWaiting = (): void => this.close();
 
     private openOnce(options: buildConnector.Options, callback: buildConnector.Callback): void {
         const { waitingSocket } = this;
         if (waitingSocket !== undefined) {
             this.waitingSocket = undefined;
-            waitingSocket.off("end", this.closeWaiting).off("close", this.closeWaiting).pause();
-            (callback as unknown as (error: undefined, socket: Socket) => void)(undefined, waitingSocket);
+            // The HTTP client does not expect a socket before this call has returned.
+            queueMicrotask(() => {
+                waitingSocket.off("readable", this.closeWaiting).off("close", this.closeWaiting);
+                this.watchFraming(waitingSocket);
+                (callback as unknown as (error: undefined, socket: Socket) => void)(undefined, waitingSocket);
+            });
             return;
         }
         if (this.isOpened) {
@@ -174,12 +178,18 @@
         this.isOpened = true;
         this.connect(options, (...result) => {
             this.socket = result[1] ?? undefined;
-            this.socket?.on("readable", () => this.currentAnswer?.checkFraming());
             this.reportOpening(result[0] ?? undefined);
+            if (this.socket !== undefined && this.currentAnswer !== undefined) {
+                this.watchFraming(this.socket);
+            }
             callback(...result);
         });
     }
 
+    private watchFraming(socket: Socket): void {
+        socket.on("readable", () => this.currentAnswer?.checkFraming());
+    }
+
     private reportOpening(error: Error | undefined): void {
         const { observer, address } = this.options;
         if (error === undefined) {
