--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { FastifyInstance } from "fastify";
-import { computeSlackPart, RequestQuarantine, VersionHistory } from "@pimentocleat/policy";
+import { RequestQuarantine, type VersionHistory } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
@@ -18,24 +18,26 @@
 import { buildCallerServer, buildReadinessServer } from "../callers/callerServer.js";
 import { RequestAdmission } from "../callers/requestAdmission.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
-import { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
+import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
-import { OriginDirectory } from "../peers/originDirectory.js";
+import type { OriginDirectory } from "../peers/originDirectory.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory } from "../peers/peerDirectory.js";
 import { CrashNews } from "../peers/crashNews.js";
 import { chooseRandomItems, PeerMessenger } from "../peers/peerMessenger.js";
 import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
-import { buildRelayServer } from "../relaying/relayServer.js";
+import { RelayListener } from "../relaying/relayListener.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
+import { createDispatches } from "./createDispatches.js";
 import { createRequestRunner } from "./createRequestRunner.js";
 import { createServerLimits } from "./createServerLimits.js";
+import { createStreamOrigins } from "./createStreamOrigins.js";
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
@@ -85,8 +87,7 @@
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
     private readonly notices: ServerNotices;
-    private readonly relayKey = randomUUID();
-    private readonly relayServer: FastifyInstance;
+    private readonly relayListener = new RelayListener();
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -100,7 +101,15 @@
         this.configuration = new ActiveConfiguration(logger);
         this.directory = new ServerDirectory(logger);
         const incarnation = `${settings.name}-${randomUUID().slice(0, 8)}`;
-        this.dispatches = this.buildDispatches();
+        this.dispatches = createDispatches({
+            settings,
+            clock,
+            random,
+            directory: this.directory,
+            configuration: this.configuration,
+            getPeers: () => this.peers,
+            getNews: () => this.news,
+        });
         const { peerHost: host, dataCentre } = settings;
         const [port] = settings.peerPorts;
         this.relayTiming = new RelayTiming(settings);
@@ -112,7 +121,7 @@
                 port,
                 dataCentre,
                 processorShare: settings.processorShare,
-                relayKey: this.relayKey,
+                relayKey: this.relayListener.key,
             },
             tableService: adapter.tableService,
             clock,
@@ -140,22 +149,16 @@
                 }
             },
         });
-        this.versions = new VersionHistory(clock);
-        this.directory.addReadyListener((service) => {
-            const servers = this.directory.listServers(service);
-            this.versions.recordServers(
-                service,
-                servers.map(({ softwareVersion }) => softwareVersion),
-            );
-        });
-        this.origins = new OriginDirectory({
+        const { versions, origins } = createStreamOrigins({
             name: settings.name,
             clock,
-            history: this.versions,
-            readLongestStreamMs: (service) => this.configuration.readLongestStreamMs(service),
-            listKeepers: (requestId, count) => this.peers.listKeepers(requestId, count),
-            send: (name, message) => this.messenger.sendOrigin(name, message),
+            directory: this.directory,
+            configuration: this.configuration,
+            peers: this.peers,
+            getMessenger: () => this.messenger,
         });
+        this.versions = versions;
+        this.origins = origins;
         this.quarantine = new RequestQuarantine(clock);
         this.crashNews = new CrashNews({
             quarantine: this.quarantine,
@@ -262,7 +265,6 @@
         });
         this.peers.addRegistrationListener((name) => this.reportToStartedNode(name));
         this.callerServer = this.buildCallerServer();
-        this.relayServer = this.buildRelayServer();
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
             () => this.isReady(),
@@ -320,8 +322,7 @@
         this.stopping.abort();
         this.servers.connections.close();
         this.servers.relayConnections.close();
-        this.relayServer.server.closeAllConnections();
-        await this.runBounded(this.relayServer.close());
+        await this.runBounded(this.relayListener.close());
         await this.runBounded(this.peers.removeRegistration());
         this.messenger.close();
         await this.runBounded(adapter.close());
@@ -350,52 +351,20 @@
         }
     }
 
-    private buildDispatches(): ServiceDispatchRegistry {
-        const { settings, clock } = this.options;
-        const { directory, configuration } = this;
-        return new ServiceDispatchRegistry({
-            directory,
-            configuration,
-            clock,
-            dataCentre: settings.dataCentre,
-            news: {
-                readDelayMs: (isAnnounced) => this.news.readDelayMs(isAnnounced),
-                random: this.options.random,
-            },
-            readRetrySettings: () => ({
-                windowMs: settings.retryWindowMs,
-                share: settings.retryShare,
-                slack: computeSlackPart(settings.retrySlack, this.peers.countNodes()),
-            }),
-        });
-    }
-
-    private buildRelayServer(): FastifyInstance {
-        const { adapter, clock, logger, metrics } = this.options;
-        return buildRelayServer({
-            key: this.relayKey,
+    private startRelaying(): Promise<void> {
+        const { settings, adapter } = this.options;
+        return this.relayListener.start(settings.peerHost, settings.peerPorts[0], {
+            ...this.options,
             directory: this.directory,
             notices: this.notices,
             paths: this.servers.direct,
             connections: this.servers.connections,
             protocol: adapter.backendProtocol,
-            clock,
-            logger,
-            metrics,
             isStopping: () => this.drain.isDraining(),
             onActiveChange: (change) => this.drain.recordActive(change),
         });
     }
 
-    /** Other nodes do without this one when its port cannot be opened. */
-    private async startRelaying(): Promise<void> {
-        const { peerHost, peerPorts } = this.options.settings;
-        const address = `${peerHost}:${String(peerPorts[0])}`;
-        await startListening(this.relayServer, address).catch((error: unknown) =>
-            this.options.logger.writeEvent("relayUnavailable", { address, reason: String(error) }),
-        );
-    }
-
     private buildCallerServer(): FastifyInstance {
         const { adapter, clock, random, logger, metrics } = this.options;
         const { configuration } = this;
--- /dev/null
+++ b/packages/gateway/src/relaying/__tests__/relayPeers.test.ts
@@ -0,0 +1,56 @@
+import { ManualClock } from "@pimentocleat/types";
+import { describe, expect, it } from "vitest";
+import { RelayPeers } from "../relayPeers.js";
+
+const buildNode = (name: string, dataCentre: string, relayKey: string | undefined) => ({
+    name,
+    host: "127.0.0.1",
+    port: 1,
+    dataCentre,
+    processorShare: 1,
+    relayKey,
+});
+
+describe("the node through which a request goes", () => {
+    const clock = new ManualClock();
+    const nodes = [
+        buildNode("near-1", "a", "k"),
+        buildNode("near-2", "a", "k"),
+        buildNode("near-old", "a", undefined),
+        buildNode("far-1", "b", "k"),
+    ];
+    const createPeers = () => {
+        let draw = 0;
+        const random = () => (draw++ % 7) / 7;
+        return new RelayPeers({ dataCentre: "a", clock, random, listNodes: () => nodes });
+    };
+    const chooseMany = (peers: RelayPeers, excluded: readonly string[] = []) =>
+        new Set(Array.from({ length: 50 }, () => peers.chooseNode(new Set(excluded))?.name));
+
+    it("is one of the same data centre, and never one of an earlier release", () => {
+        expect([...chooseMany(createPeers())].sort()).toEqual(["near-1", "near-2"]);
+    });
+
+    // Guards against a whole data centre that is partitioned and asks only itself (RECOVER).
+    it("is one of another data centre when those of its own are unable", () => {
+        const peers = createPeers();
+        peers.recordUnable("near-1");
+        peers.recordUnable("near-2");
+        expect([...chooseMany(peers)]).toEqual(["far-1"]);
+        expect([...chooseMany(peers, ["far-1"])].sort()).toEqual(["near-1", "near-2"]);
+        expect([...chooseMany(peers, ["far-1", "near-1", "near-2"])]).toEqual([undefined]);
+        clock.advance(1_000);
+        expect([...chooseMany(peers)].sort()).toEqual(["near-1", "near-2"]);
+    });
+
+    it("is the one that relays less", () => {
+        const peers = createPeers();
+        const counts = new Map<string, number>();
+        for (let index = 0; index < 40; index += 1) {
+            const { name } = peers.chooseNode(new Set())!;
+            counts.set(name, (counts.get(name) ?? 0) + 1);
+            peers.recordInFlight(name, 1);
+        }
+        expect(Math.abs(counts.get("near-1")! - counts.get("near-2")!)).toBeLessThanOrEqual(2);
+    });
+});
