--- a/packages/gateway/src/backends/serverPauses.ts
+++ b/packages/gateway/src/backends/serverPauses.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock } from "@pimentocleat/types";
 
-/** Longest pause that is granted, in milliseconds; a server that needs longer asks again. */
-const maximumPauseMs = 60_000;
+/** Longest pause that is granted, in milliseconds, so that a wrong figure does not end the use of a server. */
+const maximumPauseMs = 3_600_000;
 
 /** Tracks which servers get nothing from this node for now. */
 export class ServerPauses {
