End a server's pause when it starts anew

Cause: pauses are kept by the server's identifier, so one outlasted the process that had asked for it; since they may last an hour that would matter. Measured: the new test of serverNotices.test.ts gets 503 before and 200 after.

--- a/packages/gateway/src/backends/serverNotices.ts
+++ b/packages/gateway/src/backends/serverNotices.ts
@@ -30,6 +30,7 @@
     /** @param options - The servers, and who is told. */
     constructor(private readonly options: ServerNoticesOptions) {
         this.pauses = new ServerPauses(options.clock);
+        options.directory.addRestartListener(({ id }) => this.pauses.clearPause(id));
     }
 
     /**
--- a/packages/gateway/src/backends/serverPauses.ts
+++ b/packages/gateway/src/backends/serverPauses.ts
@@ -34,6 +34,11 @@
         return durationMs <= maximumPauseMs;
     }
 
+    /** @param serverId - A server that has started anew, and has asked for nothing since. */
+    clearPause(serverId: string): void {
+        this.endsMs.delete(serverId);
+    }
+
     /**
      * Computes how long a server still gets nothing from this node.
      *
