--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -152,8 +152,8 @@
         timeout.abort();
         this.pending.delete(request);
         this.recordReply(server, need, keeper, refused);
-        if (refused === undefined && ask.type === "placeRequest") {
-            this.held.set(server.id, [...(this.held.get(server.id) ?? []), { keeper, request }]);
+        if (ask.type === "placeRequest") {
+            this.recordPlace(server.id, { keeper, request }, refused);
         }
         return refused === undefined;
     }
@@ -173,7 +173,23 @@
         } else {
             this.held.delete(serverId);
         }
-        const { keeper, request } = place;
+        this.sendRelease(serverId, place);
+    }
+
+    /** A grant that comes after the wait has ended is given back. */
+    private recordPlace(
+        serverId: string,
+        place: HeldPlace,
+        refused: RefusedPermit | "silent" | undefined,
+    ): void {
+        if (refused === undefined) {
+            this.held.set(serverId, [...(this.held.get(serverId) ?? []), place]);
+        } else if (refused === "silent") {
+            this.sendRelease(serverId, place);
+        }
+    }
+
+    private sendRelease(serverId: string, { keeper, request }: HeldPlace): void {
         if (keeper === this.options.name) {
             this.places.release(serverId, formatId(request, keeper));
         } else {
