--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -245,7 +245,7 @@
                 return true;
             case "notSent":
                 state.lastFailureReason = result.reason;
-                return this.hasWayLeft(state, server, result.isNodeUnable)
+                return this.recordNotSent(state, server, result.isNodeUnable)
                     ? false
                     : this.finishWithoutAnswer(state, false);
             case "notRun":
@@ -266,7 +266,7 @@
     }
 
     /** Records that a request could not be sent, and returns whether it may be tried another way. */
-    private hasWayLeft(state: RunState, server: RegisteredServer, isNodeUnable: boolean): boolean {
+    private recordNotSent(state: RunState, server: RegisteredServer, isNodeUnable: boolean): boolean {
         if (state.relayNode === undefined) {
             state.connectFailures += 1;
             if (!this.options.paths.hasRelay(state.unableNodes)) {
