--- a/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
+++ b/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
@@ -11,16 +11,19 @@
 const need = { priority: 0, patienceMs: 50 };
 
 describe("a place at a brittle server", () => {
-    const createPermits = () => {
+    const createPermits = (name = "a", keepers: readonly string[] = ["b"]) => {
         const clock = new ManualClock();
         const sent: LimitMessage[] = [];
         const permits = new ServerPermits({
-            name: "a",
+            name,
             clock,
             metrics: new TextMetrics(),
             limits: { findLimit: () => undefined } as unknown as LimitDirectory,
-            brittle: { findAllowed: () => 1 } as unknown as BrittleDirectory,
-            listKeepers: () => ["b"],
+            brittle: {
+                findAllowed: () => 1,
+                buildPlaces: () => ({ computeRoom: () => 1, countInFlight: () => 0 }),
+            } as unknown as BrittleDirectory,
+            listKeepers: () => keepers,
             send: (...[, message]) => {
                 sent.push(message);
                 return true;
@@ -49,4 +52,23 @@
         expect(await granted).toBe(false);
         expect(listReleased(sent)).toBe(1);
     });
+
+    // Guards against two keepers that grant the same places, after one request was not answered in time (LIMIT).
+    it("is granted by the second keeper only when the first has been silent for some time", () => {
+        const { clock, sent, permits } = createPermits("b", ["first", "b"]);
+        const ask = (request: number) =>
+            permits.receiveMessage(
+                { type: "placeRequest", request, serverId: "s1", allowed: 1, ...need },
+                "c",
+            );
+        const countGranted = () =>
+            sent.filter((message) => message.type === "permitReply" && message.refused === undefined).length;
+        ask(1);
+        clock.advance(1_000);
+        ask(2);
+        expect(countGranted()).toBe(0);
+        clock.advance(1_000);
+        ask(3);
+        expect(countGranted()).toBe(1);
+    });
 });
--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -278,7 +278,9 @@
         const { request, serverId, allowed, priority, patienceMs } = message;
         const places = this.options.brittle.buildPlaces(serverId, allowed);
         const id = formatId(request, from);
-        this.sendReply(from, request, this.places.offer(serverId, places, { id, priority, patienceMs }));
+        const isFirstKeeper = this.listKeepers(serverId)[0] === this.options.name;
+        const server = { id: serverId, isFirstKeeper };
+        this.sendReply(from, request, this.places.offer(server, places, { id, priority, patienceMs }));
         this.planFlush();
     }
 
--- a/packages/policy/src/brittleness/placeKeeper.ts
+++ b/packages/policy/src/brittleness/placeKeeper.ts
@@ -7,9 +7,29 @@
 import type { EndedWait, PermitDecision, PermitRequest } from "../serverLimits/permitQueue.js";
 import { PlaceQueue, type PlaceQueueOptions } from "./placeQueue.js";
 
+/** A server, and whether this node comes first among those that may grant its places. */
+export interface PlaceServer {
+    readonly id: string;
+    readonly isFirstKeeper: boolean;
+}
+
+/** Time for which another keeper is asked before it grants, in milliseconds: the first may only have been late. */
+const takeoverMs = 2_000;
+/** Time without a request after which that time begins anew, in milliseconds. */
+const unaskedMs = 5_000;
+/** Time after which a request is offered again while another node grants, in milliseconds. */
+const otherKeeperMs = 250;
+
+/** How long a server's places have been asked for here. */
+interface AskedTime {
+    readonly sinceMs: number;
+    readonly lastMs: number;
+}
+
 /** Holds the queue of each server for whose places this node is asked. */
 export class PlaceKeeper {
     private readonly queues = new Map<string, PlaceQueue>();
+    private readonly asked = new Map<string, AskedTime>();
 
     /** @param clock - The node's clock. */
     constructor(private readonly clock: Clock) {}
@@ -17,12 +37,17 @@
     /**
      * Decides on a request of any node.
      *
-     * @param serverId - The server.
+     * @param server - The server.
      * @param options - Its room.
      * @param request - The request.
      * @returns The decision.
      */
-    offer(serverId: string, options: PlaceQueueOptions, request: PermitRequest): PermitDecision {
+    offer(server: PlaceServer, options: PlaceQueueOptions, request: PermitRequest): PermitDecision {
+        const { id: serverId } = server;
+        const askedMs = this.recordAsked(serverId);
+        if (!server.isFirstKeeper && askedMs < takeoverMs) {
+            return { type: "refused", nextMs: otherKeeperMs, returnMs: otherKeeperMs };
+        }
         const queue = this.queues.get(serverId) ?? new PlaceQueue(this.clock, options);
         queue.updateOptions(options);
         this.removeIdle();
@@ -51,6 +76,19 @@
         return endsMs.length === 0 ? undefined : Math.min(...endsMs);
     }
 
+    /** Returns for how long the server's places have been asked for, in milliseconds. */
+    private recordAsked(serverId: string): number {
+        const nowMs = this.clock.monotonicMs();
+        for (const [id, { lastMs }] of this.asked) {
+            if (nowMs - lastMs >= unaskedMs) {
+                this.asked.delete(id);
+            }
+        }
+        const sinceMs = this.asked.get(serverId)?.sinceMs ?? nowMs;
+        this.asked.set(serverId, { sinceMs, lastMs: nowMs });
+        return nowMs - sinceMs;
+    }
+
     private removeIdle(): void {
         for (const [id, queue] of this.queues) {
             if (queue.isIdle()) {
--- a/packages/standins/src/usersPlatform/brittleSlots.ts
+++ b/packages/standins/src/usersPlatform/brittleSlots.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 
+import type { ServerResponse } from "node:http";
+
 /** How a brittle server behaves. */
 export interface Brittleness {
     /** Rejections in a second that it bears, as its responses name it. */
@@ -37,22 +39,29 @@
     /**
      * Takes a slot.
      *
+     * @param response - The response; a server drops the work when its connection is closed.
      * @param onFree - Called when the work is done; not called when the server fails before.
      * @returns Whether there was one.
      */
-    tryTake(onFree: () => void): boolean {
+    tryTake(response: ServerResponse, onFree: () => void): boolean {
         if (this.running >= this.brittleness.slots) {
             this.recordRejection();
             return false;
         }
         this.running += 1;
         const { falls } = this;
-        setTimeout(() => {
-            if (falls === this.falls) {
-                this.running -= 1;
+        const finish = (): boolean => {
+            clearTimeout(timer);
+            response.off("close", finish);
+            this.running -= falls === this.falls ? 1 : 0;
+            return falls === this.falls;
+        };
+        const timer = setTimeout(() => {
+            if (finish()) {
                 onFree();
             }
         }, this.brittleness.workMs);
+        response.once("close", finish);
         return true;
     }
 
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -211,7 +211,7 @@
     }
 
     private handleBrittle(brittle: BrittleSlots, response: ServerResponse, answer: () => void): void {
-        const isTaken = !brittle.isDown() && brittle.tryTake(answer);
+        const isTaken = !brittle.isDown() && brittle.tryTake(response, answer);
         if (brittle.isDown()) {
             this.server.closeAllConnections();
         } else if (!isTaken) {
