--- a/packages/bench/src/soak/soakPlan.ts
+++ b/packages/bench/src/soak/soakPlan.ts
@@ -70,11 +70,11 @@
         Math.round(minimumFaultMs + random.next() * (maximumFaultMs - minimumFaultMs));
     const drawMany = <Item>(items: readonly Item[]): readonly Item[] =>
         [...Array(behavioursPerFault).keys()].map(() => draw(items));
-    const chooseRandomNode = (): number => Math.floor(random.next() * nodeCount);
+    const drawNode = (): number => Math.floor(random.next() * nodeCount);
     const kinds: readonly (() => SoakFault)[] = [
-        () => ({ type: "kill", node: chooseRandomNode() }),
-        () => ({ type: "stop", node: chooseRandomNode() }),
-        () => ({ type: "freeze", node: chooseRandomNode(), durationMs: drawMs() }),
+        () => ({ type: "kill", node: drawNode() }),
+        () => ({ type: "stop", node: drawNode() }),
+        () => ({ type: "freeze", node: drawNode(), durationMs: drawMs() }),
         () => ({ type: "store", mode: draw(storeModes), durationMs: drawMs() }),
         () => ({ type: "writes", faults: drawMany(writeFaults), delayMs: drawMs() }),
         () => ({ type: "servers", service: "plain", behaviours: drawMany(plainBehaviours) }),
--- a/packages/gateway/src/relaying/relayExchange.ts
+++ b/packages/gateway/src/relaying/relayExchange.ts
@@ -11,7 +11,7 @@
     type ExchangeFailure,
     type ExchangeReceiver,
 } from "../dispatch/backendExchange.js";
-import { relayHeaders, relayResultSchema, selectResponseHeaders } from "./relayProtocol.js";
+import { hasResponseBody, relayHeaders, relayResultSchema, selectResponseHeaders } from "./relayProtocol.js";
 import type { RelayPeer } from "./relayPeers.js";
 
 /** Options of {@link RelayExchange}. */
@@ -30,9 +30,6 @@
     readonly onFinished: (isNodeUnable: boolean) => void;
 }
 
-const headMethod = "HEAD";
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
-
 /** Sends a request through another node and receives the response. */
 export class RelayExchange implements Exchange, ExchangeReceiver {
     private readonly exchange: BackendExchange;
@@ -99,7 +96,7 @@
     onHead(status: number, headers: IncomingHttpHeaders): void {
         const result = relayResultSchema.safeParse(headers[relayHeaders.result]);
         if (result.success && result.data === "answer") {
-            this.hasBody = this.options.method !== headMethod && !statusesWithoutBody.has(status);
+            this.hasBody = hasResponseBody(this.options.method, status);
             this.receiver.onHead(status, selectResponseHeaders(headers));
             return;
         }
--- a/packages/gateway/src/relaying/relayProtocol.ts
+++ b/packages/gateway/src/relaying/relayProtocol.ts
@@ -54,8 +54,21 @@
     "upgrade",
     "content-length",
 ]);
+const headMethod = "HEAD";
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 const relayHeaderPrefix = "pimentocleat-relay-";
 
+/**
+ * Checks whether a response may have a body, and so a trailer.
+ *
+ * @param method - Method of the request.
+ * @param status - Status of the response.
+ * @returns Whether it may.
+ */
+export function hasResponseBody(method: string, status: number): boolean {
+    return method !== headMethod && !statusesWithoutBody.has(status);
+}
+
 /**
  * Selects the headers of a relayed request that go to the server.
  *
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -17,6 +17,7 @@
 import { BackendExchange, type ExchangeFailure, type ExchangeReceiver } from "../dispatch/backendExchange.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
+    hasResponseBody,
     relayHeaders,
     selectResponseHeaders,
     selectServerHeaders,
@@ -171,6 +172,7 @@
     private readonly body: Buffer | undefined;
     private readonly sentMs: number;
     private hasEnded = false;
+    private hasBody = true;
 
     constructor(
         private readonly options: RelayServerOptions,
@@ -214,11 +216,12 @@
             const notice = { ...protocol.readNotice(status, headers), hasNoRoom: false };
             notices.recordNotice(this.server, notice, this.sentMs);
         }
+        this.hasBody = hasResponseBody(this.request.method, status);
         this.response.sendDate = false;
         this.response.writeHead(status, {
             ...selectResponseHeaders(headers),
             [relayHeaders.result]: "answer" satisfies RelayResult,
-            trailer: relayHeaders.end,
+            ...(this.hasBody ? { trailer: relayHeaders.end } : {}),
         });
         this.response.flushHeaders();
     }
@@ -256,7 +259,9 @@
     }
 
     private finishResponse(end: RelayEnd): void {
-        this.response.addTrailers({ [relayHeaders.end]: end });
+        if (this.hasBody) {
+            this.response.addTrailers({ [relayHeaders.end]: end });
+        }
         this.response.end();
     }
 
