--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import {
     maximumTransactionEntries,
+    readCounter,
     readEra,
     type CommitResult,
     type Row,
@@ -70,6 +71,14 @@
     readonly reportedWindows?: ReportedWindows;
 }
 
+/** The usage of a sealed window, and the rows from which it was summed. */
+interface SealedUsage {
+    readonly usage: UsageByCustomer;
+    readonly rowCount: number;
+    /** Highest version of the rows; 0 without rows. */
+    readonly newestVersion: number;
+}
+
 interface Progress {
     readonly version: number;
     /** Start of the first window that may not be reported yet, in milliseconds since the Unix epoch. */
@@ -163,8 +172,8 @@
         if (!(await this.sealWindow(windowStartMs))) {
             return false;
         }
-        const usage = await this.sumWindow(windowStartMs);
-        return Object.keys(usage).length === 0 || this.sendReport(windowStartMs, usage, era);
+        const sealed = await this.sumWindow(windowStartMs);
+        return Object.keys(sealed.usage).length === 0 || this.sendReport(windowStartMs, sealed, era);
     }
 
     private async removeExpiredRows({ version, nextStartMs, firstStartMs }: Progress): Promise<void> {
@@ -204,9 +213,11 @@
         return result.outcome === "committed" || result.failed.every(({ table }) => table === usageSealTable);
     }
 
-    private async sumWindow(windowStartMs: number): Promise<UsageByCustomer> {
+    private async sumWindow(windowStartMs: number): Promise<SealedUsage> {
         const prefix = `${formatWindowKey(windowStartMs)}/`;
         let usage: UsageByCustomer = {};
+        let rowCount = 0;
+        let newestVersion = 0;
         let rows: readonly Row[] = [];
         do {
             const after = rows.at(-1)?.key;
@@ -214,24 +225,44 @@
                 this.options.tableService.scanRows(usageTable, { prefix, after, limit: pageSize }),
             );
             usage = rows.reduce((sum, row) => addUsage(sum, parseUsage(row)), usage);
+            rowCount += rows.length;
+            newestVersion = Math.max(newestVersion, ...rows.map(({ version }) => version));
         } while (rows.length === pageSize);
-        return usage;
+        return { usage, rowCount, newestVersion };
     }
 
-    private async sendReport(windowStartMs: number, usage: UsageByCustomer, era: number): Promise<boolean> {
+    private async sendReport(windowStartMs: number, sealed: SealedUsage, era: number): Promise<boolean> {
         const { lease, windowMs, node: sender, receiver, reportService } = this.options;
-        const customers = Object.entries(usage)
+        const customers = Object.entries(sealed.usage)
             .map(([customer, counters]) => ({ customer, ...counters }))
             .sort((left, right) => (left.customer < right.customer ? -1 : 1));
         const report = { windowStartMs, windowMs, customers, fencingNumber: lease.fencingNumber, sender };
         if (!this.isLeaseReady()) {
             return false;
         }
+        this.logReport(windowStartMs, sealed, era);
         this.reportedWindows.reportMark({ nextStartMs: windowStartMs + windowMs, era });
         await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isLeaseReady());
         return true;
     }
 
+    private logReport(windowStartMs: number, sealed: SealedUsage, era: number): void {
+        const { usage, rowCount, newestVersion } = sealed;
+        const { lease, logger } = this.options;
+        const known = this.reportedWindows.readMark();
+        logger.writeEvent("usageReportSent", {
+            windowStartMs,
+            era,
+            fencingNumber: lease.fencingNumber,
+            requests: Object.values(usage).reduce((sum, { requests }) => sum + requests, 0),
+            rowCount,
+            newestEra: readEra(newestVersion),
+            newestCounter: readCounter(newestVersion),
+            knownNextStartMs: known?.nextStartMs,
+            knownEra: known?.era,
+        });
+    }
+
     /** Loads the progress. The first reporter starts at the earliest row; without any row, at the current window. */
     private async loadProgress(): Promise<Progress | undefined> {
         const { tableService, clock, windowMs } = this.options;
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -106,6 +106,11 @@
         "warn",
         "a usage window was reported before the table service came back from an older copy; not reported again",
     ),
+    usageReportSent: defineEvent(
+        5008,
+        "info",
+        "usage of a window is reported; names the rows, their newest version and the lease behind the figures",
+    ),
     usageNotForwarded: defineEvent(
         5003,
         "info",
