--- a/packages/bench/src/__tests__/fuzz/systemSimulation.ts
+++ b/packages/bench/src/__tests__/fuzz/systemSimulation.ts
@@ -22,7 +22,7 @@
     isolationLimitMs,
 } from "../../../../state/src/configuration/__tests__/cluster.js";
 import { RecordingReceiver, type WireFault } from "../../../../state/src/orders/__tests__/orderSimulation.js";
-import { findReportViolation } from "../../../../state/src/usage/__tests__/usageSimulation.js";
+import { findReportViolation } from "../../../../state/src/usage/__tests__/reportOracle.js";
 import type { BackendFault, FakeBackend, BackendRun } from "./fakeBackend.js";
 import type { SystemMutant } from "./systemMutant.js";
 import { nodeCount, serverCount } from "./baseConfiguration.js";
--- a/packages/state/src/leases/__tests__/leaseSimulation.ts
+++ b/packages/state/src/leases/__tests__/leaseSimulation.ts
@@ -3,11 +3,13 @@
  *
  * @packageDocumentation
  */
-import { MemoryTableService, type TableService } from "@pimentocleat/services";
+import { MemoryTableService, type TableCopy, type TableService } from "@pimentocleat/services";
 import { defaultLeaseTiming, type LeaseTiming } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { HostTableService, flushTasks, SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
+import { SimulatedNetwork, type NetworkTraits } from "../../retrying/__tests__/simulatedNetwork.js";
+import { WireTableService } from "../../retrying/__tests__/wireTableService.js";
 import { LeaseManager } from "../leaseManager.js";
 
 /** Default maximum time that an order is in flight, in milliseconds. */
@@ -35,6 +37,15 @@
     readonly rates?: readonly number[];
     /** Whether the table service names eras, and so may come back from an older copy. */
     readonly hasEras?: boolean;
+    /** Differences of the hosts' wall clocks from true time in milliseconds, assigned round robin. */
+    readonly wallOffsetsMs?: readonly number[];
+    /** Additional delay before a takeover for each node that is preferred, in milliseconds. */
+    readonly preferenceDelayMs?: number;
+    /**
+     * The network between the nodes and to the table service; without it, every message arrives at once, and a
+     * condition names the era of the version that it was read with.
+     */
+    readonly network?: NetworkTraits;
     /** Starts the duties of a node. */
     readonly onNode?: (node: LeaseNode) => void;
 }
@@ -45,24 +56,47 @@
     readonly nodes: LeaseNode[] = [];
     /** All nodes ever started, because a frozen one may continue later. */
     readonly allNodes: LeaseNode[] = [];
+    readonly network: SimulatedNetwork | undefined;
+    /** Indexes of the nodes that cannot reach the table service; has an effect only with a network. */
+    readonly cutOff = new Set<number>();
     private tokens = 0;
+    private era = 0;
 
     constructor(readonly options: LeaseSimulationOptions) {
+        this.network =
+            options.network === undefined ? undefined : new SimulatedNetwork(this.clock, options.network);
         if (options.hasEras === true) {
-            this.memory.startEra();
+            this.startEra();
         }
         for (let index = 0; index < options.nodeCount; index += 1) {
             this.startNode(index);
         }
     }
 
+    /** Lets the table service come back from a copy, or from now when absent. */
+    startEra(copy?: TableCopy): void {
+        this.era += 1;
+        this.memory.startEra(copy);
+    }
+
+    /** Replaces a node by a new incarnation; the old one never runs again. */
+    killNode(index: number): void {
+        this.nodes[index]!.host.freeze();
+        this.startNode(index);
+    }
+
     /** Starts a new incarnation of the node with an index. */
     startNode(index: number): void {
         const name = `node-${index}-${this.allNodes.length}`;
         const rates = this.options.rates ?? [1];
-        const host = new SimulatedHost(this.clock, rates[index % rates.length]);
+        const wallOffsetsMs = this.options.wallOffsetsMs ?? [0];
+        const host = new SimulatedHost(
+            this.clock,
+            rates[index % rates.length],
+            wallOffsetsMs[index % wallOffsetsMs.length],
+        );
         const wrapTable = this.options.wrapTable ?? ((service: TableService): TableService => service);
-        const table = new HostTableService(wrapTable(this.memory), host);
+        const table = new HostTableService(wrapTable(this.createClient(index)), host);
         const manager = new LeaseManager({
             tableService: table,
             clock: host,
@@ -74,6 +108,7 @@
             timing: this.options.timing ?? defaultLeaseTiming,
             wireBoundMs: this.options.wireBoundMs ?? defaultWireBoundMs,
             watchIntervalMs: this.options.watchIntervalMs,
+            preferenceDelayMs: this.options.preferenceDelayMs,
             earliestAcquisitionMs:
                 this.allNodes.length < this.options.nodeCount
                     ? 0
@@ -87,6 +122,14 @@
         this.options.onNode?.(node);
     }
 
+    private createClient(index: number): TableService {
+        if (this.network === undefined) {
+            return this.memory;
+        }
+        const isReachable = (): boolean => !this.cutOff.has(index);
+        return new WireTableService(this.memory, this.network, () => this.era, isReachable);
+    }
+
     /** Freezes a node after a number of further pauses; pauses are before and after each call. */
     freezeSoon(index: number, pauses: number): void {
         const { host, table } = this.nodes[index]!;
--- a/packages/state/src/retrying/__tests__/simulatedHost.ts
+++ b/packages/state/src/retrying/__tests__/simulatedHost.ts
@@ -31,6 +31,8 @@
         private readonly clock: ManualClock,
         /** Rate of the host's monotonic clock. */
         private readonly rate = 1,
+        /** Difference of the host's wall clock from true time, in milliseconds. */
+        private readonly wallOffsetMs = 0,
     ) {}
 
     freeze(): void {
@@ -60,7 +62,7 @@
     }
 
     wallMs(): number {
-        return this.clock.wallMs();
+        return this.clock.wallMs() + this.wallOffsetMs;
     }
 
     async wait(durationMs: number, signal?: AbortSignal): Promise<void> {
--- a/packages/state/src/usage/__tests__/storeErasStateful.test.ts
+++ b/packages/state/src/usage/__tests__/storeErasStateful.test.ts
@@ -7,12 +7,8 @@
 import type { TableCopy } from "@pimentocleat/services";
 import { LeaseManager } from "../../leases/leaseManager.js";
 import { nodeCount, runLeaseStep, stepArbitrary, type LeaseStep } from "../../leases/__tests__/leaseSteps.js";
-import {
-    findReportViolation,
-    usageLease,
-    UsageSimulation,
-    type UsageSimulationOptions,
-} from "./usageSimulation.js";
+import { findReportViolation } from "./reportOracle.js";
+import { usageLease, UsageSimulation, type UsageSimulationOptions } from "./usageSimulation.js";
 
 const seed = 20_261_204;
 
@@ -62,7 +58,7 @@
                 copy = leases.memory.copyTables();
                 break;
             case "goBack":
-                leases.memory.startEra(copy);
+                leases.startEra(copy);
                 await leases.advance(100, check);
                 break;
             default:
--- a/packages/state/src/usage/__tests__/usageReporter.test.ts
+++ b/packages/state/src/usage/__tests__/usageReporter.test.ts
@@ -3,13 +3,8 @@
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import { formatWindowKey, usageSealTable, usageTable } from "../usageTables.js";
 import { UsageRowWriter } from "../usageRowWriter.js";
-import {
-    findReportViolation,
-    UsageSimulation,
-    usageLease,
-    windowMs,
-    type ReportFault,
-} from "./usageSimulation.js";
+import { findReportViolation } from "./reportOracle.js";
+import { UsageSimulation, usageLease, windowMs, type ReportFault } from "./usageSimulation.js";
 
 /** Drops the writes of window seals. */
 function withoutSeals(service: TableService): TableService {
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -4,27 +4,29 @@
  * @packageDocumentation
  */
 import { PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/services";
-import { computeWindowStartMs } from "@pimentocleat/policy";
+import { createRandom } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import type { LeaseHandle } from "../../leases/heldLease.js";
 import {
-    defaultWireBoundMs,
     LeaseSimulation,
     type LeaseNode,
     type LeaseSimulationOptions,
 } from "../../leases/__tests__/leaseSimulation.js";
 import { SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
 import { UsageCollector } from "../usageCollector.js";
-import { ReportedWindows } from "../reportedWindows.js";
+import type { UsageCopy } from "../usageCopySink.js";
 import { UsageCopyStore } from "../usageCopyStore.js";
 import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
 import { UsageReporter, type UsageReporterOptions } from "../usageReporter.js";
 import { UsageRowWriter } from "../usageRowWriter.js";
+import type { ArrivedReport } from "./reportOracle.js";
+import { SimulatedMarks } from "./simulatedMarks.js";
+import { defaultDurations, type UsageDurations } from "./usageDurations.js";
+import { runUsersWrites } from "./usersWrites.js";
 
 export const usageLease = "usage-reporter";
-export const windowMs = 10_000;
-const graceMs = 6_000;
-const flushIntervalMs = 3_000;
+export const windowMs = defaultDurations.windowMs;
+const callTimeoutMs = 1_000;
 const copyIntervalMs = 500;
 const replyTimeoutMs = 400;
 
@@ -43,6 +45,7 @@
     readonly forwards?: "honest" | "mutant";
     /** Whether nodes forget what others reported; a mutant for stores with eras. */
     readonly forgetsReports?: boolean;
+    readonly durations?: UsageDurations;
 }
 
 interface Recorded {
@@ -53,38 +56,32 @@
 
 export class UsageSimulation {
     readonly leases: LeaseSimulation;
-    readonly reports: UsageReport[] = [];
+    readonly reports: ArrivedReport[] = [];
     chooseReportFault: () => ReportFault = () => "none";
+    /** Called when a report has arrived, before its sender learns so. */
+    onReport: (node: LeaseNode) => void = () => undefined;
+    private readonly durations: UsageDurations;
+    private readonly random = createRandom(1);
     private readonly ledgers = new Map<LeaseNode, UsageLedger>();
-    private readonly reportedWindows = new Map<LeaseNode, ReportedWindows>();
+    private readonly marks: SimulatedMarks | undefined;
     private readonly collectors = new Map<LeaseNode, UsageCollector>();
     private messageCount = 0;
     private readonly recorded: Recorded[] = [];
     private readonly deadIncarnations = new Set<string>();
     /** Time at which the copy of each ledger was last complete, in monotonic milliseconds. */
     private readonly lastCompleteCopyMs = new Map<UsageLedger, number>();
-    private readonly copyStore: UsageCopyStore;
+    private copyStore: UsageCopyStore;
 
     constructor(private readonly options: UsageSimulationOptions = {}) {
+        this.durations = options.durations ?? defaultDurations;
         this.leases = new LeaseSimulation({
             nodeCount: 3,
             ...options,
             leases: [usageLease],
             onNode: (node) => queueMicrotask(() => this.startNode(node)),
         });
-        // The host of the copies never fails: the loss of a node together with its copies is beyond the permitted loss.
-        const { clock, memory } = this.leases;
-        const writer = new UsageRowWriter({ tableService: memory, clock, callTimeoutMs: 1_000 });
-        const isIncarnationDead = (incarnation: string): boolean => this.deadIncarnations.has(incarnation);
-        const logger = new SilentLogger();
-        this.copyStore = new UsageCopyStore({
-            writer,
-            clock,
-            isIncarnationDead,
-            windowMs,
-            retentionMs: 7_200_000,
-            logger,
-        });
+        this.marks = options.forgetsReports === true ? undefined : new SimulatedMarks(this.leases);
+        this.copyStore = this.createCopyStore();
         void this.runCopyRecovery();
     }
 
@@ -110,6 +107,12 @@
         }
     }
 
+    /** Kills all nodes at one moment, with the copies of usage, and starts new ones. */
+    killAll(): void {
+        this.copyStore = this.createCopyStore();
+        [...this.leases.nodes.keys()].forEach((index) => this.leases.killNode(index));
+    }
+
     sumRecorded(): number {
         return this.recorded.reduce((sum, { tokens }) => sum + tokens, 0);
     }
@@ -135,17 +138,31 @@
             .reduce((sum, { completionTokens }) => sum + completionTokens, 0);
     }
 
+    /** The host of the copies fails only in {@link UsageSimulation.killAll}. */
+    private createCopyStore(): UsageCopyStore {
+        const { clock, memory } = this.leases;
+        return new UsageCopyStore({
+            writer: new UsageRowWriter({ tableService: memory, clock, callTimeoutMs }),
+            clock,
+            isIncarnationDead: (incarnation) =>
+                this.durations.users !== undefined || this.deadIncarnations.has(incarnation),
+            windowMs: this.durations.windowMs,
+            retentionMs: 7_200_000,
+            logger: new SilentLogger(),
+        });
+    }
+
     private startNode(node: LeaseNode): void {
-        this.ensureReportedWindows(node);
+        this.marks?.ensureReportedWindows(node);
         const { table: tableService, host: clock, name: incarnation } = node;
-        const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: 1_000 });
+        const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
         const options = {
             writer,
             clock,
             incarnation,
-            windowMs,
+            windowMs: this.durations.windowMs,
             logger: new SilentLogger(),
-            copySink: this.copyStore,
+            copySink: { storeCopy: (copy: UsageCopy) => this.copyStore.storeCopy(copy) },
         };
         const ledger = this.options.createLedger?.(options) ?? new UsageLedger(options);
         this.ledgers.set(node, ledger);
@@ -156,7 +173,12 @@
             collectionDelayMs: replyTimeoutMs / 2,
         });
         this.collectors.set(node, collector);
-        void this.runEvery(clock, flushIntervalMs, async () => {
+        void this.runReporter(node);
+        if (this.durations.users !== undefined) {
+            void runUsersWrites(clock, ledger, this.durations, this.random);
+            return;
+        }
+        void this.runEvery(clock, this.durations.flushIntervalMs, async () => {
             await this.forwardUsage(ledger, incarnation);
             await ledger.flushOnce();
         });
@@ -166,7 +188,6 @@
                 this.lastCompleteCopyMs.set(ledger, startedMs);
             }
         });
-        void this.runReporter(node);
     }
 
     /** Forwards usage; every third message or reply is lost, and replies are delayed while the collector is frozen. */
@@ -194,7 +215,7 @@
     private async runReporter(node: LeaseNode): Promise<void> {
         let lease: LeaseHandle | undefined;
         let reporter: UsageReporter | undefined;
-        await this.runEvery(node.host, 1_000, async () => {
+        await this.runEvery(node.host, this.durations.stepMs, async () => {
             const current = node.manager.findHeldLease(usageLease);
             if (current !== lease) {
                 lease = current;
@@ -204,25 +225,6 @@
         });
     }
 
-    /** Each node tells all others how far it has reported, and one that starts how far all have. */
-    private ensureReportedWindows(node: LeaseNode): ReportedWindows {
-        const known = this.reportedWindows.get(node);
-        if (known !== undefined || this.options.forgetsReports === true) {
-            return known ?? new ReportedWindows();
-        }
-        const created = new ReportedWindows((mark) =>
-            this.leases.allNodes.forEach((other) => this.ensureReportedWindows(other).recordMark(mark)),
-        );
-        for (const other of this.leases.nodes) {
-            const mark = other.host.isFrozen ? undefined : this.reportedWindows.get(other)?.readMark();
-            if (mark !== undefined) {
-                created.recordMark(mark);
-            }
-        }
-        this.reportedWindows.set(node, created);
-        return created;
-    }
-
     private createReporter(node: LeaseNode, lease: LeaseHandle): UsageReporter {
         const options: UsageReporterOptions = {
             tableService: node.table,
@@ -233,17 +235,30 @@
             lease,
             node: node.name,
             logger: new SilentLogger(),
-            receiver: { checksFencing: false, wireBoundMs: defaultWireBoundMs },
-            windowMs,
-            graceMs,
+            receiver: { checksFencing: false, wireBoundMs: this.durations.wireBoundMs },
+            windowMs: this.durations.windowMs,
+            graceMs: this.durations.graceMs,
+            ...this.buildSealDelays(node),
             maximumWindowsPerStep: 10,
             retentionMs: this.options.retentionMs ?? 3_600_000,
-            callTimeoutMs: 1_000,
-            reportedWindows: this.ensureReportedWindows(node),
+            callTimeoutMs,
+            reportedWindows: this.marks?.ensureReportedWindows(node),
         };
         return this.options.createReporter?.(options) ?? new UsageReporter(options);
     }
 
+    private buildSealDelays(
+        node: LeaseNode,
+    ): Pick<UsageReporterOptions, "firstSealDelayMs" | "maximumSealDelayMs"> {
+        const { users, graceMs } = this.durations;
+        return users === undefined
+            ? {}
+            : {
+                  firstSealDelayMs: Math.max(0, graceMs - node.manager.getContactDurationMs()),
+                  maximumSealDelayMs: users.maximumSealDelayMs,
+              };
+    }
+
     private async deliverReport(
         node: LeaseNode,
         report: UsageReport,
@@ -256,8 +271,9 @@
         if (fault === "lostReport") {
             throw new PlatformError(PlatformErrorKind.Ambiguous, "report lost");
         }
-        await this.leases.clock.wait(fault === "slow" ? defaultWireBoundMs : 10);
-        this.reports.push(structuredClone(report));
+        await this.leases.clock.wait(fault === "slow" ? this.durations.wireBoundMs : 10);
+        this.reports.push({ ...structuredClone(report), arrivedMs: this.leases.clock.monotonicMs() });
+        this.onReport(node);
         await node.host.waitUntilThawed();
         if (fault === "lostAnswer") {
             throw new PlatformError(PlatformErrorKind.Ambiguous, "answer lost");
@@ -279,27 +295,3 @@
         }
     }
 }
-
-/**
- * Checks that lease holders report one after the other and each window with one figure and a valid start. Returns the
- * first violation, or undefined if there is none.
- */
-export function findReportViolation(reports: readonly UsageReport[]): string | undefined {
-    const figures = new Map<number, string>();
-    let maximumFencingNumber = 0;
-    for (const report of reports) {
-        const text = JSON.stringify(report.customers);
-        if (report.fencingNumber < maximumFencingNumber) {
-            return "holders interleaved";
-        }
-        if ((figures.get(report.windowStartMs) ?? text) !== text) {
-            return "two figures";
-        }
-        if (computeWindowStartMs(report.windowStartMs, windowMs) !== report.windowStartMs) {
-            return "no window";
-        }
-        maximumFencingNumber = report.fencingNumber;
-        figures.set(report.windowStartMs, text);
-    }
-    return undefined;
-}
--- a/packages/state/src/usage/__tests__/usageStateful.test.ts
+++ b/packages/state/src/usage/__tests__/usageStateful.test.ts
@@ -7,12 +7,8 @@
 import { nodeCount, runLeaseStep, stepArbitrary, type LeaseStep } from "../../leases/__tests__/leaseSteps.js";
 import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
 import { UsageRowWriter, type UsageRowId, type UsageWriteResult } from "../usageRowWriter.js";
-import {
-    findReportViolation,
-    UsageSimulation,
-    type ReportFault,
-    type UsageSimulationOptions,
-} from "./usageSimulation.js";
+import { findReportViolation } from "./reportOracle.js";
+import { UsageSimulation, type ReportFault, type UsageSimulationOptions } from "./usageSimulation.js";
 
 const seed = 20_261_206;
 const reportFaults: readonly ReportFault[] = ["none", "none", "slow", "lostReport", "lostAnswer"];
