--- a/packages/state/src/leases/__tests__/leaseSimulation.ts
+++ b/packages/state/src/leases/__tests__/leaseSimulation.ts
@@ -41,6 +41,8 @@
     readonly wallOffsetsMs?: readonly number[];
     /** Additional delay before a takeover for each node that is preferred, in milliseconds. */
     readonly preferenceDelayMs?: number;
+    /** Whether no node is preferred for a lease, as on the users' platform. */
+    readonly hasNoPreference?: boolean;
     /**
      * The network between the nodes and to the table service; without it, every message arrives at once, and a
      * condition names the era of the version that it was read with.
@@ -101,9 +103,10 @@
             tableService: table,
             clock: host,
             node: name,
-            listNodes: () => this.nodes.map((node) => node.name),
+            listNodes: () =>
+                this.options.hasNoPreference === true ? [] : this.nodes.map((node) => node.name),
             logger: new SilentLogger(),
-            random: () => 0.5,
+            random: () => this.network?.draw() ?? 0.5,
             createToken: () => `token-${(this.tokens += 1)}`,
             timing: this.options.timing ?? defaultLeaseTiming,
             wireBoundMs: this.options.wireBoundMs ?? defaultWireBoundMs,
--- a/packages/state/src/retrying/__tests__/simulatedNetwork.ts
+++ b/packages/state/src/retrying/__tests__/simulatedNetwork.ts
@@ -31,6 +31,11 @@
         this.random = createRandom(traits.seed);
     }
 
+    /** Draws a number from 0 to 1 for a decision of a node. */
+    draw(): number {
+        return this.random();
+    }
+
     /** Sends a message that may be lost or late; a host that is frozen when it arrives does not receive it. */
     sendMessage(target: SimulatedHost, receive: () => void): void {
         const isLost = this.random() < this.traits.lossShare;
--- a/packages/state/src/usage/__tests__/storeCopyScenario.ts
+++ b/packages/state/src/usage/__tests__/storeCopyScenario.ts
@@ -66,6 +66,7 @@
             startDelayMs: usersStartDelayMs,
             watchIntervalMs: usersWatchIntervalMs,
             preferenceDelayMs: usersPreferenceDelayMs,
+            hasNoPreference: true,
             retentionMs: usersRetainedWindows * usersDurations.windowMs,
             wallOffsetsMs: [firstClockOffsetMs ?? ordinaryOffsets[0]!, ...ordinaryOffsets.slice(1)],
             network: {
