--- a/packages/state/src/usage/__tests__/storeErasStateful.test.ts
+++ b/packages/state/src/usage/__tests__/storeErasStateful.test.ts
@@ -8,9 +8,17 @@
 import { LeaseManager } from "../../leases/leaseManager.js";
 import { nodeCount, runLeaseStep, stepArbitrary, type LeaseStep } from "../../leases/__tests__/leaseSteps.js";
 import { findReportViolation } from "./reportOracle.js";
-import { usageLease, UsageSimulation, type UsageSimulationOptions } from "./usageSimulation.js";
+import { StoreCopyScenario, scenarioNodes } from "./storeCopyScenario.js";
+import {
+    usageLease,
+    UsageSimulation,
+    type ReportFault,
+    type UsageSimulationOptions,
+} from "./usageSimulation.js";
 
 const seed = 20_261_204;
+/** Number of histories on a network that loses messages, when no other number is given. */
+const networkRuns = 30;
 
 /** The store is copied, or comes back from the last copy, or from now. */
 type EraStep = { readonly type: "copy" } | { readonly type: "goBack" };
@@ -76,6 +84,145 @@
     return fc.asyncProperty(historyArbitrary, (history) => checkHistory(history, options));
 }
 
+/** What happens on a network that loses messages; durations are in milliseconds. */
+type NetworkStep =
+    | LeaseStep
+    | { readonly type: "returnStore"; readonly ageMs: number; readonly awayMs: number }
+    | { readonly type: "returnAtReport"; readonly ageMs: number }
+    | { readonly type: "returnAtSeal"; readonly ageMs: number }
+    | { readonly type: "freezeAtReport" }
+    | { readonly type: "killAtReport" }
+    | { readonly type: "killAll" }
+    | { readonly type: "cutOff"; readonly nodes: readonly number[] }
+    | { readonly type: "reportFault"; readonly fault: ReportFault };
+
+const ageArbitrary = fc.constantFrom(500, 1_000, 2_000, 4_000, 8_000, 12_000);
+const networkStepArbitrary: fc.Arbitrary<NetworkStep> = fc.oneof(
+    { weight: 4, arbitrary: stepArbitrary.filter(({ type }) => type !== "stop") },
+    {
+        weight: 2,
+        arbitrary: fc.record({
+            type: fc.constant("returnStore" as const),
+            ageMs: ageArbitrary,
+            awayMs: fc.constantFrom(0, 1_000, 5_000),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            type: fc.constantFrom("returnAtReport" as const, "returnAtSeal" as const),
+            ageMs: ageArbitrary,
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({ type: fc.constantFrom("freezeAtReport", "killAtReport", "killAll") }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            type: fc.constant("cutOff" as const),
+            nodes: fc.uniqueArray(fc.nat(scenarioNodes - 1), { maxLength: scenarioNodes / 2 }),
+        }),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.record({
+            type: fc.constant("reportFault" as const),
+            fault: fc.constantFrom<ReportFault>("none", "slow", "lostReport", "lostAnswer"),
+        }),
+    },
+);
+
+const networkHistoryArbitrary = fc.record({
+    networkSeed: fc.nat(1_000_000),
+    firstClockOffsetMs: fc.constantFrom(undefined, -2_000, 2_000),
+    steps: fc.array(networkStepArbitrary, { minLength: 4, maxLength: 12 }),
+});
+type NetworkHistory = typeof networkHistoryArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Prepares what happens at the next report or seal, or lets something happen now. */
+async function runNetworkStep(
+    scenario: StoreCopyScenario,
+    step: NetworkStep,
+    check: () => void,
+): Promise<void> {
+    const { simulation } = scenario;
+    const { leases } = simulation;
+    switch (step.type) {
+        case "returnStore":
+            scenario.returnStore(step.ageMs, step.awayMs);
+            break;
+        case "returnAtReport":
+            simulation.onReport = once(() => scenario.returnStore(step.ageMs, 0));
+            break;
+        case "returnAtSeal":
+            scenario.onSeal = once(() => scenario.returnStore(step.ageMs, 0));
+            break;
+        case "freezeAtReport":
+            simulation.onReport = once((node) => node.host.freeze());
+            break;
+        case "killAtReport":
+            simulation.onReport = once(({ name }) => {
+                const index = leases.nodes.findIndex((node) => node.name === name);
+                scenario.killNodes(index < 0 ? [] : [index]);
+            });
+            break;
+        case "killAll":
+            simulation.killAll();
+            break;
+        case "cutOff":
+            leases.cutOff.clear();
+            step.nodes.forEach((index) => leases.cutOff.add(index));
+            break;
+        case "reportFault":
+            simulation.chooseReportFault = (): ReportFault => step.fault;
+            break;
+        case "advance":
+            await scenario.advance(step.durationMs, check);
+            break;
+        default:
+            await runLeaseStep(leases, step, check);
+    }
+    await scenario.advance(1_000, check);
+}
+
+function once<Parameters extends unknown[]>(
+    action: (...parameters: Parameters) => void,
+): (...parameters: Parameters) => void {
+    let isDone = false;
+    return (...parameters) => {
+        if (!isDone) {
+            isDone = true;
+            action(...parameters);
+        }
+    };
+}
+
+async function checkNetworkHistory({
+    networkSeed,
+    firstClockOffsetMs,
+    steps,
+}: NetworkHistory): Promise<void> {
+    const scenario = new StoreCopyScenario({ seed: networkSeed, firstClockOffsetMs });
+    const { leases } = scenario.simulation;
+    const check = (): void => {
+        expect(scenario.findReportViolation(), "report").toBeUndefined();
+        expect(scenario.findHolderViolation(), "holder").toBeUndefined();
+    };
+    await scenario.advance(15_000);
+    for (const step of steps) {
+        await runNetworkStep(scenario, step, check);
+    }
+    leases.cutOff.clear();
+    scenario.simulation.chooseReportFault = (): ReportFault => "none";
+    leases.memory.setFaultPlan(() => "none");
+    leases.memory.applyDelayedCommits();
+    [...leases.nodes.keys()].forEach((index) => leases.thaw(index));
+    await scenario.advance(20_000, check);
+    expect(leases.listValidHolders(usageLease), "holder after recovery").toHaveLength(1);
+}
+
 describe("duties on a store that comes back from older copies", () => {
     afterEach(() => vi.restoreAllMocks());
 
@@ -97,4 +244,9 @@
         const details = await fc.check(createProperty({}), { seed, numRuns: 200, endOnFailure: true });
         expect(String(details.errorInstance)).toMatch(/valid holders|fencing number|holders interleaved/);
     });
+
+    it("have one holder after the other and one figure for each window on a network that loses messages", async () => {
+        const property = fc.asyncProperty(networkHistoryArbitrary, checkNetworkHistory);
+        await fc.assert(property, { seed, numRuns: networkRuns, ...inject("fuzz") });
+    });
 });
