Stamp the stand-in store's answers with the era of their time

A call for changes that waited while the store went back was answered with the changes of the new era under the number of the former one, since the header was set when the call arrived; a node would have taken them for changes of the former era. The header is now set when the answer is sent, and a store that has fallen silent no longer answers waiting calls.

--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -106,7 +106,6 @@
 
     private async handleStoreCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
         this.storeCalls += 1;
-        response.setHeader("store-era", String(this.era));
         const body = await readBody(request);
         switch (this.storeMode) {
             case "silent":
@@ -115,10 +114,10 @@
                 request.socket.resetAndDestroy();
                 return;
             case "busy":
-                sendJson(response, 503, {});
+                this.sendStoreAnswer(response, 503, {});
                 return;
             case "limited":
-                sendJson(response, 429, {});
+                this.sendStoreAnswer(response, 429, {});
                 return;
             case "usual":
                 await this.serveStoreCall(request, response, body);
@@ -142,14 +141,14 @@
                 await this.serveFeed(response, url.searchParams);
                 return;
             default:
-                sendJson(response, 404, {});
+                this.sendStoreAnswer(response, 404, {});
         }
     }
 
     private serveTransaction(response: ServerResponse, transaction: RowTransaction): void {
         const { Expected = [], Puts = [], Delete = [] } = transaction;
         if (Expected.length + Puts.length + Delete.length > maximumEntriesPerTransaction) {
-            sendJson(response, 400, { Error: "too many entries" });
+            this.sendStoreAnswer(response, 400, { Error: "too many entries" });
             return;
         }
         const fault = this.writeFaults.shift() ?? "usual";
@@ -160,7 +159,7 @@
         const conflict = this.rows.applyTransaction(transaction);
         if (fault === "usual") {
             const status = conflict === undefined ? 200 : 412;
-            sendJson(response, status, { Rows: conflict ?? [], Ver: this.rows.getVersion(), NowMs: 0 });
+            this.sendStoreAnswer(response, status, { Rows: conflict ?? [], Ver: this.rows.getVersion(), NowMs: 0 });
         }
     }
 
@@ -173,7 +172,7 @@
             query.get("To") ?? undefined,
         );
         const page = rows.slice(0, limit);
-        sendJson(response, 200, {
+        this.sendStoreAnswer(response, 200, {
             Rows: page,
             MorePages: page.length < rows.length,
             Ver: this.rows.getVersion(),
@@ -190,11 +189,20 @@
             await this.rows.waitForChange(deadlineMs - performance.now());
             changes = this.rows.listChanges(table, after);
         }
+        if (this.storeMode === "silent") {
+            return;
+        }
         if (changes === undefined) {
-            sendJson(response, 410, {});
+            this.sendStoreAnswer(response, 410, {});
             return;
         }
-        sendJson(response, 200, { Rows: changes, Ver: this.rows.getVersion(), NowMs: 0 });
+        this.sendStoreAnswer(response, 200, { Rows: changes, Ver: this.rows.getVersion(), NowMs: 0 });
+    }
+
+    /** Sends a response that names the era of this moment, which may be later than that of the call's arrival. */
+    private sendStoreAnswer(response: ServerResponse, status: number, body: unknown): void {
+        response.setHeader("store-era", String(this.era));
+        sendJson(response, status, body);
     }
 
     private async handleDutyCall(request: IncomingMessage, response: ServerResponse): Promise<void> {
