--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -29,7 +29,14 @@
 export { measureEngine, runMeasureEngine } from "./measure/measureEngine.js";
 export { RowStore } from "./usersPlatform/rowStore.js";
 export { UsersPlatformStandIn } from "./usersPlatform/usersPlatformStandIn.js";
-export type { DutyCall, StoreMode, WriteFault } from "./usersPlatform/usersPlatformStandIn.js";
+export type {
+    StoreMode,
+    StoreRecovery,
+    UsersPlatformOptions,
+    WriteFault,
+} from "./usersPlatform/usersPlatformStandIn.js";
+export type { DutyFault, DutyPath } from "./usersPlatform/dutyEndpoint.js";
+export type { DutyCall, DutyViolation, ReceivedDutyCall } from "./usersPlatform/dutyJudge.js";
 export { endlessPlaces, type EndlessPlace } from "./usersPlatform/endlessAnswer.js";
 export { UsersServerStandIn } from "./usersPlatform/usersServerStandIn.js";
 export type { ReceivedRequest, ServerBehaviour } from "./usersPlatform/usersServerStandIn.js";
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -4,6 +4,8 @@
  *
  * @packageDocumentation
  */
+import { SystemClock, type Clock } from "@pimentocleat/types";
+import { RowHistory } from "./rowHistory.js";
 
 /** One row in its wire format. */
 export interface StoredRow {
@@ -46,6 +48,12 @@
     private version = 0;
     /** Highest version whose changes were discarded from the history. */
     private discardedVersion = 0;
+    private readonly history: RowHistory;
+
+    /** @param clock - Its monotonic time gives older copies their age. */
+    constructor(clock: Clock = new SystemClock()) {
+        this.history = new RowHistory(clock);
+    }
 
     /** @returns The version of the last applied transaction. */
     getVersion(): number {
@@ -64,6 +72,10 @@
         if (expected.some((condition) => (findRow(condition)?.Ver ?? 0) !== condition.Ver)) {
             return expected.map(findRow).filter((row) => row !== undefined);
         }
+        const previousVersion = this.version;
+        [...puts, ...deletes].map(formatRowId).forEach((id) => {
+            this.history.recordChange(id, this.rows.get(id), previousVersion);
+        });
         this.version += 1;
         for (const { Table, part = "", Key, Value } of puts) {
             this.addChange({ Table, part, Key, Value, Ver: this.version });
@@ -162,12 +174,23 @@
         return { rows: new Map(this.rows), version: this.version };
     }
 
+    /**
+     * Copies all rows as they were some time ago, also before the store last went back to a copy.
+     *
+     * @param ageMs - Age of the copy, in milliseconds; at most a minute.
+     * @returns The copy, to restore now or later.
+     */
+    copyOlderRows(ageMs: number): RowStoreCopy {
+        return this.history.buildCopy(this.copyRows(), ageMs);
+    }
+
     /**
      * Goes back to a copy: everything written since is gone, and its versions are given out again.
      *
      * @param copy - The copy.
      */
     recoverCopy(copy: RowStoreCopy): void {
+        this.history.recordRecovery(this.rows, this.version);
         this.rows = new Map(copy.rows);
         this.version = copy.version;
         this.clearHistory();
