--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -4,13 +4,7 @@
  * @packageDocumentation
  */
 import type { EraSource, OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
-import {
-    LeaseManager,
-    runEvery,
-    type ForwardedUsage,
-    type ReportedMark,
-    type UsageCopy,
-} from "@pimentocleat/state";
+import { LeaseManager, runEvery, type ForwardedUsage, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -52,8 +46,6 @@
     readonly findCollector: () => string | undefined;
     /** Sends counts to the node that writes them; returns whether that node is registered. */
     readonly forwardUsage: (usage: ForwardedUsage, collector: string) => boolean;
-    /** Tells other nodes how far usage windows are reported. */
-    readonly sendReported: (mark: ReportedMark) => void;
     /**
      * Returns whether this node tries to acquire leases. While such nodes are alive, the others make no lease calls,
      * which reduces the load on the store.
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -3,10 +3,10 @@
  *
  * @packageDocumentation
  */
-import type { TableService, UsageReportService } from "@pimentocleat/services";
+import type { EraSource, TableService, UsageReportService } from "@pimentocleat/services";
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import {
-    ReportedWindows,
+    EraObservation,
     UsageCollector,
     UsageCopyStore,
     UsageLedger,
@@ -14,7 +14,6 @@
     UsageRowWriter,
     type ForwardedUsage,
     type LeaseHandle,
-    type ReportedMark,
     type UnstoredUsage,
     type UsageCopy,
 } from "@pimentocleat/state";
@@ -27,6 +26,8 @@
 /** Options of {@link UsageDuty}. */
 export interface UsageDutyOptions {
     readonly tableService: TableService;
+    /** Era of the table service. */
+    readonly eras: EraSource;
     readonly reportService: UsageReportService | undefined;
     readonly clock: WaitingClock;
     readonly logger: Logger;
@@ -59,8 +60,6 @@
      * @returns Whether that node is registered.
      */
     readonly forwardUsage: (usage: ForwardedUsage, collector: string) => boolean;
-    /** Tells other nodes how far windows are reported. */
-    readonly sendReported: (mark: ReportedMark) => void;
 }
 
 /** Delay before counts are written again after a failure, in milliseconds. */
@@ -94,7 +93,7 @@
     private readonly ledger: UsageLedger;
     private readonly copyStore: UsageCopyStore;
     private readonly collector: UsageCollector;
-    private readonly reportedWindows: ReportedWindows;
+    private readonly eraObservation: EraObservation;
     /** Counts that another node was asked to write. */
     private forwarded: readonly UnstoredUsage[] = [];
     /** Last window for which all due reports were sent. */
@@ -106,7 +105,7 @@
         const { tableService, clock, logger, incarnation, windowMs, settings, sendCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
         this.collector = new UsageCollector({ writer, clock, logger, collectionDelayMs: collectMs });
-        this.reportedWindows = new ReportedWindows(options.sendReported);
+        this.eraObservation = new EraObservation(options.eras, clock);
         this.copyStore = new UsageCopyStore({
             writer,
             clock,
@@ -140,20 +139,6 @@
         void this.copyStore.storeCopy(copy);
     }
 
-    /**
-     * Records how far another node has reported windows.
-     *
-     * @param mark - That node's mark.
-     */
-    recordReported(mark: ReportedMark): void {
-        this.reportedWindows.recordMark(mark);
-    }
-
-    /** @returns How far windows were reported, as far as this node knows; undefined before the first report. */
-    readReported(): ReportedMark | undefined {
-        return this.reportedWindows.readMark();
-    }
-
     recordRequest(customer: string): void {
         this.ledger.recordUsage({ customer, requests: 1, promptTokens: 0, completionTokens: 0 });
     }
@@ -261,6 +246,7 @@
      */
     async reportOnce(lease: LeaseHandle | undefined): Promise<void> {
         const { reportService, settings, windowMs } = this.options;
+        this.eraObservation.update();
         if (lease === undefined || reportService === undefined) {
             this.reporter = undefined;
             return;
@@ -278,7 +264,7 @@
                 maximumWindowsPerStep: windowsPerStep,
                 retentionMs: retainedWindows * windowMs,
                 callTimeoutMs: settings.callTimeoutMs,
-                reportedWindows: this.reportedWindows,
+                eraObservation: this.eraObservation,
             });
             this.reporter = { lease, reporter };
             this.reportedWindow = undefined;
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -65,8 +65,6 @@
 const dispatchTagLength = 8;
 /** Number of background tasks that may wait for the stop of the node at the same time. */
 const maximumBackgroundTasks = 32;
-/** Number of nodes that tell a node which has started what it has missed; a datagram may be lost. */
-const startTellers = 6;
 
 /** Starts, runs and stops a gateway node. */
 export class GatewayDaemon {
@@ -218,7 +216,6 @@
             random,
             findPeer: (name) => this.peers.findPeer(name),
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
-            recordReported: ({ nextStartMs, era }) => this.duties.usage.recordReported({ nextStartMs, era }),
             receiveLeaving: ({ serverId, bornMs }) => this.directory.recordLeaving(serverId, bornMs),
             receiveCrashes: (message) => this.crashNews.receiveMessage(message),
             receiveLimits: (message, from) => this.permits.receiveMessage(message, from),
@@ -264,13 +261,11 @@
             configuration: this.configuration,
             directory: this.directory,
             sendCopy: (copy) => this.messenger.sendUsageCopies(copy),
-            sendReported: (mark) => this.messenger.sendReported(mark),
             findCollector: () => this.relay.findReader(),
             forwardUsage: (usage, collector) => this.messenger.forwardUsage(usage, collector),
             isCandidate: () => this.relay.isReader() || this.peers.isLeaseCandidate(),
             countNodes: () => this.peers.countNodes(),
         });
-        this.peers.addRegistrationListener((name) => this.reportToStartedNode(name));
         this.callerServer = this.buildCallerServer();
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
@@ -349,15 +344,6 @@
         return !this.drain.isDraining() && this.configuration.readCurrent() !== undefined;
     }
 
-    /** Tells a node that has started how far windows were reported; it has heard none of the earlier messages. */
-    private reportToStartedNode(name: string): void {
-        const mark = this.duties.usage.readReported();
-        const tellers = this.peers.listKeepers(name, startTellers);
-        if (mark !== undefined && tellers.includes(this.options.settings.name)) {
-            this.messenger.sendReportedTo(name, mark);
-        }
-    }
-
     private startRelaying(): Promise<void> {
         const { settings, adapter } = this.options;
         return this.relayListener.start(settings.peerHost, settings.peerPorts[0], {
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -95,7 +95,6 @@
     private readerRank: number | undefined;
     /** All registered nodes, including this one; undefined until it is built again. */
     private ring: HashRing | undefined;
-    private readonly registrationListeners: ((name: string) => void)[] = [];
     /** The peers that receive this node's messages about requests. */
     private chosen: readonly PeerAddress[] = [];
 
@@ -104,11 +103,6 @@
         this.ownRank = buildReaderRank(options.name, options.address);
     }
 
-    /** @param listener - Called with the name of a node that has just registered, because it has started. */
-    addRegistrationListener(listener: (name: string) => void): void {
-        this.registrationListeners.push(listener);
-    }
-
     /**
      * Registers this node, and retries until that succeeds.
      *
@@ -336,11 +330,6 @@
             }
         }
         this.choosePeers();
-        for (const change of changes) {
-            if (change.type === "put" && this.peers.has(change.row.key)) {
-                this.registrationListeners.forEach((listener) => listener(change.row.key));
-            }
-        }
     }
 
     private applyRow(row: Row): void {
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -6,7 +6,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
-import type { ForwardedUsage, ReportedMark, UsageCopy } from "@pimentocleat/state";
+import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
@@ -21,7 +21,6 @@
     decodeRequests,
     encodeRequests,
     forwardedUsageSchema,
-    reportedUsageSchema,
     storedUsageSchema,
     usageCopySchema,
     type ForwardedUsageMessage,
@@ -54,8 +53,6 @@
     readonly receiveOrigin: (message: OriginMessage, from: string) => void;
     /** Receives evidence about prompt parts that crash servers. */
     readonly receiveCrashes: (message: CrashMessage) => void;
-    /** Receives how far another node has reported usage windows. */
-    readonly recordReported: (mark: ReportedMark) => void;
     /** Receives a message about the limits of servers, and the name of its sender. */
     readonly receiveLimits: (message: LimitMessage, from: string) => void;
     /** Receives a message about a server that said that it leaves. */
@@ -79,7 +76,6 @@
     crashMessageSchema,
     limitMessageSchema,
     leavingMessageSchema,
-    reportedUsageSchema,
 ]);
 
 /** Each message carries its sender's name, which shows that the node is alive, and the time of its clock. */
@@ -230,25 +226,6 @@
         this.send(message, peers);
     }
 
-    /**
-     * Tells the peers how far usage windows are reported.
-     *
-     * @param mark - The mark.
-     */
-    sendReported({ nextStartMs, era }: ReportedMark): void {
-        this.send({ type: "reportedUsage", nextStartMs, era }, this.options.listPeers());
-    }
-
-    /**
-     * Tells a node how far usage windows are reported.
-     *
-     * @param name - Name of the node.
-     * @param mark - The mark.
-     */
-    sendReportedTo(name: string, { nextStartMs, era }: ReportedMark): void {
-        this.sendTo(name, { type: "reportedUsage", nextStartMs, era });
-    }
-
     private sendTo(name: string, message: PeerMessage): boolean {
         const peer = this.options.findPeer(name);
         if (peer !== undefined) {
@@ -313,9 +290,6 @@
             case "permitReply":
                 options.receiveLimits(message, from);
                 break;
-            case "reportedUsage":
-                options.recordReported(message);
-                break;
             case "serverLeaving":
                 options.receiveLeaving(message);
                 break;
--- a/packages/gateway/src/peers/usageMessages.ts
+++ b/packages/gateway/src/peers/usageMessages.ts
@@ -26,13 +26,6 @@
     newVersion: z.number(),
 });
 
-/** Schema of the message that tells how far usage windows are reported. */
-export const reportedUsageSchema = z.object({
-    type: z.literal("reportedUsage"),
-    nextStartMs: z.number(),
-    era: z.number().nonnegative(),
-});
-
 /** Message with counts for another node to write. */
 export type ForwardedUsageMessage = z.infer<typeof forwardedUsageSchema>;
 /** Acknowledgement that counts were written. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -44,6 +44,7 @@
 export {
     addUsage,
     computeRemainder,
+    computeUnreportedStartMs,
     computeWindowStartMs,
     isEmptyUsage,
     mergeUsage,
--- a/packages/policy/src/usageSealing/usageWindows.ts
+++ b/packages/policy/src/usageSealing/usageWindows.ts
@@ -29,6 +29,19 @@
     return Math.floor(wallMs / windowMs) * windowMs;
 }
 
+/**
+ * Computes the first window that no node can have reported before a time.
+ *
+ * @param wallMs - The time, in milliseconds since the Unix epoch.
+ * @param windowMs - Length of a window, in milliseconds.
+ * @param graceMs - Minimum time from the end of a window to its report, in milliseconds.
+ * @returns Start of the window, in milliseconds since the Unix epoch; later by one window than with exact clocks, so
+ * that a reporter whose clock was ahead by less than that is allowed for.
+ */
+export function computeUnreportedStartMs(wallMs: number, windowMs: number, graceMs: number): number {
+    return computeWindowStartMs(wallMs - graceMs, windowMs) + windowMs;
+}
+
 /**
  * Adds two usages.
  *
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -57,5 +57,5 @@
 export { BoundedTableService } from "./retrying/boundedTableService.js";
 export { runEvery } from "./retrying/runEvery.js";
 export type { RepeatedStepOptions } from "./retrying/runEvery.js";
-export { ReportedWindows } from "./usage/reportedWindows.js";
-export type { ReportedMark } from "./usage/reportedWindows.js";
+export { EraObservation } from "./usage/eraObservation.js";
+export type { ObservedEra } from "./usage/eraObservation.js";
--- a/packages/state/src/usage/__tests__/storeCopyScenario.ts
+++ b/packages/state/src/usage/__tests__/storeCopyScenario.ts
@@ -26,6 +26,8 @@
 /** Largest difference of an ordinary wall clock from true time, in milliseconds. */
 const clockErrorMs = 100;
 const maximumTokens = 99;
+/** Time in which nodes reach the store again, in milliseconds. */
+const contactMs = 4_000;
 /** Chance that a node records usage in one step. */
 const recordShare = 0.5;
 const receiver = { checksFencing: false, wireBoundMs: usersDurations.wireBoundMs };
@@ -51,6 +53,7 @@
     private copies: KeptCopy[] = [];
     private isAway = false;
     private returns = 0;
+    private returnedWallMs = 0;
 
     constructor({ seed, firstClockOffsetMs }: ScenarioOptions) {
         this.random = createRandom(seed);
@@ -160,13 +163,22 @@
         return findHolderViolation(this.acts, { leaseMs: usersLeaseMs, wireBoundMs });
     }
 
-    /** @returns The number of windows with usage whose report is due and has not arrived. */
-    countMissingWindows(): number {
+    /**
+     * @param sinceMs - Wall time from which on windows are counted, in milliseconds.
+     * @returns The number of windows with usage whose report is due and has not arrived.
+     */
+    countMissingWindows(sinceMs = 0): number {
         const { windowMs, users } = usersDurations;
         const dueStartMs = this.simulation.leases.clock.wallMs() - windowMs - users!.dueMs;
         const reported = new Set(this.simulation.reports.map(({ windowStartMs }) => windowStartMs));
-        return [...this.windowsWithUsage].filter((startMs) => startMs <= dueStartMs && !reported.has(startMs))
-            .length;
+        return [...this.windowsWithUsage].filter(
+            (startMs) => startMs >= sinceMs && startMs <= dueStartMs && !reported.has(startMs),
+        ).length;
+    }
+
+    /** @returns The number of missing windows that begin later than a window and a contact after the last return. */
+    countMissingAfterReturn(): number {
+        return this.countMissingWindows(this.returnedWallMs + usersDurations.windowMs + contactMs);
     }
 
     /** @returns How often the store has come back. */
@@ -213,6 +225,7 @@
         this.copies = this.copies.filter(({ atMs }) => atMs <= copyMs);
         this.simulation.leases.startEra(this.copies.at(-1)?.copy ?? { tables: new Map(), lastCounter: 0 });
         this.returns += 1;
+        this.returnedWallMs = this.simulation.leases.clock.wallMs();
     }
 
     private watchSeals(service: TableService): TableService {
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/services";
+import { noEras, PlatformError, PlatformErrorKind, type UsageReport } from "@pimentocleat/services";
 import { createRandom } from "@pimentocleat/policy";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import type { LeaseHandle } from "../../leases/heldLease.js";
@@ -14,13 +14,13 @@
 } from "../../leases/__tests__/leaseSimulation.js";
 import { SimulatedHost } from "../../retrying/__tests__/simulatedHost.js";
 import { UsageCollector } from "../usageCollector.js";
+import { EraObservation } from "../eraObservation.js";
 import type { UsageCopy } from "../usageCopySink.js";
 import { UsageCopyStore } from "../usageCopyStore.js";
 import { UsageLedger, type UsageLedgerOptions } from "../usageLedger.js";
 import { UsageReporter, type UsageReporterOptions } from "../usageReporter.js";
 import { UsageRowWriter } from "../usageRowWriter.js";
 import type { ArrivedReport } from "./reportOracle.js";
-import { SimulatedMarks } from "./simulatedMarks.js";
 import { defaultDurations, type UsageDurations } from "./usageDurations.js";
 import { runUsersWrites } from "./usersWrites.js";
 
@@ -43,8 +43,8 @@
      * replies before it has written the usage. Nodes do not forward when absent.
      */
     readonly forwards?: "honest" | "mutant";
-    /** Whether nodes forget what others reported; a mutant for stores with eras. */
-    readonly forgetsReports?: boolean;
+    /** Whether reporters take the copy's word for what was reported; a mutant for stores with eras. */
+    readonly trustsCopies?: boolean;
     readonly durations?: UsageDurations;
 }
 
@@ -63,7 +63,7 @@
     private readonly durations: UsageDurations;
     private readonly random = createRandom(1);
     private readonly ledgers = new Map<LeaseNode, UsageLedger>();
-    private readonly marks: SimulatedMarks | undefined;
+    private readonly eraObservations = new Map<LeaseNode, EraObservation>();
     private readonly collectors = new Map<LeaseNode, UsageCollector>();
     private messageCount = 0;
     private readonly recorded: Recorded[] = [];
@@ -80,7 +80,6 @@
             leases: [usageLease],
             onNode: (node) => queueMicrotask(() => this.startNode(node)),
         });
-        this.marks = options.forgetsReports === true ? undefined : new SimulatedMarks(this.leases);
         this.copyStore = this.createCopyStore();
         void this.runCopyRecovery();
     }
@@ -153,8 +152,8 @@
     }
 
     private startNode(node: LeaseNode): void {
-        this.marks?.ensureReportedWindows(node);
         const { table: tableService, host: clock, name: incarnation } = node;
+        this.eraObservations.set(node, this.createEraObservation(node));
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs });
         const options = {
             writer,
@@ -216,6 +215,7 @@
         let lease: LeaseHandle | undefined;
         let reporter: UsageReporter | undefined;
         await this.runEvery(node.host, this.durations.stepMs, async () => {
+            this.eraObservations.get(node)?.update();
             const current = node.manager.findHeldLease(usageLease);
             if (current !== lease) {
                 lease = current;
@@ -225,6 +225,13 @@
         });
     }
 
+    private createEraObservation({ table, host }: LeaseNode): EraObservation {
+        const eras = this.options.trustsCopies === true ? noEras : table;
+        const observation = new EraObservation(eras, host);
+        observation.update();
+        return observation;
+    }
+
     private createReporter(node: LeaseNode, lease: LeaseHandle): UsageReporter {
         const options: UsageReporterOptions = {
             tableService: node.table,
@@ -242,7 +249,7 @@
             maximumWindowsPerStep: 10,
             retentionMs: this.options.retentionMs ?? 3_600_000,
             callTimeoutMs,
-            reportedWindows: this.marks?.ensureReportedWindows(node),
+            eraObservation: this.eraObservations.get(node)!,
         };
         return this.options.createReporter?.(options) ?? new UsageReporter(options);
     }
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -16,6 +16,7 @@
 } from "@pimentocleat/services";
 import {
     addUsage,
+    computeUnreportedStartMs,
     computeWindowStartMs,
     type ReceiverTraits,
     type UsageByCustomer,
@@ -24,7 +25,7 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { LeaseHandle } from "../leases/heldLease.js";
 import { runWithTimeout } from "../retrying/callTimeout.js";
-import { ReportedWindows } from "./reportedWindows.js";
+import type { EraObservation } from "./eraObservation.js";
 import {
     buildUnsealedCondition,
     formatWindowKey,
@@ -67,8 +68,8 @@
      * report in time is worth more than a late one that includes the last counts. Unlimited when absent.
      */
     readonly maximumSealDelayMs?: number;
-    /** What is known of reports beyond the table service; only this reporter's own when absent. */
-    readonly reportedWindows?: ReportedWindows;
+    /** When this node first knew of the table service's era; required for a table service with eras. */
+    readonly eraObservation?: EraObservation;
 }
 
 /** The usage of a sealed window, and the rows from which it was summed. */
@@ -88,6 +89,7 @@
 }
 
 const progressTable = "usageProgress";
+/** Key of the progress without eras; with eras, its row is for nodes of earlier releases. */
 const progressKey = "next";
 const progressSchema = z.object({ nextStartMs: z.number(), firstStartMs: z.number().default(0) });
 /** Number of rows that one scan requests. */
@@ -101,14 +103,12 @@
  */
 export class UsageReporter {
     private earliestSealMs: number;
-    private readonly reportedWindows: ReportedWindows;
     /** Start times of the windows before {@link Progress.firstStartMs} that this reporter has reported. */
     private readonly reportedEarlierWindows = new Set<number>();
 
     /** @param options - The services, the lease, the receiver and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
         this.earliestSealMs = options.clock.monotonicMs() + (options.firstSealDelayMs ?? 0);
-        this.reportedWindows = options.reportedWindows ?? new ReportedWindows();
     }
 
     /**
@@ -154,7 +154,7 @@
     /** Returns undefined if the lease was lost or the report was not sent. */
     private async finishWindow(progress: Progress): Promise<Progress | undefined> {
         const { version, nextStartMs, firstStartMs } = progress;
-        if (!(await this.reportWindow(nextStartMs, readEra(version)))) {
+        if (!(await this.reportWindow(nextStartMs))) {
             return undefined;
         }
         return this.storeProgress(version, {
@@ -164,21 +164,17 @@
     }
 
     /** Returns false if the lease was lost or the report was not sent. */
-    private async reportWindow(windowStartMs: number, era: number): Promise<boolean> {
-        if (this.reportedWindows.isForgotten(windowStartMs, era)) {
-            this.options.logger.writeEvent("usageReportForgotten", { windowStartMs, era });
-            return true;
-        }
+    private async reportWindow(windowStartMs: number): Promise<boolean> {
         if (!(await this.sealWindow(windowStartMs))) {
             return false;
         }
         const sealed = await this.sumWindow(windowStartMs);
-        return Object.keys(sealed.usage).length === 0 || this.sendReport(windowStartMs, sealed, era);
+        return Object.keys(sealed.usage).length === 0 || this.sendReport(windowStartMs, sealed);
     }
 
-    private async removeExpiredRows({ version, nextStartMs, firstStartMs }: Progress): Promise<void> {
+    private async removeExpiredRows({ nextStartMs, firstStartMs }: Progress): Promise<void> {
         const rows = await this.scanRows(usageTable);
-        await this.reportEarlierWindows(rows, firstStartMs, readEra(version));
+        await this.reportEarlierWindows(rows, firstStartMs);
         const beforeMs = nextStartMs - this.options.retentionMs;
         // Seals are removed first: a row removed while its window is still sealed would look like a row from which
         // all usage is missing, and the usage would be moved.
@@ -188,15 +184,11 @@
     }
 
     /** Reports windows before the first reporter's first one, whose usage a node may have written only later. */
-    private async reportEarlierWindows(
-        rows: readonly Row[],
-        firstStartMs: number,
-        era: number,
-    ): Promise<void> {
+    private async reportEarlierWindows(rows: readonly Row[], firstStartMs: number): Promise<void> {
         const windows = new Set(rows.map((row) => parseWindowStartMs(row.key)));
         for (const windowStartMs of windows) {
             const isEarlier = windowStartMs < firstStartMs && !this.reportedEarlierWindows.has(windowStartMs);
-            if (isEarlier && (await this.reportWindow(windowStartMs, era))) {
+            if (isEarlier && (await this.reportWindow(windowStartMs))) {
                 this.reportedEarlierWindows.add(windowStartMs);
             }
         }
@@ -231,7 +223,7 @@
         return { usage, rowCount, newestVersion };
     }
 
-    private async sendReport(windowStartMs: number, sealed: SealedUsage, era: number): Promise<boolean> {
+    private async sendReport(windowStartMs: number, sealed: SealedUsage): Promise<boolean> {
         const { lease, windowMs, node: sender, receiver, reportService } = this.options;
         const customers = Object.entries(sealed.usage)
             .map(([customer, counters]) => ({ customer, ...counters }))
@@ -240,36 +232,46 @@
         if (!this.isLeaseReady()) {
             return false;
         }
-        this.logReport(windowStartMs, sealed, era);
-        this.reportedWindows.reportMark({ nextStartMs: windowStartMs + windowMs, era });
+        this.logReport(windowStartMs, sealed);
         await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isLeaseReady());
         return true;
     }
 
-    private logReport(windowStartMs: number, sealed: SealedUsage, era: number): void {
+    private logReport(windowStartMs: number, sealed: SealedUsage): void {
         const { usage, rowCount, newestVersion } = sealed;
         const { lease, logger } = this.options;
-        const known = this.reportedWindows.readMark();
         logger.writeEvent("usageReportSent", {
             windowStartMs,
-            era,
+            era: lease.era,
             fencingNumber: lease.fencingNumber,
             requests: Object.values(usage).reduce((sum, { requests }) => sum + requests, 0),
             rowCount,
             newestEra: readEra(newestVersion),
             newestCounter: readCounter(newestVersion),
-            knownNextStartMs: known?.nextStartMs,
-            knownEra: known?.era,
         });
     }
 
-    /** Loads the progress. The first reporter starts at the earliest row; without any row, at the current window. */
+    /**
+     * Loads the progress in the lease's era. Each era has a row of its own, so that a write of an earlier era's holder
+     * cannot change it, although versions are given out again.
+     */
     private async loadProgress(): Promise<Progress | undefined> {
-        const { tableService, clock, windowMs } = this.options;
-        const row = await this.runCall("usage read", () => tableService.readRow(progressTable, progressKey));
+        const { era } = this.options.lease;
+        const rows = await this.scanRows(progressTable);
+        const stored = rows.map(({ key, value }) => ({ key, ...progressSchema.parse(value) }));
+        const nextStartMs = Math.max(...stored.map((row) => row.nextStartMs));
+        const row = rows.find(({ key }) => key === formatProgressKey(era));
         if (row !== undefined) {
-            return { version: row.version, ...progressSchema.parse(row.value) };
+            const { firstStartMs } = progressSchema.parse(row.value);
+            return { version: row.version, nextStartMs, firstStartMs };
         }
+        const outdatedKeys = stored.map(({ key }) => key).filter((key) => key !== progressKey);
+        return era === 0 ? this.startFirstProgress() : this.startEraProgress(nextStartMs, outdatedKeys);
+    }
+
+    /** The first reporter starts at the earliest row; without any row, at the current window. */
+    private async startFirstProgress(): Promise<Progress | undefined> {
+        const { tableService, clock, windowMs } = this.options;
         const [first] = await this.runCall("usage scan", () =>
             tableService.scanRows(usageTable, { limit: 1 }),
         );
@@ -278,12 +280,43 @@
         return this.storeProgress(0, { nextStartMs: startMs, firstStartMs: startMs });
     }
 
+    /**
+     * The first reporter of an era leaves out what may have been reported before the era began: the copy does not tell,
+     * and its counts differ from the reported ones.
+     */
+    private async startEraProgress(
+        storedNextStartMs: number,
+        outdatedKeys: readonly string[],
+    ): Promise<Progress | undefined> {
+        const { clock, windowMs, graceMs, lease, logger, eraObservation } = this.options;
+        const seenWallMs = eraObservation?.update().seenWallMs ?? clock.wallMs();
+        const unreportedStartMs = computeUnreportedStartMs(seenWallMs, windowMs, graceMs);
+        const nextStartMs = Math.max(unreportedStartMs, storedNextStartMs);
+        logger.writeEvent("usageEraStarted", {
+            era: lease.era,
+            nextStartMs,
+            seenWallMs,
+            storedNextStartMs: Number.isFinite(storedNextStartMs) ? storedNextStartMs : undefined,
+        });
+        return this.storeProgress(0, { nextStartMs, firstStartMs: 0 }, outdatedKeys);
+    }
+
     private async storeProgress(
         version: number,
         value: { readonly nextStartMs: number; readonly firstStartMs: number },
+        outdatedKeys: readonly string[] = [],
     ): Promise<Progress | undefined> {
-        const row = { table: progressTable, key: progressKey };
-        const result = await this.commit([{ ...row, version }], [{ ...row, value }]);
+        const ownKey = formatProgressKey(this.options.lease.era);
+        const writes = [...new Set([ownKey, progressKey])].map((key) => ({
+            table: progressTable,
+            key,
+            value,
+        }));
+        const removals = outdatedKeys.map((key) => ({ table: progressTable, key }));
+        const result = await this.commit(
+            [{ table: progressTable, key: ownKey, version }],
+            [...writes, ...removals],
+        );
         return result.outcome === "committed" ? { version: result.version, ...value } : undefined;
     }
 
@@ -320,3 +353,7 @@
         return runWithTimeout({ clock, timeoutMs, callName }, call);
     }
 }
+
+function formatProgressKey(era: number): string {
+    return era === 0 ? progressKey : `${progressKey}/${era}`;
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -101,10 +101,10 @@
     ),
     keyRequestsEnded: defineEvent(2003, "info", "running requests of a withdrawn key were ended"),
     usageMoved: defineEvent(5000, "info", "usage missing from a sealed window was moved to a later window"),
-    usageReportForgotten: defineEvent(
-        5007,
+    usageEraStarted: defineEvent(
+        5009,
         "warn",
-        "a usage window was reported before the table service came back from an older copy; not reported again",
+        "the table service came back from an older copy; windows before this one may have been reported and are left out",
     ),
     usageReportSent: defineEvent(
         5008,
