--- a/packages/bench/src/__tests__/fuzz/mutants.ts
+++ b/packages/bench/src/__tests__/fuzz/mutants.ts
@@ -61,6 +61,7 @@
         era: lease.era,
         isValid: () => true,
         isReadyFor: () => true,
+        isEraOver: () => false,
         buildCondition: () => ({ table: "absent", key: "absent", version: 0 }),
     };
 }
--- a/packages/gateway/src/duties/__tests__/orderingDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/orderingDuty.test.ts
@@ -44,6 +44,7 @@
             era: 0,
             isValid: () => true,
             isReadyFor: () => true,
+            isEraOver: () => false,
             buildCondition: () => ({ table: "leases", key: "fence", version: 0 }),
         },
         service: "engines",
--- a/packages/gateway/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDuty.test.ts
@@ -17,6 +17,7 @@
     era: 0,
     isValid: () => true,
     isReadyFor: () => true,
+    isEraOver: () => false,
     buildCondition: () => ({ table: "leases", key: "fence", version: 0 }),
 };
 
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -247,6 +247,9 @@
     async reportOnce(lease: LeaseHandle | undefined): Promise<void> {
         const { reportService, settings, windowMs } = this.options;
         this.eraObservation.update();
+        if ((await this.reporter?.reporter.handOver()) === false) {
+            return;
+        }
         if (lease === undefined || reportService === undefined) {
             this.reporter = undefined;
             return;
--- a/packages/state/src/leases/heldLease.ts
+++ b/packages/state/src/leases/heldLease.ts
@@ -39,6 +39,11 @@
     isValid(): boolean;
     /** Checks whether the first order to a receiver with these traits may be sent in the current tick. */
     isReadyFor(receiver: ReceiverTraits): boolean;
+    /**
+     * Checks whether the table service has started a new era while no other node can have held this lease: all orders
+     * of the former era since its acquisition are this holder's.
+     */
+    isEraOver(): boolean;
     /** Builds the condition that makes a transaction of this holder fail after a takeover. */
     buildCondition(): RowCondition;
 }
@@ -93,6 +98,10 @@
         return this.isValid() && this.clock.monotonicMs() >= firstSendMs;
     }
 
+    isEraOver(): boolean {
+        return this.isHeldInTime() && this.eras.getEra() > this.era;
+    }
+
     buildCondition(): RowCondition {
         return buildFenceCondition(this.name, this.fenceVersion);
     }
--- a/packages/state/src/orders/__tests__/orderSender.test.ts
+++ b/packages/state/src/orders/__tests__/orderSender.test.ts
@@ -71,6 +71,7 @@
         era: lease.era,
         isValid: () => true,
         isReadyFor: () => true,
+        isEraOver: () => false,
         buildCondition: () => lease.buildCondition(),
     };
 }
@@ -82,6 +83,7 @@
         era: lease.era,
         isValid: () => lease.isValid(),
         isReadyFor: (receiver) => lease.isReadyFor(receiver),
+        isEraOver: () => lease.isEraOver(),
         buildCondition: () => ({ table: orderTable, key: "absent", version: 0 }),
     };
 }
--- a/packages/state/src/usage/__tests__/storeCopies.test.ts
+++ b/packages/state/src/usage/__tests__/storeCopies.test.ts
@@ -26,8 +26,14 @@
     readonly missingLater: number;
 }
 
-async function measureReturn(event: StoreEvent, storeReturn: StoreReturn, seed: number): Promise<Outcome> {
-    const scenario = new StoreCopyScenario({ seed, firstClockOffsetMs: event.firstClockOffsetMs });
+async function measureReturn(
+    event: StoreEvent,
+    storeReturn: StoreReturn,
+    seed: number,
+    lateShare?: number,
+): Promise<Outcome> {
+    const { firstClockOffsetMs } = event;
+    const scenario = new StoreCopyScenario({ seed, firstClockOffsetMs, lateShare });
     await scenario.advance(warmUpMs);
     await event.run(scenario, storeReturn);
     await scenario.advance(aftermathMs);
@@ -92,3 +98,18 @@
         });
     }
 });
+
+describe("a reporter that reaches the store again within its lease", () => {
+    const [allLiveOn] = storeEvents;
+    const shortAwayTimesMs = awayTimesMs.filter((awayMs) => awayMs <= 1_000);
+
+    // Guards against windows that are left out although the last reporter knows that nobody has reported them.
+    it.each(agesMs)("leaves no window out after a copy %i ms old", async (ageMs) => {
+        for (const awayMs of shortAwayTimesMs) {
+            for (const offsetMs of offsetsMs) {
+                const outcome = await measureReturn(allLiveOn!, { ageMs, awayMs, offsetMs }, offsetMs, 0);
+                expect(outcome).toMatchObject({ report: undefined, missingWindows: 0 });
+            }
+        }
+    });
+});
--- a/packages/state/src/usage/__tests__/storeCopyScenario.ts
+++ b/packages/state/src/usage/__tests__/storeCopyScenario.ts
@@ -28,6 +28,7 @@
 const maximumTokens = 99;
 /** Time in which nodes reach the store again, in milliseconds. */
 const contactMs = 4_000;
+const defaultLateShare = 0.05;
 /** Chance that a node records usage in one step. */
 const recordShare = 0.5;
 const receiver = { checksFencing: false, wireBoundMs: usersDurations.wireBoundMs };
@@ -36,6 +37,8 @@
     readonly seed: number;
     /** Difference of the wall clock of the first node from true time, in milliseconds. */
     readonly firstClockOffsetMs?: number;
+    /** Share of the calls to the store that are late. */
+    readonly lateShare?: number;
 }
 
 interface KeptCopy {
@@ -55,7 +58,7 @@
     private returns = 0;
     private returnedWallMs = 0;
 
-    constructor({ seed, firstClockOffsetMs }: ScenarioOptions) {
+    constructor({ seed, firstClockOffsetMs, lateShare = defaultLateShare }: ScenarioOptions) {
         this.random = createRandom(seed);
         const ordinaryOffsets = [...Array(scenarioNodes).keys()].map(
             () => (2 * this.random() - 1) * clockErrorMs,
@@ -76,7 +79,7 @@
                 seed,
                 lossShare: 0.5,
                 maximumDelayMs: 1_000,
-                lateShare: 0.05,
+                lateShare,
                 maximumLateMs: 1_500,
             },
             wrapTable: (service) => this.watchSeals(service),
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -216,6 +216,9 @@
         let reporter: UsageReporter | undefined;
         await this.runEvery(node.host, this.durations.stepMs, async () => {
             this.eraObservations.get(node)?.update();
+            if ((await reporter?.handOver()) === false) {
+                return;
+            }
             const current = node.manager.findHeldLease(usageLease);
             if (current !== lease) {
                 lease = current;
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -11,6 +11,7 @@
     type CommitResult,
     type Row,
     type RowCondition,
+    type RowWrite,
     type TableService,
     type UsageReportService,
 } from "@pimentocleat/services";
@@ -80,18 +81,20 @@
     readonly newestVersion: number;
 }
 
-interface Progress {
-    readonly version: number;
-    /** Start of the first window that may not be reported yet, in milliseconds since the Unix epoch. */
-    readonly nextStartMs: number;
-    /** Start of the window with which the very first reporter began, in milliseconds since the Unix epoch. */
-    readonly firstStartMs: number;
-}
-
 const progressTable = "usageProgress";
 /** Key of the progress without eras; with eras, its row is for nodes of earlier releases. */
 const progressKey = "next";
-const progressSchema = z.object({ nextStartMs: z.number(), firstStartMs: z.number().default(0) });
+const progressSchema = z.object({
+    /** Start of the first window that may not be reported yet, in milliseconds since the Unix epoch. */
+    nextStartMs: z.number(),
+    /** Start of the window with which the very first reporter began, in milliseconds since the Unix epoch. */
+    firstStartMs: z.number().default(0),
+});
+type ProgressValue = z.infer<typeof progressSchema>;
+
+interface Progress extends ProgressValue {
+    readonly version: number;
+}
 /** Number of rows that one scan requests. */
 const pageSize = 500;
 /** Each row takes a condition and a write, and the lease's fence takes one more condition. */
@@ -105,6 +108,11 @@
     private earliestSealMs: number;
     /** Start times of the windows before {@link Progress.firstStartMs} that this reporter has reported. */
     private readonly reportedEarlierWindows = new Set<number>();
+    /**
+     * Start of the first window that no node has reported; undefined until this reporter knows how far the last one
+     * came, which may have reported a window without recording it.
+     */
+    private unreportedStartMs: number | undefined;
 
     /** @param options - The services, the lease, the receiver and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
@@ -139,6 +147,34 @@
         return finished;
     }
 
+    /**
+     * Records in a new era how far this reporter came in the former one, so that the next reporter leaves no window
+     * out. Without that, it leaves out what may have been reported.
+     *
+     * @returns Whether nothing is left to record; false after a failure.
+     */
+    async handOver(): Promise<boolean> {
+        const { lease, eraObservation, tableService, logger } = this.options;
+        if (this.unreportedStartMs === undefined || eraObservation === undefined || !lease.isEraOver()) {
+            return true;
+        }
+        const { era } = eraObservation.update();
+        const nextStartMs = this.unreportedStartMs;
+        const conditions = [{ table: progressTable, key: formatProgressKey(era), version: 0 }];
+        const writes = buildProgressWrites(era, buildEraProgress(nextStartMs));
+        try {
+            await this.runCall("usage handover", () =>
+                tableService.commitTransaction({ conditions, writes }),
+            );
+        } catch (error) {
+            logger.writeEvent("usageStepFailed", { reason: String(error) });
+            return false;
+        }
+        this.unreportedStartMs = undefined;
+        logger.writeEvent("usageHandedOver", { era, nextStartMs });
+        return true;
+    }
+
     private isDue({ nextStartMs }: Progress): boolean {
         const { clock, windowMs, graceMs, maximumSealDelayMs = Number.POSITIVE_INFINITY } = this.options;
         const sinceEndMs = clock.wallMs() - nextStartMs - windowMs;
@@ -153,13 +189,13 @@
 
     /** Returns undefined if the lease was lost or the report was not sent. */
     private async finishWindow(progress: Progress): Promise<Progress | undefined> {
-        const { version, nextStartMs, firstStartMs } = progress;
-        if (!(await this.reportWindow(nextStartMs))) {
+        const { version, ...value } = progress;
+        if (!(await this.reportWindow(value.nextStartMs))) {
             return undefined;
         }
         return this.storeProgress(version, {
-            nextStartMs: nextStartMs + this.options.windowMs,
-            firstStartMs,
+            ...value,
+            nextStartMs: value.nextStartMs + this.options.windowMs,
         });
     }
 
@@ -169,6 +205,8 @@
             return false;
         }
         const sealed = await this.sumWindow(windowStartMs);
+        const endMs = windowStartMs + this.options.windowMs;
+        this.unreportedStartMs = Math.max(this.unreportedStartMs ?? endMs, endMs);
         return Object.keys(sealed.usage).length === 0 || this.sendReport(windowStartMs, sealed);
     }
 
@@ -262,8 +300,7 @@
         const nextStartMs = Math.max(...stored.map((row) => row.nextStartMs));
         const row = rows.find(({ key }) => key === formatProgressKey(era));
         if (row !== undefined) {
-            const { firstStartMs } = progressSchema.parse(row.value);
-            return { version: row.version, nextStartMs, firstStartMs };
+            return { ...progressSchema.parse(row.value), version: row.version, nextStartMs };
         }
         const outdatedKeys = stored.map(({ key }) => key).filter((key) => key !== progressKey);
         return era === 0 ? this.startFirstProgress() : this.startEraProgress(nextStartMs, outdatedKeys);
@@ -298,24 +335,19 @@
             seenWallMs,
             storedNextStartMs: Number.isFinite(storedNextStartMs) ? storedNextStartMs : undefined,
         });
-        return this.storeProgress(0, { nextStartMs, firstStartMs: 0 }, outdatedKeys);
+        return this.storeProgress(0, buildEraProgress(nextStartMs), outdatedKeys);
     }
 
     private async storeProgress(
         version: number,
-        value: { readonly nextStartMs: number; readonly firstStartMs: number },
+        value: ProgressValue,
         outdatedKeys: readonly string[] = [],
     ): Promise<Progress | undefined> {
-        const ownKey = formatProgressKey(this.options.lease.era);
-        const writes = [...new Set([ownKey, progressKey])].map((key) => ({
-            table: progressTable,
-            key,
-            value,
-        }));
+        const { era } = this.options.lease;
         const removals = outdatedKeys.map((key) => ({ table: progressTable, key }));
         const result = await this.commit(
-            [{ table: progressTable, key: ownKey, version }],
-            [...writes, ...removals],
+            [{ table: progressTable, key: formatProgressKey(era), version }],
+            [...buildProgressWrites(era, value), ...removals],
         );
         return result.outcome === "committed" ? { version: result.version, ...value } : undefined;
     }
@@ -354,6 +386,16 @@
     }
 }
 
+/** Builds the progress of an era that is not the first; windows before its first one are never reported. */
+function buildEraProgress(nextStartMs: number): ProgressValue {
+    return { nextStartMs, firstStartMs: 0 };
+}
+
 function formatProgressKey(era: number): string {
     return era === 0 ? progressKey : `${progressKey}/${era}`;
 }
+
+function buildProgressWrites(era: number, value: ProgressValue): readonly RowWrite[] {
+    const keys = new Set([formatProgressKey(era), progressKey]);
+    return [...keys].map((key) => ({ table: progressTable, key, value }));
+}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -111,6 +111,11 @@
         "info",
         "usage of a window is reported; names the rows, their newest version and the lease behind the figures",
     ),
+    usageHandedOver: defineEvent(
+        5010,
+        "info",
+        "the table service came back from an older copy; the reporter has recorded how far it had reported",
+    ),
     usageNotForwarded: defineEvent(
         5003,
         "info",
