--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -89,6 +89,8 @@
     nextStartMs: z.number(),
     /** Start of the window with which the very first reporter began, in milliseconds since the Unix epoch. */
     firstStartMs: z.number().default(0),
+    /** Start times of the windows before that one which were reported, in milliseconds since the Unix epoch. */
+    earlierWindows: z.array(z.number()).default([]),
 });
 type ProgressValue = z.infer<typeof progressSchema>;
 
@@ -106,8 +108,6 @@
  */
 export class UsageReporter {
     private earliestSealMs: number;
-    /** Start times of the windows before {@link Progress.firstStartMs} that this reporter has reported. */
-    private readonly reportedEarlierWindows = new Set<number>();
     /**
      * Start of the first window that no node has reported; undefined until this reporter knows how far the last one
      * came, which may have reported a window without recording it.
@@ -210,10 +210,12 @@
         return Object.keys(sealed.usage).length === 0 || this.sendReport(windowStartMs, sealed);
     }
 
-    private async removeExpiredRows({ nextStartMs, firstStartMs }: Progress): Promise<void> {
+    private async removeExpiredRows(progress: Progress): Promise<void> {
         const rows = await this.scanRows(usageTable);
-        await this.reportEarlierWindows(rows, firstStartMs);
-        const beforeMs = nextStartMs - this.options.retentionMs;
+        if (!(await this.reportEarlierWindows(rows, progress))) {
+            return;
+        }
+        const beforeMs = progress.nextStartMs - this.options.retentionMs;
         // Seals are removed first: a row removed while its window is still sealed would look like a row from which
         // all usage is missing, and the usage would be moved.
         await this.removeRows(usageSealTable, await this.scanRows(usageSealTable), beforeMs);
@@ -221,15 +223,29 @@
         await this.removeRows(usageMoveTable, await this.scanRows(usageMoveTable), beforeMs);
     }
 
-    /** Reports windows before the first reporter's first one, whose usage a node may have written only later. */
-    private async reportEarlierWindows(rows: readonly Row[], firstStartMs: number): Promise<void> {
+    /**
+     * Reports windows before the first reporter's first one, whose usage a node may have written only later. They are
+     * recorded before their rows are removed, since the sum of the rows that are left would be another figure.
+     *
+     * @returns Whether all of them are reported and recorded.
+     */
+    private async reportEarlierWindows(
+        rows: readonly Row[],
+        { version, ...value }: Progress,
+    ): Promise<boolean> {
+        const reported = new Set(value.earlierWindows);
         const windows = new Set(rows.map((row) => parseWindowStartMs(row.key)));
-        for (const windowStartMs of windows) {
-            const isEarlier = windowStartMs < firstStartMs && !this.reportedEarlierWindows.has(windowStartMs);
-            if (isEarlier && (await this.reportWindow(windowStartMs))) {
-                this.reportedEarlierWindows.add(windowStartMs);
+        const earlier = [...windows].filter((start) => start < value.firstStartMs && !reported.has(start));
+        for (const windowStartMs of earlier) {
+            if (!(await this.reportWindow(windowStartMs))) {
+                return false;
             }
         }
+        const earlierWindows = [...reported, ...earlier];
+        return (
+            earlier.length === 0 ||
+            (await this.storeProgress(version, { ...value, earlierWindows })) !== undefined
+        );
     }
 
     private async sealWindow(windowStartMs: number): Promise<boolean> {
@@ -314,7 +330,7 @@
         );
         const currentMs = computeWindowStartMs(clock.wallMs(), windowMs);
         const startMs = first === undefined ? currentMs : parseWindowStartMs(first.key);
-        return this.storeProgress(0, { nextStartMs: startMs, firstStartMs: startMs });
+        return this.storeProgress(0, { nextStartMs: startMs, firstStartMs: startMs, earlierWindows: [] });
     }
 
     /**
@@ -388,7 +404,7 @@
 
 /** Builds the progress of an era that is not the first; windows before its first one are never reported. */
 function buildEraProgress(nextStartMs: number): ProgressValue {
-    return { nextStartMs, firstStartMs: 0 };
+    return { nextStartMs, firstStartMs: 0, earlierWindows: [] };
 }
 
 function formatProgressKey(era: number): string {
