Move the types of stored rows below the store's history

The dependency rules found a circle: the history of rows used the types of the row store, which uses the history. The types of a row and of a copy move to the history's file.

--- a/packages/standins/src/usersPlatform/rowHistory.ts
+++ b/packages/standins/src/usersPlatform/rowHistory.ts
@@ -4,7 +4,22 @@
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
-import type { RowStoreCopy, StoredRow } from "./rowStore.js";
+
+/** One row in its wire format. */
+export interface StoredRow {
+    readonly Table: string;
+    readonly part: string;
+    readonly Key: string;
+    /** Base64. */
+    readonly Value: string;
+    readonly Ver: number;
+}
+
+/** All rows of a store at one moment. */
+export interface RowStoreCopy {
+    readonly rows: ReadonlyMap<string, StoredRow>;
+    readonly version: number;
+}
 
 /** What undoes one change of the rows. */
 interface UndoEntry {
--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -5,17 +5,7 @@
  * @packageDocumentation
  */
 import { SystemClock, type Clock } from "@pimentocleat/types";
-import { RowHistory } from "./rowHistory.js";
-
-/** One row in its wire format. */
-export interface StoredRow {
-    readonly Table: string;
-    readonly part: string;
-    readonly Key: string;
-    /** Base64. */
-    readonly Value: string;
-    readonly Ver: number;
-}
+import { RowHistory, type RowStoreCopy, type StoredRow } from "./rowHistory.js";
 
 /** One change in its wire format. */
 export type StoredChange = StoredRow & { readonly Deleted?: boolean };
@@ -34,12 +24,6 @@
     readonly Delete?: readonly RowId[];
 }
 
-/** All rows of a store at one moment. */
-export interface RowStoreCopy {
-    readonly rows: ReadonlyMap<string, StoredRow>;
-    readonly version: number;
-}
-
 /** Stores rows and their change history in memory. */
 export class RowStore {
     private rows = new Map<string, StoredRow>();
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -8,7 +8,8 @@
 import { DutyEndpoint, type DutyFault, type DutyPath } from "./dutyEndpoint.js";
 import type { DutyViolation, ReceivedDutyCall } from "./dutyJudge.js";
 import { closeServer, formatAddress, readBody, sendJson, startListening } from "./httpServers.js";
-import { RowStore, type RowStoreCopy, type RowTransaction } from "./rowStore.js";
+import type { RowStoreCopy } from "./rowHistory.js";
+import { RowStore, type RowTransaction } from "./rowStore.js";
 
 /**
  * How the store handles calls: normally (`usual`), with status 503 (`busy`) or 429 (`limited`), by resetting the
