--- a/packages/state/src/usage/__tests__/storeCopyEvents.ts
+++ b/packages/state/src/usage/__tests__/storeCopyEvents.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { scenarioNodes, StoreCopyScenario } from "./storeCopyScenario.js";
+import { usersDurations } from "./usageDurations.js";
 import type { ReportFault } from "./usageSimulation.js";
 
 /** The moment and the kind of a return of the store, in milliseconds. */
@@ -58,6 +59,15 @@
     scenario.simulation.leases.nodes[reporter]?.host.freeze();
 }
 
+/** Lets the store go away at the moment of a window as a wrong clock measures it. */
+function returnStoreByClock(
+    scenario: StoreCopyScenario,
+    { offsetMs, ...rest }: StoreReturn,
+    clockOffsetMs: number,
+): Promise<void> {
+    return returnStore(scenario, { ...rest, offsetMs: offsetMs + usersDurations.windowMs - clockOffsetMs });
+}
+
 /** Cuts nodes off from the store as it goes away; the indexes are counted from the reporter. */
 async function returnStoreToOthers(
     scenario: StoreCopyScenario,
@@ -193,12 +203,12 @@
         name: "one clock is 2 s ahead",
         firstClockOffsetMs: wrongClockMs,
         hasSurvivor: true,
-        run: returnStore,
+        run: (scenario, storeReturn) => returnStoreByClock(scenario, storeReturn, wrongClockMs),
     },
     {
         name: "one clock is 2 s behind",
         firstClockOffsetMs: -wrongClockMs,
         hasSurvivor: true,
-        run: returnStore,
+        run: (scenario, storeReturn) => returnStoreByClock(scenario, storeReturn, -wrongClockMs),
     },
 ];
--- a/packages/state/src/usage/__tests__/storeCopyScenario.ts
+++ b/packages/state/src/usage/__tests__/storeCopyScenario.ts
@@ -25,6 +25,8 @@
 const copyIntervalMs = 500;
 /** Largest difference of an ordinary wall clock from true time, in milliseconds. */
 const clockErrorMs = 100;
+/** Time in which the first node takes the lease before the others reach the store, in milliseconds. */
+const firstLeaseMs = 2_000;
 const maximumTokens = 99;
 /** Time in which nodes reach the store again, in milliseconds. */
 const contactMs = 4_000;
@@ -35,7 +37,9 @@
 
 export interface ScenarioOptions {
     readonly seed: number;
-    /** Difference of the wall clock of the first node from true time, in milliseconds. */
+    /**
+     * Difference of the wall clock of the first node from true time, in milliseconds; that node is the first reporter.
+     */
     readonly firstClockOffsetMs?: number;
     /** Share of the calls to the store that are late. */
     readonly lateShare?: number;
@@ -77,13 +81,16 @@
             wallOffsetsMs: [firstClockOffsetMs ?? ordinaryOffsets[0]!, ...ordinaryOffsets.slice(1)],
             network: {
                 seed,
-                lossShare: 0.5,
+                lossShare: 0.8,
                 maximumDelayMs: 1_000,
                 lateShare,
                 maximumLateMs: 1_500,
             },
             wrapTable: (service) => this.watchSeals(service),
         });
+        if (firstClockOffsetMs !== undefined) {
+            this.cutOffFromStore([...Array(scenarioNodes).keys()].slice(1), firstLeaseMs);
+        }
     }
 
     /** Lets time pass, in which nodes record usage and the store is copied. */
@@ -189,6 +196,12 @@
         return this.returns;
     }
 
+    private cutOffFromStore(indexes: readonly number[], durationMs: number): void {
+        const { cutOff, clock } = this.simulation.leases;
+        indexes.forEach((index) => cutOff.add(index));
+        void clock.wait(durationMs).then(() => indexes.forEach((index) => cutOff.delete(index)));
+    }
+
     private async advanceUntil(isDone: () => boolean): Promise<void> {
         while (!isDone()) {
             await this.advance(stepMs);
