Move the places that a node holds to a class of their own

Cause: ServerPermits asked, granted, and kept the list of places that this node holds. Change: HeldPlaces keeps that list and gives each place back once; ServerPermits sends the messages as before. No change of behaviour. Measured: serverPlaces.test.ts and serverPermits.test.ts pass unchanged.

--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -16,6 +16,7 @@
 import type { LimitMessage } from "../peers/limitMessages.js";
 import type { RegisteredServer } from "./backendServer.js";
 import type { BrittleDirectory } from "./brittleDirectory.js";
+import { HeldPlaces, type HeldPlace } from "./heldPlaces.js";
 import type { LimitDirectory } from "./limitDirectory.js";
 
 /** Options of {@link ServerPermits}. */
@@ -64,12 +65,6 @@
     readonly returnAtMs: number;
 }
 
-/** A place that was granted to this node. */
-interface HeldPlace {
-    readonly keeper: string;
-    readonly request: number;
-}
-
 /** Asks for permits, and grants those of the servers that this node keeps. */
 export class ServerPermits {
     private readonly keeper: PermitKeeper;
@@ -77,8 +72,7 @@
     private readonly pending = new Map<number, (refused: RefusedPermit | undefined) => void>();
     private readonly silentUntilMs = new Map<string, number>();
     private readonly refusals = new Map<string, Refusal>();
-    /** The places that this node holds, by server, the oldest first. */
-    private readonly held = new Map<string, readonly HeldPlace[]>();
+    private readonly held = new HeldPlaces((serverId, place) => this.sendRelease(serverId, place));
     private lastRequest = 0;
     private isFlushPlanned = false;
 
@@ -153,7 +147,7 @@
         this.pending.delete(request);
         this.recordReply(server, need, keeper, refused);
         if (ask.type === "placeRequest") {
-            this.recordPlace(server.id, { keeper, request }, refused);
+            this.held.recordReply(server.id, { keeper, request }, refused);
         }
         return refused === undefined;
     }
@@ -163,38 +157,8 @@
      *
      * @param server - The server to which a request was sent, or for which a permit was not used.
      */
-    releasePlace({ id: serverId }: RegisteredServer): void {
-        const [place, ...others] = this.held.get(serverId) ?? [];
-        if (place === undefined) {
-            return;
-        }
-        if (others.length > 0) {
-            this.held.set(serverId, others);
-        } else {
-            this.held.delete(serverId);
-        }
-        this.sendRelease(serverId, place);
-    }
-
-    /** A grant that comes after the wait has ended is given back. */
-    private recordPlace(
-        serverId: string,
-        place: HeldPlace,
-        refused: RefusedPermit | "silent" | undefined,
-    ): void {
-        if (refused === undefined) {
-            this.held.set(serverId, [...(this.held.get(serverId) ?? []), place]);
-        } else if (refused === "silent") {
-            this.sendRelease(serverId, place);
-        }
-    }
-
-    private sendRelease(serverId: string, { keeper, request }: HeldPlace): void {
-        if (keeper === this.options.name) {
-            this.places.release(serverId, formatId(request, keeper));
-        } else {
-            this.options.send(keeper, { type: "placeRelease", request, serverId });
-        }
+    releasePlace({ id }: RegisteredServer): void {
+        this.held.release(id);
     }
 
     /**
@@ -274,6 +238,14 @@
         this.planFlush();
     }
 
+    private sendRelease(serverId: string, { keeper, request }: HeldPlace): void {
+        if (keeper === this.options.name) {
+            this.places.release(serverId, formatId(request, keeper));
+        } else {
+            this.options.send(keeper, { type: "placeRelease", request, serverId });
+        }
+    }
+
     private handlePlaceRequest(message: PlaceRequestMessage, from: string): void {
         const { request, serverId, allowed, priority, patienceMs } = message;
         const places = this.options.brittle.buildPlaces(serverId, allowed);
