--- a/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
+++ b/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
@@ -14,22 +14,28 @@
     const createPermits = (name = "a", keepers: readonly string[] = ["b"]) => {
         const clock = new ManualClock();
         const sent: LimitMessage[] = [];
+        const addressed: { readonly to: string; readonly message: LimitMessage }[] = [];
         const permits = new ServerPermits({
             name,
             clock,
             metrics: new TextMetrics(),
-            limits: { findLimit: () => undefined } as unknown as LimitDirectory,
+            limits: {
+                findLimit: () => undefined,
+                mergeReports: () => undefined,
+                listLimitedServers: () => [],
+            } as unknown as LimitDirectory,
             brittle: {
                 findAllowed: () => 1,
                 buildPlaces: () => ({ computeRoom: () => 1, countInFlight: () => 0 }),
             } as unknown as BrittleDirectory,
             listKeepers: () => keepers,
-            send: (...[, message]) => {
+            send: (to, message) => {
                 sent.push(message);
+                addressed.push({ to, message });
                 return true;
             },
         });
-        return { clock, sent, permits };
+        return { clock, sent, addressed, permits };
     };
     const listReleased = (sent: readonly LimitMessage[]) =>
         sent.filter(({ type }) => type === "placeRelease").length;
@@ -71,4 +77,67 @@
         ask(3);
         expect(countGranted()).toBe(1);
     });
+
+    describe("that two keepers may grant", () => {
+        const keepers = ["first", "b"];
+        const playedMs = 10_000;
+        const stepMs = 250;
+        const countGranted = (sent: readonly LimitMessage[]) =>
+            sent.filter((message) => message.type === "permitReply" && message.refused === undefined).length;
+
+        /** Asks both keepers again and again; the second gets what the first sends to it. */
+        const playRequests = (
+            first: ReturnType<typeof createPermits>,
+            second: ReturnType<typeof createPermits>,
+        ) => {
+            for (let passedMs = 0; passedMs < playedMs; passedMs += stepMs) {
+                for (const { clock, permits } of [first, second]) {
+                    clock.advance(stepMs);
+                    permits.receiveMessage(
+                        { type: "placeRequest", request: passedMs, serverId: "s1", allowed: 1, ...need },
+                        "c",
+                    );
+                }
+                for (const { to, message } of first.addressed.splice(0)) {
+                    if (to === "b") {
+                        second.permits.receiveMessage(message, "first");
+                    }
+                }
+            }
+        };
+
+        // Guards against a second keeper that grants beside the first, since it is asked again and again (LIMIT).
+        it("is not granted by the second one while the first grants", () => {
+            const first = createPermits("first", keepers);
+            const second = createPermits("b", keepers);
+            playRequests(first, second);
+            expect(countGranted(first.sent)).toBeGreaterThan(0);
+            expect(countGranted(second.sent)).toBe(0);
+            const told = first.sent.filter(({ type }) => type === "serverLimits").length;
+            expect(told).toBeLessThanOrEqual((2 * playedMs) / 1_000);
+        });
+
+        // Guards against a server that nobody uses any more after its keeper has stopped.
+        it("is granted by the second one when the first has stopped", () => {
+            const second = createPermits("b", keepers);
+            playRequests(createPermits("first", keepers), second);
+            playRequests(createPermits("stopped"), second);
+            expect(countGranted(second.sent)).toBeGreaterThan(0);
+        });
+
+        // Guards against a server that nobody uses while a node that cannot grant is its first keeper (roll-out).
+        it("is granted by the second one when the first knows limits alone", () => {
+            const { clock, sent, permits } = createPermits("b", keepers);
+            const report = { serverId: "s2", perSecond: 1, ageMs: 0 };
+            for (let passedMs = 0; passedMs < playedMs; passedMs += stepMs) {
+                clock.advance(stepMs);
+                permits.receiveMessage({ type: "serverLimits", reports: [report] }, "first");
+                permits.receiveMessage(
+                    { type: "placeRequest", request: passedMs, serverId: "s1", allowed: 1, ...need },
+                    "c",
+                );
+            }
+            expect(countGranted(sent)).toBeGreaterThan(0);
+        });
+    });
 });
--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import {
+    KeeperSuccession,
     PermitKeeper,
     PlaceKeeper,
     type KeptServer,
@@ -13,7 +14,7 @@
 } from "@pimentocleat/policy";
 import type { Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
-import type { LimitMessage } from "../peers/limitMessages.js";
+import { isAboutPlaces, type LimitMessage } from "../peers/limitMessages.js";
 import type { RegisteredServer } from "./backendServer.js";
 import type { BrittleDirectory } from "./brittleDirectory.js";
 import { HeldPlaces, type HeldPlace } from "./heldPlaces.js";
@@ -54,6 +55,8 @@
 const silentKeeperMs = 2_000;
 /** Time without permits of a server after no node replied, in milliseconds. */
 const unansweredMs = 100;
+/** Minimum time between two messages that tell another keeper that this node grants places, in milliseconds. */
+const heartbeatIntervalMs = 500;
 /** Longest time for which a refusal holds for other requests of this node, in milliseconds. */
 const maximumRefusalMs = 1_000;
 
@@ -68,18 +71,22 @@
 /** Asks for permits, and grants those of the servers that this node keeps. */
 export class ServerPermits {
     private readonly keeper: PermitKeeper;
+    private readonly placeSuccession: KeeperSuccession;
     private readonly places: PlaceKeeper;
     private readonly pending = new Map<number, (refused: RefusedPermit | undefined) => void>();
     private readonly silentUntilMs = new Map<string, number>();
     private readonly refusals = new Map<string, Refusal>();
     private readonly held = new HeldPlaces((serverId, place) => this.sendRelease(serverId, place));
+    /** Time at which other keepers were last told that this node grants places, in milliseconds. */
+    private readonly heartbeatMs = new Map<string, number>();
     private lastRequest = 0;
     private isFlushPlanned = false;
 
     /** @param options - This node and its peers. */
     constructor(private readonly options: ServerPermitsOptions) {
         this.keeper = new PermitKeeper(options.name, options.clock);
-        this.places = new PlaceKeeper(options.clock);
+        this.placeSuccession = new KeeperSuccession(options.name, options.clock);
+        this.places = new PlaceKeeper(options.clock, this.placeSuccession);
     }
 
     /**
@@ -168,7 +175,10 @@
      * @param from - Name of the node.
      */
     receiveMessage(message: LimitMessage, from: string): void {
-        this.keeper.recordHeard(from);
+        this.keeper.succession.recordHeard(from);
+        if (isAboutPlaces(message)) {
+            this.placeSuccession.recordHeard(from);
+        }
         switch (message.type) {
             case "serverLimits":
                 this.options.limits.mergeReports(message.reports);
@@ -250,12 +260,26 @@
         const { request, serverId, allowed, priority, patienceMs } = message;
         const places = this.options.brittle.buildPlaces(serverId, allowed);
         const id = formatId(request, from);
-        const isFirstKeeper = this.listKeepers(serverId)[0] === this.options.name;
-        const server = { id: serverId, isFirstKeeper };
+        const server = { id: serverId, keepers: this.listKeepers(serverId) };
         this.sendReply(from, request, this.places.offer(server, places, { id, priority, patienceMs }));
+        if (this.places.isGranting(server)) {
+            this.sendHeartbeats(server.keepers);
+        }
         this.planFlush();
     }
 
+    /** Tells the other keepers that this node grants places, so that they don't take over. */
+    private sendHeartbeats(keepers: readonly string[]): void {
+        const nowMs = this.readNowMs();
+        const isDue = (name: string): boolean =>
+            name !== this.options.name &&
+            nowMs - (this.heartbeatMs.get(name) ?? Number.NEGATIVE_INFINITY) >= heartbeatIntervalMs;
+        for (const name of keepers.filter(isDue)) {
+            this.heartbeatMs.set(name, nowMs);
+            this.options.send(name, { type: "serverLimits", reports: [] });
+        }
+    }
+
     private findKeptServer(id: string): KeptServer | undefined {
         const { limits } = this.options;
         const report = limits.buildReport(id);
@@ -303,7 +327,7 @@
     }
 
     private listKeepers(serverId: string): readonly string[] {
-        return this.options.listKeepers(serverId, this.keeper.listHeard());
+        return this.options.listKeepers(serverId, this.keeper.succession.listHeard());
     }
 
     private chooseKeeper(serverId: string): string | undefined {
--- a/packages/gateway/src/peers/limitMessages.ts
+++ b/packages/gateway/src/peers/limitMessages.ts
@@ -15,7 +15,10 @@
 
 /** Schema of all messages about limits. */
 export const limitMessageSchema = z.discriminatedUnion("type", [
-    /** Tells what servers said. */
+    /**
+     * Tells what servers said. Without reports it tells that its sender grants places; earlier releases can read that
+     * and do not send it.
+     */
     z.object({ type: z.literal("serverLimits"), reports: z.array(limitReportSchema) }),
     /** Asks the node that keeps a server's permits for one. */
     z.object({
@@ -52,3 +55,23 @@
 
 /** A message about limits. */
 export type LimitMessage = z.infer<typeof limitMessageSchema>;
+
+/**
+ * Checks whether a message shows that its sender can grant places; nodes of earlier releases know limits alone.
+ *
+ * @param message - The message.
+ * @returns Whether only nodes that can grant places send it.
+ */
+export function isAboutPlaces(message: LimitMessage): boolean {
+    switch (message.type) {
+        case "placeRequest":
+        case "placeRelease":
+        case "serverFull":
+            return true;
+        case "serverLimits":
+            return message.reports.length === 0;
+        case "permitRequest":
+        case "permitReply":
+            return false;
+    }
+}
--- a/packages/policy/src/brittleness/placeKeeper.ts
+++ b/packages/policy/src/brittleness/placeKeeper.ts
@@ -4,18 +4,18 @@
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
+import type { KeeperSuccession } from "../serverLimits/keeperSuccession.js";
 import type { EndedWait, PermitDecision, PermitRequest } from "../serverLimits/permitQueue.js";
 import { PlaceQueue, type PlaceQueueOptions } from "./placeQueue.js";
 
-/** A server, and whether this node comes first among those that may grant its places. */
+/** A server and its keepers. */
 export interface PlaceServer {
     readonly id: string;
-    readonly isFirstKeeper: boolean;
+    /** Names of the nodes that may grant its places, the most preferred first. */
+    readonly keepers: readonly string[];
 }
 
-/** Time for which another keeper is asked before it grants, in milliseconds: the first may only have been late. */
-const takeoverMs = 2_000;
-/** Time without a request after which that time begins anew, in milliseconds. */
+/** Time without a request after which a node counts the silence of the other keepers anew, in milliseconds. */
 const unaskedMs = 5_000;
 /** Time after which a request is offered again while another node grants, in milliseconds. */
 const otherKeeperMs = 250;
@@ -31,8 +31,24 @@
     private readonly queues = new Map<string, PlaceQueue>();
     private readonly asked = new Map<string, AskedTime>();
 
-    /** @param clock - The node's clock. */
-    constructor(private readonly clock: Clock) {}
+    /**
+     * @param clock - The node's clock.
+     * @param succession - Decides whether this node grants.
+     */
+    constructor(
+        private readonly clock: Clock,
+        private readonly succession: KeeperSuccession,
+    ) {}
+
+    /**
+     * Checks whether this node grants the places of a server.
+     *
+     * @param server - The server.
+     * @returns Whether it does, as far as it knows.
+     */
+    isGranting({ id, keepers }: PlaceServer): boolean {
+        return this.succession.isGranting(keepers, this.asked.get(id)?.sinceMs ?? this.clock.monotonicMs());
+    }
 
     /**
      * Decides on a request of any node.
@@ -44,8 +60,8 @@
      */
     offer(server: PlaceServer, options: PlaceQueueOptions, request: PermitRequest): PermitDecision {
         const { id: serverId } = server;
-        const askedMs = this.recordAsked(serverId);
-        if (!server.isFirstKeeper && askedMs < takeoverMs) {
+        this.recordAsked(serverId);
+        if (!this.isGranting(server)) {
             return { type: "refused", nextMs: otherKeeperMs, returnMs: otherKeeperMs };
         }
         const queue = this.queues.get(serverId) ?? new PlaceQueue(this.clock, options);
@@ -76,8 +92,7 @@
         return endsMs.length === 0 ? undefined : Math.min(...endsMs);
     }
 
-    /** Returns for how long the server's places have been asked for, in milliseconds. */
-    private recordAsked(serverId: string): number {
+    private recordAsked(serverId: string): void {
         const nowMs = this.clock.monotonicMs();
         for (const [id, { lastMs }] of this.asked) {
             if (nowMs - lastMs >= unaskedMs) {
@@ -86,7 +101,6 @@
         }
         const sinceMs = this.asked.get(serverId)?.sinceMs ?? nowMs;
         this.asked.set(serverId, { sinceMs, lastMs: nowMs });
-        return nowMs - sinceMs;
     }
 
     private removeIdle(): void {
--- a/packages/policy/src/serverLimits/__tests__/permitKeeper.test.ts
+++ b/packages/policy/src/serverLimits/__tests__/permitKeeper.test.ts
@@ -85,12 +85,12 @@
         second.ensureServer(server);
         for (let round = 0; round < 10; round += 1) {
             clock.advance(500);
-            second.recordHeard("a");
+            second.succession.recordHeard("a");
             expect(second.offer(server, request).type).toBe("refused");
         }
         clock.advance(2_500);
         expect(second.offer(server, request)).toEqual({ type: "granted" });
-        second.recordHeard("a");
+        second.succession.recordHeard("a");
         clock.advance(1_000);
         expect(second.offer(server, request).type).toBe("refused");
     });
--- a/packages/policy/src/serverLimits/permitKeeper.ts
+++ b/packages/policy/src/serverLimits/permitKeeper.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { Clock } from "@pimentocleat/types";
+import { KeeperSuccession } from "./keeperSuccession.js";
 import { PermitQueue, type EndedWait, type PermitDecision, type PermitRequest } from "./permitQueue.js";
 
 /** A server, its limit and its keepers. */
@@ -22,8 +23,6 @@
     usedMs: number;
 }
 
-/** Time without a message about limits after which the next keeper takes over, in milliseconds. */
-const takeoverMs = 2_000;
 /** Time after which a request is offered again when another node grants the permits, in milliseconds. */
 const otherKeeperMs = 250;
 /** Time without a request after which the permits of a server are forgotten, in milliseconds. */
@@ -32,30 +31,18 @@
 /** Grants the permits of the servers that this node keeps. */
 export class PermitKeeper {
     private readonly queues = new Map<string, KeptQueue>();
-    private readonly heardMs = new Map<string, number>();
+    /** Decides whether this node grants. */
+    readonly succession: KeeperSuccession;
 
     /**
      * @param name - Name of this node.
      * @param clock - The node's clock.
      */
     constructor(
-        private readonly name: string,
+        name: string,
         private readonly clock: Clock,
-    ) {}
-
-    /**
-     * Records a message about limits of another node.
-     *
-     * @param name - Name of the node.
-     */
-    recordHeard(name: string): void {
-        this.heardMs.set(name, this.clock.monotonicMs());
-    }
-
-    /** @returns Names of the nodes whose messages about limits arrived lately. */
-    listHeard(): readonly string[] {
-        const sinceMs = this.clock.monotonicMs() - takeoverMs;
-        return [...this.heardMs].filter(([, atMs]) => atMs > sinceMs).map(([name]) => name);
+    ) {
+        this.succession = new KeeperSuccession(name, clock);
     }
 
     /**
@@ -91,7 +78,7 @@
     offer(server: KeptServer, request: PermitRequest): PermitDecision {
         this.ensureServer(server);
         const kept = this.queues.get(server.id)!;
-        if (!this.isGranting(server, kept.sinceMs)) {
+        if (!this.succession.isGranting(server.keepers, kept.sinceMs)) {
             return { type: "refused", nextMs: otherKeeperMs, returnMs: otherKeeperMs };
         }
         return kept.queue.offer(request);
@@ -107,12 +94,4 @@
         const endsMs = [...this.queues.values()].flatMap(({ queue }) => queue.computeNextEndMs() ?? []);
         return endsMs.length === 0 ? undefined : Math.min(...endsMs);
     }
-
-    private isGranting({ keepers }: KeptServer, sinceMs: number): boolean {
-        const rank = keepers.indexOf(this.name);
-        const nowMs = this.clock.monotonicMs();
-        const isSilent = (name: string): boolean =>
-            nowMs - Math.max(sinceMs, this.heardMs.get(name) ?? sinceMs) >= takeoverMs;
-        return rank >= 0 && keepers.slice(0, rank).every(isSilent);
-    }
 }
