--- /dev/null
+++ b/packages/gateway/src/relaying/__tests__/relayServer.test.ts
@@ -0,0 +1,106 @@
+import { createServer, type AddressInfo, type Socket } from "node:net";
+import { ServerReach } from "@pimentocleat/policy";
+import { TextMetrics, type Logger } from "@pimentocleat/telemetry";
+import { SystemClock } from "@pimentocleat/types";
+import { ConnectionPool } from "@pimentocleat/upstream";
+import { request as sendRequest } from "undici";
+import { afterEach, describe, expect, it } from "vitest";
+import type { BackendProtocol } from "../../backends/backendProtocol.js";
+import type { RegisteredServer } from "../../backends/backendServer.js";
+import { DirectPaths } from "../../backends/directPaths.js";
+import type { ServerDirectory } from "../../backends/serverDirectory.js";
+import type { ServerNotices } from "../../backends/serverNotices.js";
+import { relayHeaders } from "../relayProtocol.js";
+import { buildRelayServer } from "../relayServer.js";
+
+const host = "127.0.0.1";
+const key = "secret";
+const connectTimeoutMs = 1_000;
+const idleConnectionTimeoutMs = 60_000;
+const answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const silentLogger: Logger = { writeEvent: () => undefined };
+
+describe("a node that relays", () => {
+    const closing: (() => unknown)[] = [];
+
+    afterEach(async () => {
+        for (const close of closing.splice(0).reverse()) {
+            await close();
+        }
+    });
+
+    /** Opens a server that answers the first request on each connection and no other one. */
+    const openBackend = async () => {
+        const sockets: Socket[] = [];
+        const backend = createServer((socket) => {
+            sockets.push(socket);
+            socket.on("error", () => undefined);
+            socket.once("data", () => socket.write(answer));
+        });
+        await new Promise<void>((resolve) => backend.listen(0, host, resolve));
+        closing.push(() => {
+            sockets.forEach((socket) => socket.destroy());
+            backend.close();
+        });
+        return { sockets, address: `${host}:${String((backend.address() as AddressInfo).port)}` };
+    };
+
+    const openRelay = async (address: string) => {
+        const server = { id: "s1", service: "plain", dataCentre: "a", address } as RegisteredServer;
+        const clock = new SystemClock();
+        const paths: DirectPaths = new DirectPaths({
+            reach: new ServerReach(clock),
+            clock,
+            logger: silentLogger,
+            connectTimeoutMs,
+            getConnections: () => connections,
+        });
+        const connections = new ConnectionPool({
+            connectTimeoutMs,
+            idleConnectionTimeoutMs,
+            maximumIdleConnections: 2,
+            observer: paths,
+        });
+        const relay = buildRelayServer({
+            key,
+            directory: {
+                findServer: () => server,
+                listReadyServers: () => [server],
+            } as unknown as ServerDirectory,
+            notices: {
+                computePauseMs: () => 0,
+                recordNotice: () => undefined,
+            } as unknown as ServerNotices,
+            paths,
+            connections,
+            protocol: {
+                selectMeaning: () => "answer",
+                readNotice: () => ({}),
+            } as unknown as BackendProtocol,
+            clock,
+            logger: silentLogger,
+            metrics: new TextMetrics(),
+            isStopping: () => false,
+            onActiveChange: () => undefined,
+        });
+        closing.push(() => connections.close());
+        closing.push(() => relay.close());
+        closing.push(() => relay.server.closeAllConnections());
+        return relay.listen({ host, port: 0 });
+    };
+
+    // Guards against a node that goes on taking requests over links that hang, since it sends none of its own (RECOVER).
+    it("opens a new connection when a relayed request gets no data on a kept one", async () => {
+        const { sockets, address } = await openBackend();
+        const url = await openRelay(address);
+        const headers = { [relayHeaders.key]: key, [relayHeaders.server]: "s1" };
+        const first = await sendRequest(url, { headers });
+        await first.body.dump();
+        expect(first.statusCode).toBe(200);
+        const caller = new AbortController();
+        const second = sendRequest(url, { headers, signal: caller.signal }).catch(() => undefined);
+        await expect.poll(() => sockets.length).toBe(2);
+        caller.abort();
+        await second;
+    });
+});
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,7 +14,7 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
-import { BackendExchange, type ExchangeFailure, type ExchangeReceiver } from "../dispatch/backendExchange.js";
+import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
     hasResponseBody,
@@ -24,6 +24,7 @@
     type RelayEnd,
     type RelayResult,
 } from "./relayProtocol.js";
+import { DirectPath } from "./serverPaths.js";
 
 /** Options of {@link buildRelayServer}. */
 export interface RelayServerOptions {
@@ -168,7 +169,7 @@
 
 /** One request of another node. */
 class RelayedRequest implements ExchangeReceiver {
-    private readonly exchange: BackendExchange;
+    private readonly exchange: Exchange;
     private readonly body: Buffer | undefined;
     private readonly sentMs: number;
     private hasEnded = false;
@@ -183,10 +184,9 @@
     ) {
         this.body = Buffer.isBuffer(request.body) ? request.body : undefined;
         this.sentMs = options.clock.monotonicMs();
-        this.exchange = new BackendExchange(
+        this.exchange = new DirectPath(server, options.paths, options.connections).openExchange(
             {
-                connections: options.connections,
-                address: server.address,
+                requestId: readHeader(request.headers[relayHeaders.requestId]),
                 method: request.method,
                 path: request.originalUrl,
                 headers: selectServerHeaders(request.raw.rawHeaders),
@@ -207,8 +207,7 @@
     }
 
     onHead(status: number, headers: IncomingHttpHeaders): void {
-        const { paths, protocol, notices } = this.options;
-        paths.recordHeard();
+        const { protocol, notices } = this.options;
         const requestId = readHeader(this.request.headers[relayHeaders.requestId]);
         const meaning = protocol.selectMeaning(status, headers, { head: { requestId } });
         if (meaning === "answer" || meaning === "notRun") {
@@ -227,7 +226,6 @@
     }
 
     onData(chunk: Buffer): void {
-        this.options.paths.recordHeard();
         if (!this.response.write(chunk)) {
             this.exchange.stopReading();
             this.response.once("drain", () => this.exchange.startReading());
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -83,7 +83,7 @@
 }
 
 /** The way over this node's own links. */
-class DirectPath implements ServerPath {
+export class DirectPath implements ServerPath {
     readonly relayNode = undefined;
 
     constructor(
