Split the wiring of the caller server off the gateway daemon

Change: createCallerServer builds the server for callers; createServerLimits also builds the notices, which share the limits with it; options are spread where names agree. No change of behaviour.

--- a/packages/gateway/src/lifecycle/createServerLimits.ts
+++ b/packages/gateway/src/lifecycle/createServerLimits.ts
@@ -8,6 +8,7 @@
 import { BrittleDirectory } from "../backends/brittleDirectory.js";
 import { LimitDirectory } from "../backends/limitDirectory.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
+import { ServerNotices } from "../backends/serverNotices.js";
 import { ServerPermits } from "../backends/serverPermits.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import type { PeerAddress, PeerDirectory } from "../peers/peerDirectory.js";
@@ -28,8 +29,9 @@
     readonly getMessenger: () => PeerMessenger;
 }
 
-/** The limits of servers as one node knows and keeps them. */
+/** What servers say of themselves, as one node knows and keeps it. */
 export interface ServerLimits {
+    readonly notices: ServerNotices;
     readonly limits: LimitDirectory;
     readonly brittle: BrittleDirectory;
     readonly permits: ServerPermits;
@@ -39,10 +41,10 @@
 const permitKeepers = 4;
 
 /**
- * Creates the directory of limits and the permits of a node.
+ * Creates what a node knows of the limits of servers, and its permits.
  *
  * @param options - The node and its peers.
- * @returns Both.
+ * @returns All parts, which share one view of each server.
  */
 export function createServerLimits(options: ServerLimitsOptions): ServerLimits {
     const { name, clock, random, logger, metrics, peers, dispatches, getMessenger } = options;
@@ -81,5 +83,12 @@
         listKeepers,
         send: (receiver, message) => getMessenger().sendPermit(receiver, message),
     });
-    return { limits, brittle, permits };
+    const notices = new ServerNotices({
+        ...options,
+        limits,
+        brittle,
+        reportLeaving: ({ id: serverId, bornMs }) =>
+            getMessenger().sendLeaving({ type: "serverLeaving", serverId, bornMs }, peers.listPeers()),
+    });
+    return { notices, limits, brittle, permits };
 }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -11,13 +11,8 @@
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
-import type { BrittleDirectory } from "../backends/brittleDirectory.js";
-import type { LimitDirectory } from "../backends/limitDirectory.js";
 import { ServerDirectory } from "../backends/serverDirectory.js";
-import { ServerNotices } from "../backends/serverNotices.js";
-import type { ServerPermits } from "../backends/serverPermits.js";
-import { buildCallerServer, buildReadinessServer } from "../callers/callerServer.js";
-import { RequestAdmission } from "../callers/requestAdmission.js";
+import { buildReadinessServer } from "../callers/callerServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
@@ -36,8 +31,8 @@
 import { RelayListener } from "../relaying/relayListener.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import { createDispatches } from "./createDispatches.js";
-import { createRequestRunner } from "./createRequestRunner.js";
-import { createServerLimits } from "./createServerLimits.js";
+import { createCallerServer } from "./createCallerServer.js";
+import { createServerLimits, type ServerLimits } from "./createServerLimits.js";
 import { createStreamOrigins } from "./createStreamOrigins.js";
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
@@ -80,13 +75,10 @@
     private readonly origins: OriginDirectory;
     private readonly quarantine: RequestQuarantine;
     private readonly crashNews: CrashNews;
-    private readonly limits: LimitDirectory;
-    private readonly brittle: BrittleDirectory;
-    private readonly permits: ServerPermits;
+    private readonly serverLimits: ServerLimits;
     private readonly relay: StoreRelay;
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
-    private readonly notices: ServerNotices;
     private readonly relayListener = new RelayListener();
     private readonly callerServer: FastifyInstance;
     private readonly readinessServer: FastifyInstance;
@@ -169,33 +161,14 @@
             chooseRandomPeers: (count) => chooseRandomItems(this.peers.listAllPeers(), count, random),
             send: (message, peers) => this.messenger.sendCrashes(message, peers),
         });
-        const { limits, brittle, permits } = createServerLimits({
+        this.serverLimits = createServerLimits({
+            ...options,
+            name: settings.name,
             directory: this.directory,
             dispatches: this.dispatches,
-            name: settings.name,
-            clock,
-            random,
-            logger,
-            metrics: options.metrics,
             peers: this.peers,
             getMessenger: () => this.messenger,
         });
-        this.permits = permits;
-        this.limits = limits;
-        this.brittle = brittle;
-        this.notices = new ServerNotices({
-            directory: this.directory,
-            limits,
-            brittle,
-            clock,
-            logger,
-            metrics: options.metrics,
-            reportLeaving: ({ id: serverId, bornMs }) =>
-                this.messenger.sendLeaving(
-                    { type: "serverLeaving", serverId, bornMs },
-                    this.peers.listPeers(),
-                ),
-        });
         this.messenger = new PeerMessenger({
             name: settings.name,
             host,
@@ -218,7 +191,7 @@
             receiveStoreUpdate: (update, from) => this.relay.receiveUpdate(update, from),
             receiveLeaving: ({ serverId, bornMs }) => this.directory.recordLeaving(serverId, bornMs),
             receiveCrashes: (message) => this.crashNews.receiveMessage(message),
-            receiveLimits: (message, from) => this.permits.receiveMessage(message, from),
+            receiveLimits: (message, from) => this.serverLimits.permits.receiveMessage(message, from),
             receiveOrigin: (message, from) => this.origins.receiveMessage(message, from),
             receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
@@ -297,7 +270,7 @@
         await this.startRelaying();
         this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.crashNews.run(this.stopping.signal));
-        this.tasks.push(this.limits.run(this.stopping.signal));
+        this.tasks.push(this.serverLimits.limits.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             startListening(this.callerServer, settings.callerAddress),
@@ -349,7 +322,7 @@
         return this.relayListener.start(settings.peerHost, settings.peerPorts[0], {
             ...this.options,
             directory: this.directory,
-            notices: this.notices,
+            notices: this.serverLimits.notices,
             paths: this.servers.direct,
             connections: this.servers.connections,
             protocol: adapter.backendProtocol,
@@ -359,37 +332,21 @@
     }
 
     private buildCallerServer(): FastifyInstance {
-        const { adapter, clock, random, logger, metrics } = this.options;
-        const { configuration } = this;
-        const runner = createRequestRunner({
+        const { connections, paths } = this.servers;
+        return createCallerServer({
+            ...this.options,
+            ...this.serverLimits,
             dispatches: this.dispatches,
             announcer: this.news,
             origins: this.origins,
             quarantine: this.quarantine,
             crashNews: this.crashNews,
-            notices: this.notices,
-            brittle: this.brittle,
-            permits: this.permits,
             directory: this.directory,
-            configuration,
-            connections: this.servers.connections,
-            paths: this.servers.paths,
-            protocol: adapter.backendProtocol,
+            configuration: this.configuration,
+            connections,
+            paths,
             usage: this.duties.usage,
-            clock,
-            logger,
-            metrics,
-        });
-        return buildCallerServer({
-            protocol: adapter.callerProtocol,
-            admission: new RequestAdmission({ configuration, clock, random }),
-            runner,
-            clock,
-            logger,
-            metrics,
-            isDraining: () => this.drain.isDraining(),
-            isRefusing: () => this.drain.isRefusing(),
-            onActiveChange: (change) => this.drain.recordActive(change),
+            drain: this.drain,
         });
     }
 }
