Say in comments what data shows and which bound is meant

Cause: "heard of" left open whether data or news is meant, a constant did not name its unit of time, and "for ever" is not what the test rules out. Change: comments of directPaths.ts, serverReach.ts, brittleDirectory.ts and of one test. No change of behaviour; no check was touched.

--- a/packages/gateway/src/backends/__tests__/serverPauses.test.ts
+++ b/packages/gateway/src/backends/__tests__/serverPauses.test.ts
@@ -23,7 +23,7 @@
         expect(requests).toBeLessThanOrEqual(allowedRequests);
     });
 
-    // Guards against a server that no node uses for ever, because of a wrong figure.
+    // Guards against a server that is not used any more because of a wrong figure.
     it("is asked again after some time, whatever it asked for", () => {
         const clock = new ManualClock();
         const pauses = new ServerPauses(clock);
--- a/packages/gateway/src/backends/brittleDirectory.ts
+++ b/packages/gateway/src/backends/brittleDirectory.ts
@@ -27,7 +27,7 @@
 /** Tells that a server rejected a request for want of room. */
 export type FullMessage = Extract<LimitMessage, { type: "serverFull" }>;
 
-/** Rejections that a server bears whose number cannot be read. */
+/** Rejections in a second that a server is taken to bear when the number cannot be read. */
 const unreadableAllowed = 0;
 
 /** Records what servers of brittle services say and do. */
--- a/packages/gateway/src/backends/directPaths.ts
+++ b/packages/gateway/src/backends/directPaths.ts
@@ -71,7 +71,7 @@
 
     /**
      * Watches a request on a connection that was opened before, until the server sends data. A connection that hangs
-     * shows nothing, so when no server is heard of for some time, a new connection tells.
+     * shows nothing, so when no data of any server arrives for some time, a new connection is opened to find out.
      *
      * @param server - The server.
      * @returns Ends the watch.
--- a/packages/policy/src/reachability/serverReach.ts
+++ b/packages/policy/src/reachability/serverReach.ts
@@ -20,7 +20,7 @@
 const trialIntervalMs = 1_000;
 /** Minimum time between two trials in a data centre, in milliseconds. */
 const dataCentreTrialIntervalMs = 150;
-/** Time for which a node that has heard of any server counts as reaching servers, in milliseconds. */
+/** Time after the last data of any server for which a node counts as reaching servers, in milliseconds. */
 const inTouchMs = 1_000;
 /** Maximum number of addresses that are remembered. */
 const maximumAddresses = 4_000;
