--- a/packages/policy/src/brittleness/__tests__/brittleServices.test.ts
+++ b/packages/policy/src/brittleness/__tests__/brittleServices.test.ts
@@ -12,8 +12,11 @@
 const serviceMs = 100;
 const downMs = 3_000;
 const playedMs = 8_000;
-/** Time until the other nodes know of a request, its end or a rejection, in milliseconds. */
-const newsDelayMs = 5;
+/** Time until the other nodes know of a request, its end or a rejection: directly, and through readers, in milliseconds. */
+const directDelayMs = 5;
+const relayedDelayMs = 120;
+/** Number of nodes above which news goes through readers. */
+const directNodes = 25;
 /** Longest wait of a request in its node, in milliseconds. */
 const patienceMs = 400;
 const plainRequest = { parts: [], promptTokens: 0, pauseTargetMs: undefined };
@@ -64,6 +67,7 @@
 
 /** Plays a load on brittle servers; each node knows the requests and rejections of the others a little later. */
 function playLoad({ nodeCount, serverCount, allowed, load, isHeeded, seed }: Play) {
+    const newsDelayMs = nodeCount > directNodes ? relayedDelayMs : directDelayMs;
     const clock = new ManualClock();
     const random = createRandom(seed);
     const servers = Array.from({ length: serverCount }, (...[, index]) => {
@@ -201,8 +205,11 @@
         { nodeCount: 3, serverCount: 3, allowed: 3 },
         { nodeCount: 9, serverCount: 3, allowed: 3 },
         { nodeCount: 9, serverCount: 3, allowed: 1 },
+        { nodeCount: 7, serverCount: 3, allowed: 1 },
+        { nodeCount: 9, serverCount: 3, allowed: 0 },
         { nodeCount: 9, serverCount: 30, allowed: 3 },
         { nodeCount: 80, serverCount: 3, allowed: 5 },
+        { nodeCount: 195, serverCount: 3, allowed: 1 },
     ])("stay up: $nodeCount nodes, $serverCount servers, $allowed rejections a second", (deployment) => {
         const seeds = deployment.serverCount > 3 ? [1] : [1, 2, 3];
         for (const seed of seeds) {
