--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -88,6 +88,9 @@
 /** Number of windows for which the rows of reported windows are retained. */
 const retainedWindows = 6;
 
+/** Number of windows whose counts a node writes again when the store has come back from an older copy. */
+const rewrittenWindows = 4;
+
 /** Counts and stores the usage of one node, and reports the usage of all nodes while it holds the lease. */
 export class UsageDuty implements UsageCounter {
     private readonly ledger: UsageLedger;
@@ -118,6 +121,8 @@
         this.ledger = new UsageLedger({
             writer,
             clock,
+            eras: options.eras,
+            retentionMs: rewrittenWindows * windowMs,
             incarnation,
             windowMs,
             logger,
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -29,6 +29,8 @@
 const callTimeoutMs = 1_000;
 const copyIntervalMs = 500;
 const replyTimeoutMs = 400;
+/** Number of windows whose counts are written again in a new era. */
+const rewrittenWindows = 4;
 
 /** The fault that affects a report or its answer on the network. */
 export type ReportFault = "none" | "lostReport" | "lostAnswer" | "slow";
@@ -162,6 +164,8 @@
             windowMs: this.durations.windowMs,
             logger: new SilentLogger(),
             copySink: { storeCopy: (copy: UsageCopy) => this.copyStore.storeCopy(copy) },
+            eras: node.table,
+            retentionMs: rewrittenWindows * this.durations.windowMs,
         };
         const ledger = this.options.createLedger?.(options) ?? new UsageLedger(options);
         this.ledgers.set(node, ledger);
--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { noEras, readEra, type EraSource } from "@pimentocleat/services";
 import { addUsage, computeWindowStartMs, type UsageByCustomer } from "@pimentocleat/policy";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
@@ -21,6 +22,10 @@
     readonly logger: Logger;
     /** Stores copies between writes; without it, usage since the last write is lost when the host fails. */
     readonly copySink?: UsageCopySink;
+    /** The era of the table service; without it, the service never comes back from an older copy. */
+    readonly eras?: EraSource;
+    /** Time from the start of a window for which its counts are kept, to be written again in a new era; 0 when absent. */
+    readonly retentionMs?: number;
 }
 
 /** Usage of a window that may not be stored yet. */
@@ -50,10 +55,16 @@
  */
 export class UsageLedger implements UsageRecorder {
     private readonly windows = new Map<number, UsageWindow>();
+    /** Past windows that are stored in the table service's current era. */
+    private readonly storedWindows = new Map<number, UsageWindow>();
+    private readonly eras: EraSource;
+    private era = 0;
     private earliestOpenStartMs = 0;
 
     /** @param options - The writer, the clock, the node's incarnation and the receiver of copies. */
-    constructor(private readonly options: UsageLedgerOptions) {}
+    constructor(private readonly options: UsageLedgerOptions) {
+        this.eras = options.eras ?? noEras;
+    }
 
     recordUsage(amount: UsageAmount): void {
         const { customer, requests, promptTokens, completionTokens } = amount;
@@ -66,6 +77,7 @@
      * @returns Whether all usage recorded before the call is stored.
      */
     async flushOnce(): Promise<boolean> {
+        this.recordEra(this.eras.getEra());
         let succeeded = true;
         for (const window of [...this.windows.values()]) {
             const isStored = await this.flushWindow(window).catch((error: unknown) => {
@@ -84,6 +96,7 @@
      * @returns The usage by window; undefined if the version of a row has to be read first.
      */
     listUnstored(): readonly UnstoredUsage[] | undefined {
+        this.recordEra(this.eras.getEra());
         this.windows.forEach((window) => this.removeStoredPastWindow(window));
         const unstored = [...this.windows.values()].filter(({ stored, customers }) => stored !== customers);
         const known = unstored.flatMap(({ startMs: windowStartMs, version, customers }) =>
@@ -99,6 +112,7 @@
      * @param version - The row's new version.
      */
     recordStored(usage: UnstoredUsage, version: number): void {
+        this.recordEra(readEra(version));
         const window = this.windows.get(usage.windowStartMs);
         if (window?.version === usage.version) {
             window.version = version;
@@ -129,6 +143,22 @@
         return copySink !== undefined;
     }
 
+    /** In a new era, the table service may have lost what was written before. */
+    private recordEra(era: number): void {
+        if (era <= this.era) {
+            return;
+        }
+        const isFirst = this.era === 0;
+        this.era = era;
+        if (isFirst) {
+            return;
+        }
+        for (const window of [...this.storedWindows.values(), ...this.windows.values()]) {
+            this.windows.set(window.startMs, { ...window, version: undefined, stored: {} });
+        }
+        this.storedWindows.clear();
+    }
+
     private writeFailure(
         event: "usageNotStored" | "usageNotCopied",
         { startMs: windowStartMs }: UsageWindow,
@@ -198,9 +228,19 @@
         if (isPast && window.stored === window.customers) {
             this.windows.delete(window.startMs);
             this.closeWindowsBefore(window.startMs + windowMs);
+            this.keepStored(window);
         }
     }
 
+    private keepStored(window: UsageWindow): void {
+        const { clock, retentionMs = 0 } = this.options;
+        const earliestMs = clock.wallMs() - retentionMs;
+        this.storedWindows.set(window.startMs, window);
+        [...this.storedWindows.keys()]
+            .filter((startMs) => startMs < earliestMs)
+            .forEach((startMs) => this.storedWindows.delete(startMs));
+    }
+
     /** Returns the start of the current window. A closed window is not reopened, even if the wall clock steps back. */
     private advanceToCurrentWindow(): number {
         const { clock, windowMs } = this.options;
