--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -252,7 +252,7 @@
     async reportOnce(lease: LeaseHandle | undefined): Promise<void> {
         const { reportService, settings, windowMs } = this.options;
         this.eraObservation.update();
-        if ((await this.reporter?.reporter.handOver()) === false) {
+        if ((await this.reporter?.reporter.recordHandover()) === false) {
             return;
         }
         if (lease === undefined || reportService === undefined) {
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -220,7 +220,7 @@
         let reporter: UsageReporter | undefined;
         await this.runEvery(node.host, this.durations.stepMs, async () => {
             this.eraObservations.get(node)?.update();
-            if ((await reporter?.handOver()) === false) {
+            if ((await reporter?.recordHandover()) === false) {
                 return;
             }
             const current = node.manager.findHeldLease(usageLease);
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -153,7 +153,7 @@
      *
      * @returns Whether nothing is left to record; false after a failure.
      */
-    async handOver(): Promise<boolean> {
+    async recordHandover(): Promise<boolean> {
         const { lease, eraObservation, tableService, logger } = this.options;
         if (this.unreportedStartMs === undefined || eraObservation === undefined || !lease.isEraOver()) {
             return true;
@@ -286,12 +286,12 @@
         if (!this.isLeaseReady()) {
             return false;
         }
-        this.logReport(windowStartMs, sealed);
+        this.recordReport(windowStartMs, sealed);
         await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isLeaseReady());
         return true;
     }
 
-    private logReport(windowStartMs: number, sealed: SealedUsage): void {
+    private recordReport(windowStartMs: number, sealed: SealedUsage): void {
         const { usage, rowCount, newestVersion } = sealed;
         const { lease, logger } = this.options;
         logger.writeEvent("usageReportSent", {
