--- a/packages/state/src/usage/usageLedger.ts
+++ b/packages/state/src/usage/usageLedger.ts
@@ -228,11 +228,11 @@
         if (isPast && window.stored === window.customers) {
             this.windows.delete(window.startMs);
             this.closeWindowsBefore(window.startMs + windowMs);
-            this.keepStored(window);
+            this.addStoredWindow(window);
         }
     }
 
-    private keepStored(window: UsageWindow): void {
+    private addStoredWindow(window: UsageWindow): void {
         const { clock, retentionMs = 0 } = this.options;
         const earliestMs = clock.wallMs() - retentionMs;
         this.storedWindows.set(window.startMs, window);
