--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -27,6 +27,7 @@
 import { isAmbiguous, runWithTimeout } from "../retrying/callTimeout.js";
 import { HeldLease, type LeaseHandle } from "./heldLease.js";
 import {
+    computeNextFencingNumber,
     findStoredLease,
     formatFenceKey,
     formatLeaseKey,
@@ -78,8 +79,6 @@
 const defaultCallTimeoutMs = 1_000;
 const defaultPreferenceDelayMs = 1_000;
 const maximumPreferenceRank = 5;
-/** Fencing numbers of one era: those of a later era are larger than any that an earlier one has forgotten. */
-const fencingNumbersPerEra = 1_000_000;
 /** Delay after a failed step, as a share of the regular interval. */
 const retryIntervalShare = 0.2;
 
@@ -297,8 +296,7 @@
         if (!isTakeoverDue(observed, clock.monotonicMs(), this.timing, rank * preferenceDelayMs)) {
             return;
         }
-        const lastNumber = Math.max(stored.lastFencingNumber, this.era * fencingNumbersPerEra);
-        const record = this.buildRecord(lastNumber + 1, false);
+        const record = this.buildRecord(computeNextFencingNumber(stored, this.era), false);
         const { token, fencingNumber } = record;
         const pending = {
             token,
--- a/packages/state/src/leases/leaseRecord.ts
+++ b/packages/state/src/leases/leaseRecord.ts
@@ -19,6 +19,9 @@
     released: z.boolean(),
 });
 
+/** Fencing numbers of one era: those of a later era are larger than any that an earlier one has forgotten. */
+const fencingNumbersPerEra = 1_000_000;
+
 /** Schema of a fence row, which each acquisition rewrites. */
 const fenceRecordSchema = leaseRecordSchema.pick({ fencingNumber: true });
 
@@ -86,3 +89,14 @@
         lastFencingNumber: Math.max(record?.fencingNumber ?? 0, fenceNumber),
     };
 }
+
+/**
+ * Computes the fencing number of the next acquisition.
+ *
+ * @param stored - The lease as stored.
+ * @param era - Era of the table service; 0 without eras.
+ * @returns A number above all that were given out.
+ */
+export function computeNextFencingNumber({ lastFencingNumber }: StoredLease, era: number): number {
+    return Math.max(lastFencingNumber, era * fencingNumbersPerEra) + 1;
+}
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -3,7 +3,6 @@
  *
  * @packageDocumentation
  */
-import { z } from "zod";
 import {
     maximumTransactionEntries,
     readCounter,
@@ -11,7 +10,6 @@
     type CommitResult,
     type Row,
     type RowCondition,
-    type RowWrite,
     type TableService,
     type UsageReportService,
 } from "@pimentocleat/services";
@@ -27,6 +25,16 @@
 import type { LeaseHandle } from "../leases/heldLease.js";
 import { runWithTimeout } from "../retrying/callTimeout.js";
 import type { EraObservation } from "./eraObservation.js";
+import {
+    buildEraProgress,
+    buildProgressWrites,
+    formatProgressKey,
+    parseProgress,
+    progressTable,
+    type Progress,
+    type ProgressValue,
+    type StoredProgress,
+} from "./usageProgress.js";
 import {
     buildUnsealedCondition,
     formatWindowKey,
@@ -81,22 +89,6 @@
     readonly newestVersion: number;
 }
 
-const progressTable = "usageProgress";
-/** Key of the progress without eras; with eras, its row is for nodes of earlier releases. */
-const progressKey = "next";
-const progressSchema = z.object({
-    /** Start of the first window that may not be reported yet, in milliseconds since the Unix epoch. */
-    nextStartMs: z.number(),
-    /** Start of the window with which the very first reporter began, in milliseconds since the Unix epoch. */
-    firstStartMs: z.number().default(0),
-    /** Start times of the windows before that one which were reported, in milliseconds since the Unix epoch. */
-    earlierWindows: z.array(z.number()).default([]),
-});
-type ProgressValue = z.infer<typeof progressSchema>;
-
-interface Progress extends ProgressValue {
-    readonly version: number;
-}
 /** Number of rows that one scan requests. */
 const pageSize = 500;
 /** Each row takes a condition and a write, and the lease's fence takes one more condition. */
@@ -305,21 +297,10 @@
         });
     }
 
-    /**
-     * Loads the progress in the lease's era. Each era has a row of its own, so that a write of an earlier era's holder
-     * cannot change it, although versions are given out again.
-     */
     private async loadProgress(): Promise<Progress | undefined> {
         const { era } = this.options.lease;
-        const rows = await this.scanRows(progressTable);
-        const stored = rows.map(({ key, value }) => ({ key, ...progressSchema.parse(value) }));
-        const nextStartMs = Math.max(...stored.map((row) => row.nextStartMs));
-        const row = rows.find(({ key }) => key === formatProgressKey(era));
-        if (row !== undefined) {
-            return { ...progressSchema.parse(row.value), version: row.version, nextStartMs };
-        }
-        const outdatedKeys = stored.map(({ key }) => key).filter((key) => key !== progressKey);
-        return era === 0 ? this.startFirstProgress() : this.startEraProgress(nextStartMs, outdatedKeys);
+        const stored = parseProgress(await this.scanRows(progressTable), era);
+        return stored.current ?? (era === 0 ? this.startFirstProgress() : this.startEraProgress(stored));
     }
 
     /** The first reporter starts at the earliest row; without any row, at the current window. */
@@ -337,21 +318,18 @@
      * The first reporter of an era leaves out what may have been reported before the era began: the copy does not tell,
      * and its counts differ from the reported ones.
      */
-    private async startEraProgress(
-        storedNextStartMs: number,
-        outdatedKeys: readonly string[],
-    ): Promise<Progress | undefined> {
+    private async startEraProgress(stored: StoredProgress): Promise<Progress | undefined> {
         const { clock, windowMs, graceMs, lease, logger, eraObservation } = this.options;
         const seenWallMs = eraObservation?.update().seenWallMs ?? clock.wallMs();
         const unreportedStartMs = computeUnreportedStartMs(seenWallMs, windowMs, graceMs);
-        const nextStartMs = Math.max(unreportedStartMs, storedNextStartMs);
+        const nextStartMs = Math.max(unreportedStartMs, stored.nextStartMs);
         logger.writeEvent("usageEraStarted", {
             era: lease.era,
             nextStartMs,
             seenWallMs,
-            storedNextStartMs: Number.isFinite(storedNextStartMs) ? storedNextStartMs : undefined,
+            storedNextStartMs: Number.isFinite(stored.nextStartMs) ? stored.nextStartMs : undefined,
         });
-        return this.storeProgress(0, buildEraProgress(nextStartMs), outdatedKeys);
+        return this.storeProgress(0, buildEraProgress(nextStartMs), stored.outdatedKeys);
     }
 
     private async storeProgress(
@@ -401,17 +379,3 @@
         return runWithTimeout({ clock, timeoutMs, callName }, call);
     }
 }
-
-/** Builds the progress of an era that is not the first; windows before its first one are never reported. */
-function buildEraProgress(nextStartMs: number): ProgressValue {
-    return { nextStartMs, firstStartMs: 0, earlierWindows: [] };
-}
-
-function formatProgressKey(era: number): string {
-    return era === 0 ? progressKey : `${progressKey}/${era}`;
-}
-
-function buildProgressWrites(era: number, value: ProgressValue): readonly RowWrite[] {
-    const keys = new Set([formatProgressKey(era), progressKey]);
-    return [...keys].map((key) => ({ table: progressTable, key, value }));
-}
