--- a/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
@@ -86,14 +86,18 @@
 
 describe("a node that sees a new era right after its host was suspended", () => {
     // Guards against windows reported twice: after a suspension the agreed time lags until peers are heard again.
-    it("reports no window that was reported in the former era during the suspension", async () => {
+    // A host whose process is frozen reads the messages that have queued up meanwhile as if they were new.
+    it.each([
+        { name: "a suspension", isSuspended: true },
+        { name: "a freeze in which messages of peers queue up", isSuspended: false },
+    ])("reports no window that was reported in the former era during $name", async ({ isSuspended }) => {
         const bed = new TestBed();
         const { clock, table, reports } = bed;
         const former = bed.createDuty("n0", clock, table);
         const host = new SuspendedHost(clock);
         const agreedClock = new MedianClock(host);
-        const hearPeers = (): void =>
-            ["n0", "n2"].forEach((peer) => agreedClock.recordPeerTime(peer, clock.wallMs()));
+        const hearPeers = (wallMs = clock.wallMs()): void =>
+            ["n0", "n2"].forEach((peer) => agreedClock.recordPeerTime(peer, wallMs));
         let seenEra = 1;
         const next = bed.createDuty("n1", agreedClock, { getEra: () => seenEra });
         hearPeers();
@@ -104,6 +108,7 @@
         const copy = table.copyTables();
         clock.advance(beforeSuspensionMs);
         hearPeers();
+        const queuedWallMs = clock.wallMs();
         former.recordRequest("c0");
         await former.writeOnce();
         const reportMs = windowMs + settings.usageGraceMs + 1 - beforeSuspensionMs;
@@ -112,7 +117,10 @@
         expect(reports).toHaveLength(1);
         table.startEra(copy);
         clock.advance(suspensionMs - reportMs);
-        host.suspendedMs = suspensionMs;
+        host.suspendedMs = isSuspended ? suspensionMs : 0;
+        if (!isSuspended) {
+            hearPeers(queuedWallMs);
+        }
         seenEra = 2;
         await next.reportOnce(undefined);
         clock.advance(100);
