--- a/packages/gateway/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDuty.test.ts
@@ -50,6 +50,7 @@
             },
         },
         clock: testBed.clock,
+        hostClock: testBed.clock,
         logger: new SilentLogger(),
         node: "n0",
         incarnation: "n0-1",
--- a/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
@@ -55,6 +55,7 @@
                 },
             },
             clock,
+            hostClock: this.clock,
             eras,
             logger: new SilentLogger(),
             node,
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -76,6 +76,7 @@
         this.usage = new UsageDuty({
             ...options,
             clock: options.usageClock,
+            hostClock: clock,
             windowMs: options.usageWindowMs,
             readStoreContactMs: () => this.leases.getContactDurationMs(),
         });
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -18,7 +18,7 @@
     type UsageCopy,
 } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
-import type { WaitingClock } from "@pimentocleat/types";
+import type { Clock, WaitingClock } from "@pimentocleat/types";
 import type { UsageCounter } from "../dispatch/requestRunner.js";
 import type { StoredUsage } from "../peers/usageMessages.js";
 import type { DutySettings } from "./dutySettings.js";
@@ -29,7 +29,10 @@
     /** Era of the table service. */
     readonly eras: EraSource;
     readonly reportService: UsageReportService | undefined;
+    /** Its wall time assigns usage to windows. */
     readonly clock: WaitingClock;
+    /** Clock of this host alone. */
+    readonly hostClock: Clock;
     readonly logger: Logger;
     readonly node: string;
     /** Identifier of this process; no other process ever uses it. */
@@ -108,7 +111,7 @@
         const { tableService, clock, logger, incarnation, windowMs, settings, sendCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
         this.collector = new UsageCollector({ writer, clock, logger, collectionDelayMs: collectMs });
-        this.eraObservation = new EraObservation(options.eras, clock);
+        this.eraObservation = new EraObservation(options.eras, [clock, options.hostClock]);
         this.copyStore = new UsageCopyStore({
             writer,
             clock,
--- a/packages/state/src/usage/__tests__/laggingClocks.test.ts
+++ b/packages/state/src/usage/__tests__/laggingClocks.test.ts
@@ -11,8 +11,8 @@
 const offsetsMs: readonly number[] = [600, 1_000, 1_400];
 const agesMs: readonly number[] = [2_000, 4_000, 8_000];
 
-/** Lets the wall clock of a host lag for a time from now. */
-function delayWallClock({ host }: LeaseNode, lagMs: number, durationMs: number): void {
+/** Lets the time that the nodes agree on, but not the clock of the host, lag for a time from now. */
+function delayAgreedTime({ host }: LeaseNode, lagMs: number, durationMs: number): void {
     const endMs = host.monotonicMs() + durationMs;
     const readWallMs = host.wallMs.bind(host);
     host.wallMs = (): number => readWallMs() - (host.monotonicMs() < endMs ? lagMs : 0);
@@ -41,7 +41,7 @@
     };
     await scenario.advance(suspensionMs);
     for (const index of others) {
-        delayWallClock(leases.nodes[index]!, suspensionMs, lagDurationMs);
+        delayAgreedTime(leases.nodes[index]!, suspensionMs, lagDurationMs);
         leases.thaw(index);
     }
     await scenario.advance(aftermathMs);
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -234,7 +234,8 @@
 
     private createEraObservation({ table, host }: LeaseNode): EraObservation {
         const eras = this.options.trustsCopies === true ? noEras : table;
-        const observation = new EraObservation(eras, host);
+        // The second clock keeps its time when a test delays the first one.
+        const observation = new EraObservation(eras, [host, { wallMs: host.wallMs.bind(host) }]);
         observation.update();
         return observation;
     }
--- a/packages/state/src/usage/eraObservation.ts
+++ b/packages/state/src/usage/eraObservation.ts
@@ -9,7 +9,7 @@
 /** An era, and a time by which it had begun. */
 export interface ObservedEra {
     readonly era: number;
-    /** Wall time at which this node first knew of the era, in milliseconds since the Unix epoch. */
+    /** Latest wall time at which this node may first have known of the era, in milliseconds since the Unix epoch. */
     readonly seenWallMs: number;
 }
 
@@ -19,18 +19,19 @@
 
     /**
      * @param eras - The era of the table service.
-     * @param clock - The clock of the usage windows.
+     * @param clocks - The clock of the usage windows and that of the host. After a suspension the first one may lag;
+     * the later time leaves more windows out, which is safe.
      */
     constructor(
         private readonly eras: EraSource,
-        private readonly clock: Clock,
+        private readonly clocks: readonly Pick<Clock, "wallMs">[],
     ) {}
 
     /** @returns The current era, and when an update first found it. */
     update(): ObservedEra {
         const era = this.eras.getEra();
         if (this.observed?.era !== era) {
-            this.observed = { era, seenWallMs: this.clock.wallMs() };
+            this.observed = { era, seenWallMs: Math.max(...this.clocks.map((clock) => clock.wallMs())) };
         }
         return this.observed;
     }
