--- a/packages/state/src/leases/__tests__/leaseEras.test.ts
+++ b/packages/state/src/leases/__tests__/leaseEras.test.ts
@@ -114,6 +114,20 @@
     });
 });
 
+describe("the holder of a lease", () => {
+    // Guards against orders between the first answer of a new era and the next scan of the leases.
+    it("may not act from the first answer of a new era on", async () => {
+        const simulation = new EraSimulation(1);
+        const { leases } = simulation;
+        const holder = leases.nodes[await simulation.advanceToHolder()]!;
+        const held = holder.manager.findHeldLease(lease)!;
+        leases.startEra(leases.memory.copyTables());
+        expect(held.isValid()).toBe(true);
+        await holder.table.readRow("any table", "any key");
+        expect([held.isValid(), held.isEraOver()]).toEqual([false, true]);
+    });
+});
+
 describe("a node that knows no earlier era", () => {
     // Guards against a node that takes the new era for its first one and so does not wait for former holders.
     it("does not take a lease that the copy calls released while its former holder may act", async () => {
--- a/packages/state/src/leases/leaseManager.ts
+++ b/packages/state/src/leases/leaseManager.ts
@@ -230,20 +230,20 @@
 
     /**
      * Gives all leases up when the table service has come back from an older copy: what it says of holders and fencing
-     * numbers is of the past. After the longest validity of an earlier holder they are acquired anew. The first era
-     * that this process sees may have just begun as well.
+     * numbers is of the past. After the longest validity of an earlier holder they are acquired anew, also in the first
+     * era that this process sees, which may have just begun.
      */
     private recordEra(): void {
         const era = this.eras.getEra();
         if (era <= this.era) {
             return;
         }
+        const { clock, logger } = this.options;
         if (this.era > 0) {
-            this.options.logger.writeEvent("leaseEraStarted", { era });
+            logger.writeEvent("leaseEraStarted", { era });
         }
         this.era = era;
-        const { durationMs, marginMs } = this.timing;
-        this.eraSettledMs = this.options.clock.monotonicMs() + durationMs + marginMs;
+        this.eraSettledMs = clock.monotonicMs() + this.timing.durationMs + this.timing.marginMs;
         [...this.held.values()].forEach((lease) => this.removeLease(lease));
         this.acquisitions.clear();
         this.observed.clear();
@@ -362,6 +362,7 @@
         this.options.logger.writeEvent("leaseAcquired", { lease: name, fencingNumber: lease.fencingNumber });
     }
 
+    /** The lease is not closed: after a new era its handle tells whether another node can have held it. */
     private removeLease(lease: HeldLease): void {
         this.held.delete(lease.name);
         const { name, fencingNumber } = lease;
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -155,15 +155,17 @@
         const conditions = [{ table: progressTable, key: formatProgressKey(era), version: 0 }];
         const writes = buildProgressWrites(era, buildEraProgress(nextStartMs));
         try {
-            await this.runCall("usage handover", () =>
+            const { outcome } = await this.runCall("usage handover", () =>
                 tableService.commitTransaction({ conditions, writes }),
             );
+            if (outcome === "committed") {
+                logger.writeEvent("usageHandedOver", { era, nextStartMs });
+            }
         } catch (error) {
             logger.writeEvent("usageStepFailed", { reason: String(error) });
             return false;
         }
         this.unreportedStartMs = undefined;
-        logger.writeEvent("usageHandedOver", { era, nextStartMs });
         return true;
     }
 
