--- a/packages/gateway/src/configuration/gatewayConfiguration.ts
+++ b/packages/gateway/src/configuration/gatewayConfiguration.ts
@@ -57,6 +57,14 @@
     readonly prices: Readonly<Record<string, number>>;
 }
 
+/** How the servers of a service behave just after they start. */
+export interface ColdStartRule {
+    /** Time for which a server is cold after it starts, in milliseconds. */
+    readonly durationMs: number;
+    /** Requests per second that a cold server takes from all nodes combined. */
+    readonly requestsPerSecond: number;
+}
+
 /** A service. */
 export interface ServiceRule {
     readonly name: string;
@@ -66,6 +74,8 @@
     readonly engine: EngineTraits | undefined;
     /** Undefined when its servers cannot be ordered. */
     readonly ordering: OrderingRule | undefined;
+    /** Undefined for services whose servers are never cold. */
+    readonly coldStart?: ColdStartRule | undefined;
 }
 
 /** A customer. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export { ActiveConfiguration } from "./configuration/activeConfiguration.js";
 export type {
     CallerBounds,
+    ColdStartRule,
     CustomerRule,
     EngineTraits,
     GatewayConfiguration,
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -51,11 +51,25 @@
         retryShare: z.number().nonnegative(),
         /** Number of retries per window, beyond that fraction, that all nodes combined may make. */
         retrySlack: z.number().nonnegative(),
+        /** Factor by which a cold server's rate may be exceeded in any one second; absent means 1. */
+        coldOverage: z.number().min(1).nullish(),
+        /** Number of requests that a cold server may get in any one second beyond that; absent means 0. */
+        coldSlack: z.number().nonnegative().nullish(),
+        /**
+         * Time within which every node must stop sending requests to the servers of an evacuated data centre, in
+         * milliseconds; absent in a deployment without evacuations.
+         */
+        evacuationMs: millisecondsSchema.nullish(),
+        /** Whether requests may wait or be refused at this node under overload; `auto` decides by service. */
+        overloadControl: z.enum(["auto", "off"]).default("auto"),
     })
     .transform(
         ({ stopGraceSeconds, usageWindowSeconds, usageDueSeconds, retryWindowSeconds, ...others }) => ({
             ...others,
             dutiesAddress: others.dutiesAddress ?? undefined,
+            coldOverage: others.coldOverage ?? 1,
+            coldSlack: others.coldSlack ?? 0,
+            evacuationMs: others.evacuationMs ?? undefined,
             stopGraceMs: stopGraceSeconds * millisecondsPerSecond,
             usageWindowMs: usageWindowSeconds * millisecondsPerSecond,
             usageDueMs: usageDueSeconds * millisecondsPerSecond,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -62,6 +62,7 @@
 export type { PlacementSettings } from "./placement/placementSettings.js";
 export { ServerPlacement } from "./placement/serverPlacement.js";
 export type { Placement, PlacementNews } from "./placement/serverPlacement.js";
+export type { StartEstimate } from "./placement/startEstimate.js";
 export type { PlacementRequest } from "./placement/serverCost.js";
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
 export { HashRing } from "./hashing/hashRing.js";
--- a/packages/policy/src/placement/serverCost.ts
+++ b/packages/policy/src/placement/serverCost.ts
@@ -17,6 +17,10 @@
     readonly promptTokens: number;
     /** Maximum pause between events that meets the target, in milliseconds; undefined if the answer isn't streamed. */
     readonly pauseTargetMs: number | undefined;
+    /** Priority rank; 0 is the most urgent. Absent when it doesn't matter to the choice. */
+    readonly priority?: number | undefined;
+    /** Expected number of output tokens; absent when unknown. */
+    readonly expectedOutputTokens?: number | undefined;
     /** Servers that already failed this request. */
     readonly excluded: ReadonlySet<string>;
 }
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -11,6 +11,7 @@
 import { CandidateSampling } from "./candidateSampling.js";
 import { PauseModel } from "./pauseModel.js";
 import { selectPreferredServers, ServerCost, type ChoiceView, type PlacementRequest } from "./serverCost.js";
+import type { StartEstimate } from "./startEstimate.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
 /** A request that was sent to a server. */
@@ -122,13 +123,51 @@
      * @returns The server's identifier, or undefined when the request excludes every server.
      */
     chooseServer(request: PlacementRequest, ready: readonly PlacementServer[]): string | undefined {
+        return this.findCheapest(request, ready)?.id;
+    }
+
+    /**
+     * Predicts the start of a request at the server that it would be sent to now.
+     *
+     * @param request - The request.
+     * @param ready - The servers that may get new requests.
+     * @returns The prediction, or undefined when no server may take the request.
+     */
+    estimateStart(request: PlacementRequest, ready: readonly PlacementServer[]): StartEstimate | undefined {
+        const server = this.findCheapest(request, ready);
+        const estimate = server === undefined ? undefined : this.estimates.get(server.id);
+        if (server === undefined || estimate === undefined) {
+            return undefined;
+        }
+        const uncachedTokens = request.promptTokens - estimate.prefixCache.countCachedTokens(request.parts);
+        const backlogTokens = this.inFlight.countPrefillTokens(server.id);
+        const isEngine = server.capacityTokens !== undefined;
+        const startMs = isEngine
+            ? this.cost.estimatePrefillMs(backlogTokens + uncachedTokens) * estimate.readSlowness()
+            : estimate.answerMs.readMean();
+        const pauseMs = this.pauses.predictPauseMs(
+            (backlogTokens + uncachedTokens) / this.settings.prefillTokensPerMs,
+        );
+        const running = Math.max(this.inFlight.countRequests(server.id), estimate.load?.running ?? 0);
+        return {
+            serverId: server.id,
+            startMs,
+            hasRoom: running < server.slots,
+            delayedStreams: this.inFlight.estimateDelayedStreams(server.id, pauseMs),
+        };
+    }
+
+    private findCheapest(
+        request: PlacementRequest,
+        ready: readonly PlacementServer[],
+    ): PlacementServer | undefined {
         const nowMs = this.clock.monotonicMs();
         const candidates = ready.filter((server) => !request.excluded.has(server.id));
         const notAvoided = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
         const pool = notAvoided.length > 0 ? notAvoided : candidates;
         this.inFlight.removeStale(nowMs);
         const view = this.buildView(request, pool, nowMs);
-        let best: string | undefined;
+        let best: PlacementServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const server of this.sampleCandidates(request, pool, view, nowMs)) {
             const estimate = this.estimates.get(server.id);
@@ -137,7 +176,7 @@
                     ? Number.MAX_VALUE
                     : this.cost.estimateCost(estimate, request, view, nowMs);
             if (cost < bestCost) {
-                best = server.id;
+                best = server;
                 bestCost = cost;
             }
         }
