Send no requests to the servers of an evacuated data centre

Cause: operators evacuate a data centre with a row of the configuration table, which nodes ignored. Change: the adapter decodes the rows; Evacuations keeps the last state of each data centre with its store version, also while the store is away and when it comes back from a copy without the row. Each update of a reader carries all states, so a lost message does not matter. ServerSelection, nodes that relay and the orders obey them; a node of a deployment with evacuations is not ready and sends nothing before it knows them.

--- a/packages/gateway/src/dispatch/serverSelection.ts
+++ b/packages/gateway/src/dispatch/serverSelection.ts
@@ -9,6 +9,7 @@
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { Evacuations } from "../configuration/evacuations.js";
 import { computePriority } from "./gatewayRequest.js";
 import { minimumRemainingMs, type RunState } from "./runState.js";
 import { convertToPlacementServer } from "./serviceDispatch.js";
@@ -18,6 +19,7 @@
 export interface ServerSelectionOptions {
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
+    readonly evacuations: Evacuations;
     readonly notices: ServerNotices;
     readonly permits: ServerPermits;
     readonly clock: Clock;
@@ -29,7 +31,7 @@
 /** Shortest time after which a refused caller is asked to come back, in milliseconds; less would be sent as none. */
 const minimumReturnMs = 20;
 
-/** Selects servers by all bounds that hold before cost: software version, notices, pauses and limits. */
+/** Selects servers by all bounds that hold before cost: software version, evacuations, notices, pauses and limits. */
 export class ServerSelection {
     /** @param options - The servers and what they said. */
     constructor(private readonly options: ServerSelectionOptions) {}
@@ -107,7 +109,9 @@
     private listEligibleServers(state: RunState): readonly RegisteredServer[] {
         return this.options.directory
             .listReadyServers(state.request.service)
-            .filter((server) => isEligible(state, server));
+            .filter(
+                (server) => isEligible(state, server) && this.options.evacuations.isOpen(server.dataCentre),
+            );
     }
 
     private listOpenServers(state: RunState): readonly RegisteredServer[] {
--- a/packages/gateway/src/duties/__tests__/orderPlan.test.ts
+++ b/packages/gateway/src/duties/__tests__/orderPlan.test.ts
@@ -182,4 +182,24 @@
         const lowered = orders.filter((order) => !order.reclaimable && order.count < 3);
         expect(lowered).toEqual([]);
     });
+
+    // Guards against orders for a data centre that gets no requests, and against servers there that count as capacity.
+    it("replaces the servers of an evacuated data centre elsewhere and orders nothing there", () => {
+        const { clock, plan } = buildSettledPlan();
+        const servers = [...started, ...reclaimable];
+        const before = plan.planOrders(rule, started);
+        before.forEach((order) => plan.recordAccepted(order));
+        const evacuated = new Set(["b"]);
+        const during = plan.planOrders(rule, servers, evacuated);
+        const sumElsewhere = (orders: typeof during) =>
+            orders.filter(({ dataCentre }) => dataCentre !== "b").reduce((sum, { count }) => sum + count, 0);
+        expect(during.every(({ dataCentre }) => dataCentre !== "b")).toBe(true);
+        expect(sumElsewhere(during)).toBeGreaterThan(sumElsewhere(before));
+        expect(sumElsewhere(during)).toBeGreaterThanOrEqual(started.length);
+        clock.advance(60_000);
+        const standing = servers.filter(({ dataCentre }) => dataCentre !== "b");
+        expect(plan.listLost(rule, standing, evacuated).some(({ dataCentre }) => dataCentre === "b")).toBe(
+            false,
+        );
+    });
 });
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -9,6 +9,7 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { Evacuations } from "../configuration/evacuations.js";
 import type { OrderingRule } from "../configuration/gatewayConfiguration.js";
 import { OrderingDuty } from "./orderingDuty.js";
 import type { DutySettings } from "./dutySettings.js";
@@ -40,6 +41,7 @@
     readonly isFirstStart: boolean;
     readonly configuration: ActiveConfiguration;
     readonly directory: ServerDirectory;
+    readonly evacuations: Evacuations;
     /** Sends other nodes a copy of counts that this node cannot write; returns whether there was such a node. */
     readonly sendCopy: (copy: UsageCopy) => boolean;
     /** Finds the node that writes counts for others; this node's own name when it does so itself. */
@@ -146,8 +148,10 @@
 
     private async orderOnce(): Promise<void> {
         this.updateDesiredLeases();
+        const { directory, evacuations } = this.options;
         for (const { name, rule } of this.listOrderableServices()) {
-            await this.ensureOrderingDuty(name)?.advanceOnce(rule, this.options.directory.listServers(name));
+            const duty = this.ensureOrderingDuty(name);
+            await duty?.advanceOnce(rule, directory.listServers(name), evacuations.listEvacuated());
         }
     }
 
--- a/packages/gateway/src/duties/orderPlan.ts
+++ b/packages/gateway/src/duties/orderPlan.ts
@@ -114,39 +114,44 @@
      *
      * @param rule - Limits and prices.
      * @param servers - All registered servers of the service.
+     * @param evacuated - The evacuated data centres: their servers do not count, and no order concerns them.
      * @returns The desired numbers that need an order, the largest increase first; only reclaimable servers until the
      * deployment is complete.
      */
-    planOrders(rule: OrderingRule, servers: readonly RegisteredServer[]): readonly PlannedServers[] {
+    planOrders(
+        rule: OrderingRule,
+        servers: readonly RegisteredServer[],
+        evacuated: ReadonlySet<string> = new Set(),
+    ): readonly PlannedServers[] {
         const nowMs = this.clock.monotonicMs();
         this.recordServers(servers, nowMs);
+        const dataCentres = [...this.dataCentres].filter((dataCentre) => !evacuated.has(dataCentre));
+        const usable = servers.filter(({ dataCentre }) => !evacuated.has(dataCentre));
         if (this.baseline === undefined || this.baseline === 0) {
             return [];
         }
         this.planner.updateSettings({
             ...defaultPlannerSettings,
             headroomShare: 0,
-            minimumServers: rule.minimum * this.dataCentres.size,
-            maximumServers: rule.maximum * this.dataCentres.size,
+            minimumServers: rule.minimum * dataCentres.length,
+            maximumServers: rule.maximum * dataCentres.length,
             reclaimableShare: rule.reclaimablePrice === undefined ? 0 : reclaimableShare,
             scaleDownDelayMs: reclaimableSurplusMs,
             maximumBackoffMs,
         });
-        const options = this.listOptions(rule, nowMs);
+        const options = this.listOptions(rule, nowMs, dataCentres);
         // While servers are being reclaimed, the more expensive standard ones replace them only up to the baseline.
-        const isReclaiming = [...this.dataCentres].some((dataCentre) =>
-            this.isUnderNotice(dataCentre, nowMs),
-        );
+        const isReclaiming = dataCentres.some((dataCentre) => this.isUnderNotice(dataCentre, nowMs));
         const demandSlots = Math.ceil(this.baseline * (isReclaiming ? 1 : 1 + spareShare));
         const planned = this.planner.planServers({ nowMs, demandSlots, slotsPerServer: 1, options });
         const delayed = this.applyScaleDownDelay(planned, nowMs);
-        const orders = applyBounds(this.addUnreplacedServers(delayed, servers), rule);
+        const orders = applyBounds(this.addUnreplacedServers(delayed, usable), rule);
         // The number of standard servers is known only once all of them have registered; reclaimable ones are cheap
         // enough to be ordered before.
         return orders
             .filter((order) => this.isComplete || order.reclaimable)
-            .filter((order) => !this.isUnavailable(order, servers, nowMs))
-            .filter((order) => !this.isAlreadyPresent(order, servers))
+            .filter((order) => !this.isUnavailable(order, usable, nowMs))
+            .filter((order) => !this.isAlreadyPresent(order, usable))
             .sort((left, right) => this.computeIncrease(right) - this.computeIncrease(left));
     }
 
@@ -186,9 +191,14 @@
      *
      * @param rule - Limits and prices.
      * @param servers - All registered servers of the service.
+     * @param evacuated - The evacuated data centres, which are left out.
      * @returns The last accepted orders of these kinds.
      */
-    listLost(rule: OrderingRule, servers: readonly RegisteredServer[]): readonly PlannedServers[] {
+    listLost(
+        rule: OrderingRule,
+        servers: readonly RegisteredServer[],
+        evacuated: ReadonlySet<string> = new Set(),
+    ): readonly PlannedServers[] {
         const nowMs = this.clock.monotonicMs();
         return [...this.ordered.entries()].flatMap(([key, count]) => {
             const [dataCentre = "", kind] = key.split("/");
@@ -199,7 +209,10 @@
             const isSettled =
                 nowMs - lastAcceptedMs > rule.startMs + startMarginMs && nowMs >= unavailableUntilMs;
             const isLost =
-                ready < count && isSettled && !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
+                !evacuated.has(dataCentre) &&
+                ready < count &&
+                isSettled &&
+                !(reclaimable && this.isUnderNotice(dataCentre, nowMs));
             return isLost ? [{ dataCentre, reclaimable, count }] : [];
         });
     }
@@ -268,8 +281,12 @@
         return nowMs - (this.lastNoticeMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY) < reclaimCooldownMs;
     }
 
-    private listOptions(rule: OrderingRule, nowMs: number): readonly ServerOption[] {
-        return [...this.dataCentres].sort().flatMap((dataCentre) => {
+    private listOptions(
+        rule: OrderingRule,
+        nowMs: number,
+        dataCentres: readonly string[],
+    ): readonly ServerOption[] {
+        return [...dataCentres].sort().flatMap((dataCentre) => {
             const price = rule.prices[dataCentre] ?? 1;
             const standard = { dataCentre, reclaimable: false, costPerHour: price, underNotice: false };
             if (rule.reclaimablePrice === undefined) {
--- a/packages/gateway/src/duties/orderingDuty.ts
+++ b/packages/gateway/src/duties/orderingDuty.ts
@@ -58,8 +58,13 @@
      *
      * @param rule - Limits and prices.
      * @param servers - All registered servers of the service.
+     * @param evacuated - The evacuated data centres, where nothing is ordered.
      */
-    async advanceOnce(rule: OrderingRule, servers: readonly RegisteredServer[]): Promise<void> {
+    async advanceOnce(
+        rule: OrderingRule,
+        servers: readonly RegisteredServer[],
+        evacuated: ReadonlySet<string> = new Set(),
+    ): Promise<void> {
         if (this.options.clock.monotonicMs() < this.retryAtMs) {
             return;
         }
@@ -68,10 +73,10 @@
             this.hasLoadedIntents = true;
         }
         const { service, logger } = this.options;
-        for (const lost of this.plan.listLost(rule, servers)) {
+        for (const lost of this.plan.listLost(rule, servers, evacuated)) {
             this.sender.clearAccepted({ ...lost, pool: service });
         }
-        for (const desired of this.plan.planOrders(rule, servers)) {
+        for (const desired of this.plan.planOrders(rule, servers, evacuated)) {
             const baseline = this.plan.readBaseline();
             const result = await this.sender.sendDesired({ ...desired, pool: service, baseline });
             const { dataCentre, reclaimable, count } = desired;
--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -9,6 +9,7 @@
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { Evacuations } from "../configuration/evacuations.js";
 import { RequestGuard } from "../dispatch/requestGuard.js";
 import { RequestRunner, type RequestRunnerOptions } from "../dispatch/requestRunner.js";
 import { ServerSelection } from "../dispatch/serverSelection.js";
@@ -21,6 +22,7 @@
 export interface RunnerConnections extends Omit<RequestRunnerOptions, "resumption" | "guard" | "selection"> {
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
+    readonly evacuations: Evacuations;
     readonly origins: OriginDirectory;
     readonly quarantine: RequestQuarantine;
     readonly crashNews: CrashNews;
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -14,6 +14,7 @@
 import { ServerDirectory } from "../backends/serverDirectory.js";
 import { buildReadinessServer } from "../callers/callerServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { Evacuations } from "../configuration/evacuations.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -64,6 +65,7 @@
 /** Starts, runs and stops a gateway node. */
 export class GatewayDaemon {
     private readonly configuration: ActiveConfiguration;
+    private readonly evacuations: Evacuations;
     private readonly directory: ServerDirectory;
     private readonly servers: ServerConnections;
     private readonly duties: NodeDuties;
@@ -91,6 +93,11 @@
         const { settings, adapter, clock, random, logger } = options;
         this.drain = new DrainState({ clock, stopGraceMs: settings.stopGraceMs, closingTimeMs });
         this.configuration = new ActiveConfiguration(logger);
+        this.evacuations = new Evacuations({
+            isEnabled: settings.evacuationMs !== undefined,
+            logger,
+            metrics: options.metrics,
+        });
         this.directory = new ServerDirectory(logger);
         const incarnation = `${settings.name}-${randomUUID().slice(0, 8)}`;
         this.dispatches = createDispatches({
@@ -203,6 +210,7 @@
             clock,
             directory: this.directory,
             configuration: this.configuration,
+            evacuations: this.evacuations,
             computeLiveRank: () => this.peers.computeLiveReaderRank(),
             computeRank: () => this.peers.computeReaderRank(),
             timing: this.relayTiming,
@@ -211,7 +219,7 @@
                 this.messenger.sendStoreUpdate(update, this.peers.listNeighbourAddresses()),
         });
         this.configurationRelay = new ConfigurationRelay({
-            receiver: new ConfigurationReceiver(adapter, this.configuration, logger),
+            receiver: new ConfigurationReceiver(adapter, this.configuration, this.evacuations, logger),
             isServing: () => this.relay.isServing(),
             send: (message) => this.messenger.sendConfiguration(message, this.peers.listNeighbourAddresses()),
             logger,
@@ -233,6 +241,7 @@
             isFirstStart: settings.isFirstStart,
             configuration: this.configuration,
             directory: this.directory,
+            evacuations: this.evacuations,
             sendCopy: (copy) => this.messenger.sendUsageCopies(copy),
             findCollector: () => this.relay.findReader(),
             forwardUsage: (usage, collector) => this.messenger.forwardUsage(usage, collector),
@@ -314,7 +323,8 @@
     }
 
     private isReady(): boolean {
-        return !this.drain.isDraining() && this.configuration.readCurrent() !== undefined;
+        const knowsRules = this.configuration.readCurrent() !== undefined && this.evacuations.isKnown();
+        return !this.drain.isDraining() && knowsRules;
     }
 
     private startRelaying(): Promise<void> {
@@ -323,6 +333,7 @@
             ...this.options,
             directory: this.directory,
             notices: this.serverLimits.notices,
+            evacuations: this.evacuations,
             paths: this.servers.direct,
             connections: this.servers.connections,
             protocol: adapter.backendProtocol,
@@ -343,6 +354,7 @@
             crashNews: this.crashNews,
             directory: this.directory,
             configuration: this.configuration,
+            evacuations: this.evacuations,
             connections,
             paths,
             usage: this.duties.usage,
--- a/packages/gateway/src/lifecycle/platformAdapter.ts
+++ b/packages/gateway/src/lifecycle/platformAdapter.ts
@@ -42,6 +42,13 @@
      * @throws Error when the row is invalid.
      */
     decodeConfiguration(row: Row): GatewayConfiguration;
+    /**
+     * Decodes the key of a row of the configuration table that evacuates a data centre.
+     *
+     * @param key - Key of the row.
+     * @returns Name of the data centre; undefined for any other row.
+     */
+    decodeEvacuation(key: string): string | undefined;
     /**
      * Decodes a backend server.
      *
--- a/packages/gateway/src/peers/__tests__/storeRelay.test.ts
+++ b/packages/gateway/src/peers/__tests__/storeRelay.test.ts
@@ -1,10 +1,11 @@
 import { computePreferenceRank } from "@pimentocleat/policy";
-import { SilentLogger } from "@pimentocleat/telemetry";
+import { SilentLogger, TextMetrics } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
 import type { RegisteredServer } from "../../backends/backendServer.js";
 import { ServerDirectory } from "../../backends/serverDirectory.js";
 import { ActiveConfiguration } from "../../configuration/activeConfiguration.js";
+import { Evacuations } from "../../configuration/evacuations.js";
 import { RelayTiming } from "../relayTiming.js";
 import { StoreRelay, type StoreUpdate } from "../storeRelay.js";
 
@@ -35,6 +36,11 @@
 class RelayNode {
     readonly directory = new ServerDirectory(new SilentLogger());
     readonly configuration = new ActiveConfiguration(new SilentLogger());
+    readonly evacuations = new Evacuations({
+        isEnabled: true,
+        logger: new SilentLogger(),
+        metrics: new TextMetrics(),
+    });
     readonly sent: StoreUpdate[] = [];
     readonly reads = { configuration: 0, servers: 0 };
     neighbours: readonly string[] = [];
@@ -49,6 +55,7 @@
             clock,
             directory: this.directory,
             configuration: this.configuration,
+            evacuations: this.evacuations,
             computeLiveRank: () => computePreferenceRank("reading", name, this.neighbours),
             onOutdated: () => undefined,
             computeRank: () => this.rank,
@@ -203,4 +210,40 @@
         );
         expect(reader.sent).toHaveLength(before);
     });
+
+    describe("evacuations", () => {
+        const evacuated = { dataCentre: "b", version: 5, isEvacuated: true };
+
+        // Guards against a neighbour that lost the message of a change and never learns of it.
+        it("are announced at once and told again in every update, and so is their end", () => {
+            const { reader, neighbour } = buildPair();
+            const before = reader.sent.length;
+            reader.evacuations.mergeStates([evacuated]);
+            reader.evacuations.setEvacuations([evacuated], 5);
+            expect(reader.sent.length).toBe(before + 1);
+            reader.directory.updateServers([buildServer("y", 6)], []);
+            neighbour.relay.receiveUpdate(reader.sent.at(-1)!, "n0");
+            expect(neighbour.evacuations.isOpen("b")).toBe(false);
+            expect(neighbour.evacuations.isOpen("a")).toBe(true);
+            reader.evacuations.mergeStates([{ ...evacuated, version: 8, isEvacuated: false }]);
+            neighbour.relay.receiveUpdate(reader.sent.at(-1)!, "n0");
+            expect(neighbour.evacuations.isOpen("b")).toBe(true);
+        });
+
+        // Guards against an update that was sent before the end of an evacuation, or by an earlier release, and undoes it.
+        it("are not changed by an older update or by one without them", () => {
+            const { reader, neighbour } = buildPair();
+            const { evacuations, ...update } = { evacuations: [], ...reader.sent.at(-1)! };
+            neighbour.relay.receiveUpdate({ ...update }, "old build");
+            expect(evacuations).toEqual([]);
+            expect(neighbour.evacuations.isKnown()).toBe(false);
+            neighbour.relay.receiveUpdate({ ...update, evacuations: [{ ...evacuated, version: 9 }] }, "n0");
+            neighbour.relay.receiveUpdate({ ...update, evacuations: [] }, "n0");
+            neighbour.relay.receiveUpdate(
+                { ...update, evacuations: [{ ...evacuated, version: 7, isEvacuated: false }] },
+                "n0",
+            );
+            expect(neighbour.evacuations.isOpen("b")).toBe(false);
+        });
+    });
 });
--- a/packages/gateway/src/peers/relayTiming.ts
+++ b/packages/gateway/src/peers/relayTiming.ts
@@ -12,6 +12,8 @@
     readonly configurationApplyMs: number;
     /** Time to stop sending requests to a leaving server, in milliseconds. */
     readonly leavingNoticeMs: number;
+    /** Time to stop sending requests to an evacuated data centre, in milliseconds; undefined without evacuations. */
+    readonly evacuationMs?: number | undefined;
 }
 
 /**
@@ -48,7 +50,11 @@
 
     /** @param bounds - The times within which changes must apply. */
     constructor(bounds: RelayBounds) {
-        this.boundMs = Math.min(bounds.configurationApplyMs, bounds.leavingNoticeMs);
+        this.boundMs = Math.min(
+            bounds.configurationApplyMs,
+            bounds.leavingNoticeMs,
+            bounds.evacuationMs ?? Number.POSITIVE_INFINITY,
+        );
     }
 
     /**
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -10,6 +10,7 @@
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { Evacuations, EvacuationState } from "../configuration/evacuations.js";
 import type { RelayTiming } from "./relayTiming.js";
 
 const serverSchema = z.object({
@@ -25,6 +26,12 @@
     isReclaimable: z.boolean(),
 }) satisfies z.ZodType<RegisteredServer>;
 
+const evacuationSchema = z.object({
+    dataCentre: z.string(),
+    version: z.number(),
+    isEvacuated: z.boolean(),
+}) satisfies z.ZodType<EvacuationState>;
+
 /** Schema of the update that a reader sends to its neighbours. */
 export const storeUpdateSchema = z.object({
     type: z.literal("store"),
@@ -38,6 +45,11 @@
     digest: z.string(),
     changed: z.array(serverSchema),
     removed: z.array(z.object({ id: z.string(), version: z.number() })),
+    /**
+     * All evacuations that the reader knows, and those that ended; in every update, so that a lost one does not matter.
+     * Absent from a reader of an earlier release, or one that does not know them.
+     */
+    evacuations: z.array(evacuationSchema).optional(),
 });
 
 /** Update that a reader sends to its neighbours. */
@@ -59,6 +71,7 @@
     readonly clock: WaitingClock;
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
+    readonly evacuations: Evacuations;
     /** Computes this node's rank as a reader among the live nodes of its data centre. */
     readonly computeLiveRank: () => number;
     /** Computes this node's rank as a reader among the registered nodes of its data centre. */
@@ -108,6 +121,11 @@
             }
         });
         options.configuration.addListener(() => this.sendUpdate());
+        options.evacuations.addListener(() => {
+            if (!this.isApplying) {
+                this.sendUpdate();
+            }
+        });
     }
 
     /**
@@ -178,7 +196,7 @@
      * @param from - Name of the reader.
      */
     receiveUpdate(update: StoreUpdate, from: string): void {
-        const { clock, directory, configuration } = this.options;
+        const { clock, directory, configuration, evacuations } = this.options;
         const readMs = clock.monotonicMs() - update.ageMs;
         if (readMs >= this.lastReadMs) {
             // A reader that cannot reach the store still tells that it lives; a deputy's data is newer.
@@ -189,6 +207,7 @@
             this.followers?.configuration.requestRead();
         }
         this.isApplying = true;
+        evacuations.mergeRelayedStates(update.evacuations);
         directory.updateServers(update.changed, update.removed);
         this.isApplying = false;
         if (update.digest === directory.computeDigest()) {
@@ -232,7 +251,7 @@
         if (this.followers === undefined || !this.isServing()) {
             return;
         }
-        const { clock, directory, configuration, sendUpdate } = this.options;
+        const { clock, directory, configuration, evacuations, sendUpdate } = this.options;
         const nowMs = clock.monotonicMs();
         const contactMs = this.readContactMs();
         if (contactMs === Number.NEGATIVE_INFINITY) {
@@ -241,6 +260,7 @@
         this.recentChanges = this.recentChanges.filter(({ atMs }) => nowMs - atMs < repeatWindowMs);
         const changed = this.recentChanges.flatMap((change) => change.changed);
         const removed = this.recentChanges.flatMap((change) => change.removed);
+        const states = evacuations.listRelayedStates();
         const fits = changed.length + removed.length <= maximumChanges;
         sendUpdate({
             type: "store",
@@ -250,6 +270,7 @@
             digest: directory.computeDigest(),
             changed: fits ? [...changed] : [],
             removed: fits ? [...removed] : [],
+            ...(states === undefined ? {} : { evacuations: [...states] }),
         });
     }
 }
--- a/packages/gateway/src/relaying/__tests__/relayServer.test.ts
+++ b/packages/gateway/src/relaying/__tests__/relayServer.test.ts
@@ -10,6 +10,7 @@
 import { DirectPaths } from "../../backends/directPaths.js";
 import type { ServerDirectory } from "../../backends/serverDirectory.js";
 import type { ServerNotices } from "../../backends/serverNotices.js";
+import { Evacuations } from "../../configuration/evacuations.js";
 import { relayHeaders } from "../relayProtocol.js";
 import { buildRelayServer } from "../relayServer.js";
 
@@ -61,6 +62,12 @@
             maximumIdleConnections: 2,
             observer: paths,
         });
+        const evacuations = new Evacuations({
+            isEnabled: true,
+            logger: silentLogger,
+            metrics: new TextMetrics(),
+        });
+        evacuations.setEvacuations([], 1);
         const relay = buildRelayServer({
             key,
             directory: {
@@ -71,6 +78,7 @@
                 computePauseMs: () => 0,
                 recordNotice: () => undefined,
             } as unknown as ServerNotices,
+            evacuations,
             paths,
             connections,
             protocol: {
@@ -86,13 +94,13 @@
         closing.push(() => connections.close());
         closing.push(() => relay.close());
         closing.push(() => relay.server.closeAllConnections());
-        return relay.listen({ host, port: 0 });
+        return { url: await relay.listen({ host, port: 0 }), evacuations };
     };
 
     // Guards against a node that goes on taking requests over links that hang, since it sends none of its own (RECOVER).
     it("opens a new connection when a relayed request gets no data on a kept one", async () => {
         const { sockets, address } = await openBackend();
-        const url = await openRelay(address);
+        const { url } = await openRelay(address);
         const headers = { [relayHeaders.key]: key, [relayHeaders.server]: "s1" };
         const first = await sendRequest(url, { headers });
         await first.body.dump();
@@ -103,4 +111,16 @@
         caller.abort();
         await second;
     });
+
+    // Guards against requests to evacuated servers through a node that knows better than their sender.
+    it("sends nothing to a server of an evacuated data centre, and says that nothing was sent", async () => {
+        const { sockets, address } = await openBackend();
+        const { url, evacuations } = await openRelay(address);
+        evacuations.mergeStates([{ dataCentre: "a", version: 2, isEvacuated: true }]);
+        const headers = { [relayHeaders.key]: key, [relayHeaders.server]: "s1" };
+        const refused = await sendRequest(url, { headers });
+        await refused.body.dump();
+        expect(refused.headers[relayHeaders.result]).toBe("serverUnable");
+        expect(sockets).toHaveLength(0);
+    });
 });
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,6 +14,7 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
+import type { Evacuations } from "../configuration/evacuations.js";
 import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
@@ -32,6 +33,7 @@
     readonly key: string;
     readonly directory: ServerDirectory;
     readonly notices: ServerNotices;
+    readonly evacuations: Evacuations;
     readonly paths: DirectPaths;
     readonly connections: ConnectionPool;
     readonly protocol: BackendProtocol;
@@ -153,6 +155,9 @@
     if (server === undefined || !ready.some(({ id }) => id === server.id)) {
         return { result: "serverUnable", reason: "the server is not ready" };
     }
+    if (!options.evacuations.isOpen(server.dataCentre)) {
+        return { result: "serverUnable", reason: "the data centre of the server is evacuated" };
+    }
     if (options.notices.computePauseMs(server) > 0) {
         return { result: "serverUnable", reason: "the server asked for a pause" };
     }
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -135,6 +135,21 @@
         this.recoverStore(copy);
     }
 
+    /**
+     * Evacuates a data centre, or ends its evacuation.
+     *
+     * @param dataCentre - Name of the data centre.
+     * @param isEvacuated - Whether no request may reach its servers from now on.
+     */
+    setEvacuated(dataCentre: string, isEvacuated: boolean): void {
+        const key = `evacuate/${dataCentre}`;
+        if (isEvacuated) {
+            this.rows.putJson("op", key, {});
+        } else {
+            this.rows.removeRow("op", key);
+        }
+    }
+
     /** @param mode - How calls of duty holders are handled from now on that have no fault of their own. */
     setDutyMode(mode: DutyFault): void {
         this.duties.setMode(mode);
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -146,6 +146,8 @@
     keyWithdrawn: defineEvent(3010, "info", "key withdrawn"),
     withdrawalNotRecorded: defineEvent(3011, "warn", "key withdrawal could not be recorded yet; retrying"),
     operatorCall: defineEvent(3100, "info", "operator call"),
+    evacuationStarted: defineEvent(3200, "warn", "data centre evacuated: its servers get no requests"),
+    evacuationEnded: defineEvent(3201, "info", "evacuation of a data centre ended"),
     operatorRefused: defineEvent(3101, "warn", "operator call refused"),
     hostListUnavailable: defineEvent(6000, "warn", "host list could not be read; using the last known list"),
     peerUnreachable: defineEvent(6001, "warn", "peer responded neither directly nor through other nodes"),
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -61,6 +61,12 @@
         ["result"],
         "Permits asked for requests to backend servers with a limit.",
     ),
+    "dataCentre.evacuated": defineMetric(
+        "gauge",
+        "0 or 1",
+        ["dataCentre"],
+        "Whether the servers of a data centre get no requests, because operators evacuated it.",
+    ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
     "request.relayed": defineMetric(
         "counter",
