--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -41,6 +41,11 @@
         "warn",
         "the wall clock diverged from the monotonic clock: the host was suspended or its clock was stepped",
     ),
+    codeCacheIgnored: defineEvent(
+        1100,
+        "warn",
+        "the program was loaded without its code cache and started more slowly; run the build on this host",
+    ),
     unexpectedError: defineEvent(1900, "error", "unexpected error"),
     requestFinished: defineEvent(2000, "debug", "request finished"),
     requestRefused: defineEvent(2001, "info", "request refused"),
