Send each plain server its share in turn where news comes late

Cause: in large deployments requests to plain services are not announced. Answer times that include the queue made the nodes swing too. Change: where news is older than a reported load may be, each node sends each server its share in turn (EvenShares).

--- a/packages/policy/src/placement/serverCost.ts
+++ b/packages/policy/src/placement/serverCost.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { computeRendezvousWeight } from "../hashing/rendezvousWeight.js";
+import type { SharedServer } from "./evenShares.js";
 import { estimateDelayChance, type InFlightRequests } from "./inFlightRequests.js";
 import type { PauseModel } from "./pauseModel.js";
 import type { PlacementSettings } from "./placementSettings.js";
@@ -49,6 +50,10 @@
 const nearlyFullShare = 0.85;
 /** Additional cost of a server that always fails, as a multiple of the cost of one that never does. */
 const failurePenaltyFactor = 12;
+/** Share of the penalty for another data centre that a plain request gets, since it crosses once and not per event. */
+const plainPenaltyShare = 1 / 4;
+/** Shortest service time from which a share is computed, in milliseconds; 0 would give one server all requests. */
+const minimumServiceMs = 1;
 
 /** What a choice depends on beside the single server. */
 export interface ChoiceView {
@@ -96,7 +101,7 @@
         const { server } = estimate;
         const dataCentrePenaltyMs =
             server.dataCentre === settings.dataCentre ? 0 : settings.otherDataCentrePenaltyMs;
-        const failureFactor = 1 + failurePenaltyFactor * estimate.readFailureShare() ** 2;
+        const failureFactor = computeFailureFactor(estimate);
         const isRecent =
             estimate.load !== undefined && nowMs - estimate.load.atMs < settings.maximumLoadAgeMs;
         const waiting = isRecent ? (estimate.load?.waiting ?? 0) : 0;
@@ -109,7 +114,7 @@
             const answerMs = estimate.answerMs.readMean();
             return (
                 (answerMs * (1 + utilization + waiting / Math.max(1, server.slots)) +
-                    dataCentrePenaltyMs / 4) *
+                    dataCentrePenaltyMs * plainPenaltyShare) *
                 failureFactor
             );
         }
@@ -141,6 +146,32 @@
         return (waitMs + dataCentrePenaltyMs + lateStreamsMs + isolationMs) * failureFactor;
     }
 
+    /**
+     * Describes a plain server for {@link EvenShares}: its share is the greater the more it can serve and the less it
+     * fails.
+     *
+     * @param estimate - The server and what is known about it.
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns The server's share and reported load.
+     */
+    estimateShare(estimate: ServerEstimate, nowMs: number): SharedServer {
+        const { settings } = this.options;
+        const { server, load } = estimate;
+        const dataCentrePenaltyMs =
+            server.dataCentre === settings.dataCentre
+                ? 0
+                : settings.otherDataCentrePenaltyMs * plainPenaltyShare;
+        const slots = Math.max(1, server.slots);
+        const failureFactor = computeFailureFactor(estimate);
+        const serviceMs = Math.max(minimumServiceMs, estimate.serviceMs.readMean());
+        return {
+            id: server.id,
+            weight: slots / ((serviceMs + dataCentrePenaltyMs) * failureFactor ** 2),
+            load: load === undefined ? undefined : (load.running + load.waiting) / slots,
+            loadAgeMs: load === undefined ? 0 : nowMs - load.atMs,
+        };
+    }
+
     /**
      * Estimates the time to the first event on an idle server of normal speed.
      *
@@ -173,6 +204,10 @@
     }
 }
 
+function computeFailureFactor(estimate: ServerEstimate): number {
+    return 1 + failurePenaltyFactor * estimate.readFailureShare() ** 2;
+}
+
 function sumTokens(parts: readonly PromptPart[]): number {
     return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/packages/policy/src/placement/serverEstimate.ts
+++ b/packages/policy/src/placement/serverEstimate.ts
@@ -52,6 +52,11 @@
 const usableCacheShare = 0.7;
 /** Weight of a new sample in the estimates of slowness and answer time. */
 const slownessGain = 0.15;
+/**
+ * Weight of a new sample in the mean service time, from which shares are computed. Higher weights let a server whose
+ * sampled times were short by chance be overrun.
+ */
+const serviceGain = 0.02;
 /** Bounds of the slowness, which is a factor relative to a server of normal speed. */
 const minimumSlowness = 0.5;
 const maximumSlowness = 30;
@@ -66,6 +71,8 @@
     /** Time until which other servers are preferred, in monotonic milliseconds. */
     avoidUntilMs = Number.NEGATIVE_INFINITY;
     readonly answerMs: MeanEstimator;
+    /** Time to the answer of a plain service without the time spent in its queue. */
+    readonly serviceMs: MeanEstimator;
     private readonly slowness = new MeanEstimator(1, slownessGain);
     private failureShare = 0;
     private consecutiveBroken = 0;
@@ -80,6 +87,7 @@
     ) {
         this.prefixCache = new PrefixCacheModel((server.capacityTokens ?? 0) * usableCacheShare);
         this.answerMs = new MeanEstimator(initialAnswerMs, slownessGain);
+        this.serviceMs = new MeanEstimator(initialAnswerMs, serviceGain);
     }
 
     /** @returns The factor by which the server is slower than expected. */
@@ -103,6 +111,19 @@
         this.slowness.record(Math.min(maximumSlowness, Math.max(minimumSlowness, ratio)));
     }
 
+    /**
+     * Records the time to a complete answer of a plain service. The load that came with the answer tells how much of it
+     * was spent in the queue: shares that followed the queue would swing between the servers.
+     *
+     * @param elapsedMs - The time from dispatch to the answer, in milliseconds.
+     */
+    recordAnswer(elapsedMs: number): void {
+        this.answerMs.record(elapsedMs);
+        const { load, server } = this;
+        const queued = load === undefined ? 1 : (load.running + load.waiting + 1) / Math.max(1, server.slots);
+        this.serviceMs.record(elapsedMs / Math.max(1, queued));
+    }
+
     /** Records the outcome of an exchange. */
     recordOutcome(outcome: PlacementOutcome, nowMs: number): void {
         if (outcome === "cancelled") {
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -9,6 +9,7 @@
 import { InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 import { CandidateSampling } from "./candidateSampling.js";
+import { EvenShares, type SharedServer } from "./evenShares.js";
 import { PauseModel } from "./pauseModel.js";
 import { selectPreferredServers, ServerCost, type ChoiceView, type PlacementRequest } from "./serverCost.js";
 import type { StartEstimate } from "./startEstimate.js";
@@ -50,6 +51,7 @@
     private readonly isolation = new StreamIsolation();
     private readonly pauses = new PauseModel();
     private readonly sampling: CandidateSampling;
+    private readonly shares: EvenShares;
     private readonly cost: ServerCost;
 
     /**
@@ -63,6 +65,7 @@
         private readonly news: PlacementNews = immediateNews,
     ) {
         this.sampling = new CandidateSampling(news.random);
+        this.shares = new EvenShares(news.random);
         const { inFlight, pauses, isolation } = this;
         this.cost = new ServerCost({ settings, inFlight, pauses, isolation });
     }
@@ -78,6 +81,7 @@
         for (const [id, estimate] of this.estimates) {
             if (!present.has(id) && estimate.inFlight === 0) {
                 this.estimates.delete(id);
+                this.shares.removeServer(id);
             }
         }
         for (const server of servers) {
@@ -123,7 +127,17 @@
      * @returns The server's identifier, or undefined when the request excludes every server.
      */
     chooseServer(request: PlacementRequest, ready: readonly PlacementServer[]): string | undefined {
-        return this.findCheapest(request, ready)?.id;
+        const nowMs = this.clock.monotonicMs();
+        const pool = this.listPool(request, ready, nowMs);
+        if (!this.isShared(pool)) {
+            return this.findCheapest(request, pool, nowMs)?.id;
+        }
+        const servers = this.listShares(pool, nowMs);
+        const chosen = this.shares.chooseServer(servers);
+        if (chosen !== undefined) {
+            this.shares.recordTurn(chosen, servers);
+        }
+        return chosen;
     }
 
     /**
@@ -134,11 +148,16 @@
      * @returns The prediction, or undefined when no server may take the request.
      */
     estimateStart(request: PlacementRequest, ready: readonly PlacementServer[]): StartEstimate | undefined {
-        const server = this.findCheapest(request, ready);
-        const estimate = server === undefined ? undefined : this.estimates.get(server.id);
-        if (server === undefined || estimate === undefined) {
+        const nowMs = this.clock.monotonicMs();
+        const pool = this.listPool(request, ready, nowMs);
+        const id = this.isShared(pool)
+            ? this.shares.chooseServer(this.listShares(pool, nowMs))
+            : this.findCheapest(request, pool, nowMs)?.id;
+        const estimate = id === undefined ? undefined : this.estimates.get(id);
+        if (estimate === undefined) {
             return undefined;
         }
+        const { server } = estimate;
         const uncachedTokens = request.promptTokens - estimate.prefixCache.countCachedTokens(request.parts);
         const backlogTokens = this.inFlight.countPrefillTokens(server.id);
         const isEngine = server.capacityTokens !== undefined;
@@ -157,14 +176,35 @@
         };
     }
 
-    private findCheapest(
+    /** Lists the servers that may get a request: those that the request excludes never, avoided ones if need be. */
+    private listPool(
         request: PlacementRequest,
         ready: readonly PlacementServer[],
-    ): PlacementServer | undefined {
-        const nowMs = this.clock.monotonicMs();
+        nowMs: number,
+    ): readonly PlacementServer[] {
         const candidates = ready.filter((server) => !request.excluded.has(server.id));
         const notAvoided = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
-        const pool = notAvoided.length > 0 ? notAvoided : candidates;
+        return notAvoided.length > 0 ? notAvoided : candidates;
+    }
+
+    /** Checks whether the nodes learn of each other's requests to these servers too late to compare them by load. */
+    private isShared(pool: readonly PlacementServer[]): boolean {
+        const isPlain = pool[0] !== undefined && pool[0].capacityTokens === undefined;
+        return isPlain && this.news.readDelayMs(false) > this.settings.maximumLoadAgeMs;
+    }
+
+    private listShares(pool: readonly PlacementServer[], nowMs: number): readonly SharedServer[] {
+        return pool.flatMap(({ id }) => {
+            const estimate = this.estimates.get(id);
+            return estimate === undefined ? [] : [this.cost.estimateShare(estimate, nowMs)];
+        });
+    }
+
+    private findCheapest(
+        request: PlacementRequest,
+        pool: readonly PlacementServer[],
+        nowMs: number,
+    ): PlacementServer | undefined {
         this.inFlight.removeStale(nowMs);
         const view = this.buildView(request, pool, nowMs);
         let best: PlacementServer | undefined;
@@ -224,7 +264,7 @@
         }
         const elapsedMs = this.clock.monotonicMs() - placement.sentMs;
         if (estimate.server.capacityTokens === undefined) {
-            estimate.answerMs.record(elapsedMs);
+            estimate.recordAnswer(elapsedMs);
         } else {
             estimate.recordFirstEvent(elapsedMs, placement.expectedMs);
         }
