Keep streams at one version across restarts, relays and shortened timeouts

Cause: five ways in which a stream could be joined from two software versions, each shown by a test that failed before the change: - Last-Event-Id on a stream route that is not resumable was forwarded without a version bound (softwareVersions.test.ts); - a server that restarts under its identifier at another version, while its registration lags: resumed there, and streams recorded at the old version (softwareVersions.test.ts, two tests); - a relaying node that knows of another version than the sender (relayServer.test.ts, two cases); - a node with a short history took the version that remains for the one that began the stream, although keepers had recorded it, and whichever of two differing nodes replied first was believed (originDirectory.test.ts); - a caller that resumes more than twice outlasted the record (originDirectory.test.ts). A configuration that shortens timeouts, or makes routes non-resumable, also shortened the history that counts as complete (StreamSpans).

Ruled out by real processes: after all nodes are killed with SIGKILL, with two versions in service and with the old one just gone, no stream of 12 is joined, at once or 4 s later (lossOfAllNodes.test.ts passed before the change too).

Change: all stream routes resolve the origin; recorded origins go before concluded ones and are renewed at each resumption; concluded ones must agree; a node asks keepers unless one version has served for 10 minutes; a server that refused a connection has no known version from its next answer for 3 s, or until its new start is registered; relays compare the version.

Not closed: a restart of which a node sees no refused connection. A connection that breaks is no evidence: counting it made resumptions at healthy servers fail (3 existing tests).

--- a/packages/gateway/src/configuration/activeConfiguration.ts
+++ b/packages/gateway/src/configuration/activeConfiguration.ts
@@ -86,7 +86,9 @@
     readLongestStreamMs(service: string): number {
         const timeouts = (this.readCurrent()?.routes ?? [])
             .filter(
-                (route) => route.isResumable && route.targets.some((target) => target.service === service),
+                (route) =>
+                    (route.isResumable || route.kind === "stream") &&
+                    route.targets.some((target) => target.service === service),
             )
             .map(({ timeoutMs }) => timeoutMs);
         return timeouts.length === 0 ? Number.POSITIVE_INFINITY : triesPerStream * Math.max(...timeouts);
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -111,6 +111,7 @@
             isStreamStarted: false,
             lastEventId: request.head.lastEventId,
             streamOrigin,
+            isVersionKnown: (server) => this.options.resumption.isVersionKnown(server),
             harmfulCause: undefined,
             failedAnswer: undefined,
             currentAttempt: undefined,
@@ -185,7 +186,10 @@
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             onRunning: () => this.recordRunning(state),
-            onNotice: (notice) => this.options.notices.recordNotice(server, notice, sentMs),
+            onNotice: (notice) => {
+                this.options.resumption.recordContact(server);
+                this.options.notices.recordNotice(server, notice, sentMs);
+            },
             onForwarding: () => this.options.resumption.recordOrigin(state, server),
             announcer: this.options.announcer,
             isAnnounced: promptTokens > 0 || this.options.brittle.findAllowed(server) !== undefined,
@@ -205,6 +209,7 @@
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.currentAttempt.lastEventId;
+        this.options.resumption.recordResult(server, result, path.relayNode !== undefined);
         this.options.guard.recordResult(request, server, result, sentMs, path.relayNode !== undefined);
         return result;
     }
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -5,6 +5,7 @@
  */
 import { isRequestCause, type StreamOrigin } from "@pimentocleat/policy";
 import { ErrorKind, RouterError } from "@pimentocleat/types";
+import type { RegisteredServer } from "../backends/backendServer.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { Attempt, CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
@@ -41,6 +42,8 @@
     lastEventId: string | undefined;
     /** Where the stream began; undefined before its first event. */
     streamOrigin: StreamOrigin | undefined;
+    /** Tells whether the registration of a server names the software version that answers there. */
+    readonly isVersionKnown: (server: RegisteredServer) => boolean;
     /** The cause of crashes because of which the request is not sent; undefined when there is none. */
     harmfulCause: string | undefined;
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { RequestQuarantine } from "@pimentocleat/policy";
+import type { RequestQuarantine, ServerRestarts } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
@@ -22,6 +22,7 @@
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
     readonly origins: OriginDirectory;
+    readonly restarts: ServerRestarts;
     readonly quarantine: RequestQuarantine;
     readonly crashNews: CrashNews;
     readonly connections: ConnectionPool;
@@ -39,7 +40,7 @@
 export function createRequestRunner(options: RunnerConnections): RequestRunner {
     return new RequestRunner({
         ...options,
-        resumption: new StreamResumption(options.origins),
+        resumption: new StreamResumption(options.origins, options.restarts),
         guard: new RequestGuard(options),
         selection: new ServerSelection(options),
     });
--- a/packages/gateway/src/lifecycle/createStreamOrigins.ts
+++ b/packages/gateway/src/lifecycle/createStreamOrigins.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { VersionHistory } from "@pimentocleat/policy";
+import { ServerRestarts, StreamSpans, VersionHistory } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
@@ -23,19 +23,29 @@
 
 /** The software versions that this node has seen, and the origins of streams. */
 export interface KnownOrigins {
-    readonly versions: VersionHistory;
     readonly origins: OriginDirectory;
+    readonly restarts: ServerRestarts;
+    /** To be called while servers may have come and gone unnoticed. */
+    readonly recordOutdated: () => void;
 }
 
 /**
- * Creates the history of software versions and the directory of origins.
+ * Creates the directory of origins, and what knows the software versions of the servers.
  *
  * @param options - The node, its servers and its peers.
- * @returns Both.
+ * @returns The directory and its inputs.
  */
 export function createStreamOrigins(options: StreamOriginsOptions): KnownOrigins {
     const { name, clock, directory, configuration, peers, getMessenger } = options;
     const versions = new VersionHistory(clock);
+    const restarts = new ServerRestarts(clock);
+    const spans = new StreamSpans(clock);
+    directory.addRestartListener(({ id }) => restarts.recordRegistration(id));
+    configuration.addListener(({ services }) => {
+        services.forEach(({ name: service }) =>
+            spans.recordSpan(service, configuration.readLongestStreamMs(service)),
+        );
+    });
     directory.addReadyListener((service) => {
         const servers = directory.listServers(service);
         versions.recordServers(
@@ -47,9 +57,16 @@
         name,
         clock,
         history: versions,
-        readLongestStreamMs: (service) => configuration.readLongestStreamMs(service),
+        readLongestStreamMs: (service) => spans.readSpanMs(service),
         listKeepers: (requestId, count) => peers.listKeepers(requestId, count),
         send: (receiver, message) => getMessenger().sendOrigin(receiver, message),
     });
-    return { versions, origins };
+    return {
+        origins,
+        restarts,
+        recordOutdated: () => {
+            versions.clearHistory();
+            restarts.recordOutdated();
+        },
+    };
 }
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { FastifyInstance } from "fastify";
-import { RequestQuarantine, type VersionHistory } from "@pimentocleat/policy";
+import { RequestQuarantine } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
@@ -21,7 +21,6 @@
 import { ServerReceiver } from "../following/serverReceiver.js";
 import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
-import type { OriginDirectory } from "../peers/originDirectory.js";
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory } from "../peers/peerDirectory.js";
 import { CrashNews } from "../peers/crashNews.js";
@@ -33,7 +32,7 @@
 import { createDispatches } from "./createDispatches.js";
 import { createCallerServer } from "./createCallerServer.js";
 import { createServerLimits, type ServerLimits } from "./createServerLimits.js";
-import { createStreamOrigins } from "./createStreamOrigins.js";
+import { createStreamOrigins, type KnownOrigins } from "./createStreamOrigins.js";
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
@@ -71,8 +70,7 @@
     private readonly peers: PeerDirectory;
     private readonly messenger: PeerMessenger;
     private readonly news: DispatchNews;
-    private readonly versions: VersionHistory;
-    private readonly origins: OriginDirectory;
+    private readonly streamOrigins: KnownOrigins;
     private readonly quarantine: RequestQuarantine;
     private readonly crashNews: CrashNews;
     private readonly serverLimits: ServerLimits;
@@ -141,7 +139,7 @@
                 }
             },
         });
-        const { versions, origins } = createStreamOrigins({
+        this.streamOrigins = createStreamOrigins({
             name: settings.name,
             clock,
             directory: this.directory,
@@ -149,8 +147,6 @@
             peers: this.peers,
             getMessenger: () => this.messenger,
         });
-        this.versions = versions;
-        this.origins = origins;
         this.quarantine = new RequestQuarantine(clock);
         this.crashNews = new CrashNews({
             quarantine: this.quarantine,
@@ -192,7 +188,7 @@
             receiveLeaving: ({ serverId, bornMs }) => this.directory.recordLeaving(serverId, bornMs),
             receiveCrashes: (message) => this.crashNews.receiveMessage(message),
             receiveLimits: (message, from) => this.serverLimits.permits.receiveMessage(message, from),
-            receiveOrigin: (message, from) => this.origins.receiveMessage(message, from),
+            receiveOrigin: (message, from) => this.streamOrigins.origins.receiveMessage(message, from),
             receiveConfiguration: (message) => this.configurationRelay.receiveMessage(message),
             storeUsageCopy: (copy) => this.duties.usage.storeCopy(copy),
             addForwardedUsage: (usage, reply) => this.duties.usage.addForwardedUsage(usage, reply),
@@ -206,7 +202,7 @@
             computeLiveRank: () => this.peers.computeLiveReaderRank(),
             computeRank: () => this.peers.computeReaderRank(),
             timing: this.relayTiming,
-            onOutdated: () => this.versions.clearHistory(),
+            onOutdated: () => this.streamOrigins.recordOutdated(),
             sendUpdate: (update) =>
                 this.messenger.sendStoreUpdate(update, this.peers.listNeighbourAddresses()),
         });
@@ -278,7 +274,7 @@
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
         this.tasks.push(
-            new StallDetector(this.options.clock, logger, () => this.versions.clearHistory()).run(
+            new StallDetector(this.options.clock, logger, () => this.streamOrigins.recordOutdated()).run(
                 this.stopping.signal,
             ),
         );
@@ -338,7 +334,7 @@
             ...this.serverLimits,
             dispatches: this.dispatches,
             announcer: this.news,
-            origins: this.origins,
+            ...this.streamOrigins,
             quarantine: this.quarantine,
             crashNews: this.crashNews,
             directory: this.directory,
--- a/packages/gateway/src/peers/__tests__/originDirectory.test.ts
+++ b/packages/gateway/src/peers/__tests__/originDirectory.test.ts
@@ -13,8 +13,8 @@
     readonly dead = new Set<string>();
     readonly received = new Map<string, number>();
     readonly histories = new Map<string, VersionHistory>();
+    readonly names: readonly string[];
     private readonly nodes = new Map<string, OriginDirectory>();
-    private readonly names: readonly string[];
     private readonly ring: HashRing;
 
     constructor(count: number) {
@@ -136,4 +136,37 @@
         deployment.clock.advance(1_000);
         expect(await answer).toBeUndefined();
     });
+
+    // Guards against a node that has just started, or whose configuration has just shortened the timeouts, and takes the
+    // version that remains for the one that began the stream, although other nodes know better.
+    it("prefers what other nodes have recorded to what its own short history tells", async () => {
+        const deployment = new Deployment(9);
+        deployment.readNode(3).reportOrigin("a", buildOrigin("v1"));
+        deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
+        deployment.clock.advance(spanMs + 1);
+        for (let index = 0; index < 9; index += 1) {
+            expect(await deployment.resolve(index, "a")).toBe("v1");
+        }
+    });
+
+    // Guards against a version that is chosen by whichever node answers first.
+    it("names no version when the histories of two nodes differ", async () => {
+        const deployment = new Deployment(9);
+        deployment.names.forEach((name, index) =>
+            deployment.histories.get(name)!.recordServers("s", [index % 2 === 0 ? "v1" : "v2"]),
+        );
+        deployment.clock.advance(spanMs + 1);
+        expect(await deployment.resolve(0, "unknown")).toBeUndefined();
+    });
+
+    // Guards against a caller that resumes so often that the stream outlasts the record of its origin.
+    it("keeps the origin of a stream that callers go on resuming", async () => {
+        const deployment = new Deployment(9);
+        deployment.readNode(0).reportOrigin("a", buildOrigin("v1"));
+        for (let index = 1; index < 9; index += 1) {
+            deployment.clock.advance(30_000);
+            expect(await deployment.resolve(index, "a")).toBe("v1");
+            deployment.histories.forEach((history) => history.recordServers("s", ["v2"]));
+        }
+    });
 });
--- a/packages/gateway/src/peers/originDirectory.ts
+++ b/packages/gateway/src/peers/originDirectory.ts
@@ -25,12 +25,17 @@
 const toldNodes = 3;
 /** Number of nodes that are asked; more than are told, because nodes may have joined or left meanwhile. */
 const askedNodes = 5;
+/** Time with only one version after which no other node is asked, in milliseconds; no caller resumes a stream for so long. */
+const settledMs = 600_000;
 /** Time to wait for replies, in milliseconds; beyond it the origin counts as unknown. */
 const replyTimeoutMs = 250;
 
 interface PendingQuery {
     /** Number of nodes that have not replied yet. */
     missing: number;
+    /** What nodes concluded from the versions that they have seen. */
+    readonly concluded: StreamOrigin[];
+    /** Called with the origin that a node has recorded, or with undefined after the last reply. */
     readonly resolve: (origin: StreamOrigin | undefined) => void;
 }
 
@@ -59,7 +64,9 @@
     }
 
     /**
-     * Finds where a stream began.
+     * Finds where a stream began. What a node has recorded goes before what the versions in service tell, unless only one
+     * version has served for very long: the timeouts that bound a stream's life may have been shortened just before this
+     * node started, and a caller may resume a stream more often than they allow for.
      *
      * @param services - Services at which it may have begun.
      * @param requestId - Identifier of the request whose response brought the first event; undefined when unknown.
@@ -69,7 +76,13 @@
         services: readonly string[],
         requestId: string | undefined,
     ): Promise<StreamOrigin | undefined> {
-        return this.findOrigin(services, requestId) ?? this.requestOrigin(services, requestId);
+        const known = this.findRecorded(requestId) ?? this.findOnlyOrigin(services, settledMs);
+        const origin = known ?? (await this.requestOrigin(services, requestId));
+        const recorded = this.findRecorded(requestId);
+        if (requestId !== undefined && recorded !== undefined) {
+            this.reportOrigin(requestId, recorded);
+        }
+        return origin;
     }
 
     /**
@@ -84,26 +97,28 @@
                 this.origins.recordOrigin(message.requestId, message.origin);
                 break;
             case "originQuery": {
-                const origin = this.findOrigin(message.services, message.requestId);
-                this.options.send(from, { type: "originReply", query: message.query, origin });
+                const recorded = this.findRecorded(message.requestId);
+                const origin = recorded ?? this.findOnlyOrigin(message.services);
+                const isRecorded = recorded !== undefined;
+                this.options.send(from, { type: "originReply", query: message.query, origin, isRecorded });
                 break;
             }
             case "originReply":
-                this.handleReply(message.query, message.origin);
+                this.handleReply(message.query, message.origin, message.isRecorded);
                 break;
         }
     }
 
-    private findOrigin(services: readonly string[], requestId: string | undefined): StreamOrigin | undefined {
-        const recorded = requestId === undefined ? undefined : this.origins.findOrigin(requestId);
-        return recorded ?? this.findOnlyOrigin(services);
+    private findRecorded(requestId: string | undefined): StreamOrigin | undefined {
+        return requestId === undefined ? undefined : this.origins.findOrigin(requestId);
     }
 
-    private findOnlyOrigin([service, ...others]: readonly string[]): StreamOrigin | undefined {
+    /** Concludes the origin from the only version that served for the life of a stream, and for the minimum time. */
+    private findOnlyOrigin([service, ...others]: readonly string[], minimumMs = 0): StreamOrigin | undefined {
         if (service === undefined || others.length > 0) {
             return undefined;
         }
-        const spanMs = this.options.readLongestStreamMs(service);
+        const spanMs = Math.max(minimumMs, this.options.readLongestStreamMs(service));
         const softwareVersion = this.options.history.findOnlyVersion(service, spanMs);
         return softwareVersion === undefined ? undefined : { service, softwareVersion };
     }
@@ -113,13 +128,15 @@
         requestId: string | undefined,
     ): Promise<StreamOrigin | undefined> {
         const keepers = this.listOtherKeepers(requestId ?? services.join(), askedNodes);
+        const own = this.findOnlyOrigin(services);
         if (keepers.length === 0) {
-            return undefined;
+            return own;
         }
+        const concluded = own === undefined ? [] : [own];
         this.lastQuery += 1;
         const query = this.lastQuery;
         const reply = new Promise<StreamOrigin | undefined>((resolve) => {
-            this.pending.set(query, { missing: keepers.length, resolve });
+            this.pending.set(query, { missing: keepers.length, concluded, resolve });
         });
         for (const keeper of keepers) {
             if (
@@ -129,19 +146,25 @@
             }
         }
         const timeout = this.options.clock.wait(replyTimeoutMs).then(() => undefined);
-        const origin = await Promise.race([reply, timeout]);
+        const recorded = await Promise.race([reply, timeout]);
         this.pending.delete(query);
-        return origin;
+        if (recorded !== undefined && requestId !== undefined) {
+            this.origins.recordOrigin(requestId, recorded);
+        }
+        return recorded ?? selectAgreed(concluded);
     }
 
-    private handleReply(query: number, origin: StreamOrigin | undefined): void {
+    private handleReply(query: number, origin: StreamOrigin | undefined, isRecorded = false): void {
         const pending = this.pending.get(query);
         if (pending === undefined) {
             return;
         }
         pending.missing -= 1;
-        if (origin !== undefined || pending.missing === 0) {
-            pending.resolve(origin);
+        if (origin !== undefined && !isRecorded) {
+            pending.concluded.push(origin);
+        }
+        if (isRecorded || pending.missing === 0) {
+            pending.resolve(isRecorded ? origin : undefined);
         }
     }
 
@@ -149,3 +172,12 @@
         return this.options.listKeepers(key, count).filter((name) => name !== this.options.name);
     }
 }
+
+/** Returns what all nodes have concluded; undefined when they differ or none did. */
+function selectAgreed([first, ...others]: readonly StreamOrigin[]): StreamOrigin | undefined {
+    const isAgreed = others.every(
+        ({ service, softwareVersion }) =>
+            service === first?.service && softwareVersion === first.softwareVersion,
+    );
+    return isAgreed ? first : undefined;
+}
--- a/packages/gateway/src/peers/originMessages.ts
+++ b/packages/gateway/src/peers/originMessages.ts
@@ -36,6 +36,11 @@
         query: z.number(),
         /** Absent when the sender doesn't know it. */
         origin: originSchema.optional(),
+        /**
+         * Whether the sender was told where this stream began, rather than that it has seen only one version lately. Nodes
+         * of earlier releases do not say it.
+         */
+        isRecorded: z.boolean().optional(),
     }),
 ]);
 
--- a/packages/gateway/src/relaying/__tests__/relayServer.test.ts
+++ b/packages/gateway/src/relaying/__tests__/relayServer.test.ts
@@ -45,8 +45,14 @@
         return { sockets, address: `${host}:${String((backend.address() as AddressInfo).port)}` };
     };
 
-    const openRelay = async (address: string) => {
-        const server = { id: "s1", service: "plain", dataCentre: "a", address } as RegisteredServer;
+    const openRelay = async (address: string, softwareVersion?: string) => {
+        const server = {
+            id: "s1",
+            service: "plain",
+            dataCentre: "a",
+            address,
+            softwareVersion,
+        } as RegisteredServer;
         const clock = new SystemClock();
         const paths: DirectPaths = new DirectPaths({
             reach: new ServerReach(clock),
@@ -103,4 +109,26 @@
         caller.abort();
         await second;
     });
+
+    // Guards against a stream that is resumed at another version, since the node that relays knows of a restart of the
+    // server that the sender does not.
+    it.each([
+        { sent: "v1", known: "v1", status: 200 },
+        { sent: "v1", known: "v2", status: 503 },
+        { sent: "v1", known: undefined, status: 503 },
+        // A node of an earlier release names no version.
+        { sent: undefined, known: "v2", status: 200 },
+    ])("answers $status when the sender names $sent and it knows $known", async ({ sent, known, status }) => {
+        const { sockets, address } = await openBackend();
+        const url = await openRelay(address, known);
+        const headers = {
+            [relayHeaders.key]: key,
+            [relayHeaders.server]: "s1",
+            ...(sent === undefined ? {} : { [relayHeaders.softwareVersion]: sent }),
+        };
+        const response = await sendRequest(url, { headers });
+        await response.body.dump();
+        expect(response.statusCode).toBe(status);
+        expect(sockets.length).toBe(status === 200 ? 1 : 0);
+    });
 });
--- a/packages/gateway/src/relaying/relayExchange.ts
+++ b/packages/gateway/src/relaying/relayExchange.ts
@@ -20,6 +20,8 @@
     readonly connections: ConnectionPool;
     readonly node: RelayPeer;
     readonly serverId: string;
+    /** Software version of the server as this node knows it. */
+    readonly softwareVersion: string | undefined;
     readonly requestId: string;
     readonly method: string;
     readonly path: string;
@@ -44,7 +46,8 @@
         private readonly options: RelayExchangeOptions,
         private readonly receiver: ExchangeReceiver,
     ) {
-        const { connections, node, serverId, requestId, method, path, headers, body } = options;
+        const { connections, node, serverId, softwareVersion, requestId, method, path, headers, body } =
+            options;
         this.exchange = new BackendExchange(
             {
                 connections,
@@ -59,6 +62,9 @@
                     serverId,
                     relayHeaders.requestId,
                     requestId,
+                    ...(softwareVersion === undefined
+                        ? []
+                        : [relayHeaders.softwareVersion, encodeURIComponent(softwareVersion)]),
                 ],
                 body,
             },
--- a/packages/gateway/src/relaying/relayProtocol.ts
+++ b/packages/gateway/src/relaying/relayProtocol.ts
@@ -13,6 +13,8 @@
     key: "pimentocleat-relay-key",
     /** Identifier of the server. */
     server: "pimentocleat-relay-server",
+    /** Software version of the server as the sender knows it, URI-encoded; absent from nodes of earlier releases. */
+    softwareVersion: "pimentocleat-relay-version",
     /** Identifier of the request. */
     requestId: "pimentocleat-relay-request",
     /** What the response is: see {@link RelayResult}. */
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -96,7 +96,8 @@
     server.all(internalPath, (request, reply) => {
         reply.hijack();
         const target = options.directory.findServer(readHeader(request.headers[relayHeaders.server]));
-        const unable = findUnable(options, load, target);
+        const softwareVersion = readHeader(request.headers[relayHeaders.softwareVersion]);
+        const unable = findUnable(options, load, target) ?? findOtherVersion(target, softwareVersion);
         if (target === undefined || unable !== undefined) {
             const { result, reason } = unable ?? unknownServer;
             writeFailure(reply.raw, result, reason);
@@ -162,6 +163,17 @@
     return undefined;
 }
 
+/** Streams go on only at the version that began them, so both nodes must know the same one. */
+function findOtherVersion(
+    server: RegisteredServer | undefined,
+    softwareVersion: string,
+): UnableReason | undefined {
+    const known = server?.softwareVersion === undefined ? "" : encodeURIComponent(server.softwareVersion);
+    return softwareVersion === "" || softwareVersion === known
+        ? undefined
+        : { result: "serverUnable", reason: "the server is registered with another software version" };
+}
+
 /** A node that reaches other servers tells of the server, any other one only of itself. */
 function selectUnreachable(paths: DirectPaths): RelayResult {
     return paths.isInTouch() ? "serverUnable" : "nodeUnable";
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -160,6 +160,10 @@
                 relays.recordUnable(node.name);
             }
         };
-        return new RelayExchange({ ...call, connections, node, serverId: server.id, onFinished }, receiver);
+        const { id: serverId, softwareVersion } = server;
+        return new RelayExchange(
+            { ...call, connections, node, serverId, softwareVersion, onFinished },
+            receiver,
+        );
     }
 }
--- a/packages/policy/src/streams/streamOrigins.ts
+++ b/packages/policy/src/streams/streamOrigins.ts
@@ -26,16 +26,17 @@
     constructor(private readonly clock: Clock) {}
 
     /**
-     * Records the origin of a stream. The first record of a stream holds.
+     * Records the origin of a stream, or that it was taken up. The first record of a stream holds; later ones keep it for
+     * longer, so that a stream which callers go on resuming does not outlast its record.
      *
      * @param requestId - Identifier of the request whose response brought the first event.
      * @param origin - Where it began.
      */
     recordOrigin(requestId: string, origin: StreamOrigin): void {
         const nowMs = this.clock.monotonicMs();
-        if (!this.origins.has(requestId)) {
-            this.origins.set(requestId, { origin, atMs: nowMs });
-        }
+        const known = this.origins.get(requestId);
+        this.origins.delete(requestId);
+        this.origins.set(requestId, { origin: known?.origin ?? origin, atMs: nowMs });
         for (const [id, { atMs }] of this.origins) {
             if (nowMs - atMs <= retentionMs && this.origins.size <= maximumOrigins) {
                 break;
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -102,12 +102,13 @@
     }
 
     /**
-     * Starts listening on a port that the operating system chooses.
+     * Starts listening, also again after it was closed.
      *
+     * @param port - The port; by default one that the operating system chooses.
      * @returns IP address and port.
      */
-    async open(): Promise<string> {
-        await new Promise<void>((resolve) => this.server.listen(0, loopbackHost, resolve));
+    async open(port = 0): Promise<string> {
+        await new Promise<void>((resolve) => this.server.listen(port, loopbackHost, resolve));
         return this.getAddress();
     }
 
