Decide whether a request starts, waits or is refused under overload

Change: a pure decision from the predicted start, thresholds by priority, floors by share of starts for kinds, customers and sizes, and times to come back from a hash of the request's identifier. Nothing calls it yet.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -79,3 +79,4 @@
 export { BrittleServices } from "./brittleness/brittleServices.js";
 export { PlaceKeeper } from "./brittleness/placeKeeper.js";
 export { PlaceQueue, type PlaceQueueOptions } from "./brittleness/placeQueue.js";
+export * from "./overload/index.js";
--- /dev/null
+++ b/packages/policy/src/overload/admissionDecision.ts
@@ -0,0 +1,160 @@
+/**
+ * Decides whether a request starts, waits at its node or is refused.
+ *
+ * @packageDocumentation
+ */
+import type { StartEstimate } from "../placement/startEstimate.js";
+import type { AdmissionDecision, AdmissionRequest, ServiceLoad, WaitReason } from "./admissionRequest.js";
+import { computeReturnAfterMs } from "./returnTime.js";
+
+/** What a decision depends on beside the request and its estimate. */
+export interface AdmissionContext {
+    /** The monotonic time, in milliseconds. */
+    readonly nowMs: number;
+    /** Usual time from the first event to the end of an answer of this kind, in milliseconds. */
+    readonly restMs: number;
+    /** Whether its kind, its customer or its size was served less than its floor. */
+    readonly isOwed: boolean;
+    /** Reads the load; called only before a request is held past its target or refused. */
+    readonly readLoad: () => ServiceLoad;
+}
+
+/** Share of the latency target for which waiting costs a caller nothing. */
+const freeWaitShare = 1 / 8;
+/**
+ * Number of streams that a request may delay to be in time itself: its own gain equals the loss of one stream.
+ */
+const evenDelayedStreams = 1;
+/**
+ * The same for a request that is late already: a late answer is worth 0.09 to 0.31 of one in time, so it gains about a
+ * quarter of what a delayed stream loses.
+ */
+const lateGainShare = 0.25;
+/** Factor by which the number falls with each step of priority, so that less urgent requests need more free capacity. */
+const priorityFactor = 0.5;
+/** Priority from which on the number falls no further; customers of many ranks would otherwise wait for an idle server. */
+const maximumPriorityStep = 4;
+/** Share of the servers' places below which a service counts as calm; nothing is refused in a calm service. */
+const calmTakenShare = 0.5;
+
+/**
+ * Decides about a request.
+ *
+ * @param request - The request.
+ * @param estimate - Its predicted start; undefined when it cannot be predicted.
+ * @param context - What else the decision depends on.
+ * @returns The decision.
+ */
+export function chooseAdmission(
+    request: AdmissionRequest,
+    estimate: StartEstimate | undefined,
+    context: AdmissionContext,
+): AdmissionDecision {
+    if (estimate === undefined) {
+        return { type: "start", reason: "noEstimate" };
+    }
+    return (
+        chooseStart(request, estimate, context) ??
+        (request.pauseTargetMs === undefined
+            ? chooseForPlainAnswer(request, estimate, context)
+            : chooseForStream(request, estimate, context))
+    );
+}
+
+/** Starts a request for which there is room and that costs no more than it may. */
+function chooseStart(
+    request: AdmissionRequest,
+    estimate: StartEstimate,
+    { nowMs, isOwed }: AdmissionContext,
+): AdmissionDecision | undefined {
+    if (!estimate.hasRoom) {
+        return undefined;
+    }
+    const isInTime = nowMs <= computeLatestInTimeMs(request, estimate);
+    if (estimate.delayedStreams <= computeDelayLimit(request.priority, isInTime)) {
+        return { type: "start", reason: "room" };
+    }
+    if (request.isReturning || request.isResumption) {
+        return { type: "start", reason: "tried" };
+    }
+    return isOwed ? { type: "start", reason: "owed" } : undefined;
+}
+
+/**
+ * Computes how many streams a request may delay. The most urgent requests never wait for running streams, since none is
+ * more urgent.
+ */
+function computeDelayLimit(priority: number, isInTime: boolean): number {
+    if (priority <= 0) {
+        return Number.POSITIVE_INFINITY;
+    }
+    const limit = evenDelayedStreams * priorityFactor ** Math.min(priority, maximumPriorityStep);
+    return isInTime ? limit : limit * lateGainShare;
+}
+
+function computeLatestInTimeMs(request: AdmissionRequest, estimate: StartEstimate): number {
+    return request.arrivedMs + request.targetMs - estimate.startMs;
+}
+
+/**
+ * A request to a plain service delays no stream, and the reported load of its servers gets old while nothing is sent to
+ * them. It waits only as long as that is free, then the server's queue takes it.
+ */
+function chooseForPlainAnswer(
+    request: AdmissionRequest,
+    estimate: StartEstimate,
+    context: AdmissionContext,
+): AdmissionDecision {
+    const { nowMs, readLoad } = context;
+    const freeUntilMs = request.arrivedMs + request.targetMs * freeWaitShare;
+    const untilMs = Math.min(freeUntilMs, computeLatestInTimeMs(request, estimate));
+    if (nowMs < untilMs) {
+        return { type: "wait", reason: "room", untilMs };
+    }
+    const isHopeless = nowMs + estimate.startMs > request.deadlineMs;
+    return isHopeless && !isCalm(readLoad())
+        ? buildRefusal(request, estimate, "room", nowMs)
+        : { type: "start", reason: "inTime" };
+}
+
+/**
+ * A stream waits while it would be in time, then while a late answer is still possible. In a calm service it starts when
+ * it would otherwise be late, unless it would cost more streams than it gains.
+ */
+function chooseForStream(
+    request: AdmissionRequest,
+    estimate: StartEstimate,
+    { nowMs, restMs, readLoad }: AdmissionContext,
+): AdmissionDecision {
+    const reason = estimate.hasRoom ? "streams" : "room";
+    const inTimeMs = computeLatestInTimeMs(request, estimate);
+    if (nowMs < inTimeMs) {
+        return { type: "wait", reason, untilMs: inTimeMs };
+    }
+    const usefulMs = request.deadlineMs - estimate.startMs - restMs;
+    const isUseful = nowMs < usefulMs;
+    if (isCalm(readLoad())) {
+        const isWorthwhile = estimate.hasRoom && estimate.delayedStreams <= evenDelayedStreams;
+        return isWorthwhile || !isUseful
+            ? { type: "start", reason: "calm" }
+            : { type: "wait", reason, untilMs: usefulMs };
+    }
+    if (isUseful) {
+        return { type: "wait", reason, untilMs: usefulMs };
+    }
+    return buildRefusal(request, estimate, reason, nowMs);
+}
+
+function isCalm({ takenShare, waiting }: ServiceLoad): boolean {
+    return takenShare < calmTakenShare && waiting === 0;
+}
+
+function buildRefusal(
+    { requestId, deadlineMs }: AdmissionRequest,
+    { startMs }: StartEstimate,
+    reason: WaitReason,
+    nowMs: number,
+): AdmissionDecision {
+    const returnMs = computeReturnAfterMs(requestId, startMs, deadlineMs - nowMs);
+    return { type: "refuse", reason, returnMs };
+}
