Let requests wait at their node for admission, and say why a failed attempt is not repeated

Change: a bounded queue in front of ServerSelection, for services whose servers report a pace (the switch returns false until placement reads it) unless overloadControl is off; events 2400 to 2403 and metrics.

--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { StreamOrigin } from "@pimentocleat/policy";
+import type { OverloadControl } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
@@ -14,13 +14,15 @@
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { ServerPaths } from "../relaying/serverPaths.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
+import type { AdmissionQueue } from "./admissionQueue.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { RequestGuard } from "./requestGuard.js";
+import { RetryDecision } from "./retryDecision.js";
 import {
+    buildRunState,
     buildUnservedError,
     isRepeatable,
     minimumRemainingMs,
-    selectRetryReasonTag,
     selectStatusTag,
     type RunState,
 } from "./runState.js";
@@ -46,6 +48,8 @@
     readonly notices: ServerNotices;
     readonly brittle: BrittleDirectory;
     readonly selection: ServerSelection;
+    readonly admissions: AdmissionQueue;
+    readonly control: OverloadControl;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -62,8 +66,12 @@
 
 /** Runs requests and retries failed attempts. */
 export class RequestRunner {
+    private readonly retries: RetryDecision;
+
     /** @param options - Servers, protocol, clock and recorders. */
-    constructor(private readonly options: RequestRunnerOptions) {}
+    constructor(private readonly options: RequestRunnerOptions) {
+        this.retries = new RetryDecision(options);
+    }
 
     /**
      * Runs a request to its end.
@@ -77,7 +85,9 @@
         if (answer.isDisconnected) {
             return;
         }
-        const state = this.buildState(resumed?.request ?? request, answer, resumed?.origin);
+        const runnable = resumed?.request ?? request;
+        const dispatch = this.options.dispatches.ensureService(runnable.service);
+        const state = buildRunState(runnable, answer, dispatch, resumed?.origin);
         const timer = setTimeout(
             () => this.cancelRun(state),
             Math.max(0, request.deadlineMs - this.readNowMs()),
@@ -91,46 +101,29 @@
         }
     }
 
-    private buildState(
-        request: GatewayRequest,
-        answer: CallerAnswer,
-        streamOrigin: StreamOrigin | undefined,
-    ): RunState {
-        return {
-            request,
-            answer,
-            dispatch: this.options.dispatches.ensureService(request.service),
-            excluded: new Set(),
-            attemptCount: 0,
-            connectFailures: 0,
-            relayFailures: 0,
-            unableNodes: new Set(),
-            relayNode: undefined,
-            mayHaveRun: false,
-            isUsageCounted: false,
-            isStreamStarted: false,
-            lastEventId: request.head.lastEventId,
-            streamOrigin,
-            harmfulCause: undefined,
-            failedAnswer: undefined,
-            currentAttempt: undefined,
-            isCancelled: false,
-            lastFailureReason: "",
-        };
-    }
-
     private cancelRun(state: RunState): void {
         state.isCancelled = true;
         if (state.currentAttempt?.hasSentBytes() === true) {
             state.mayHaveRun = true;
         }
         state.currentAttempt?.cancel();
+        state.cancelWait?.();
     }
 
     private async runAttempts(state: RunState): Promise<void> {
         for (;;) {
+            if (!(await this.waitForAdmission(state))) {
+                if (state.failedAnswer !== undefined) {
+                    this.retries.recordObstacle(state, undefined, "admission");
+                }
+                this.finishWithoutAnswer(state, false);
+                return;
+            }
             const server = await this.options.selection.chooseServer(state);
             if (server === undefined) {
+                if (state.failedAnswer !== undefined) {
+                    this.retries.recordObstacle(state, undefined, "noServer");
+                }
                 this.finishWithoutAnswer(state, true);
                 return;
             }
@@ -140,10 +133,22 @@
                 }
             } finally {
                 this.options.selection.releaseServer(server);
+                this.options.admissions.recordChange();
             }
         }
     }
 
+    /** Returns whether the next attempt may start. */
+    private async waitForAdmission(state: RunState): Promise<boolean> {
+        if (state.isAdmitted) {
+            return true;
+        }
+        const result = await this.options.admissions.waitForStart(state);
+        state.isAdmitted = result.type === "admitted";
+        state.returnMs = result.type === "refused" ? result.returnMs : undefined;
+        return state.isAdmitted;
+    }
+
     /** Returns whether the request is finished; otherwise another attempt follows. */
     private async runOn(state: RunState, server: RegisteredServer): Promise<boolean> {
         const remainingMs = state.request.deadlineMs - this.readNowMs();
@@ -221,6 +226,7 @@
 
     private recordRunning(state: RunState): void {
         const { route, arrivedMs } = state.request;
+        state.firstDataMs = this.readNowMs();
         this.options.metrics.recordTime("request.firstToken", this.readNowMs() - arrivedMs, {
             class: route.name,
         });
@@ -236,6 +242,7 @@
         const { answer } = state;
         switch (result.type) {
             case "streamed":
+                this.recordRest(state);
                 this.recordEnd(state, server, "streamed");
                 return true;
             case "answer":
@@ -310,27 +317,12 @@
         isAllowed: boolean,
     ): boolean {
         state.attemptCount += 1;
+        state.isAdmitted = false;
         state.excluded.add(server.id);
         state.lastFailureReason = reason;
-        const { request, dispatch } = state;
-        const hasAttemptLeft = state.attemptCount < request.route.maximumAttempts;
-        if (
-            !isAllowed ||
-            !hasAttemptLeft ||
-            state.isCancelled ||
-            !dispatch.retries.takeRetry(this.readNowMs())
-        ) {
-            return this.finishWithoutAnswer(state, false);
-        }
-        this.options.metrics.addCount("request.retried", 1, { reason: selectRetryReasonTag(reason) });
-        this.options.logger.writeEvent("requestRetried", {
-            requestId: request.head.requestId,
-            server: server.id,
-            reason,
-            attempt: state.attemptCount,
-            lastEventId: state.lastEventId,
-        });
-        return false;
+        return this.retries.takeRetry(state, server.id, isAllowed)
+            ? false
+            : this.finishWithoutAnswer(state, false);
     }
 
     /** Ends a request for which no server sent a usable response. */
@@ -358,10 +350,16 @@
             return true;
         }
         const remainingMs = request.deadlineMs - this.readNowMs();
-        const returnMs = this.options.selection.computeReturnMs(state);
+        const returnMs = state.returnMs ?? this.options.selection.computeReturnMs(state);
         throw buildUnservedError(state, noServer, remainingMs, returnMs);
     }
 
+    private recordRest({ firstDataMs, request }: RunState): void {
+        if (firstDataMs !== undefined) {
+            this.options.control.recordAnswer(request.route.name, this.readNowMs() - firstDataMs);
+        }
+    }
+
     private recordEnd(state: RunState, server: RegisteredServer | undefined, result: string): void {
         const { head, arrivedMs, route } = state.request;
         const elapsedMs = this.readNowMs() - arrivedMs;
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -46,10 +46,60 @@
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
     failedAnswer: CompleteBackendAnswer | undefined;
     currentAttempt: Attempt | undefined;
+    /** Ends a wait for the start of the next attempt; undefined while it does not wait. */
+    cancelWait: (() => void) | undefined;
+    /** Whether the next attempt may start; a refusal by a server ends it, a failed connection does not. */
+    isAdmitted: boolean;
+    /** Time after which the caller should come back, in milliseconds; undefined unless admission control refused it. */
+    returnMs: number | undefined;
+    /** Monotonic time of the first data of the response, in milliseconds; undefined before. */
+    firstDataMs: number | undefined;
     isCancelled: boolean;
     lastFailureReason: string;
 }
 
+/**
+ * Builds the state of a request that starts to run.
+ *
+ * @param request - The request.
+ * @param answer - The response to its caller.
+ * @param dispatch - Dispatch state of its service.
+ * @param streamOrigin - Where the stream began that it continues; undefined for others.
+ * @returns The state.
+ */
+export function buildRunState(
+    request: GatewayRequest,
+    answer: CallerAnswer,
+    dispatch: ServiceDispatch,
+    streamOrigin: StreamOrigin | undefined,
+): RunState {
+    return {
+        request,
+        answer,
+        dispatch,
+        excluded: new Set(),
+        attemptCount: 0,
+        connectFailures: 0,
+        relayFailures: 0,
+        unableNodes: new Set(),
+        relayNode: undefined,
+        mayHaveRun: false,
+        isUsageCounted: false,
+        isStreamStarted: false,
+        lastEventId: request.head.lastEventId,
+        streamOrigin,
+        harmfulCause: undefined,
+        failedAnswer: undefined,
+        currentAttempt: undefined,
+        cancelWait: undefined,
+        isAdmitted: false,
+        returnMs: undefined,
+        firstDataMs: undefined,
+        isCancelled: false,
+        lastFailureReason: "",
+    };
+}
+
 /**
  * Selects the metric tag of a result; the number of different tags is bounded.
  *
--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -3,22 +3,29 @@
  *
  * @packageDocumentation
  */
-import type { RequestQuarantine } from "@pimentocleat/policy";
+import { OverloadControl, type RequestQuarantine } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { AdmissionQueue } from "../dispatch/admissionQueue.js";
 import { RequestGuard } from "../dispatch/requestGuard.js";
 import { RequestRunner, type RequestRunnerOptions } from "../dispatch/requestRunner.js";
 import { ServerSelection } from "../dispatch/serverSelection.js";
+import { StartEstimator } from "../dispatch/startEstimator.js";
 import { StreamResumption } from "../dispatch/streamResumption.js";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { CrashNews } from "../peers/crashNews.js";
 import type { OriginDirectory } from "../peers/originDirectory.js";
+import type { GatewaySettings } from "../settings/gatewaySettings.js";
 
 /** Options of {@link createRequestRunner}: those that it passes on, and what it connects. */
-export interface RunnerConnections extends Omit<RequestRunnerOptions, "resumption" | "guard" | "selection"> {
+export interface RunnerConnections extends Omit<
+    RequestRunnerOptions,
+    "resumption" | "guard" | "selection" | "admissions" | "control"
+> {
+    readonly settings: Pick<GatewaySettings, "overloadControl">;
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
     readonly origins: OriginDirectory;
@@ -30,6 +37,9 @@
     readonly clock: WaitingClock;
 }
 
+/** No service counts as one whose servers report a pace until placement reads it from their answers. */
+const reportsPace = (): boolean => false;
+
 /**
  * Creates the runner of a node.
  *
@@ -37,10 +47,25 @@
  * @returns The runner.
  */
 export function createRequestRunner(options: RunnerConnections): RequestRunner {
+    const control = new OverloadControl(options.clock);
     return new RequestRunner({
         ...options,
+        control,
+        admissions: createAdmissionQueue(options, control),
         resumption: new StreamResumption(options.origins),
         guard: new RequestGuard(options),
         selection: new ServerSelection(options),
     });
 }
+
+function createAdmissionQueue(options: RunnerConnections, control: OverloadControl): AdmissionQueue {
+    const estimator = new StartEstimator(options);
+    const isEnabled = options.settings.overloadControl === "auto";
+    return new AdmissionQueue({
+        ...options,
+        control,
+        isControlled: () => isEnabled && reportsPace(),
+        estimateStart: (state) => estimator.estimateStart(state),
+        readLoad: (state) => estimator.readLoad(state),
+    });
+}
--- a/packages/policy/src/overload/admissionDecision.ts
+++ b/packages/policy/src/overload/admissionDecision.ts
@@ -4,7 +4,13 @@
  * @packageDocumentation
  */
 import type { StartEstimate } from "../placement/startEstimate.js";
-import type { AdmissionDecision, AdmissionRequest, ServiceLoad, WaitReason } from "./admissionRequest.js";
+import type {
+    AdmissionDecision,
+    AdmissionRequest,
+    FinalDecision,
+    RefusalReason,
+    ServiceLoad,
+} from "./admissionRequest.js";
 import { computeReturnAfterMs } from "./returnTime.js";
 
 /** What a decision depends on beside the request and its estimate. */
@@ -61,6 +67,20 @@
     );
 }
 
+/**
+ * Decides about the last of too many waiting requests. It cannot wait on, and nothing is refused in a calm service.
+ *
+ * @param request - The request.
+ * @param nowMs - The monotonic time, in milliseconds.
+ * @param load - Load of its service.
+ * @returns The decision.
+ */
+export function chooseAtLimit(request: AdmissionRequest, nowMs: number, load: ServiceLoad): FinalDecision {
+    return isCalm(load)
+        ? { type: "start", reason: "queueFull" }
+        : buildRefusal(request, request.targetMs, "queueFull", nowMs);
+}
+
 /** Starts a request for which there is room and that costs no more than it may. */
 function chooseStart(
     request: AdmissionRequest,
@@ -113,7 +133,7 @@
     }
     const isHopeless = nowMs + estimate.startMs > request.deadlineMs;
     return isHopeless && !isCalm(readLoad())
-        ? buildRefusal(request, estimate, "room", nowMs)
+        ? buildRefusal(request, estimate.startMs, "room", nowMs)
         : { type: "start", reason: "inTime" };
 }
 
@@ -142,7 +162,7 @@
     if (isUseful) {
         return { type: "wait", reason, untilMs: usefulMs };
     }
-    return buildRefusal(request, estimate, reason, nowMs);
+    return buildRefusal(request, estimate.startMs, reason, nowMs);
 }
 
 function isCalm({ takenShare, waiting }: ServiceLoad): boolean {
@@ -151,10 +171,10 @@
 
 function buildRefusal(
     { requestId, deadlineMs }: AdmissionRequest,
-    { startMs }: StartEstimate,
-    reason: WaitReason,
+    backlogMs: number,
+    reason: RefusalReason,
     nowMs: number,
-): AdmissionDecision {
-    const returnMs = computeReturnAfterMs(requestId, startMs, deadlineMs - nowMs);
+): FinalDecision {
+    const returnMs = computeReturnAfterMs(requestId, backlogMs, deadlineMs - nowMs);
     return { type: "refuse", reason, returnMs };
 }
--- a/packages/policy/src/overload/admissionRequest.ts
+++ b/packages/policy/src/overload/admissionRequest.ts
@@ -39,15 +39,21 @@
 }
 
 /** Why a request starts. */
-export type StartReason = "noEstimate" | "room" | "owed" | "tried" | "inTime" | "calm";
+export type StartReason = "noEstimate" | "room" | "owed" | "tried" | "inTime" | "calm" | "queueFull";
 
 /** What a request that does not start yet waits for. */
 export type WaitReason = "room" | "streams";
 
+/** Why a request is refused: what it waited for could not come in time, or too many requests wait. */
+export type RefusalReason = WaitReason | "queueFull";
+
 /** The decision about a request. */
 export type AdmissionDecision =
     | { readonly type: "start"; readonly reason: StartReason }
     /** Decide again at a change, at the latest at the given time. */
     | { readonly type: "wait"; readonly reason: WaitReason; readonly untilMs: number }
     /** The caller should come back after the given time. */
-    | { readonly type: "refuse"; readonly reason: WaitReason; readonly returnMs: number };
+    | { readonly type: "refuse"; readonly reason: RefusalReason; readonly returnMs: number };
+
+/** A decision that ends a wait. */
+export type FinalDecision = Exclude<AdmissionDecision, { readonly type: "wait" }>;
--- a/packages/policy/src/overload/index.ts
+++ b/packages/policy/src/overload/index.ts
@@ -1,6 +1,8 @@
 export type {
     AdmissionDecision,
     AdmissionRequest,
+    FinalDecision,
+    RefusalReason,
     ServiceLoad,
     StartReason,
     WaitReason,
--- a/packages/policy/src/overload/overloadControl.ts
+++ b/packages/policy/src/overload/overloadControl.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock } from "@pimentocleat/types";
 import type { StartEstimate } from "../placement/startEstimate.js";
-import { chooseAdmission } from "./admissionDecision.js";
-import type { AdmissionDecision, AdmissionRequest, ServiceLoad } from "./admissionRequest.js";
+import { chooseAdmission, chooseAtLimit } from "./admissionDecision.js";
+import type { AdmissionDecision, AdmissionRequest, FinalDecision, ServiceLoad } from "./admissionRequest.js";
 import { KindProfile } from "./kindProfile.js";
 import { RecentMap } from "./recentMap.js";
 import { ServedShares } from "./servedShares.js";
@@ -62,6 +62,17 @@
         });
     }
 
+    /**
+     * Decides about the last of too many waiting requests.
+     *
+     * @param request - The request.
+     * @param readLoad - Reads the load of its service.
+     * @returns The decision.
+     */
+    chooseAtLimit(request: AdmissionRequest, readLoad: () => ServiceLoad): FinalDecision {
+        return chooseAtLimit(request, this.clock.monotonicMs(), readLoad());
+    }
+
     /**
      * Compares two waiting requests: by priority, then streams that are continued, then the slack until the latency
      * target, and for equal slack the customer's served tokens.
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -70,6 +70,22 @@
         "info",
         "a connection to a backend server was lost while others to it stay open; not a crash",
     ),
+    requestWaiting: defineEvent(
+        2400,
+        "info",
+        "request waits at this node: no server has room, or running streams would miss their pause targets",
+    ),
+    requestAdmitted: defineEvent(2401, "info", "request that waited at this node starts"),
+    requestOverloaded: defineEvent(
+        2402,
+        "info",
+        "request is refused because it cannot start in time; names when the caller should come back",
+    ),
+    requestNotRetried: defineEvent(
+        2403,
+        "info",
+        "a server's failure is passed on, or a lost request ended, without another attempt; names the reason",
+    ),
     promptPartTested: defineEvent(2010, "info", "one prompt with a quarantined part is sent as a test"),
     callerConnectionBroken: defineEvent(
         2006,
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -68,6 +68,25 @@
         ["role"],
         "Requests that went through another node, at their sender and at the node that relays them.",
     ),
+    "request.notRetried": defineMetric(
+        "counter",
+        "requests",
+        ["reason"],
+        "Failed attempts that no other attempt followed, by reason.",
+    ),
+    "admission.decided": defineMetric(
+        "counter",
+        "decisions",
+        ["result", "reason"],
+        "Decisions of admission control: started, waiting, refused.",
+    ),
+    "admission.wait": defineMetric("timer", "ms", ["class"], "Time for which requests waited at the node."),
+    "admission.return": defineMetric(
+        "timer",
+        "ms",
+        ["class"],
+        "Time after which callers that admission control refused should come back.",
+    ),
     "log.dropped": defineMetric(
         "counter",
         "lines",
