--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -49,10 +49,51 @@
     /** An error response of a server; sent to the caller when no other attempt succeeds. */
     failedAnswer: CompleteBackendAnswer | undefined;
     currentAttempt: Attempt | undefined;
+    /** Ends a wait for the start of the next attempt; undefined while it does not wait. */
+    cancelWait: (() => void) | undefined;
+    /** Whether the next attempt may start; a refusal by a server ends it, a failed connection does not. */
+    isAdmitted: boolean;
+    /** Time after which the caller should come back, in milliseconds; undefined unless admission control refused it. */
+    returnMs: number | undefined;
+    /** Monotonic time of the first data of the response, in milliseconds; undefined before. */
+    firstDataMs: number | undefined;
     isCancelled: boolean;
     lastFailureReason: string;
 }
 
+/**
+ * Builds the state of a request that starts to run.
+ *
+ * @param start - The request, and what is known of it before the first attempt.
+ * @returns The state.
+ */
+export function buildRunState(
+    start: Pick<RunState, "request" | "answer" | "dispatch" | "streamOrigin" | "isVersionKnown">,
+): RunState {
+    return {
+        ...start,
+        excluded: new Set(),
+        attemptCount: 0,
+        connectFailures: 0,
+        relayFailures: 0,
+        unableNodes: new Set(),
+        relayNode: undefined,
+        mayHaveRun: false,
+        isUsageCounted: false,
+        isStreamStarted: false,
+        lastEventId: start.request.head.lastEventId,
+        harmfulCause: undefined,
+        failedAnswer: undefined,
+        currentAttempt: undefined,
+        cancelWait: undefined,
+        isAdmitted: false,
+        returnMs: undefined,
+        firstDataMs: undefined,
+        isCancelled: false,
+        lastFailureReason: "",
+    };
+}
+
 /**
  * Selects the metric tag of a result; the number of different tags is bounded.
  *
--- a/packages/gateway/src/dispatch/serverSelection.ts
+++ b/packages/gateway/src/dispatch/serverSelection.ts
@@ -90,6 +90,21 @@
         return timesMs.length > 0 && shortestMs > 0 ? Math.max(minimumReturnMs, shortestMs) : undefined;
     }
 
+    /**
+     * Lists the servers that may run a request and take requests now.
+     *
+     * @param state - State of the request.
+     * @returns The servers.
+     */
+    listOpenServers(state: RunState): readonly RegisteredServer[] {
+        const { notices, permits } = this.options;
+        const priority = computePriority(state.request);
+        return this.listEligibleServers(state).filter(
+            (server) =>
+                notices.computePauseMs(server) === 0 && permits.computeClosedMs(server, priority) === 0,
+        );
+    }
+
     private chooseCheapest(
         { request, dispatch, excluded }: RunState,
         servers: readonly RegisteredServer[],
@@ -114,15 +129,6 @@
             );
     }
 
-    private listOpenServers(state: RunState): readonly RegisteredServer[] {
-        const { notices, permits } = this.options;
-        const priority = computePriority(state.request);
-        return this.listEligibleServers(state).filter(
-            (server) =>
-                notices.computePauseMs(server) === 0 && permits.computeClosedMs(server, priority) === 0,
-        );
-    }
-
     /**
      * Computes how long a request may still wait for a permit: only while no server without a limit takes it, and for all
      * servers together.
