Limit the requests of all nodes to servers that may be cold

Cause: a server that has just started crashes above its cold rate, and nodes sent as much as to others. Change: ColdServers decides until when a server may be cold, from its registration, a new start, lost connections, the end of an evacuation, and a start or stall of the node; a server counts as cold until it has shown after the event that it runs and the time has passed. ColdDirectory shares losses with other nodes, readers relay what registrations say. The keepers of permits grant at a rate with which two of them stay within the bound; a permit that is used too late is void. The granting part of ServerPermits moves to PermitGranter without other change.

--- a/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
+++ b/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
@@ -28,6 +28,11 @@
                 findAllowed: () => 1,
                 buildPlaces: () => ({ computeRoom: () => 1, countInFlight: () => 0 }),
             } as unknown as BrittleDirectory,
+            cold: {
+                findRate: () => undefined,
+                findRateOf: () => undefined,
+                mergeReports: () => undefined,
+            },
             listKeepers: () => keepers,
             send: (to, message) => {
                 sent.push(message);
--- a/packages/gateway/src/backends/directPaths.ts
+++ b/packages/gateway/src/backends/directPaths.ts
@@ -16,6 +16,8 @@
     readonly logger: Logger;
     /** Time after which the opening of a connection fails, in milliseconds. */
     readonly connectTimeoutMs: number;
+    /** Called with the address of a server that closed or reset a connection. */
+    readonly onLost?: ((address: string) => void) | undefined;
     /** Returns the connections to servers, which report to this object. */
     readonly getConnections: () => ConnectionPool;
 }
@@ -43,6 +45,10 @@
         logger.writeEvent("connectionNotOpened", { address, reason });
     }
 
+    onLost(address: string): void {
+        this.options.onLost?.(address);
+    }
+
     /**
      * Checks whether a request to a server should take the direct path. Where it should not, a trial of that path is
      * started from time to time.
--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -43,6 +43,7 @@
     private digest: string | undefined;
     private readonly readyByService = new Map<string, readonly RegisteredServer[]>();
     private readonly readyListeners: DirectoryListener[] = [];
+    private readonly rowListeners: ((servers: readonly RegisteredServer[]) => void)[] = [];
     private readonly restartListeners: ((server: RegisteredServer) => void)[] = [];
 
     /** @param logger - Records servers that register, leave or are removed. */
@@ -53,6 +54,11 @@
         this.readyListeners.push(listener);
     }
 
+    /** @param listener - Called with all registrations that are as new as the known ones, also unchanged ones. */
+    addRowListener(listener: (servers: readonly RegisteredServer[]) => void): void {
+        this.rowListeners.push(listener);
+    }
+
     /** @param listener - Called when a server has restarted under the same identifier. */
     addRestartListener(listener: (server: RegisteredServer) => void): void {
         this.restartListeners.push(listener);
@@ -108,6 +114,8 @@
                 this.writeChangeEvent(known, server);
             }
         }
+        // After the servers are stored, so that listeners find them.
+        this.rowListeners.forEach((listener) => listener(newer));
         const removedNow = removed.filter((server) => this.removeServer(server, services));
         if (services.size > 0) {
             this.digest = undefined;
@@ -181,6 +189,16 @@
         return this.servers.get(id);
     }
 
+    /**
+     * Finds a server by its address.
+     *
+     * @param address - IP address and port.
+     * @returns The server, or undefined when none is registered there.
+     */
+    findServerAt(address: string): RegisteredServer | undefined {
+        return [...this.servers.values()].find((server) => server.address === address);
+    }
+
     /**
      * Checks whether an entry is only in the store because it has come back from an older copy: it was removed before,
      * and nobody has written it since.
--- a/packages/gateway/src/backends/serverNotice.ts
+++ b/packages/gateway/src/backends/serverNotice.ts
@@ -33,6 +33,8 @@
     readonly pause: RequestedPause;
     readonly limit: NamedLimit;
     readonly brittleness: NamedBrittleness;
+    /** Time for which the server stays cold, in milliseconds; undefined when it does not say. */
+    readonly coldMs?: number | undefined;
     /** Whether the server rejected the request for want of room. */
     readonly hasNoRoom: boolean;
 }
--- a/packages/gateway/src/backends/serverNotices.ts
+++ b/packages/gateway/src/backends/serverNotices.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "@pimentocleat/types";
 import type { RegisteredServer } from "./backendServer.js";
 import type { BrittleDirectory } from "./brittleDirectory.js";
+import type { ColdDirectory } from "./coldDirectory.js";
 import type { LimitDirectory } from "./limitDirectory.js";
 import type { ServerDirectory } from "./serverDirectory.js";
 import type { RequestedPause, ServerNotice } from "./serverNotice.js";
@@ -18,6 +19,7 @@
     readonly directory: ServerDirectory;
     readonly limits: LimitDirectory;
     readonly brittle: BrittleDirectory;
+    readonly cold: ColdDirectory;
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
@@ -44,7 +46,7 @@
      */
     recordNotice(server: RegisteredServer, notice: ServerNotice, sentMs: number): void {
         const { isLeaving, pause, limit } = notice;
-        const { directory, limits, brittle, metrics, reportLeaving } = this.options;
+        const { directory, limits, brittle, cold, metrics, reportLeaving } = this.options;
         if (isLeaving && directory.recordLeaving(server.id, server.bornMs)) {
             metrics.addCount("server.notice", 1, { kind: "leaving" });
             reportLeaving(server);
@@ -52,6 +54,7 @@
         this.recordPause(server, pause);
         limits.recordAnswer(server, limit, sentMs);
         brittle.recordAnswer(server, notice, sentMs);
+        cold.recordAnswer(server, sentMs, notice.coldMs);
     }
 
     /**
--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -4,20 +4,21 @@
  *
  * @packageDocumentation
  */
-import {
-    KeeperSuccession,
-    PermitKeeper,
-    PlaceKeeper,
-    type KeptServer,
-    type PermitDecision,
-    type RefusedPermit,
-} from "@pimentocleat/policy";
+import type { RefusedPermit } from "@pimentocleat/policy";
 import type { Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
-import { isAboutPlaces, type LimitMessage } from "../peers/limitMessages.js";
+import type { LimitMessage } from "../peers/limitMessages.js";
 import type { RegisteredServer } from "./backendServer.js";
 import type { BrittleDirectory } from "./brittleDirectory.js";
+import type { ColdDirectory } from "./coldDirectory.js";
 import { HeldPlaces, type HeldPlace } from "./heldPlaces.js";
+import {
+    PermitGranter,
+    type ColdRequestMessage,
+    type PermitReply,
+    type PermitRequestMessage,
+    type PlaceRequestMessage,
+} from "./permitGranter.js";
 import type { LimitDirectory } from "./limitDirectory.js";
 
 /** Options of {@link ServerPermits}. */
@@ -28,6 +29,7 @@
     readonly metrics: Metrics;
     readonly limits: LimitDirectory;
     readonly brittle: BrittleDirectory;
+    readonly cold: Pick<ColdDirectory, "findRate" | "findRateOf" | "mergeReports">;
     /**
      * Lists the nodes that may grant the permits of a server, given the names of nodes that were heard lately; empty while
      * this node does not know the others.
@@ -45,18 +47,19 @@
     readonly patienceMs: number;
 }
 
-type PermitReply = Extract<LimitMessage, { type: "permitReply" }>;
-type PermitRequestMessage = Extract<LimitMessage, { type: "permitRequest" }>;
-type PlaceRequestMessage = Extract<LimitMessage, { type: "placeRequest" }>;
-
 /** Time to wait for a reply beyond the patience of the request, in milliseconds. */
 const replyTimeoutMs = 100;
+/**
+ * Time beyond the wait for a reply after which a granted permit is void, in milliseconds: a process that was paused would
+ * use permits of which others have taken the place.
+ */
+const permitValidityMs = 250;
 /** Time for which a node that did not reply is passed over, in milliseconds. */
 const silentKeeperMs = 2_000;
 /** Time without permits of a server after no node replied, in milliseconds. */
 const unansweredMs = 100;
-/** Minimum time between two messages that tell another keeper that this node grants places, in milliseconds. */
-const heartbeatIntervalMs = 500;
+/** In place of a permit that came too late to be used. */
+const voidPermit: RefusedPermit = { type: "refused", nextMs: unansweredMs, returnMs: unansweredMs };
 /** Longest time for which a refusal holds for other requests of this node, in milliseconds. */
 const maximumRefusalMs = 1_000;
 
@@ -68,36 +71,33 @@
     readonly returnAtMs: number;
 }
 
-/** Asks for permits, and grants those of the servers that this node keeps. */
+/** Asks for permits; the granter grants those of the servers that this node keeps. */
 export class ServerPermits {
-    private readonly keeper: PermitKeeper;
-    private readonly placeSuccession: KeeperSuccession;
-    private readonly places: PlaceKeeper;
+    private readonly granter: PermitGranter;
     private readonly pending = new Map<number, (refused: RefusedPermit | undefined) => void>();
     private readonly silentUntilMs = new Map<string, number>();
     private readonly refusals = new Map<string, Refusal>();
     private readonly held = new HeldPlaces((serverId, place) => this.sendRelease(serverId, place));
-    /** Time at which other keepers were last told that this node grants places, in milliseconds. */
-    private readonly heartbeatMs = new Map<string, number>();
     private lastRequest = 0;
-    private isFlushPlanned = false;
 
     /** @param options - This node and its peers. */
     constructor(private readonly options: ServerPermitsOptions) {
-        this.keeper = new PermitKeeper(options.name, options.clock);
-        this.placeSuccession = new KeeperSuccession(options.name, options.clock);
-        this.places = new PlaceKeeper(options.clock, this.placeSuccession);
+        this.granter = new PermitGranter({ ...options, receiveReply: (reply) => this.handleReply(reply) });
     }
 
     /**
      * Checks whether requests to a server need a permit.
      *
      * @param server - The server.
-     * @returns True while it names a limit, or its service is brittle.
+     * @returns True while it names a limit, may be cold, or its service is brittle.
      */
     isLimited(server: RegisteredServer): boolean {
-        const { limits, brittle } = this.options;
-        return limits.findLimit(server) !== undefined || brittle.findAllowed(server) !== undefined;
+        const { limits, brittle, cold } = this.options;
+        return (
+            limits.findLimit(server) !== undefined ||
+            cold.findRate(server) !== undefined ||
+            brittle.findAllowed(server) !== undefined
+        );
     }
 
     /**
@@ -139,22 +139,25 @@
             return false;
         }
         const { request } = ask;
+        const askedMs = this.readNowMs();
         const reply = new Promise<RefusedPermit | undefined>((resolve) => {
             this.pending.set(request, resolve);
         });
         if (keeper === this.options.name) {
-            this.handleRequest(ask, keeper);
+            this.granter.handleRequest(ask, keeper);
         }
         const isReachable = keeper === this.options.name || this.options.send(keeper, ask);
         const timeout = new AbortController();
         const waitMs = isReachable ? need.patienceMs + replyTimeoutMs : 0;
         const silence = this.options.clock.wait(waitMs, timeout.signal).then(() => "silent" as const);
-        const refused = await Promise.race([reply, silence]);
+        const first = await Promise.race([reply, silence]);
+        const isVoid = this.readNowMs() - askedMs > waitMs + permitValidityMs;
+        const refused = isVoid ? voidPermit : first;
         timeout.abort();
         this.pending.delete(request);
         this.recordReply(server, need, keeper, refused);
         if (ask.type === "placeRequest") {
-            this.held.recordReply(server.id, { keeper, request }, refused);
+            this.held.recordReply(server.id, { keeper, request }, isVoid ? "silent" : refused);
         }
         return refused === undefined;
     }
@@ -175,24 +178,28 @@
      * @param from - Name of the node.
      */
     receiveMessage(message: LimitMessage, from: string): void {
-        this.keeper.succession.recordHeard(from);
-        if (isAboutPlaces(message)) {
-            this.placeSuccession.recordHeard(from);
-        }
+        this.granter.recordHeard(message, from);
         switch (message.type) {
             case "serverLimits":
                 this.options.limits.mergeReports(message.reports);
-                this.ensureKeptServers();
+                this.options.cold.mergeReports(message.cold ?? []);
+                this.granter.ensureKeptServers((message.cold ?? []).map(({ serverId }) => serverId));
+                break;
+            case "coldPermitRequest":
+                if (message.report !== undefined) {
+                    this.options.limits.mergeReports([message.report]);
+                }
+                this.granter.handleRequest(message, from);
                 break;
             case "permitRequest":
                 this.options.limits.mergeReports([message.report]);
-                this.handleRequest(message, from);
+                this.granter.handleRequest(message, from);
                 break;
             case "placeRequest":
-                this.handleRequest(message, from);
+                this.granter.handleRequest(message, from);
                 break;
             case "placeRelease":
-                this.places.release(message.serverId, formatId(message.request, from));
+                this.granter.releasePlace(message.serverId, message.request, from);
                 break;
             case "serverFull":
                 this.options.brittle.recordFull(message.service, message.serverId);
@@ -203,24 +210,25 @@
         }
     }
 
-    /** Begins to count the time for which the other keepers of a server are silent before the first request. */
-    private ensureKeptServers(): void {
-        for (const id of this.options.limits.listLimitedServers()) {
-            const server = this.findKeptServer(id);
-            if (server?.keepers.includes(this.options.name) === true) {
-                this.keeper.ensureServer(server);
-            }
-        }
-    }
-
     private buildRequest(
         server: RegisteredServer,
         need: PermitNeed,
-    ): PermitRequestMessage | PlaceRequestMessage | undefined {
-        const { limits, brittle } = this.options;
+    ): PermitRequestMessage | ColdRequestMessage | PlaceRequestMessage | undefined {
+        const { limits, brittle, cold } = this.options;
         this.lastRequest += 1;
         const request = this.lastRequest;
         const report = limits.findLimit(server) === undefined ? undefined : limits.buildReport(server.id);
+        const coldPerSecond = cold.findRate(server);
+        if (coldPerSecond !== undefined) {
+            return {
+                type: "coldPermitRequest",
+                request,
+                serverId: server.id,
+                perSecond: coldPerSecond,
+                ...(report === undefined ? {} : { report }),
+                ...need,
+            };
+        }
         if (report !== undefined) {
             return { type: "permitRequest", request, report, ...need };
         }
@@ -230,111 +238,23 @@
             : { type: "placeRequest", request, serverId: server.id, allowed, ...need };
     }
 
-    private handleRequest(message: PermitRequestMessage | PlaceRequestMessage, from: string): void {
-        if (message.type === "placeRequest") {
-            this.handlePlaceRequest(message, from);
-            return;
-        }
-        const { request, report, priority, patienceMs } = message;
-        const server = this.findKeptServer(report.serverId);
-        if (server === undefined) {
-            // The limit has ended, as this node knows from a later answer than the sender.
-            this.sendReply(from, request, { type: "granted" });
-            return;
-        }
-        const id = formatId(request, from);
-        const decision = this.keeper.offer(server, { id, priority, patienceMs });
-        this.sendReply(from, request, decision);
-        this.planFlush();
-    }
-
     private sendRelease(serverId: string, { keeper, request }: HeldPlace): void {
         if (keeper === this.options.name) {
-            this.places.release(serverId, formatId(request, keeper));
+            this.granter.releasePlace(serverId, request, keeper);
         } else {
             this.options.send(keeper, { type: "placeRelease", request, serverId });
         }
     }
 
-    private handlePlaceRequest(message: PlaceRequestMessage, from: string): void {
-        const { request, serverId, allowed, priority, patienceMs } = message;
-        const places = this.options.brittle.buildPlaces(serverId, allowed);
-        const id = formatId(request, from);
-        const server = { id: serverId, keepers: this.listKeepers(serverId) };
-        this.sendReply(from, request, this.places.offer(server, places, { id, priority, patienceMs }));
-        if (this.places.isGranting(server)) {
-            this.sendHeartbeats(server.keepers);
-        }
-        this.planFlush();
-    }
-
-    /** Tells the other keepers that this node grants places, so that they don't take over. */
-    private sendHeartbeats(keepers: readonly string[]): void {
-        const nowMs = this.readNowMs();
-        const isDue = (name: string): boolean =>
-            name !== this.options.name &&
-            nowMs - (this.heartbeatMs.get(name) ?? Number.NEGATIVE_INFINITY) >= heartbeatIntervalMs;
-        for (const name of keepers.filter(isDue)) {
-            this.heartbeatMs.set(name, nowMs);
-            this.options.send(name, { type: "serverLimits", reports: [] });
-        }
-    }
-
-    private findKeptServer(id: string): KeptServer | undefined {
-        const { limits } = this.options;
-        const report = limits.buildReport(id);
-        const perSecond = report === undefined ? undefined : limits.findLimit({ id, bornMs: report.bornMs });
-        return perSecond === undefined ? undefined : { id, perSecond, keepers: this.listKeepers(id) };
-    }
-
-    private sendReply(to: string, request: number, decision: PermitDecision): void {
-        if (decision.type === "waiting") {
-            return;
-        }
-        const reply: PermitReply = {
-            type: "permitReply",
-            request,
-            refused: decision.type === "refused" ? selectTimes(decision) : undefined,
-        };
-        if (to === this.options.name) {
-            this.handleReply(reply);
-        } else {
-            this.options.send(to, reply);
-        }
-    }
-
     private handleReply({ request, refused }: PermitReply): void {
         this.pending.get(request)?.(refused === undefined ? undefined : { type: "refused", ...refused });
     }
 
-    /** Replies to waiting requests when their permits come. */
-    private planFlush(): void {
-        const endsMs = [this.keeper, this.places].flatMap((keeper) => keeper.computeNextEndMs() ?? []);
-        const endMs = Math.min(...endsMs);
-        if (this.isFlushPlanned || endsMs.length === 0) {
-            return;
-        }
-        this.isFlushPlanned = true;
-        void this.options.clock.wait(endMs).then(() => {
-            this.isFlushPlanned = false;
-            for (const { id, decision } of [...this.keeper.takeEnded(), ...this.places.takeEnded()]) {
-                const separator = id.indexOf("/");
-                const request = Number(id.slice(0, separator));
-                this.sendReply(id.slice(separator + 1), request, decision);
-            }
-            this.planFlush();
-        });
-    }
-
-    private listKeepers(serverId: string): readonly string[] {
-        return this.options.listKeepers(serverId, this.keeper.succession.listHeard());
-    }
-
     private chooseKeeper(serverId: string): string | undefined {
         const nowMs = this.readNowMs();
-        return this.listKeepers(serverId).find(
-            (name) => (this.silentUntilMs.get(name) ?? Number.NEGATIVE_INFINITY) <= nowMs,
-        );
+        return this.granter
+            .listKeepers(serverId)
+            .find((name) => (this.silentUntilMs.get(name) ?? Number.NEGATIVE_INFINITY) <= nowMs);
     }
 
     private recordReply(
@@ -381,11 +301,3 @@
         return this.options.clock.monotonicMs();
     }
 }
-
-function formatId(request: number, from: string): string {
-    return `${String(request)}/${from}`;
-}
-
-function selectTimes({ nextMs, returnMs }: RefusedPermit): { nextMs: number; returnMs: number } {
-    return { nextMs: Math.round(nextMs), returnMs: Math.round(returnMs) };
-}
--- a/packages/gateway/src/dispatch/requestGuard.ts
+++ b/packages/gateway/src/dispatch/requestGuard.ts
@@ -13,6 +13,7 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { RegisteredServer } from "../backends/backendServer.js";
+import type { ColdDirectory } from "../backends/coldDirectory.js";
 import type { CrashNews } from "../peers/crashNews.js";
 import type { AttemptResult, LostAttempt } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
@@ -24,6 +25,7 @@
     readonly quarantine: RequestQuarantine;
     readonly crashNews: CrashNews;
     readonly connections: ConnectionPool;
+    readonly cold: Pick<ColdDirectory, "recordLoss">;
     readonly clock: WaitingClock;
     readonly logger: Logger;
 }
@@ -97,6 +99,7 @@
     ): void {
         const { quarantine, crashNews, connections, clock } = this.options;
         const record = (): void => {
+            this.options.cold.recordLoss(server);
             if (quarantine.recordLoss(this.buildTraits(request), loss)) {
                 crashNews.reportChange();
             }
--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -5,6 +5,7 @@
  */
 import type { RequestQuarantine } from "@pimentocleat/policy";
 import type { WaitingClock } from "@pimentocleat/types";
+import type { ColdDirectory } from "../backends/coldDirectory.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { ServerPermits } from "../backends/serverPermits.js";
@@ -28,6 +29,7 @@
     readonly crashNews: CrashNews;
     readonly connections: ConnectionPool;
     readonly notices: ServerNotices;
+    readonly cold: ColdDirectory;
     readonly permits: ServerPermits;
     readonly clock: WaitingClock;
 }
--- a/packages/gateway/src/lifecycle/createServerLimits.ts
+++ b/packages/gateway/src/lifecycle/createServerLimits.ts
@@ -6,13 +6,19 @@
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import { BrittleDirectory } from "../backends/brittleDirectory.js";
+import { ColdDirectory } from "../backends/coldDirectory.js";
 import { LimitDirectory } from "../backends/limitDirectory.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import { ServerNotices } from "../backends/serverNotices.js";
 import { ServerPermits } from "../backends/serverPermits.js";
+import type { ConnectionPool } from "@pimentocleat/upstream";
+import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import type { Evacuations } from "../configuration/evacuations.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
+import type { LimitMessage } from "../peers/limitMessages.js";
 import type { PeerAddress, PeerDirectory } from "../peers/peerDirectory.js";
 import { chooseRandomItems, type PeerMessenger } from "../peers/peerMessenger.js";
+import type { GatewaySettings } from "../settings/gatewaySettings.js";
 
 /** Options of {@link createServerLimits}. */
 export interface ServerLimitsOptions {
@@ -24,6 +30,10 @@
     readonly metrics: Metrics;
     readonly peers: PeerDirectory;
     readonly directory: ServerDirectory;
+    readonly configuration: ActiveConfiguration;
+    readonly evacuations: Evacuations;
+    readonly settings: GatewaySettings;
+    readonly connections: ConnectionPool;
     readonly dispatches: ServiceDispatchRegistry;
     /** Finds the messenger, which is created later. */
     readonly getMessenger: () => PeerMessenger;
@@ -34,6 +44,7 @@
     readonly notices: ServerNotices;
     readonly limits: LimitDirectory;
     readonly brittle: BrittleDirectory;
+    readonly cold: ColdDirectory;
     readonly permits: ServerPermits;
 }
 
@@ -55,15 +66,26 @@
         const keepers = listKeepers(serverId);
         return keepers.includes(name) ? keepers.flatMap((keeper) => peers.findPeer(keeper) ?? []) : [];
     };
-    const limits = new LimitDirectory({
+    const shared = {
         clock,
         random,
         logger,
         metrics,
         listPeers: () => peers.listPeers(),
         listOtherKeepers,
-        chooseRandomPeers: (count) => chooseRandomItems(peers.listAllPeers(), count, random),
-        send: (message, receivers) => getMessenger().sendLimits(message, receivers),
+        chooseRandomPeers: (count: number) => chooseRandomItems(peers.listAllPeers(), count, random),
+        send: (message: LimitMessage, receivers: readonly PeerAddress[]) =>
+            getMessenger().sendLimits(message, receivers),
+    };
+    const limits = new LimitDirectory(shared);
+    const { coldOverage, coldSlack, isFirstStart } = options.settings;
+    const cold = new ColdDirectory({
+        ...options,
+        ...shared,
+        coldOverage,
+        coldSlack,
+        isFirstStart,
+        hasOpenConnection: ({ address }) => options.connections.listOpenConnections(address).length > 0,
     });
     const brittle = new BrittleDirectory({
         ...options,
@@ -80,6 +102,7 @@
         metrics,
         limits,
         brittle,
+        cold,
         listKeepers,
         send: (receiver, message) => getMessenger().sendPermit(receiver, message),
     });
@@ -87,8 +110,9 @@
         ...options,
         limits,
         brittle,
+        cold,
         reportLeaving: ({ id: serverId, bornMs }) =>
             getMessenger().sendLeaving({ type: "serverLeaving", serverId, bornMs }, peers.listPeers()),
     });
-    return { notices, limits, brittle, permits };
+    return { notices, limits, brittle, cold, permits };
 }
--- a/packages/gateway/src/lifecycle/createServerPaths.ts
+++ b/packages/gateway/src/lifecycle/createServerPaths.ts
@@ -20,6 +20,8 @@
     readonly logger: Logger;
     readonly metrics: Metrics;
     readonly peers: PeerDirectory;
+    /** Called with the address of a server that closed or reset a connection. */
+    readonly onServerConnectionLost: (address: string) => void;
     /** Opens sockets to backend servers; the default opens TCP connections. */
     readonly openServerSocket?: SocketOpener | undefined;
 }
@@ -56,6 +58,7 @@
         clock,
         logger,
         connectTimeoutMs,
+        onLost: options.onServerConnectionLost,
         getConnections: () => connections,
     });
     const connections = new ConnectionPool({
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -15,6 +15,7 @@
 import { buildReadinessServer } from "../callers/callerServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { Evacuations } from "../configuration/evacuations.js";
+import { isServerGone } from "../dispatch/isServerGone.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -126,7 +127,12 @@
             clock,
             logger,
         });
-        this.servers = createServerPaths({ ...options, dataCentre, peers: this.peers });
+        this.servers = createServerPaths({
+            ...options,
+            dataCentre,
+            peers: this.peers,
+            onServerConnectionLost: (address) => void this.recordLostConnection(address),
+        });
         const recordContact = (name: string, wallMs: number): void => {
             this.peers.recordContact(name);
             medianClock.recordPeerTime(name, wallMs);
@@ -172,6 +178,9 @@
             ...options,
             name: settings.name,
             directory: this.directory,
+            configuration: this.configuration,
+            evacuations: this.evacuations,
+            connections: this.servers.connections,
             dispatches: this.dispatches,
             peers: this.peers,
             getMessenger: () => this.messenger,
@@ -211,6 +220,7 @@
             directory: this.directory,
             configuration: this.configuration,
             evacuations: this.evacuations,
+            cold: this.serverLimits.cold,
             computeLiveRank: () => this.peers.computeLiveReaderRank(),
             computeRank: () => this.peers.computeReaderRank(),
             timing: this.relayTiming,
@@ -280,6 +290,7 @@
         this.tasks.push(this.relay.run(this.stopping.signal));
         this.tasks.push(this.crashNews.run(this.stopping.signal));
         this.tasks.push(this.serverLimits.limits.run(this.stopping.signal));
+        this.tasks.push(this.serverLimits.cold.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             startListening(this.callerServer, settings.callerAddress),
@@ -287,9 +298,10 @@
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
         this.tasks.push(
-            new StallDetector(this.options.clock, logger, () => this.versions.clearHistory()).run(
-                this.stopping.signal,
-            ),
+            new StallDetector(this.options.clock, logger, () => {
+                this.versions.clearHistory();
+                this.serverLimits.cold.recordStall();
+            }).run(this.stopping.signal),
         );
         logger.writeEvent("nodeStarted", { name: settings.name });
     }
@@ -322,6 +334,16 @@
         );
     }
 
+    /** A server that loses its connections may have started again, and may then be cold. */
+    private async recordLostConnection(address: string): Promise<void> {
+        const server = this.directory.findServerAt(address);
+        const { clock } = this.options;
+        const isConcerned = server !== undefined && !this.stopping.signal.aborted;
+        if (isConcerned && (await isServerGone(this.servers.connections, address, clock))) {
+            this.serverLimits.cold.recordLoss(server);
+        }
+    }
+
     private isReady(): boolean {
         const knowsRules = this.configuration.readCurrent() !== undefined && this.evacuations.isKnown();
         return !this.drain.isDraining() && knowsRules;
--- a/packages/gateway/src/peers/__tests__/storeRelay.test.ts
+++ b/packages/gateway/src/peers/__tests__/storeRelay.test.ts
@@ -2,6 +2,7 @@
 import { SilentLogger, TextMetrics } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
+import type { ColdRow } from "../../backends/coldDirectory.js";
 import type { RegisteredServer } from "../../backends/backendServer.js";
 import { ServerDirectory } from "../../backends/serverDirectory.js";
 import { ActiveConfiguration } from "../../configuration/activeConfiguration.js";
@@ -41,6 +42,7 @@
         logger: new SilentLogger(),
         metrics: new TextMetrics(),
     });
+    coldRows: readonly ColdRow[] | undefined;
     readonly sent: StoreUpdate[] = [];
     readonly reads = { configuration: 0, servers: 0 };
     neighbours: readonly string[] = [];
@@ -56,6 +58,13 @@
             directory: this.directory,
             configuration: this.configuration,
             evacuations: this.evacuations,
+            cold: {
+                addColdListener: () => undefined,
+                listColdRows: () => this.coldRows,
+                mergeColdRows: (rows) => {
+                    this.coldRows = rows;
+                },
+            },
             computeLiveRank: () => computePreferenceRank("reading", name, this.neighbours),
             onOutdated: () => undefined,
             computeRank: () => this.rank,
@@ -211,6 +220,16 @@
         expect(reader.sent).toHaveLength(before);
     });
 
+    // Guards against nodes that do not read the store and take a server for warm that says that it is cold.
+    it("relays how long servers stay cold, also those whose other fields have not changed", () => {
+        const { reader, neighbour } = buildPair();
+        expect(reader.sent.at(-1)).not.toHaveProperty("cold");
+        reader.coldRows = [{ id: "x", remainingMs: 900 }];
+        reader.directory.updateServers([buildServer("y", 2)], []);
+        neighbour.relay.receiveUpdate(reader.sent.at(-1)!, "n0");
+        expect(neighbour.coldRows).toEqual(reader.coldRows);
+    });
+
     describe("evacuations", () => {
         const evacuated = { dataCentre: "b", version: 5, isEvacuated: true };
 
--- a/packages/gateway/src/peers/limitMessages.ts
+++ b/packages/gateway/src/peers/limitMessages.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type { LimitReport } from "@pimentocleat/policy";
+import type { ColdReport, LimitReport } from "@pimentocleat/policy";
 
 const limitReportSchema = z.object({
     serverId: z.string(),
@@ -13,13 +13,41 @@
     ageMs: z.number(),
 }) satisfies z.ZodType<LimitReport>;
 
+const coldReportSchema = z.object({
+    serverId: z.string(),
+    bornMs: z.number().optional(),
+    ageMs: z.number(),
+    aliveAgeMs: z.number().optional(),
+}) satisfies z.ZodType<ColdReport>;
+
 /** Schema of all messages about limits. */
 export const limitMessageSchema = z.discriminatedUnion("type", [
     /**
      * Tells what servers said. Without reports it tells that its sender grants places; earlier releases can read that
      * and do not send it.
      */
-    z.object({ type: z.literal("serverLimits"), reports: z.array(limitReportSchema) }),
+    z.object({
+        type: z.literal("serverLimits"),
+        reports: z.array(limitReportSchema),
+        /** Servers that may be cold; absent from nodes of earlier releases. */
+        cold: z.array(coldReportSchema).optional(),
+    }),
+    /**
+     * Asks for a permit for a server that may be cold. A type of its own: a node of an earlier release cannot read it and
+     * does not reply, where it would grant a permit for a server without a limit at once.
+     */
+    z.object({
+        type: z.literal("coldPermitRequest"),
+        /** Identifies the request at its sender. */
+        request: z.number(),
+        serverId: z.string(),
+        /** Rate of permits while the server is cold. */
+        perSecond: z.number().positive(),
+        /** What the sender knows of a limit that the server names; absent without one. */
+        report: limitReportSchema.optional(),
+        priority: z.number(),
+        patienceMs: z.number().nonnegative(),
+    }),
     /** Asks the node that keeps a server's permits for one. */
     z.object({
         type: z.literal("permitRequest"),
@@ -68,6 +96,8 @@
         case "placeRelease":
         case "serverFull":
             return true;
+        case "coldPermitRequest":
+            return true;
         case "serverLimits":
             return message.reports.length === 0;
         case "permitRequest":
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -8,6 +8,7 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import { z } from "zod";
 import type { RegisteredServer } from "../backends/backendServer.js";
+import type { ColdDirectory, ColdRow } from "../backends/coldDirectory.js";
 import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { Evacuations, EvacuationState } from "../configuration/evacuations.js";
@@ -24,6 +25,7 @@
     bornMs: z.number().optional(),
     softwareVersion: z.string().optional(),
     isReclaimable: z.boolean(),
+    coldRemainingMs: z.number().optional(),
 }) satisfies z.ZodType<RegisteredServer>;
 
 const evacuationSchema = z.object({
@@ -32,6 +34,11 @@
     isEvacuated: z.boolean(),
 }) satisfies z.ZodType<EvacuationState>;
 
+const coldRowSchema = z.object({
+    id: z.string(),
+    remainingMs: z.number(),
+}) satisfies z.ZodType<ColdRow>;
+
 /** Schema of the update that a reader sends to its neighbours. */
 export const storeUpdateSchema = z.object({
     type: z.literal("store"),
@@ -50,6 +57,8 @@
      * Absent from a reader of an earlier release, or one that does not know them.
      */
     evacuations: z.array(evacuationSchema).optional(),
+    /** Servers that are cold by their registrations; absent without any, and from a reader of an earlier release. */
+    cold: z.array(coldRowSchema).optional(),
 });
 
 /** Update that a reader sends to its neighbours. */
@@ -72,6 +81,7 @@
     readonly directory: ServerDirectory;
     readonly configuration: ActiveConfiguration;
     readonly evacuations: Evacuations;
+    readonly cold: Pick<ColdDirectory, "addColdListener" | "listColdRows" | "mergeColdRows">;
     /** Computes this node's rank as a reader among the live nodes of its data centre. */
     readonly computeLiveRank: () => number;
     /** Computes this node's rank as a reader among the registered nodes of its data centre. */
@@ -121,6 +131,11 @@
             }
         });
         options.configuration.addListener(() => this.sendUpdate());
+        options.cold.addColdListener(() => {
+            if (!this.isApplying) {
+                this.sendUpdate();
+            }
+        });
         options.evacuations.addListener(() => {
             if (!this.isApplying) {
                 this.sendUpdate();
@@ -196,7 +211,7 @@
      * @param from - Name of the reader.
      */
     receiveUpdate(update: StoreUpdate, from: string): void {
-        const { clock, directory, configuration, evacuations } = this.options;
+        const { clock, directory, configuration, evacuations, cold } = this.options;
         const readMs = clock.monotonicMs() - update.ageMs;
         if (readMs >= this.lastReadMs) {
             // A reader that cannot reach the store still tells that it lives; a deputy's data is newer.
@@ -209,6 +224,7 @@
         this.isApplying = true;
         evacuations.mergeRelayedStates(update.evacuations);
         directory.updateServers(update.changed, update.removed);
+        cold.mergeColdRows(update.cold ?? []);
         this.isApplying = false;
         if (update.digest === directory.computeDigest()) {
             this.knownVersion = Math.max(this.knownVersion, update.serversVersion);
@@ -261,6 +277,7 @@
         const changed = this.recentChanges.flatMap((change) => change.changed);
         const removed = this.recentChanges.flatMap((change) => change.removed);
         const states = evacuations.listRelayedStates();
+        const coldRows = this.options.cold.listColdRows();
         const fits = changed.length + removed.length <= maximumChanges;
         sendUpdate({
             type: "store",
@@ -271,6 +288,7 @@
             changed: fits ? [...changed] : [],
             removed: fits ? [...removed] : [],
             ...(states === undefined ? {} : { evacuations: [...states] }),
+            ...(coldRows === undefined ? {} : { cold: [...coldRows] }),
         });
     }
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -73,6 +73,7 @@
 export type { QuarantineDecision, RequestTraits, ServerLoss } from "./quarantine/requestQuarantine.js";
 export { isRequestCause } from "./quarantine/crashRecord.js";
 export type { CrashReport } from "./quarantine/crashRecord.js";
+export * from "./coldServers/index.js";
 export * from "./serverLimits/index.js";
 export { ServerReach } from "./reachability/serverReach.js";
 export type { ServerLocation } from "./reachability/serverReach.js";
--- a/packages/policy/src/serverLimits/permitKeeper.ts
+++ b/packages/policy/src/serverLimits/permitKeeper.ts
@@ -84,6 +84,17 @@
         return kept.queue.offer(request);
     }
 
+    /**
+     * Checks whether this node grants the permits of a server that it keeps.
+     *
+     * @param server - The server.
+     * @returns Whether it does.
+     */
+    isGranting({ id, keepers }: KeptServer): boolean {
+        const sinceMs = this.queues.get(id)?.sinceMs ?? this.clock.monotonicMs();
+        return this.succession.isGranting(keepers, sinceMs);
+    }
+
     /** @returns The requests whose wait has ended now. */
     takeEnded(): readonly EndedWait[] {
         return [...this.queues.values()].flatMap(({ queue }) => queue.takeEnded());
--- a/packages/policy/src/serverLimits/permitQueue.ts
+++ b/packages/policy/src/serverLimits/permitQueue.ts
@@ -43,7 +43,7 @@
 }
 
 /** Time over which unused permits add up, in seconds; one request at least. */
-const depthSeconds = 0.25;
+export const permitDepthSeconds = 0.25;
 /** Longest time after which a refused caller is asked to come back, in milliseconds. */
 const maximumReturnMs = 10_000;
 const millisecondsPerSecond = 1_000;
@@ -136,7 +136,7 @@
     }
 
     private computeDepth(): number {
-        return Math.max(1, this.perSecond * depthSeconds);
+        return Math.max(1, this.perSecond * permitDepthSeconds);
     }
 
     private updateLevel(): void {
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -201,6 +201,11 @@
     serverLimited: defineEvent(7009, "info", "backend server names a limit of its requests"),
     serverLimitEnded: defineEvent(7010, "info", "backend server no longer names a limit"),
     serverLimitUnreadable: defineEvent(7011, "warn", "backend server named a limit that cannot be read"),
+    serverMayBeCold: defineEvent(
+        7100,
+        "info",
+        "a backend server may be cold: it gets few requests a second from all nodes together",
+    ),
     connectionNotOpened: defineEvent(7012, "info", "a connection to a backend server could not be opened"),
     serviceBrittle: defineEvent(7014, "warn", "servers of a service say that they are brittle"),
     serviceBrittleEnded: defineEvent(
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -67,6 +67,12 @@
         ["dataCentre"],
         "Whether the servers of a data centre get no requests, because operators evacuated it.",
     ),
+    "server.cold": defineMetric(
+        "counter",
+        "servers",
+        ["reason"],
+        "Events after which a backend server may be cold, by what this node knows.",
+    ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
     "request.relayed": defineMetric(
         "counter",
--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -21,6 +21,8 @@
      * @param reason - Why.
      */
     onOpenFailed(address: string, reason: string): void;
+    /** @param address - IP address and port of a server that closed or reset a connection. */
+    onLost?(address: string): void;
 }
 
 /** Options of a {@link BackendConnection}. */
@@ -73,7 +75,7 @@
             keepAliveMaxTimeout: options.idleConnectionTimeoutMs,
             connect: (connectOptions, callback) => this.openOnce(connectOptions, callback),
         });
-        this.client.on("disconnect", () => this.close());
+        this.client.on("disconnect", (...[, , error]) => this.handleDisconnect(error));
     }
 
     /** Whether the connection can carry another request. */
@@ -157,7 +159,18 @@
     }
 
     /** A server sends nothing before a request; what becomes readable is the end of the connection. */
-    private readonly closeWaiting = (): void => this.close();
+    private readonly closeWaiting = (): void => {
+        this.close();
+        this.options.observer?.onLost?.(this.address);
+    };
+
+    private handleDisconnect(error: Error & { readonly code?: string }): void {
+        const isLost = !this.isClosed && this.socket !== undefined && !isOwnClose(error);
+        this.close();
+        if (isLost) {
+            this.options.observer?.onLost?.(this.address);
+        }
+    }
 
     private openOnce(options: buildConnector.Options, callback: buildConnector.Callback): void {
         const { waitingSocket } = this;
@@ -199,3 +212,10 @@
         }
     }
 }
+
+/** The HTTP client reports with these codes that it has closed the connection itself. */
+const ownCloseCodes: ReadonlySet<string> = new Set(["UND_ERR_INFO", "UND_ERR_ABORTED", "UND_ERR_DESTROYED"]);
+
+function isOwnClose({ code }: { readonly code?: string }): boolean {
+    return ownCloseCodes.has(code ?? "");
+}
