--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -15,6 +15,7 @@
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { computeStallMs, StreamProgress } from "./streamProgress.js";
 
 /** A complete response of a backend server. */
 export interface CompleteBackendAnswer {
@@ -68,6 +69,10 @@
     readonly lastEventId: string | undefined;
     /** Time without data after which the attempt ends, in milliseconds; undefined when there is no such limit. */
     readonly inactivityTimeoutMs: number | undefined;
+    /** Whether the request could be sent elsewhere now; without that, a slow server is not given up for its silence. */
+    readonly canMove: () => boolean;
+    /** Called when the stream is ended because it makes no progress. */
+    readonly onStalled: () => void;
     /** Called when the first data, or the end of an empty response, shows that the server runs the request. */
     readonly onRunning: () => void;
     /** Called with what the server says of itself in the head of its response. */
@@ -108,11 +113,13 @@
     private hasEnded = false;
     private announcedId: string | undefined;
     private inactivityTimer: NodeJS.Timeout | undefined;
+    private readonly progress: StreamProgress;
 
     /** @param options - The request, the server and the response to the caller. */
     constructor(private readonly options: AttemptOptions) {
         const { request, server, placement, placementRequest, protocol, path: serverPath } = options;
         this.lastEventId = options.lastEventId;
+        this.progress = new StreamProgress(computeStallMs(request.route), () => this.endStalled());
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
         const headers = protocol.buildHeaders({
@@ -218,6 +225,9 @@
             }
             if (events !== undefined) {
                 this.lastEventId = events.lastId ?? this.lastEventId;
+                if (events.hasData) {
+                    this.progress.recordEvent();
+                }
                 this.forwardBytes(events.bytes);
             }
             return;
@@ -263,8 +273,26 @@
         answer.startStream(this.status, this.headers);
         this.hasForwardedBytes = true;
         if (!answer.writeBytes(bytes)) {
+            // A server cannot send while its bytes are not read: the silence is not its own.
+            clearTimeout(this.inactivityTimer);
+            this.progress.stop();
             this.exchange.stopReading();
-            answer.onWritable(() => this.exchange.startReading());
+            answer.onWritable(() => this.startReading());
+        }
+    }
+
+    private startReading(): void {
+        if (!this.hasEnded) {
+            this.startInactivityTimer();
+            this.progress.start();
+            this.exchange.startReading();
+        }
+    }
+
+    private endStalled(): void {
+        if (!this.hasEnded) {
+            this.options.onStalled();
+            this.abortExchange({ type: "silent", streamed: this.hasForwardedBytes }, "broken");
         }
     }
 
@@ -353,10 +381,15 @@
         clearTimeout(this.inactivityTimer);
         const { inactivityTimeoutMs } = this.options;
         if (inactivityTimeoutMs !== undefined) {
-            this.inactivityTimer = setTimeout(
-                () => this.abortExchange({ type: "silent", streamed: this.hasForwardedBytes }, "broken"),
-                inactivityTimeoutMs,
-            );
+            this.inactivityTimer = setTimeout(() => this.handleInactivity(), inactivityTimeoutMs);
+        }
+    }
+
+    private handleInactivity(): void {
+        if (this.options.canMove()) {
+            this.abortExchange({ type: "silent", streamed: this.hasForwardedBytes }, "broken");
+        } else {
+            this.startInactivityTimer();
         }
     }
 
@@ -373,6 +406,7 @@
         }
         this.hasEnded = true;
         clearTimeout(this.inactivityTimer);
+        this.progress.stop();
         this.reportEnd();
         this.options.placement.recordEnd(this.placed, outcome);
         this.resolve(result);
--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -18,6 +18,8 @@
     readonly count: number;
     /** Identifier of the last event that has one; undefined when none has. */
     readonly lastId: string | undefined;
+    /** Whether one of the events has data, rather than comments only. */
+    readonly hasData: boolean;
 }
 
 /** Where the last line of the bytes so far stands: only the bytes that come next have to be read. */
@@ -56,10 +58,11 @@
         this.incomplete = rest.length === 0 ? [] : [rest];
         this.incompleteLength = rest.length;
         const lines = complete.toString("latin1").split("\n");
-        if (lines.some((line) => line.startsWith(dataField))) {
+        const hasData = lines.some((line) => line.startsWith(dataField));
+        if (hasData) {
             this.bytesWithoutData = rest.length;
         }
-        return { bytes: complete, count: ends.length, lastId: findLastId(lines) };
+        return { bytes: complete, count: ends.length, lastId: findLastId(lines), hasData };
     }
 
     /** @returns The number of buffered bytes of an incomplete event. */
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -185,6 +185,13 @@
             remainingMs,
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
+            canMove: () => this.canMove(state, server),
+            onStalled: () =>
+                logger.writeEvent("streamStalled", {
+                    requestId,
+                    server: server.id,
+                    route: request.route.name,
+                }),
             onRunning: () => this.recordRunning(state),
             onNotice: (notice) => {
                 this.options.resumption.recordContact(server);
@@ -224,6 +231,14 @@
         return timeoutMs + minimumRemainingMs < remainingMs ? timeoutMs : undefined;
     }
 
+    /** Checks whether a request may be retried now and another server takes it. */
+    private canMove(state: RunState, server: RegisteredServer): boolean {
+        return (
+            state.dispatch.retries.isRetryAllowed(this.readNowMs()) &&
+            this.options.selection.hasOtherServer(state, server)
+        );
+    }
+
     private recordRunning(state: RunState): void {
         const { route, arrivedMs } = state.request;
         this.options.metrics.recordTime("request.firstToken", this.readNowMs() - arrivedMs, {
--- a/packages/gateway/src/dispatch/serverSelection.ts
+++ b/packages/gateway/src/dispatch/serverSelection.ts
@@ -63,6 +63,17 @@
         return undefined;
     }
 
+    /**
+     * Checks whether another server takes a request now.
+     *
+     * @param state - State of the request.
+     * @param server - The server that has it.
+     * @returns Whether there is one that was not tried before.
+     */
+    hasOtherServer(state: RunState, server: RegisteredServer): boolean {
+        return this.listOpenServers(state).some(({ id }) => id !== server.id && !state.excluded.has(id));
+    }
+
     /**
      * Records that the request for which a server was chosen has ended there, or is not sent.
      *
--- a/packages/policy/src/placement/retryAllowance.ts
+++ b/packages/policy/src/placement/retryAllowance.ts
@@ -56,15 +56,25 @@
      * @returns Whether the retry may be sent.
      */
     takeRetry(nowMs: number): boolean {
-        this.removeExpired(nowMs);
-        const { share, slack } = this.readSettings();
-        if (this.retries.length + 1 > share * this.firstAttempts.length + slack) {
+        if (!this.isRetryAllowed(nowMs)) {
             return false;
         }
         this.retries.push(nowMs);
         return true;
     }
 
+    /**
+     * Checks whether a retry is allowed, without counting one.
+     *
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns Whether a retry could be sent.
+     */
+    isRetryAllowed(nowMs: number): boolean {
+        this.removeExpired(nowMs);
+        const { share, slack } = this.readSettings();
+        return this.retries.length + 1 <= share * this.firstAttempts.length + slack;
+    }
+
     private removeExpired(nowMs: number): void {
         const startMs = nowMs - this.readSettings().windowMs;
         this.firstAttempts = removeBefore(this.firstAttempts, startMs);
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -46,6 +46,8 @@
     | { readonly type: "resetWithoutLength"; readonly events: number }
     /** Streams all its events with a pause of this many milliseconds before each. */
     | { readonly type: "slowStream"; readonly pauseMs: number }
+    /** Streams this number of events and then only sends this text, again and again, which completes no event. */
+    | { readonly type: "trickle"; readonly events: number; readonly text: string; readonly pauseMs: number }
     /** Streams this number of events and then sends nothing more. */
     | { readonly type: "stalledStream"; readonly events: number };
 
@@ -309,6 +311,11 @@
                 response.writeHead(200, signedHeaders);
                 void this.sendSlowStream(response, behaviour.pauseMs);
                 break;
+            case "trickle":
+                response.writeHead(200, signedHeaders);
+                response.write(formatEvents(0, behaviour.events));
+                void sendTrickle(response, behaviour.text, behaviour.pauseMs);
+                break;
             case "stalledStream":
                 response.writeHead(200, signedHeaders);
                 response.write(formatEvents(0, behaviour.events));
@@ -340,6 +347,13 @@
     }
 }
 
+async function sendTrickle(response: ServerResponse, text: string, pauseMs: number): Promise<void> {
+    while (!response.destroyed) {
+        await new Promise((resolve) => setTimeout(resolve, pauseMs));
+        response.write(text);
+    }
+}
+
 function formatEvents(first: number, end: number): string {
     let text = "";
     for (let index = first; index < end; index += 1) {
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -71,6 +71,11 @@
         "a connection to a backend server was lost while others to it stay open; not a crash",
     ),
     promptPartTested: defineEvent(2010, "info", "one prompt with a quarantined part is sent as a test"),
+    streamStalled: defineEvent(
+        2300,
+        "info",
+        "a stream made no progress in events for as long as callers wait and was ended at its server",
+    ),
     callerConnectionBroken: defineEvent(
         2006,
         "info",
