--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -92,6 +92,11 @@
         "a server's failure is passed on, or a lost request ended, without another attempt; names the reason",
     ),
     promptPartTested: defineEvent(2010, "info", "one prompt with a quarantined part is sent as a test"),
+    streamStalled: defineEvent(
+        2300,
+        "info",
+        "a stream made no progress in events for as long as callers wait and was ended at its server",
+    ),
     callerConnectionBroken: defineEvent(
         2006,
         "info",
