Leave out of the bundle what a node does not use until it is ready

Cause: after the code cache, loading still evaluated parts of dependencies that a node never calls: the fetch, WebSocket, mock and cache modules of undici (which also made Node.js load its own copy of undici), http2 and https for fastify, and the schema compilers that fastify loads for each server (ajv, fast-json-stringify).

Change: plugins of the bundler replace these modules (scripts/bundlePlugins.mjs): undici by its HTTP/1.1 clients, hdr-histogram-js by its histograms, zod's messages by the English ones, http2 and https by a version that loads on first use. The servers tell fastify that they have no schemas.

--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -11,6 +11,7 @@
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
+import { withoutSchemas } from "./withoutSchemas.js";
 
 /** Options of {@link buildCallerServer}. */
 export interface CallerServerOptions {
@@ -52,6 +53,7 @@
  */
 export function buildCallerServer(options: CallerServerOptions): FastifyInstance {
     const server = fastify({
+        ...withoutSchemas,
         logger: false,
         bodyLimit: maximumBodyBytes,
         requestTimeout: requestTimeoutMs,
@@ -96,7 +98,7 @@
     isReady: () => boolean,
     formatMetrics: () => string,
 ): FastifyInstance {
-    const server = fastify({ logger: false, exposeHeadRoutes: false });
+    const server = fastify({ ...withoutSchemas, logger: false, exposeHeadRoutes: false });
     server.get(path, async (...[, reply]) => {
         return reply.code(isReady() ? 200 : 503).send("");
     });
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,6 +14,7 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
+import { withoutSchemas } from "../callers/withoutSchemas.js";
 import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
@@ -71,6 +72,7 @@
  */
 export function buildRelayServer(options: RelayServerOptions): FastifyInstance {
     const server = fastify({
+        ...withoutSchemas,
         logger: false,
         bodyLimit: maximumBodyBytes,
         requestTimeout: requestTimeoutMs,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,6 +11,7 @@
 import { join, resolve } from "node:path";
 import { pathToFileURL } from "node:url";
 import { build } from "esbuild";
+import { plugins } from "./bundlePlugins.mjs";
 
 const folder = resolve(process.argv[2] ?? "target");
 const warmUpFolder = join(folder, "warm-up");
@@ -38,11 +39,13 @@
 }
 
 async function buildProgram() {
-    const { outputFiles } = await build({
+    const { outputFiles, metafile } = await build({
         ...shared,
+        plugins,
         entryPoints: ["platform/src/program.ts"],
         outfile: join(folder, "program.cjs"),
         write: false,
+        metafile: true,
     });
     const source = outputFiles.find(({ path }) => path.endsWith(".cjs")).contents;
     if (source.some((byte) => byte > 127)) {
@@ -53,9 +56,19 @@
     writeFileSync(join(folder, `${name}.cjs`), source);
     const licences = outputFiles.find(({ path }) => path.endsWith(".LEGAL.txt"));
     writeFileSync(join(folder, "licences.txt"), licences?.contents ?? "");
+    writeFileSync(join(folder, "packages.txt"), `${listPackages(metafile).join("\n")}\n`);
     return name;
 }
 
+/** Lists the packages of which a module is in the bundle. */
+function listPackages({ outputs }) {
+    const modules = Object.values(outputs).flatMap(({ inputs }) => Object.keys(inputs));
+    const names = modules.map(
+        (path) => /(?:.*node_modules|^packages)\/((?:@[^/]+\/)?[^/]+)\//.exec(path)?.[1],
+    );
+    return [...new Set(names.filter((name) => name !== undefined))].sort();
+}
+
 /** Makes the code cache; without one the program starts more slowly, but is the same. */
 async function buildCodeCache(name) {
     const creator = join(warmUpFolder, "createCodeCache.cjs");
