Account for memory, slots and pace of engines, and predict starts from them

Cause: a node knew neither how much memory the requests of an engine take nor how fast its host works at the moment; requests went to engines without memory for them while others had it, and the predicted start ignored the queue. Change: where servers report the pace (fourth figure of X-Instance-Load), an average over 1 s scales prefill, pauses and answer times of the server; what is no positive number is ignored, others are bounded to 0.1 and 10 times. Requests in flight hold their own tokens and, once an engine, the shared parts. Nodes tell the sizes in a list of its own (sizes), which older builds ignore; without it the mean of the kind is assumed. The counts that servers report correct the known ones and lose weight within 1 s. Without room no engine is chosen while another has room. estimateStart uses backlog, pace, queue and memory. The choice moved to serverChoice.ts; prefill backlogs are summed as they change instead of for each choice. Services without a pace are chosen and announced as before.

--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -38,6 +38,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on the server's host, as a multiple of the usual time; undefined when not reported. */
+    readonly pace?: number | undefined;
 }
 
 /** Formats requests to backend servers and interprets their responses. */
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -169,7 +169,7 @@
         const { protocol, request, placement, server } = this.options;
         const load = protocol.readLoad(headers);
         if (load !== undefined) {
-            placement.recordLoad(server.id, load.running, load.waiting);
+            placement.recordLoad(server.id, load.running, load.waiting, load.pace);
         }
         const meaning = protocol.selectMeaning(status, headers, request);
         if (meaning === "answer" || meaning === "notRun") {
@@ -324,7 +324,7 @@
 
     /** Announces the attempt to other nodes. */
     private reportDispatch(): void {
-        const { announcer, isAnnounced, request, server } = this.options;
+        const { announcer, isAnnounced, placement, request, server } = this.options;
         const { parts } = request.head;
         if (isAnnounced) {
             this.announcedId = announcer.reportDispatch({
@@ -333,6 +333,7 @@
                 tokens: this.placed.uncachedTokens,
                 pauseTargetMs: request.route.pauseTargetMs,
                 shared: parts.slice(0, -1),
+                ownTokens: placement.reportsPace() ? this.placed.ownTokens : undefined,
             });
         }
     }
--- a/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
+++ b/packages/gateway/src/peers/__tests__/dispatchNews.test.ts
@@ -5,6 +5,7 @@
 import { ActiveConfiguration } from "../../configuration/activeConfiguration.js";
 import { ServiceDispatchRegistry } from "../../dispatch/serviceDispatch.js";
 import { DispatchNews, type News } from "../dispatchNews.js";
+import { serviceNewsSchema } from "../newsBatch.js";
 import type { PeerAddress } from "../peerDirectory.js";
 
 const service = "llm";
@@ -74,7 +75,7 @@
         this.nodes.set(name, { news, dispatches });
     }
 
-    sendRequest(name: string, serverId: string): string {
+    sendRequest(name: string, serverId: string, ownTokens?: number): string {
         const { news } = this.nodes.get(name)!;
         return news.reportDispatch({
             service,
@@ -82,6 +83,7 @@
             tokens: 1_000,
             pauseTargetMs: 500,
             shared: [{ id: "guide", tokens: 100 }],
+            ownTokens,
         });
     }
 
@@ -95,6 +97,15 @@
         return placement.countInFlight(serverId);
     }
 
+    /** Reads the free memory of an engine of 100,000 tokens as a node predicts it. */
+    predictFreeTokens(name: string, serverId: string): number | undefined {
+        const { placement } = this.nodes.get(name)!.dispatches.ensureService(service);
+        placement.updateServers([
+            { id: serverId, dataCentre: "", slots: 64, capacityTokens: 100_000, isReclaimable: false },
+        ]);
+        return placement.predictFreeRoom(serverId)?.tokens;
+    }
+
     countReceived(name: string): number {
         return this.messages.filter(({ to }) => to === name).length;
     }
@@ -155,4 +166,25 @@
         cluster.sendRequest("a7", "s-1");
         expect(cluster.messages).toHaveLength(29);
     });
+
+    // Guards against engines whose memory each node fills with what it knows alone.
+    it("many nodes: all learn of the size of a request", async () => {
+        const cluster = new NewsCluster([buildNames("a", 30), buildNames("b", 30)], true);
+        cluster.sendRequest("a7", "s-1", 5_000);
+        await finishBatches(cluster.clock);
+        expect(cluster.predictFreeTokens("a20", "s-1")).toBe(100_000 - 5_100);
+        expect(cluster.predictFreeTokens("b20", "s-1")).toBe(100_000 - 5_100);
+    });
+
+    it("two builds side by side: one that knows no sizes reads the news, and its news is read", () => {
+        const sent: readonly unknown[] = ["x.1", "s-1", 1_000, 500, [["guide", 100]]];
+        const old = { service, sent: [sent], started: [], ended: [] };
+        expect(serviceNewsSchema.parse(old).sizes).toBeUndefined();
+        const oldSchema = serviceNewsSchema.omit({ sizes: true });
+        expect(oldSchema.parse({ ...old, sizes: [["x.1", 5_000]] })).toEqual(old);
+        const cluster = new NewsCluster([buildNames("a", 2)], false);
+        cluster.sendRequest("a0", "s-1");
+        expect(cluster.messages[0]!.news.services[0]).not.toHaveProperty("sizes");
+        expect(cluster.predictFreeTokens("a1", "s-1")).toBe(100_000 - 1_100);
+    });
 });
--- a/packages/gateway/src/peers/newsBatch.ts
+++ b/packages/gateway/src/peers/newsBatch.ts
@@ -16,6 +16,8 @@
     readonly pauseTargetMs: number | undefined;
     /** Parts of the prompt that other requests share. */
     readonly shared: readonly PromptPart[];
+    /** Tokens of the prompt and the output that no other request shares; undefined when nobody needs them. */
+    readonly ownTokens?: number | undefined;
 }
 
 /** Identifier, server, prompt tokens, pause target in milliseconds (0 if not streamed) and shared parts of a dispatch. */
@@ -33,6 +35,11 @@
     sent: z.array(dispatchSchema),
     started: z.array(z.string()),
     ended: z.array(z.string()),
+    /**
+     * Identifiers and sizes of dispatches, in tokens that no other request shares. Apart from the dispatches, since builds
+     * that do not know sizes reject longer tuples.
+     */
+    sizes: z.array(z.tuple([z.string(), z.number().nonnegative()])).optional(),
 });
 
 /** News of the requests of one service. */
@@ -49,9 +56,13 @@
      * @param dispatch - The request.
      */
     addDispatch(id: string, dispatch: AnnouncedDispatch): void {
-        const { service, serverId, tokens, pauseTargetMs, shared } = dispatch;
+        const { service, serverId, tokens, pauseTargetMs, shared, ownTokens } = dispatch;
         const parts = shared.map((part): [string, number] => [part.id, part.tokens]);
-        this.ensureService(service).sent.push([id, serverId, tokens, pauseTargetMs ?? 0, parts]);
+        const news = this.ensureService(service);
+        news.sent.push([id, serverId, tokens, pauseTargetMs ?? 0, parts]);
+        if (ownTokens !== undefined) {
+            addSizes(news, [[id, ownTokens]]);
+        }
     }
 
     /**
@@ -80,11 +91,12 @@
      * @param news - The news, by service.
      */
     merge(news: readonly ServiceNews[]): void {
-        for (const { service, sent, started, ended } of news) {
+        for (const { service, sent, started, ended, sizes } of news) {
             const own = this.ensureService(service);
             own.sent.push(...sent);
             own.started.push(...started);
             own.ended.push(...ended);
+            addSizes(own, sizes ?? []);
         }
     }
 
@@ -111,6 +123,13 @@
     }
 }
 
+/** Adds sizes; the list stays absent while there are none. */
+function addSizes(news: ServiceNews, sizes: readonly [string, number][]): void {
+    if (sizes.length > 0) {
+        (news.sizes ??= []).push(...sizes);
+    }
+}
+
 /**
  * Records the news of one service in its placement. Dispatches come first, so that the events of a request that was
  * sent, started and ended within one batch apply in order.
@@ -124,13 +143,15 @@
     placement: ServerPlacement,
     isOwn: (id: string) => boolean,
 ): void {
+    const sizes = new Map(news.sizes);
     for (const [id, serverId, tokens, pauseMs, parts] of news.sent) {
         if (isOwn(id)) {
             continue;
         }
         const pauseTargetMs = pauseMs === 0 ? undefined : pauseMs;
         const shared = parts.map(([part, count]) => ({ id: part, tokens: count }));
-        placement.recordPeerDispatch({ id, serverId, tokens, pauseTargetMs }, shared);
+        const ownTokens = sizes.get(id);
+        placement.recordPeerDispatch({ id, serverId, tokens, pauseTargetMs, ownTokens }, shared);
     }
     news.started.forEach((id) => placement.recordPeerFirstEvent(id));
     news.ended.forEach((id) => placement.recordPeerEnd(id));
--- a/packages/policy/src/placement/__tests__/candidateSampling.test.ts
+++ b/packages/policy/src/placement/__tests__/candidateSampling.test.ts
@@ -5,7 +5,8 @@
 import { defaultPlacementSettings } from "../placementSettings.js";
 import type { PlacementServer } from "../serverEstimate.js";
 import type { PlacementRequest } from "../serverCost.js";
-import { ServerPlacement, type PlacementNews } from "../serverPlacement.js";
+import type { PlacementNews } from "../serverChoice.js";
+import { ServerPlacement } from "../serverPlacement.js";
 
 const serverCount = 60;
 const servers: readonly PlacementServer[] = Array.from({ length: serverCount }, (...[, index]) => ({
--- a/packages/policy/src/placement/inFlightRequests.ts
+++ b/packages/policy/src/placement/inFlightRequests.ts
@@ -5,6 +5,10 @@
  * @packageDocumentation
  */
 
+import { MemoryAccount, type MemoryUse } from "./memoryAccount.js";
+import type { PromptPart } from "./prefixCacheModel.js";
+import { RequestSizes } from "./requestSizes.js";
+
 /** A request that a node has sent to a server. */
 export interface InFlightRequest {
     /** Identifies the in-flight request among those of all nodes. */
@@ -14,9 +18,33 @@
     readonly tokens: number;
     /** Maximum pause between events that meets the target, in milliseconds; undefined if the answer isn't streamed. */
     readonly pauseTargetMs: number | undefined;
+    /** Tokens of the prompt and the output that no other request shares; absent when the node didn't tell. */
+    readonly ownTokens?: number | undefined;
+    /** Shared parts of the prompt. */
+    readonly shared?: readonly PromptPart[] | undefined;
+}
+
+/** The size of a prompt as a request states it. */
+export interface PromptSize {
+    readonly parts: readonly PromptPart[];
+    readonly promptTokens: number;
+    readonly expectedOutputTokens?: number | undefined;
+}
+
+/**
+ * Computes what a request holds in the memory of an engine. All parts of a prompt but the last may be shared.
+ *
+ * @param size - The prompt, and the expected output.
+ * @returns The shared parts, and the tokens of all else.
+ */
+export function computeMemoryUse({ parts, promptTokens, expectedOutputTokens }: PromptSize): MemoryUse {
+    const shared = parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+    return { ownTokens: Math.max(0, promptTokens - sharedTokens) + (expectedOutputTokens ?? 0), shared };
 }
 
 interface TrackedRequest extends InFlightRequest {
+    readonly memory: MemoryUse;
     readonly sentMs: number;
     /** Whether this node sent the request and so always sees its end; requests of peers expire after a timeout. */
     readonly isLocal: boolean;
@@ -38,6 +66,10 @@
     private readonly byServer = new Map<string, Set<TrackedRequest>>();
     /** Number of streams in flight, by pause target in milliseconds. */
     private readonly streamCounts = new Map<number, number>();
+    /** Prompt tokens that each server still has to prefill. */
+    private readonly prefillTokens = new Map<string, number>();
+    private readonly memory = new MemoryAccount();
+    private readonly sizes = new RequestSizes();
 
     /**
      * Adds a request that was sent, replacing one with the same identifier.
@@ -48,7 +80,16 @@
      */
     add(request: InFlightRequest, nowMs: number, isLocal: boolean): void {
         this.finish(request.id);
-        const tracked = { ...request, sentMs: nowMs, isLocal, isPrefilling: true };
+        const { ownTokens, pauseTargetMs, shared = [] } = request;
+        if (ownTokens !== undefined) {
+            this.sizes.record(pauseTargetMs, ownTokens);
+        }
+        // Without a size, the tokens to prefill are a lower bound of the memory that the request takes.
+        const assumedTokens = ownTokens ?? Math.max(request.tokens, this.sizes.estimateTokens(pauseTargetMs));
+        const memory = { ownTokens: assumedTokens, shared };
+        const tracked = { ...request, memory, sentMs: nowMs, isLocal, isPrefilling: true };
+        this.memory.add(request.serverId, memory);
+        this.addPrefillTokens(request.serverId, request.tokens);
         this.requests.set(request.id, tracked);
         const serverRequests = this.byServer.get(request.serverId) ?? new Set();
         this.byServer.set(request.serverId, serverRequests.add(tracked));
@@ -59,7 +100,7 @@
     recordFirstEvent(id: string): void {
         const request = this.requests.get(id);
         if (request !== undefined) {
-            request.isPrefilling = false;
+            this.endPrefill(request);
         }
     }
 
@@ -67,12 +108,21 @@
     finish(id: string): void {
         const request = this.requests.get(id);
         if (request !== undefined) {
+            this.endPrefill(request);
             this.requests.delete(id);
             this.byServer.get(request.serverId)?.delete(request);
+            this.memory.remove(request.serverId, request.memory);
             this.addToStreamCount(request.pauseTargetMs, -1);
         }
     }
 
+    /** Removes the requests of a server that restarted, which holds none of them any more. */
+    removeServer(serverId: string): void {
+        for (const { id } of [...(this.byServer.get(serverId) ?? [])]) {
+            this.finish(id);
+        }
+    }
+
     /** Expires requests of peers for which no message came in time. */
     removeStale(nowMs: number): void {
         for (const request of this.requests.values()) {
@@ -82,7 +132,7 @@
             if (request.isLocal) {
                 continue;
             }
-            request.isPrefilling = false;
+            this.endPrefill(request);
             if (nowMs - request.sentMs > peerEndTimeoutMs) {
                 this.finish(request.id);
             }
@@ -91,11 +141,7 @@
 
     /** Counts the prompt tokens that a server still has to prefill. */
     countPrefillTokens(serverId: string): number {
-        let tokens = 0;
-        for (const request of this.byServer.get(serverId) ?? []) {
-            tokens += request.isPrefilling ? request.tokens : 0;
-        }
-        return tokens;
+        return this.prefillTokens.get(serverId) ?? 0;
     }
 
     /** Counts the requests in flight on a server. */
@@ -103,6 +149,27 @@
         return this.byServer.get(serverId)?.size ?? 0;
     }
 
+    /** Counts the tokens of memory that the requests in flight on a server hold. */
+    countHeldTokens(serverId: string): number {
+        return this.memory.countTokens(serverId);
+    }
+
+    /** @returns The mean tokens of a request that no other shares. */
+    readMeanTokens(): number {
+        return this.sizes.readMean();
+    }
+
+    /**
+     * Computes the tokens of memory that one more request would hold on a server.
+     *
+     * @param serverId - The server.
+     * @param use - What the request holds.
+     * @returns The tokens.
+     */
+    computeAddedTokens(serverId: string, use: MemoryUse): number {
+        return this.memory.computeAddedTokens(serverId, use);
+    }
+
     /**
      * Counts the streams in flight on all servers.
      *
@@ -133,6 +200,17 @@
         return expected;
     }
 
+    private endPrefill(request: TrackedRequest): void {
+        if (request.isPrefilling) {
+            request.isPrefilling = false;
+            this.addPrefillTokens(request.serverId, -request.tokens);
+        }
+    }
+
+    private addPrefillTokens(serverId: string, change: number): void {
+        this.prefillTokens.set(serverId, (this.prefillTokens.get(serverId) ?? 0) + change);
+    }
+
     private addToStreamCount(pauseTargetMs: number | undefined, change: number): void {
         if (pauseTargetMs === undefined) {
             return;
--- a/packages/policy/src/placement/serverCost.ts
+++ b/packages/policy/src/placement/serverCost.ts
@@ -97,7 +97,7 @@
         view: ChoiceView,
         nowMs: number,
     ): number {
-        const { settings, inFlight, pauses, isolation } = this.options;
+        const { settings, inFlight, isolation } = this.options;
         const { server } = estimate;
         const dataCentrePenaltyMs =
             server.dataCentre === settings.dataCentre ? 0 : settings.otherDataCentrePenaltyMs;
@@ -109,9 +109,10 @@
             inFlight.countRequests(server.id),
             isRecent ? (estimate.load?.running ?? 0) : 0,
         );
+        const pace = estimate.readPace(nowMs);
         const utilization = running / Math.max(1, server.slots);
         if (server.capacityTokens === undefined) {
-            const answerMs = estimate.answerMs.readMean();
+            const answerMs = estimate.answerMs.readMean() * pace;
             return (
                 (answerMs * (1 + utilization + waiting / Math.max(1, server.slots)) +
                     dataCentrePenaltyMs * plainPenaltyShare) *
@@ -121,20 +122,12 @@
         const cachedTokens = estimate.prefixCache.countCachedTokens(request.parts);
         const backlogMs = inFlight.countPrefillTokens(server.id) / settings.prefillTokensPerMs;
         const uncachedTokens = this.estimatePrefillTokens(estimate, request, view);
-        const prefillMs = (this.estimatePrefillMs(uncachedTokens) + backlogMs) * estimate.readSlowness();
+        const prefillMs =
+            (this.estimatePrefillMs(uncachedTokens) + backlogMs) * estimate.readSlowness() * pace;
         const fullBatchMs =
             utilization > nearlyFullShare ? fullBatchPenaltyMs * (utilization - nearlyFullShare) : 0;
         const newPrefillMs = (request.promptTokens - cachedTokens) / settings.prefillTokensPerMs;
-        const pauseSlowness = Math.min(maximumPauseSlowness, Math.max(1, estimate.readSlowness()));
-        const delayedStreams = inFlight.estimateDelayedStreams(
-            server.id,
-            pauses.predictPauseMs((newPrefillMs + backlogMs) * pauseSlowness),
-        );
-        const ownDelay = estimateDelayChance(
-            pauses.predictPauseMs(backlogMs * pauseSlowness),
-            request.pauseTargetMs,
-        );
-        const lateStreamsMs = lateStreamPenaltyMs * (delayedStreams + ownDelay);
+        const lateStreamsMs = lateStreamPenaltyMs * this.estimateDelayedStreams(estimate, request, nowMs);
         const isolationMs = isolation.computePenaltyMs(
             view.isSensitive,
             view.isolatedServers.has(server.id),
@@ -146,6 +139,48 @@
         return (waitMs + dataCentrePenaltyMs + lateStreamsMs + isolationMs) * failureFactor;
     }
 
+    /**
+     * Estimates how many streams miss their pause targets because of a request: running ones because of its prefill, and
+     * its own because of the prefill that the engine still has to do.
+     *
+     * @param estimate - The engine and what is known about it.
+     * @param request - The request.
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns The expected number of streams.
+     */
+    estimateDelayedStreams(estimate: ServerEstimate, request: PlacementRequest, nowMs: number): number {
+        const { settings, inFlight, pauses } = this.options;
+        const { id } = estimate.server;
+        const pace = estimate.readPace(nowMs);
+        const pauseSlowness = Math.min(maximumPauseSlowness, Math.max(1, estimate.readSlowness()));
+        const backlogMs = inFlight.countPrefillTokens(id) / settings.prefillTokensPerMs;
+        const newTokens = request.promptTokens - estimate.prefixCache.countCachedTokens(request.parts);
+        const newPrefillMs = newTokens / settings.prefillTokensPerMs;
+        const delayedStreams = inFlight.estimateDelayedStreams(
+            id,
+            pauses.predictPauseMs((newPrefillMs + backlogMs) * pauseSlowness) * pace,
+        );
+        const ownDelay = estimateDelayChance(
+            pauses.predictPauseMs(backlogMs * pauseSlowness) * pace,
+            request.pauseTargetMs,
+        );
+        return delayedStreams + ownDelay;
+    }
+
+    /**
+     * Predicts the time to the first event of a request that an engine starts at once.
+     *
+     * @param estimate - The engine and what is known about it.
+     * @param request - The request.
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns The time, in milliseconds.
+     */
+    predictFirstEventMs(estimate: ServerEstimate, request: PlacementRequest, nowMs: number): number {
+        const newTokens = request.promptTokens - estimate.prefixCache.countCachedTokens(request.parts);
+        const tokens = this.options.inFlight.countPrefillTokens(estimate.server.id) + newTokens;
+        return this.estimatePrefillMs(tokens) * estimate.readSlowness() * estimate.readPace(nowMs);
+    }
+
     /**
      * Describes a plain server for {@link EvenShares}: its share is the greater the more it can serve and the less it
      * fails.
@@ -163,7 +198,10 @@
                 : settings.otherDataCentrePenaltyMs * plainPenaltyShare;
         const slots = Math.max(1, server.slots);
         const failureFactor = computeFailureFactor(estimate);
-        const serviceMs = Math.max(minimumServiceMs, estimate.serviceMs.readMean());
+        const serviceMs = Math.max(
+            minimumServiceMs,
+            estimate.serviceMs.readMean() * estimate.readPace(nowMs),
+        );
         return {
             id: server.id,
             weight: slots / ((serviceMs + dataCentrePenaltyMs) * failureFactor ** 2),
--- a/packages/policy/src/placement/serverEstimate.ts
+++ b/packages/policy/src/placement/serverEstimate.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { MeanEstimator } from "../scheduling/estimators.js";
+import { AgedMean } from "./agedMean.js";
 import { PrefixCacheModel, type PromptPart } from "./prefixCacheModel.js";
 
 /** A backend server that may be chosen. */
@@ -61,6 +62,21 @@
 const minimumSlowness = 0.5;
 const maximumSlowness = 30;
 
+/**
+ * Time constant of the average pace, in milliseconds. The pace changes many times a second; nodes that followed the last
+ * value would all move to the same server.
+ */
+const paceTimeConstantMs = 1_000;
+/** Time constant with which the pace of a server that reports none returns to the usual one, in milliseconds. */
+const paceLifetimeMs = 5_000;
+/** Bounds of a reported pace, as a multiple of the usual one; a value beyond them is an error of the server. */
+const minimumPace = 0.1;
+const maximumPace = 10;
+/** Time constant of the average number of requests that a server reports beyond the known ones, in milliseconds. */
+const unknownTimeConstantMs = 200;
+/** Time constant with which this number loses weight, in milliseconds; about the time for which requests run. */
+const unknownLifetimeMs = 1_000;
+
 /** Holds the estimates about one server. */
 export class ServerEstimate {
     readonly prefixCache: PrefixCacheModel;
@@ -76,6 +92,8 @@
     private readonly slowness = new MeanEstimator(1, slownessGain);
     private failureShare = 0;
     private consecutiveBroken = 0;
+    private readonly pace = new AgedMean(paceTimeConstantMs, paceLifetimeMs);
+    private readonly unknownRequests = new AgedMean(unknownTimeConstantMs, unknownLifetimeMs);
 
     /**
      * @param server - The server.
@@ -95,6 +113,37 @@
         return Math.min(maximumSlowness, Math.max(minimumSlowness, this.slowness.readMean()));
     }
 
+    /**
+     * Records how long work takes on the server's host.
+     *
+     * @param pace - The reported time as a multiple of the usual one, a positive number.
+     * @param nowMs - The monotonic time, in milliseconds.
+     */
+    recordPace(pace: number, nowMs: number): void {
+        this.pace.record(Math.min(maximumPace, Math.max(minimumPace, pace)) - 1, nowMs);
+    }
+
+    /** @returns How long work takes, as a multiple of the usual time; 1 when the server reports none. */
+    readPace(nowMs: number): number {
+        return 1 + this.pace.readMean(nowMs);
+    }
+
+    /**
+     * Records how many requests the server reported.
+     *
+     * @param reported - The number of running and waiting requests.
+     * @param known - The number of requests that this node knew of.
+     * @param nowMs - The monotonic time, in milliseconds.
+     */
+    recordRequests(reported: number, known: number, nowMs: number): void {
+        this.unknownRequests.record(reported - known, nowMs);
+    }
+
+    /** @returns How many requests the server has beyond the known ones; negative when some of these have ended. */
+    readUnknownRequests(nowMs: number): number {
+        return this.unknownRequests.readMean(nowMs);
+    }
+
     /** @returns The recent share of failed exchanges, 0 to 1. */
     readFailureShare(): number {
         return this.failureShare;
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -6,12 +6,14 @@
 import type { Clock } from "@pimentocleat/types";
 import type { PromptPart } from "./prefixCacheModel.js";
 import type { PlacementSettings } from "./placementSettings.js";
-import { InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
+import { computeMemoryUse, InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
 import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
 import { CandidateSampling } from "./candidateSampling.js";
-import { EvenShares, type SharedServer } from "./evenShares.js";
 import { PauseModel } from "./pauseModel.js";
-import { selectPreferredServers, ServerCost, type ChoiceView, type PlacementRequest } from "./serverCost.js";
+import { ServerChoice, type PlacementNews } from "./serverChoice.js";
+import { ServerCost, type PlacementRequest } from "./serverCost.js";
+import { StartPrediction } from "./startPrediction.js";
+import { ServerRoom, type FreeRoom } from "./serverRoom.js";
 import type { StartEstimate } from "./startEstimate.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
@@ -25,19 +27,8 @@
     readonly sentMs: number;
     /** Predicted time to the first event on a server of normal speed, in milliseconds. */
     readonly expectedMs: number;
-}
-
-/** What a node learns of the requests of other nodes. */
-export interface PlacementNews {
-    /**
-     * Reads the time until nodes know of each other's requests.
-     *
-     * @param isAnnounced - Whether nodes announce the requests of the service to each other.
-     * @returns The time, in milliseconds.
-     */
-    readonly readDelayMs: (isAnnounced: boolean) => number;
-    /** Source of randomness, 0 to 1. */
-    readonly random: () => number;
+    /** Tokens of the prompt and the output that no other request shares. */
+    readonly ownTokens: number;
 }
 
 /** The news of a node that learns of every request at once. */
@@ -51,8 +42,10 @@
     private readonly isolation = new StreamIsolation();
     private readonly pauses = new PauseModel();
     private readonly sampling: CandidateSampling;
-    private readonly shares: EvenShares;
+    private readonly choice: ServerChoice;
     private readonly cost: ServerCost;
+    private readonly room: ServerRoom;
+    private readonly starts: StartPrediction;
 
     /**
      * @param settings - The assumed speeds and penalties.
@@ -62,12 +55,24 @@
     constructor(
         private readonly settings: PlacementSettings,
         private readonly clock: Clock,
-        private readonly news: PlacementNews = immediateNews,
+        news: PlacementNews = immediateNews,
     ) {
         this.sampling = new CandidateSampling(news.random);
-        this.shares = new EvenShares(news.random);
         const { inFlight, pauses, isolation } = this;
+        this.room = new ServerRoom(inFlight);
         this.cost = new ServerCost({ settings, inFlight, pauses, isolation });
+        const { estimates, sampling, cost, room } = this;
+        this.starts = new StartPrediction({ inFlight, cost, room });
+        this.choice = new ServerChoice({
+            settings,
+            news,
+            estimates,
+            inFlight,
+            isolation,
+            sampling,
+            cost,
+            room,
+        });
     }
 
     /**
@@ -81,7 +86,7 @@
         for (const [id, estimate] of this.estimates) {
             if (!present.has(id) && estimate.inFlight === 0) {
                 this.estimates.delete(id);
-                this.shares.removeServer(id);
+                this.choice.removeServer(id);
             }
         }
         for (const server of servers) {
@@ -97,6 +102,9 @@
     /** Discards the estimates of a server that restarted. */
     removeServer(id: string): void {
         this.estimates.delete(id);
+        if (this.reportsPace()) {
+            this.inFlight.removeServer(id);
+        }
     }
 
     /**
@@ -127,17 +135,7 @@
      * @returns The server's identifier, or undefined when the request excludes every server.
      */
     chooseServer(request: PlacementRequest, ready: readonly PlacementServer[]): string | undefined {
-        const nowMs = this.clock.monotonicMs();
-        const pool = this.listPool(request, ready, nowMs);
-        if (!this.isShared(pool)) {
-            return this.findCheapest(request, pool, nowMs)?.id;
-        }
-        const servers = this.listShares(pool, nowMs);
-        const chosen = this.shares.chooseServer(servers);
-        if (chosen !== undefined) {
-            this.shares.recordTurn(chosen, servers);
-        }
-        return chosen;
+        return this.choice.chooseServer(request, ready, this.clock.monotonicMs());
     }
 
     /**
@@ -149,78 +147,12 @@
      */
     estimateStart(request: PlacementRequest, ready: readonly PlacementServer[]): StartEstimate | undefined {
         const nowMs = this.clock.monotonicMs();
-        const pool = this.listPool(request, ready, nowMs);
-        const id = this.isShared(pool)
-            ? this.shares.chooseServer(this.listShares(pool, nowMs))
-            : this.findCheapest(request, pool, nowMs)?.id;
+        const id = this.choice.findServer(request, ready, nowMs);
         const estimate = id === undefined ? undefined : this.estimates.get(id);
         if (estimate === undefined) {
             return undefined;
         }
-        const { server } = estimate;
-        const uncachedTokens = request.promptTokens - estimate.prefixCache.countCachedTokens(request.parts);
-        const backlogTokens = this.inFlight.countPrefillTokens(server.id);
-        const isEngine = server.capacityTokens !== undefined;
-        const startMs = isEngine
-            ? this.cost.estimatePrefillMs(backlogTokens + uncachedTokens) * estimate.readSlowness()
-            : estimate.answerMs.readMean();
-        const pauseMs = this.pauses.predictPauseMs(
-            (backlogTokens + uncachedTokens) / this.settings.prefillTokensPerMs,
-        );
-        const running = Math.max(this.inFlight.countRequests(server.id), estimate.load?.running ?? 0);
-        return {
-            serverId: server.id,
-            startMs,
-            hasRoom: running < server.slots,
-            delayedStreams: this.inFlight.estimateDelayedStreams(server.id, pauseMs),
-        };
-    }
-
-    /** Lists the servers that may get a request: those that the request excludes never, avoided ones if need be. */
-    private listPool(
-        request: PlacementRequest,
-        ready: readonly PlacementServer[],
-        nowMs: number,
-    ): readonly PlacementServer[] {
-        const candidates = ready.filter((server) => !request.excluded.has(server.id));
-        const notAvoided = candidates.filter((server) => !this.isAvoided(server.id, nowMs));
-        return notAvoided.length > 0 ? notAvoided : candidates;
-    }
-
-    /** Checks whether the nodes learn of each other's requests to these servers too late to compare them by load. */
-    private isShared(pool: readonly PlacementServer[]): boolean {
-        const isPlain = pool[0] !== undefined && pool[0].capacityTokens === undefined;
-        return isPlain && this.news.readDelayMs(false) > this.settings.maximumLoadAgeMs;
-    }
-
-    private listShares(pool: readonly PlacementServer[], nowMs: number): readonly SharedServer[] {
-        return pool.flatMap(({ id }) => {
-            const estimate = this.estimates.get(id);
-            return estimate === undefined ? [] : [this.cost.estimateShare(estimate, nowMs)];
-        });
-    }
-
-    private findCheapest(
-        request: PlacementRequest,
-        pool: readonly PlacementServer[],
-        nowMs: number,
-    ): PlacementServer | undefined {
-        this.inFlight.removeStale(nowMs);
-        const view = this.buildView(request, pool, nowMs);
-        let best: PlacementServer | undefined;
-        let bestCost = Number.POSITIVE_INFINITY;
-        for (const server of this.sampleCandidates(request, pool, view, nowMs)) {
-            const estimate = this.estimates.get(server.id);
-            const cost =
-                estimate === undefined
-                    ? Number.MAX_VALUE
-                    : this.cost.estimateCost(estimate, request, view, nowMs);
-            if (cost < bestCost) {
-                best = server;
-                bestCost = cost;
-            }
-        }
-        return best;
+        return this.starts.predictStart(estimate, request, nowMs);
     }
 
     /**
@@ -243,12 +175,17 @@
         const { pauseTargetMs } = request;
         this.isolation.recordPauseTarget(pauseTargetMs, sentMs);
         this.sampling.recordRequest(sentMs);
-        this.inFlight.add({ id: inFlightId, serverId, tokens: uncachedTokens, pauseTargetMs }, sentMs, true);
+        const { ownTokens, shared } = computeMemoryUse(request);
+        this.inFlight.add(
+            { id: inFlightId, serverId, tokens: uncachedTokens, pauseTargetMs, ownTokens, shared },
+            sentMs,
+            true,
+        );
         if (estimate !== undefined) {
             estimate.inFlight += 1;
             estimate.recordPrompt(request.parts);
         }
-        return { inFlightId, serverId, uncachedTokens, sentMs, expectedMs };
+        return { inFlightId, serverId, uncachedTokens, sentMs, expectedMs, ownTokens };
     }
 
     /**
@@ -262,7 +199,9 @@
         if (estimate === undefined) {
             return;
         }
-        const elapsedMs = this.clock.monotonicMs() - placement.sentMs;
+        const nowMs = this.clock.monotonicMs();
+        // The pace is accounted for on its own, so that speed is learned for a host at its usual pace.
+        const elapsedMs = (nowMs - placement.sentMs) / estimate.readPace(nowMs);
         if (estimate.server.capacityTokens === undefined) {
             estimate.recordAnswer(elapsedMs);
         } else {
@@ -278,7 +217,8 @@
      */
     recordPause(placement: Placement, pauseMs: number): void {
         const tokens = this.inFlight.countPrefillTokens(placement.serverId);
-        this.pauses.recordPause(pauseMs, tokens / this.settings.prefillTokensPerMs);
+        const pace = this.estimates.get(placement.serverId)?.readPace(this.clock.monotonicMs()) ?? 1;
+        this.pauses.recordPause(pauseMs / pace, tokens / this.settings.prefillTokensPerMs);
     }
 
     /**
@@ -294,7 +234,11 @@
             return;
         }
         estimate.inFlight -= 1;
-        estimate.recordOutcome(outcome, this.clock.monotonicMs());
+        const nowMs = this.clock.monotonicMs();
+        if (outcome === "answered") {
+            this.starts.recordHold(nowMs - placement.sentMs);
+        }
+        estimate.recordOutcome(outcome, nowMs);
     }
 
     /**
@@ -303,14 +247,45 @@
      * @param serverId - The server.
      * @param running - The number of requests running on the server.
      * @param waiting - The number of requests waiting on the server.
+     * @param pace - How long work takes on the server's host, as a multiple of the usual time; undefined when the server
+     * doesn't report it.
      */
-    recordLoad(serverId: string, running: number, waiting: number): void {
+    recordLoad(serverId: string, running: number, waiting: number, pace?: number): void {
         const estimate = this.estimates.get(serverId);
-        if (estimate !== undefined) {
-            estimate.load = { running, waiting, atMs: this.clock.monotonicMs() };
+        if (estimate === undefined) {
+            return;
+        }
+        const nowMs = this.clock.monotonicMs();
+        estimate.load = { running, waiting, atMs: nowMs };
+        estimate.recordRequests(running + waiting, this.inFlight.countRequests(serverId), nowMs);
+        if (pace !== undefined && pace > 0) {
+            this.choice.usesRoom = true;
+            estimate.recordPace(pace, nowMs);
         }
     }
 
+    /**
+     * Checks whether servers of the service report their pace. What depends on predicted start times is only used then.
+     *
+     * @returns Whether one has reported it.
+     */
+    reportsPace(): boolean {
+        return this.choice.usesRoom;
+    }
+
+    /**
+     * Predicts what is free on a server.
+     *
+     * @param id - The server.
+     * @returns The free slots and tokens; undefined when the server isn't known.
+     */
+    predictFreeRoom(id: string): FreeRoom | undefined {
+        const estimate = this.estimates.get(id);
+        return estimate === undefined
+            ? undefined
+            : this.room.predictFreeRoom(estimate, this.clock.monotonicMs());
+    }
+
     /**
      * Records a request that another node sent.
      *
@@ -321,7 +296,7 @@
         const nowMs = this.clock.monotonicMs();
         this.isolation.recordPauseTarget(request.pauseTargetMs, nowMs);
         this.sampling.recordRequest(nowMs);
-        this.inFlight.add(request, nowMs, false);
+        this.inFlight.add({ ...request, shared }, nowMs, false);
         this.estimates.get(request.serverId)?.recordPrompt(shared);
     }
 
@@ -334,59 +309,4 @@
     recordPeerEnd(id: string): void {
         this.inFlight.finish(id);
     }
-
-    /** Samples the servers to compare: of those that suit the request, a few others, and all that cache its prompt. */
-    private sampleCandidates(
-        request: PlacementRequest,
-        pool: readonly PlacementServer[],
-        view: ChoiceView,
-        nowMs: number,
-    ): readonly PlacementServer[] {
-        const isAnnounced = pool[0]?.capacityTokens !== undefined;
-        const delayMs = this.news.readDelayMs(isAnnounced);
-        const size = this.sampling.computeSampleSize(pool.length, delayMs, nowMs);
-        if (size >= pool.length) {
-            return pool;
-        }
-        const shared = request.parts.slice(0, -1);
-        const caching = pool.filter(
-            ({ id }) => view.preferredRanks.has(id) || this.countCachedTokens(id, shared) > 0,
-        );
-        const group = pool.filter(({ id }) => view.isolatedServers.has(id) === view.isSensitive);
-        const others = pool.filter(({ id }) => view.isolatedServers.has(id) !== view.isSensitive);
-        return [
-            ...caching,
-            ...this.sampling.chooseSample(group, size),
-            ...this.sampling.chooseSample(others, 1),
-        ];
-    }
-
-    private isAvoided(id: string, nowMs: number): boolean {
-        return (this.estimates.get(id)?.avoidUntilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
-    }
-
-    private buildView(
-        request: PlacementRequest,
-        pool: readonly PlacementServer[],
-        nowMs: number,
-    ): ChoiceView {
-        const shared = request.parts.slice(0, -1);
-        const maximumCachedTokens = Math.max(0, ...pool.map(({ id }) => this.countCachedTokens(id, shared)));
-        const sensitivePauseMs = this.isolation.readSensitivePauseMs(nowMs);
-        const prefillMs = request.promptTokens / this.settings.prefillTokensPerMs;
-        const isSensitive = this.isolation.isSensitive(request.pauseTargetMs, prefillMs, sensitivePauseMs);
-        const engines = pool.filter(({ capacityTokens }) => capacityTokens !== undefined);
-        const isolatedServers = this.isolation.selectServers(
-            engines,
-            this.inFlight.countStreams(sensitivePauseMs),
-        );
-        const group = pool.filter(({ id }) => isolatedServers.has(id) === isSensitive);
-        const preferredRanks =
-            maximumCachedTokens > 0 ? new Map<string, number>() : selectPreferredServers(request, group);
-        return { preferredRanks, maximumCachedTokens, isolatedServers, isSensitive, sensitivePauseMs };
-    }
-
-    private countCachedTokens(id: string, parts: readonly PromptPart[]): number {
-        return this.estimates.get(id)?.prefixCache.countCachedTokens(parts) ?? 0;
-    }
 }
