--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -42,9 +42,6 @@
     readonly clock: WaitingClock;
 }
 
-/** No service counts as one whose servers report a pace until placement reads it from their answers. */
-const reportsPace = (): boolean => false;
-
 /**
  * Creates the runner of a node.
  *
@@ -74,7 +71,8 @@
     return new AdmissionQueue({
         ...options,
         control,
-        isControlled: () => isEnabled && reportsPace(),
+        isControlled: (service) =>
+            isEnabled && options.dispatches.ensureService(service).placement.reportsPace(),
         estimateStart: (state) => estimator.estimateStart(state),
         readLoad: (state) => estimator.readLoad(state),
     });
