Report a node ready only when it has the servers, and retry first reads sooner

Cause: a node was ready with its configuration alone. Until the table of servers arrived, on another connection, it refused requests with 503. A first read that failed was retried after 0.6 to 1.8 s, since a node that has not read the registrations yet has no rank and then takes the longest delay. The first reads were also sent only after the servers of the node had been created, because of a wait of 0 ms.

Failed reads before a first response are retried after 200, 400, 800 ms and then the usual delay, each varied at random by half. The first reads start at once.

Not changed: the registrations are read 700 ms after the start, since a node that reads them earlier chooses keepers of permits from an incomplete list.

--- a/packages/gateway/src/following/__tests__/rowFollower.test.ts
+++ b/packages/gateway/src/following/__tests__/rowFollower.test.ts
@@ -106,6 +106,20 @@
         expect(await follow(feed, 6)).toEqual(["all a", "all c"]);
     });
 
+    // A node that does not know its rank yet waited for the longest delay, 1,200 ms on average, while it served nothing.
+    it("retries the first read after 200 ms, and doubles the delay up to the usual one", async () => {
+        const feed = new ListFeed([], []);
+        const readMs: number[] = [];
+        const clock = new ManualClock();
+        feed.readAll = async () => {
+            readMs.push(clock.monotonicMs());
+            throw new PlatformError(PlatformErrorKind.RateLimited, "429");
+        };
+        await follow(feed, 20, { clock, computeRetryMs: () => 1_200 }, () => clock.advance(200));
+        const delays = readMs.slice(1).map((atMs, index) => atMs - readMs[index]!);
+        expect(delays).toEqual([200, 400, 800, 1_200, 1_200]);
+    });
+
     it("polls once for a request to read while no node relays changes", async () => {
         const feed = new ListFeed(
             [{ rows: [row("a", 1)], position: 5 }],
--- a/packages/gateway/src/following/rowFollower.ts
+++ b/packages/gateway/src/following/rowFollower.ts
@@ -52,6 +52,13 @@
 /** Minimum time between the last response of the store and a requested read, in milliseconds. */
 const minimumRequestedReadIntervalMs = 300;
 
+/**
+ * Mean delay before the first failed read of a table is retried, in milliseconds; it doubles with each failure up to
+ * the usual delay. Without any data a node cannot serve, and the usual delay of a node that does not know its rank yet
+ * is the longest one.
+ */
+const firstRetryMs = 200;
+
 /** Follows a table until its task is stopped. */
 export class RowFollower {
     private position: number | undefined;
@@ -61,6 +68,8 @@
     /** Ends the wait for a request to read the table. */
     private wakeUp: (() => void) | undefined;
     private lastContactMs = Number.NEGATIVE_INFINITY;
+    /** Failed reads before the first response. */
+    private firstFailures = 0;
 
     /** @param options - The table and its receiver. */
     constructor(private readonly options: RowFollowerOptions) {}
@@ -71,15 +80,18 @@
      * @param signal - Stops the task.
      */
     async run(signal: AbortSignal): Promise<void> {
-        const { clock, computeRetryMs, random } = this.options;
-        await clock.wait(this.options.startDelayMs ?? 0, signal);
+        const { clock, random, startDelayMs } = this.options;
+        // Even a wait of 0 ms would delay the first read until the node's other synchronous start-up work is done.
+        if (startDelayMs !== undefined) {
+            await clock.wait(startDelayMs, signal);
+        }
         while (!signal.aborted) {
             if (await this.waitWhileRelayed(signal)) {
                 this.position = undefined;
             }
             const pauseMs = await this.readNext(signal).catch((error: unknown) => {
                 this.recordFailure(error, signal);
-                return computeRetryMs() * (0.5 + random());
+                return this.computeDelayMs() * (0.5 + random());
             });
             if (pauseMs > 0) {
                 await clock.wait(pauseMs, signal);
@@ -153,6 +165,17 @@
         return changes.length > 0 ? computePauseMs() : 0;
     }
 
+    /** Returns the mean delay after a failed read, in milliseconds. */
+    private computeDelayMs(): number {
+        const usualMs = this.options.computeRetryMs();
+        if (this.lastContactMs > Number.NEGATIVE_INFINITY) {
+            return usualMs;
+        }
+        const delayMs = Math.min(usualMs, firstRetryMs * 2 ** this.firstFailures);
+        this.firstFailures += 1;
+        return delayMs;
+    }
+
     private recordContact(position: number): void {
         this.position = Math.max(position, this.position ?? 0);
         this.version = Math.max(position, this.version);
--- a/packages/gateway/src/following/serverReceiver.ts
+++ b/packages/gateway/src/following/serverReceiver.ts
@@ -13,6 +13,7 @@
 /** Receives rows of the server table. */
 export class ServerReceiver implements RowReceiver {
     private readonly unreadableKeys = new Set<string>();
+    private hasTable = false;
 
     /**
      * @param adapter - Decodes servers.
@@ -28,6 +29,12 @@
     setRows(rows: readonly Row[], position: number): void {
         const servers = rows.map((row) => this.decodeRow(row)).filter((server) => server !== undefined);
         this.directory.setServers(servers, position);
+        this.hasTable = true;
+    }
+
+    /** @returns Whether the complete table was read at least once. */
+    hasServers(): boolean {
+        return this.hasTable;
     }
 
     applyChanges(changes: readonly RowChange[]): void {
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -37,6 +37,7 @@
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
+import { ReadinessState } from "./readinessState.js";
 import { StallDetector } from "./stallDetector.js";
 import { startStoreFollowers } from "./storeFollowers.js";
 
@@ -81,6 +82,8 @@
     private readonly configurationRelay: ConfigurationRelay;
     private readonly relayListener = new RelayListener();
     private readonly callerServer: FastifyInstance;
+    private readonly serverReceiver: ServerReceiver;
+    private readonly readiness: ReadinessState;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
@@ -240,6 +243,13 @@
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
+        this.serverReceiver = new ServerReceiver(adapter, this.directory, logger);
+        this.readiness = new ReadinessState({
+            clock,
+            logger,
+            configuration: this.configuration,
+            hasServers: () => this.serverReceiver.hasServers(),
+        });
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
             () => this.isReady(),
@@ -252,14 +262,13 @@
 
     /** Starts the listeners and the background tasks, which follow the store. */
     async start(): Promise<void> {
-        const { settings, adapter, logger } = this.options;
+        const { settings, logger } = this.options;
         setMaxListeners(maximumBackgroundTasks, this.stopping.signal);
-        const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         this.tasks.push(
             ...startStoreFollowers({
                 ...this.options,
                 configurationReceiver: this.configurationRelay,
-                serverReceiver,
+                serverReceiver: this.serverReceiver,
                 peers: this.peers,
                 relay: this.relay,
                 timing: this.relayTiming,
@@ -314,7 +323,7 @@
     }
 
     private isReady(): boolean {
-        return !this.drain.isDraining() && this.configuration.readCurrent() !== undefined;
+        return !this.drain.isDraining() && this.readiness.isReady();
     }
 
     private startRelaying(): Promise<void> {
