--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -38,6 +38,7 @@
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
+import { ReadinessState } from "./readinessState.js";
 import { StallDetector } from "./stallDetector.js";
 import { startStoreFollowers } from "./storeFollowers.js";
 
@@ -82,6 +83,8 @@
     private readonly configurationRelay: ConfigurationRelay;
     private readonly relayListener = new RelayListener();
     private readonly callerServer: FastifyInstance;
+    private readonly serverReceiver: ServerReceiver;
+    private readonly readiness: ReadinessState;
     private readonly readinessServer: FastifyInstance;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
@@ -255,6 +258,13 @@
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
+        this.serverReceiver = new ServerReceiver(adapter, this.directory, logger);
+        this.readiness = new ReadinessState({
+            clock,
+            logger,
+            configuration: this.configuration,
+            hasServers: () => this.serverReceiver.hasServers(),
+        });
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
             () => this.isReady(),
@@ -267,14 +277,13 @@
 
     /** Starts the listeners and the background tasks, which follow the store. */
     async start(): Promise<void> {
-        const { settings, adapter, logger } = this.options;
+        const { settings, logger } = this.options;
         setMaxListeners(maximumBackgroundTasks, this.stopping.signal);
-        const serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         this.tasks.push(
             ...startStoreFollowers({
                 ...this.options,
                 configurationReceiver: this.configurationRelay,
-                serverReceiver,
+                serverReceiver: this.serverReceiver,
                 peers: this.peers,
                 relay: this.relay,
                 timing: this.relayTiming,
@@ -341,8 +350,7 @@
     }
 
     private isReady(): boolean {
-        const knowsRules = this.configuration.readCurrent() !== undefined && this.evacuations.isKnown();
-        return !this.drain.isDraining() && knowsRules;
+        return !this.drain.isDraining() && this.evacuations.isKnown() && this.readiness.isReady();
     }
 
     private startRelaying(): Promise<void> {
