Let servers of the stand-in crash when they are overrun after their start

Cause: no test with real connections caused the failure that the limit of cold servers is meant for.

--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { BrittleSlots, type Brittleness } from "./brittleSlots.js";
+import { ColdStart, type ColdBehaviour } from "./coldStart.js";
 import { sendEndlessAnswer, type EndlessPlace } from "./endlessAnswer.js";
 
 /** How the server handles one request. */
@@ -83,6 +84,7 @@
     private crashingUrl: string | undefined;
     private limit: string | undefined;
     private brittle: BrittleSlots | undefined;
+    private cold: ColdStart | undefined;
     private readonly server: Server;
 
     /**
@@ -95,7 +97,7 @@
     ) {
         this.server = createServer((request, response) => void this.handleRequest(request, response));
         this.server.on("connection", (socket) => {
-            if (this.brittle?.isDown() === true) {
+            if (this.brittle?.isDown() === true || this.cold?.isDown() === true) {
                 socket.destroy();
             }
         });
@@ -169,6 +171,19 @@
         return this.brittle?.rejected ?? 0;
     }
 
+    /**
+     * Lets the server crash and start again, after which it is cold.
+     *
+     * @param behaviour - How it behaves then.
+     * @returns Counts what it gets while it is cold.
+     */
+    startCold(behaviour: ColdBehaviour): ColdStart {
+        this.cold = new ColdStart(behaviour);
+        this.cold.crash();
+        this.server.closeAllConnections();
+        return this.cold;
+    }
+
     private findCrash(request: IncomingMessage): ServerBehaviour | undefined {
         if (this.crashingUrl !== undefined && request.url === this.crashingUrl) {
             return { type: "crashUnanswered" };
@@ -202,6 +217,11 @@
             received.isAbandoned = !response.writableFinished;
         });
         this.received.push(received);
+        this.cold?.recordRequest();
+        if (this.cold?.isDown() === true) {
+            this.server.closeAllConnections();
+            return;
+        }
         const answer = (): void => this.sendAnswer(request, response, behaviour, received.requestId);
         if (this.brittle === undefined) {
             answer();
