--- a/packages/gateway/src/backends/__tests__/coldDirectory.test.ts
+++ b/packages/gateway/src/backends/__tests__/coldDirectory.test.ts
@@ -78,3 +78,44 @@
         expect(simulation.nodes.some(({ permits }) => permits.isLimited(limitedServer))).toBe(false);
     });
 });
+
+describe("a server that was not lost", () => {
+    const isLimitedAt = ({ nodes }: Simulation) =>
+        nodes.map(({ permits }) => permits.isLimited(limitedServer));
+
+    // Guards against servers that start while their data centre is evacuated, and get the load of all nodes at its end.
+    it("may be cold when its data centre returns to service", () => {
+        const simulation = new Simulation(9, 1, coldStart);
+        simulation.stop();
+        for (const { evacuations } of simulation.nodes) {
+            evacuations.mergeStates([{ dataCentre: "a", version: 2, isEvacuated: true }]);
+        }
+        expect(isLimitedAt(simulation)).not.toContain(true);
+        for (const { evacuations } of simulation.nodes) {
+            evacuations.mergeStates([{ dataCentre: "a", version: 3, isEvacuated: false }]);
+        }
+        expect(isLimitedAt(simulation)).not.toContain(false);
+    });
+
+    // Guards against a node that acts on what it knew before it was paused.
+    it("may be cold for a node that was stalled, and for no other", async () => {
+        const simulation = new Simulation(9, 2, coldStart);
+        simulation.nodes[0]!.cold.recordStall();
+        await simulation.run(1_000, 0);
+        simulation.stop();
+        expect(isLimitedAt(simulation).filter(Boolean)).toHaveLength(1);
+    });
+
+    // Guards against a node that loses its own links and so holds back all servers for all nodes.
+    it("is not cold for nodes with an open connection when another one reports it as lost", async () => {
+        const simulation = new Simulation(9, 3, coldStart);
+        const [reporter, connected] = simulation.nodes;
+        connected!.isConnected = true;
+        reporter!.cold.recordLoss(limitedServer);
+        await simulation.run(2_000, 0);
+        simulation.stop();
+        const limited = isLimitedAt(simulation);
+        expect(limited[1]).toBe(false);
+        expect(limited.filter(Boolean)).toHaveLength(8);
+    });
+});
