--- a/packages/gateway/src/backends/__tests__/coldDirectory.test.ts
+++ b/packages/gateway/src/backends/__tests__/coldDirectory.test.ts
@@ -1,4 +1,10 @@
+import { TextMetrics } from "@pimentocleat/telemetry";
+import { ManualClock } from "@pimentocleat/types";
 import { describe, expect, it } from "vitest";
+import type { LimitMessage } from "../../peers/limitMessages.js";
+import type { BrittleDirectory } from "../brittleDirectory.js";
+import type { LimitDirectory } from "../limitDirectory.js";
+import { ServerPermits } from "../serverPermits.js";
 import { limitedServer, Simulation } from "./support/limitSimulation.js";
 
 const coldStart = { durationMs: 3_000, requestsPerSecond: 5.2 };
@@ -119,3 +125,40 @@
         expect(limited.filter(Boolean)).toHaveLength(8);
     });
 });
+
+describe("a permit for a cold server", () => {
+    const need = { priority: 0, patienceMs: 50 };
+    const createPermits = () => {
+        const clock = new ManualClock();
+        const sent: LimitMessage[] = [];
+        const permits = new ServerPermits({
+            name: "a",
+            clock,
+            metrics: new TextMetrics(),
+            limits: { findLimit: () => undefined } as unknown as LimitDirectory,
+            brittle: { findAllowed: () => undefined } as unknown as BrittleDirectory,
+            cold: { findRate: () => 4, findRateOf: () => 4, mergeReports: () => undefined },
+            listKeepers: () => ["b"],
+            send: (...[, message]) => sent.push(message) > 0,
+        });
+        return { clock, sent, permits };
+    };
+
+    // Guards against a keeper of an earlier release, which grants requests of the older type at once.
+    it("is asked for with a message that earlier releases cannot read", async () => {
+        const { sent, permits } = createPermits();
+        const granted = permits.requestPermit(limitedServer, need);
+        expect(sent).toMatchObject([{ type: "coldPermitRequest", perSecond: 4, request: 1 }]);
+        permits.receiveMessage({ type: "permitReply", request: 1 }, "b");
+        expect(await granted).toBe(true);
+    });
+
+    // Guards against a process that was paused and uses a permit after others have taken its place.
+    it("is void when its node was paused before it could use it", async () => {
+        const { clock, permits } = createPermits();
+        const granted = permits.requestPermit(limitedServer, need);
+        permits.receiveMessage({ type: "permitReply", request: 1 }, "b");
+        clock.advance(1_000);
+        expect(await granted).toBe(false);
+    });
+});
