--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -11,6 +11,7 @@
     type PlacementServer,
     type RetryAllowanceSettings,
 } from "@pimentocleat/policy";
+import type { Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -70,13 +71,36 @@
         return created;
     }
 
+    /**
+     * Reports the predicted room of the services whose servers report their pace.
+     *
+     * @param metrics - Where it is reported.
+     */
+    reportRoom(metrics: Metrics): void {
+        for (const [service, { placement }] of this.services) {
+            if (!placement.reportsPace()) {
+                continue;
+            }
+            const { freeSlots, freeTokens, busiestFactor } = placement.summarizeRoom(
+                this.listServers(service),
+            );
+            metrics.setGauge("service.freeSlots", Math.round(freeSlots), { service });
+            metrics.setGauge("service.freeTokens", Math.round(freeTokens), { service });
+            metrics.setGauge("service.busiestServer", busiestFactor, { service });
+            metrics.addCount("service.noRoom", placement.takeDispatchesWithoutRoom(), { service });
+        }
+    }
+
     private updateService(service: string): void {
+        this.ensureService(service).placement.updateServers(this.listServers(service));
+    }
+
+    private listServers(service: string): readonly PlacementServer[] {
         const { directory, configuration } = this.options;
         const capacityTokens = configuration.findService(service)?.engine?.capacityTokens;
-        const servers = directory
+        return directory
             .listReadyServers(service)
             .map((server) => convertToPlacementServer(server, capacityTokens));
-        this.ensureService(service).placement.updateServers(servers);
     }
 }
 
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -243,7 +243,10 @@
         this.readinessServer = buildReadinessServer(
             adapter.readinessPath,
             () => this.isReady(),
-            () => options.metrics.formatText(),
+            () => {
+                this.dispatches.reportRoom(options.metrics);
+                return options.metrics.formatText();
+            },
         );
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
--- a/packages/policy/src/placement/__tests__/serverRoom.test.ts
+++ b/packages/policy/src/placement/__tests__/serverRoom.test.ts
@@ -155,6 +155,20 @@
     });
 });
 
+describe("what operators see", () => {
+    it("counts requests without room, and shows how uneven the load is", () => {
+        const servers = buildEngines(2);
+        const { placement } = createPlacement(servers);
+        fill(placement, "server-0", fitting + 2);
+        const { freeSlots, freeTokens, busiestFactor } = placement.summarizeRoom(servers);
+        expect(freeSlots).toBe(128 - fitting - 2);
+        expect(freeTokens).toBe(capacityTokens);
+        expect(busiestFactor).toBe(2);
+        expect(placement.takeDispatchesWithoutRoom()).toBe(2);
+        expect(placement.takeDispatchesWithoutRoom()).toBe(0);
+    });
+});
+
 describe("pace", () => {
     // Guards against nodes that all follow a figure that changes many times a second.
     it("is averaged over its age", () => {
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -13,7 +13,7 @@
 import { ServerChoice, type PlacementNews } from "./serverChoice.js";
 import { ServerCost, type PlacementRequest } from "./serverCost.js";
 import { StartPrediction } from "./startPrediction.js";
-import { ServerRoom, type FreeRoom } from "./serverRoom.js";
+import { ServerRoom, type FreeRoom, type RoomSummary } from "./serverRoom.js";
 import type { StartEstimate } from "./startEstimate.js";
 import { StreamIsolation } from "./streamIsolation.js";
 
@@ -39,6 +39,7 @@
     private readonly estimates = new Map<string, ServerEstimate>();
     private readonly inFlight = new InFlightRequests();
     private sequence = 0;
+    private dispatchesWithoutRoom = 0;
     private readonly isolation = new StreamIsolation();
     private readonly pauses = new PauseModel();
     private readonly sampling: CandidateSampling;
@@ -175,7 +176,11 @@
         const { pauseTargetMs } = request;
         this.isolation.recordPauseTarget(pauseTargetMs, sentMs);
         this.sampling.recordRequest(sentMs);
-        const { ownTokens, shared } = computeMemoryUse(request);
+        const use = computeMemoryUse(request);
+        const { ownTokens, shared } = use;
+        if (estimate !== undefined && this.reportsPace() && !this.room.hasRoom(estimate, use, sentMs)) {
+            this.dispatchesWithoutRoom += 1;
+        }
         this.inFlight.add(
             { id: inFlightId, serverId, tokens: uncachedTokens, pauseTargetMs, ownTokens, shared },
             sentMs,
@@ -273,6 +278,26 @@
         return this.choice.usesRoom;
     }
 
+    /**
+     * Summarizes the room on the servers, for operators.
+     *
+     * @param servers - The servers that may get new requests.
+     * @returns The sums and the evenness.
+     */
+    summarizeRoom(servers: readonly PlacementServer[]): RoomSummary {
+        return this.room.summarizeRoom(
+            servers.flatMap(({ id }) => this.estimates.get(id) ?? []),
+            this.clock.monotonicMs(),
+        );
+    }
+
+    /** @returns The number of requests that were sent to a server without room since the last call. */
+    takeDispatchesWithoutRoom(): number {
+        const count = this.dispatchesWithoutRoom;
+        this.dispatchesWithoutRoom = 0;
+        return count;
+    }
+
     /**
      * Predicts what is free on a server.
      *
--- a/packages/policy/src/placement/serverRoom.ts
+++ b/packages/policy/src/placement/serverRoom.ts
@@ -14,6 +14,15 @@
     readonly tokens: number;
 }
 
+/** The room on the servers of a service. */
+export interface RoomSummary {
+    readonly freeSlots: number;
+    /** Free tokens of memory; 0 for plain services. */
+    readonly freeTokens: number;
+    /** Requests on the server that has the most of them, as a multiple of the mean; 1 when all have the same. */
+    readonly busiestFactor: number;
+}
+
 /** Predicts free slots and memory from the requests in flight and the counts that servers report. */
 export class ServerRoom {
     /** @param inFlight - The requests of all nodes that are known to be in flight. */
@@ -66,4 +75,27 @@
         }
         return free.tokens >= this.inFlight.computeAddedTokens(estimate.server.id, use);
     }
+
+    /**
+     * Summarizes the room on servers.
+     *
+     * @param estimates - The servers and what is known about them.
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns The sums and the evenness.
+     */
+    summarizeRoom(estimates: readonly ServerEstimate[], nowMs: number): RoomSummary {
+        let freeSlots = 0;
+        let freeTokens = 0;
+        let sum = 0;
+        let most = 0;
+        for (const estimate of estimates) {
+            const free = this.predictFreeRoom(estimate, nowMs);
+            const requests = Math.max(0, this.countRequests(estimate, nowMs));
+            freeSlots += Math.max(0, free.slots);
+            freeTokens += Number.isFinite(free.tokens) ? Math.max(0, free.tokens) : 0;
+            sum += requests;
+            most = Math.max(most, requests);
+        }
+        return { freeSlots, freeTokens, busiestFactor: sum === 0 ? 1 : (most * estimates.length) / sum };
+    }
 }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -61,6 +61,30 @@
         ["result"],
         "Permits asked for requests to backend servers with a limit.",
     ),
+    "service.freeSlots": defineMetric(
+        "gauge",
+        "slots",
+        ["service"],
+        "Predicted free slots of the servers of a service; only where they report their pace.",
+    ),
+    "service.freeTokens": defineMetric(
+        "gauge",
+        "tokens",
+        ["service"],
+        "Predicted free memory of the engines of a service; only where they report their pace.",
+    ),
+    "service.busiestServer": defineMetric(
+        "gauge",
+        "multiple of the mean",
+        ["service"],
+        "Requests on the busiest server of a service in relation to the mean; only where they report their pace.",
+    ),
+    "service.noRoom": defineMetric(
+        "counter",
+        "requests",
+        ["service"],
+        "Requests that were sent to a server without a slot or memory for them.",
+    ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
     "request.relayed": defineMetric(
         "counter",
