Name the check of a reported pace with a listed verb

Change: hasPace and finishPrefill. Result: naming.test.ts, proofs.test.ts and the tests of placement, dispatch, peers and telemetry pass (143).

--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -333,7 +333,7 @@
                 tokens: this.placed.uncachedTokens,
                 pauseTargetMs: request.route.pauseTargetMs,
                 shared: parts.slice(0, -1),
-                ownTokens: placement.reportsPace() ? this.placed.ownTokens : undefined,
+                ownTokens: placement.hasPace() ? this.placed.ownTokens : undefined,
             });
         }
     }
--- a/packages/gateway/src/dispatch/serviceDispatch.ts
+++ b/packages/gateway/src/dispatch/serviceDispatch.ts
@@ -78,7 +78,7 @@
      */
     reportRoom(metrics: Metrics): void {
         for (const [service, { placement }] of this.services) {
-            if (!placement.reportsPace()) {
+            if (!placement.hasPace()) {
                 continue;
             }
             const { freeSlots, freeTokens, busiestFactor } = placement.summarizeRoom(
--- a/packages/policy/src/placement/__tests__/serverRoom.test.ts
+++ b/packages/policy/src/placement/__tests__/serverRoom.test.ts
@@ -102,7 +102,7 @@
         const choices = [false, true].map((hasPace) => {
             const { placement } = createPlacement(servers, hasPace);
             fill(placement, "server-0", 40, () => buildRequest(longTokens, 10_000));
-            expect(placement.reportsPace()).toBe(hasPace);
+            expect(placement.hasPace()).toBe(hasPace);
             return placement.chooseServer(buildRequest(5_000, 10_000), servers);
         });
         expect(choices).toEqual(["server-0", "server-1"]);
--- a/packages/policy/src/placement/inFlightRequests.ts
+++ b/packages/policy/src/placement/inFlightRequests.ts
@@ -100,7 +100,7 @@
     recordFirstEvent(id: string): void {
         const request = this.requests.get(id);
         if (request !== undefined) {
-            this.endPrefill(request);
+            this.finishPrefill(request);
         }
     }
 
@@ -108,7 +108,7 @@
     finish(id: string): void {
         const request = this.requests.get(id);
         if (request !== undefined) {
-            this.endPrefill(request);
+            this.finishPrefill(request);
             this.requests.delete(id);
             this.byServer.get(request.serverId)?.delete(request);
             this.memory.remove(request.serverId, request.memory);
@@ -132,7 +132,7 @@
             if (request.isLocal) {
                 continue;
             }
-            this.endPrefill(request);
+            this.finishPrefill(request);
             if (nowMs - request.sentMs > peerEndTimeoutMs) {
                 this.finish(request.id);
             }
@@ -200,7 +200,7 @@
         return expected;
     }
 
-    private endPrefill(request: TrackedRequest): void {
+    private finishPrefill(request: TrackedRequest): void {
         if (request.isPrefilling) {
             request.isPrefilling = false;
             this.addPrefillTokens(request.serverId, -request.tokens);
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -103,7 +103,7 @@
     /** Discards the estimates of a server that restarted. */
     removeServer(id: string): void {
         this.estimates.delete(id);
-        if (this.reportsPace()) {
+        if (this.hasPace()) {
             this.inFlight.removeServer(id);
         }
     }
@@ -178,7 +178,7 @@
         this.sampling.recordRequest(sentMs);
         const use = computeMemoryUse(request);
         const { ownTokens, shared } = use;
-        if (estimate !== undefined && this.reportsPace() && !this.room.hasRoom(estimate, use, sentMs)) {
+        if (estimate !== undefined && this.hasPace() && !this.room.hasRoom(estimate, use, sentMs)) {
             this.dispatchesWithoutRoom += 1;
         }
         this.inFlight.add(
@@ -274,7 +274,7 @@
      *
      * @returns Whether one has reported it.
      */
-    reportsPace(): boolean {
+    hasPace(): boolean {
         return this.choice.usesRoom;
     }
 
