--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -72,7 +72,7 @@
         ...options,
         control,
         isControlled: (service) =>
-            isEnabled && options.dispatches.ensureService(service).placement.reportsPace(),
+            isEnabled && options.dispatches.ensureService(service).placement.hasPace(),
         estimateStart: (state) => estimator.estimateStart(state),
         readLoad: (state) => estimator.readLoad(state),
     });
