--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -72,6 +72,7 @@
         "servers",
         ["reason"],
         "Events after which a backend server may be cold, by what this node knows.",
+    ),
     "service.freeSlots": defineMetric(
         "gauge",
         "slots",
