--- a/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
+++ b/packages/gateway/src/backends/__tests__/serverPlaces.test.ts
@@ -10,9 +10,22 @@
 const server = { id: "s1", service: "plain" } as RegisteredServer;
 const need = { priority: 0, patienceMs: 50 };
 
+/** A clock of a process that can be paused: the time goes on, and what waits is not told before messages are read. */
+class PausableClock extends ManualClock {
+    private pausedMs = 0;
+
+    override monotonicMs(): number {
+        return super.monotonicMs() + this.pausedMs;
+    }
+
+    pause(durationMs: number): void {
+        this.pausedMs += durationMs;
+    }
+}
+
 describe("a place at a brittle server", () => {
     const createPermits = (name = "a", keepers: readonly string[] = ["b"]) => {
-        const clock = new ManualClock();
+        const clock = new PausableClock();
         const sent: LimitMessage[] = [];
         const addressed: { readonly to: string; readonly message: LimitMessage }[] = [];
         const permits = new ServerPermits({
@@ -59,6 +72,17 @@
         expect(listReleased(sent)).toBe(1);
     });
 
+    // Guards against a process that was paused while it waited, reads the grant before its timers run, and sends a request
+    // for which the keeper has long given the place or the permit to others (LIMIT).
+    it("is given back when its grant is read only after a pause of the process", async () => {
+        const { clock, sent, permits } = createPermits();
+        const granted = permits.requestPermit(server, need);
+        clock.pause(3_000);
+        permits.receiveMessage({ type: "permitReply", request: 1 }, "b");
+        expect(await granted).toBe(false);
+        expect(listReleased(sent)).toBe(1);
+    });
+
     // Guards against two keepers that grant the same places, after one request was not answered in time (LIMIT).
     it("is granted by the second keeper only when the first has been silent for some time", () => {
         const { clock, sent, permits } = createPermits("b", ["first", "b"]);
--- a/packages/gateway/src/backends/serverDirectory.ts
+++ b/packages/gateway/src/backends/serverDirectory.ts
@@ -40,6 +40,8 @@
     private readonly changeListeners: ((changes: DirectoryChanges) => void)[] = [];
     /** Store version at which this node first read the servers of the current era. */
     private eraStartVersion = 0;
+    /** Store version of the last complete read; a server that was not in it and is no newer has left. */
+    private completeVersion = Number.NEGATIVE_INFINITY;
     private digest: string | undefined;
     private readonly readyByService = new Map<string, readonly RegisteredServer[]>();
     private readonly readyListeners: DirectoryListener[] = [];
@@ -79,6 +81,7 @@
             servers,
             removedIds.map((id) => ({ id, version })),
         );
+        this.completeVersion = Math.max(this.completeVersion, version);
     }
 
     /**
@@ -210,7 +213,7 @@
     }
 
     private isNewer(server: RegisteredServer): boolean {
-        const known = this.servers.get(server.id)?.version ?? Number.NEGATIVE_INFINITY;
+        const known = this.servers.get(server.id)?.version ?? this.completeVersion;
         const removed = this.removedVersions.get(server.id) ?? Number.NEGATIVE_INFINITY;
         return server.version >= known && server.version > removed;
     }
--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -51,6 +51,8 @@
 
 /** Time to wait for a reply beyond the patience of the request, in milliseconds. */
 const replyTimeoutMs = 100;
+/** Delay beyond the wait up to which a reply is taken as one in time, in milliseconds; timers of a busy process run late. */
+const maximumReplyDelayMs = 100;
 /** Time for which a node that did not reply is passed over, in milliseconds. */
 const silentKeeperMs = 2_000;
 /** Time without permits of a server after no node replied, in milliseconds. */
@@ -148,8 +150,12 @@
         const isReachable = keeper === this.options.name || this.options.send(keeper, ask);
         const timeout = new AbortController();
         const waitMs = isReachable ? need.patienceMs + replyTimeoutMs : 0;
+        const startMs = this.readNowMs();
         const silence = this.options.clock.wait(waitMs, timeout.signal).then(() => "silent" as const);
-        const refused = await Promise.race([reply, silence]);
+        const answered = await Promise.race([reply, silence]);
+        // After a pause of the process, a reply may be read before the timer runs that ends the wait.
+        const isLate = this.readNowMs() - startMs > waitMs + maximumReplyDelayMs;
+        const refused = isLate && answered === undefined ? "silent" : answered;
         timeout.abort();
         this.pending.delete(request);
         this.recordReply(server, need, keeper, refused);
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -6,6 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
+import { Server } from "node:net";
 import type { FastifyInstance } from "fastify";
 import { RequestQuarantine } from "@pimentocleat/policy";
 import type { Logger, TextMetrics } from "@pimentocleat/telemetry";
@@ -54,7 +55,7 @@
 /** Time reserved for closing at the end of the stop grace period, in milliseconds. */
 const closingTimeMs = 900;
 /** Number of closing steps with a time limit; each may take an equal share of the closing time. */
-const closingStepCount = 4;
+const closingStepCount = 5;
 /** Length of the random tag in this process's identifiers of dispatches; short, since each message carries some. */
 const dispatchTagLength = 8;
 /** Number of background tasks that may wait for the stop of the node at the same time. */
@@ -297,9 +298,24 @@
         await this.runBounded(this.peers.removeRegistration());
         this.messenger.close();
         await this.runBounded(adapter.close());
+        await this.runBounded(this.stopListening());
         logger.writeEvent("nodeStopped", { active: this.drain.countActive() });
     }
 
+    /**
+     * Stops accepting connections, and waits until the accepted ones have got their answers. Done last: until then new
+     * requests are refused as not run. Without it, the operating system accepts connections until the process has ended,
+     * and resets them then. Connections that wait to be accepted when the listener closes are still reset.
+     */
+    private async stopListening(): Promise<void> {
+        const { server } = this.callerServer;
+        const closed = new Promise<void>((resolve) => {
+            Server.prototype.close.call(server, () => resolve());
+        });
+        server.closeIdleConnections();
+        await closed;
+    }
+
     /** Limits the time of a stop step, so that a failed or slow step does not prevent the later ones. */
     private async runBounded(step: Promise<unknown>): Promise<void> {
         const { clock, logger } = this.options;
