--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -70,7 +70,7 @@
     /** Time without data after which the attempt ends, in milliseconds; undefined when there is no such limit. */
     readonly inactivityTimeoutMs: number | undefined;
     /** Whether the request could be sent elsewhere now; without that, a slow server is not given up for its silence. */
-    readonly canMove: () => boolean;
+    readonly hasAlternative: () => boolean;
     /** Called when the stream is ended because it makes no progress. */
     readonly onStalled: () => void;
     /** Called when the first data, or the end of an empty response, shows that the server runs the request. */
@@ -119,7 +119,7 @@
     constructor(private readonly options: AttemptOptions) {
         const { request, server, placement, placementRequest, protocol, path: serverPath } = options;
         this.lastEventId = options.lastEventId;
-        this.progress = new StreamProgress(computeStallMs(request.route), () => this.endStalled());
+        this.progress = new StreamProgress(computeStallMs(request.route), () => this.abortStalled());
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
         const headers = protocol.buildHeaders({
@@ -289,7 +289,7 @@
         }
     }
 
-    private endStalled(): void {
+    private abortStalled(): void {
         if (!this.hasEnded) {
             this.options.onStalled();
             this.abortExchange({ type: "silent", streamed: this.hasForwardedBytes }, "broken");
@@ -386,7 +386,7 @@
     }
 
     private handleInactivity(): void {
-        if (this.options.canMove()) {
+        if (this.options.hasAlternative()) {
             this.abortExchange({ type: "silent", streamed: this.hasForwardedBytes }, "broken");
         } else {
             this.startInactivityTimer();
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -185,7 +185,7 @@
             remainingMs,
             lastEventId: state.lastEventId,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
-            canMove: () => this.canMove(state, server),
+            hasAlternative: () => this.hasAlternative(state, server),
             onStalled: () =>
                 logger.writeEvent("streamStalled", {
                     requestId,
@@ -232,7 +232,7 @@
     }
 
     /** Checks whether a request may be retried now and another server takes it. */
-    private canMove(state: RunState, server: RegisteredServer): boolean {
+    private hasAlternative(state: RunState, server: RegisteredServer): boolean {
         return (
             state.dispatch.retries.isRetryAllowed(this.readNowMs()) &&
             this.options.selection.hasOtherServer(state, server)
