--- a/packages/gateway/src/lifecycle/createRequestRunner.ts
+++ b/packages/gateway/src/lifecycle/createRequestRunner.ts
@@ -71,8 +71,7 @@
     return new AdmissionQueue({
         ...options,
         control,
-        isControlled: (service) =>
-            isEnabled && options.dispatches.ensureService(service).placement.hasPace(),
+        isControlled: (service) => isEnabled && options.dispatches.ensureService(service).placement.hasPace(),
         estimateStart: (state) => estimator.estimateStart(state),
         readLoad: (state) => estimator.readLoad(state),
     });
