--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -12,7 +12,7 @@
     standins: ["types", "schema", "services"],
     bench: ["types", "telemetry", "schema", "policy", "services", "state", "node", "standins", "cli"],
     // The demo launches the stand-ins.
-    cli: ["types", "telemetry", "schema", "services", "state", "node", "standins"],
+    cli: ["types", "telemetry", "schema", "services", "state", "node", "gateway", "standins"],
 };
 
 const layerRules = Object.entries(layers).map(([name, allowed]) => ({
--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -20,6 +20,7 @@
 import { createKey, listKeys, withdrawKey } from "./keyCommands.js";
 import { printExplanation } from "./logCommands.js";
 import { printRequestTrace, listNodes, listPools } from "./nodeCommands.js";
+import { explainRoute } from "./routeCommands.js";
 
 const programVersion = "0.1.0";
 
@@ -59,6 +60,7 @@
     },
     node: { list: { run: listNodes } },
     pool: { list: { run: listPools } },
+    route: { explain: { run: explainRoute, requiredArgument: "url" } },
 };
 
 function buildProgram(runAction: (run: CommandAction, argument: string, flags: CommandFlags) => void): CAC {
@@ -88,6 +90,12 @@
             command.option("--customer <name>", "Customer of a new key");
             command.option("--class <name>", "Default class of a new key");
         }
+        if (group === "route") {
+            command.option("--status-address <ip:port,...>", "Status addresses of the nodes to ask");
+            command.option("--customer <name>", "Customer of the request");
+            command.option("--parts <id:tokens,...>", "Parts of the prompt, in order");
+            command.option("--tokens <count>", "Prompt tokens (default: those of the parts)");
+        }
         command.action((action: string, argument: string | undefined, flags: CommandFlags) => {
             const entry = Object.hasOwn(entries, action) ? entries[action] : undefined;
             runAction(chooseAction(`${group} ${action}`, entry, argument, names), argument ?? "", flags);
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -40,7 +40,6 @@
 const initialKeepAliveMs = 60_000;
 /** All requests are rewritten to this path, so one handler serves them; the original path is forwarded unchanged. */
 const internalPath = "/";
-const metricsPath = "/metrics";
 /** Retry delay suggested to callers that a stopping node refuses, in milliseconds; the retry reaches another node. */
 const drainingRetryAfterMs = 50;
 
@@ -83,27 +82,6 @@
     return server;
 }
 
-/**
- * Builds the server for readiness checks; it does not listen yet.
- *
- * @param path - Path of the check.
- * @param isReady - Whether the node accepts new callers.
- * @param formatMetrics - Formats the metrics, which the same server exposes.
- * @returns The server.
- */
-export function buildReadinessServer(
-    path: string,
-    isReady: () => boolean,
-    formatMetrics: () => string,
-): FastifyInstance {
-    const server = fastify({ logger: false, exposeHeadRoutes: false });
-    server.get(path, async (...[, reply]) => {
-        return reply.code(isReady() ? 200 : 503).send("");
-    });
-    server.get(metricsPath, async (...[, reply]) => reply.type("text/plain").send(formatMetrics()));
-    return server;
-}
-
 async function serveRequest(
     options: CallerServerOptions,
     request: FastifyRequest,
--- a/packages/gateway/src/dispatch/gatewayRequest.ts
+++ b/packages/gateway/src/dispatch/gatewayRequest.ts
@@ -49,6 +49,6 @@
  * @param request - The request.
  * @returns The priority; 0 is the most urgent.
  */
-export function computePriority({ customer, route }: GatewayRequest): number {
+export function computePriority({ customer, route }: Pick<GatewayRequest, "customer" | "route">): number {
     return (customer?.priority ?? 0) * routePriorities + Math.min(route.priority, routePriorities - 1);
 }
--- a/packages/gateway/src/dispatch/serverSelection.ts
+++ b/packages/gateway/src/dispatch/serverSelection.ts
@@ -23,6 +23,13 @@
     readonly clock: Clock;
 }
 
+/** Why a server gets no request now. */
+export interface ServerExclusion {
+    readonly reason: "leaving" | "paused" | "noPermit";
+    /** Time until it may get requests again, in milliseconds; undefined when it will not. */
+    readonly returnMs?: number;
+}
+
 /** Longest wait for a permit, as a share of the route's latency target; the rest is needed to run the request. */
 const permitWaitShare = 0.5;
 
@@ -88,6 +95,26 @@
         return timesMs.length > 0 && shortestMs > 0 ? Math.max(minimumReturnMs, shortestMs) : undefined;
     }
 
+    /**
+     * Finds why a server gets no requests now that continue no stream.
+     *
+     * @param server - The server.
+     * @param priority - Priority of the request.
+     * @returns The reason; undefined when the server takes requests.
+     */
+    findExclusion(server: RegisteredServer, priority: number): ServerExclusion | undefined {
+        const { notices, permits } = this.options;
+        if (server.state !== "ready") {
+            return { reason: "leaving" };
+        }
+        const pauseMs = notices.computePauseMs(server);
+        if (pauseMs > 0) {
+            return { reason: "paused", returnMs: pauseMs };
+        }
+        const closedMs = permits.computeClosedMs(server, priority);
+        return closedMs > 0 ? { reason: "noPermit", returnMs: closedMs } : undefined;
+    }
+
     private chooseCheapest(
         { request, dispatch, excluded }: RunState,
         servers: readonly RegisteredServer[],
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,7 @@
     ServiceRule,
 } from "./configuration/gatewayConfiguration.js";
 export { computePriority } from "./dispatch/gatewayRequest.js";
+export type { ExplainedServer, ExplainedService, RouteExplanation } from "./dispatch/routeExplainer.js";
 export type { CallerHead, GatewayRequest } from "./dispatch/gatewayRequest.js";
 export { GatewayDaemon } from "./lifecycle/gatewayDaemon.js";
 export type { GatewayDaemonOptions } from "./lifecycle/gatewayDaemon.js";
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -12,8 +12,9 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
 import { ServerDirectory } from "../backends/serverDirectory.js";
-import { buildReadinessServer } from "../callers/callerServer.js";
+import { buildStatusServer } from "../callers/statusServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
+import { RouteExplainer } from "../dispatch/routeExplainer.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -240,11 +241,20 @@
             countNodes: () => this.peers.countNodes(),
         });
         this.callerServer = this.buildCallerServer();
-        this.readinessServer = buildReadinessServer(
-            adapter.readinessPath,
-            () => this.isReady(),
-            () => options.metrics.formatText(),
-        );
+        const explainer = new RouteExplainer({
+            ...this.serverLimits,
+            name: settings.name,
+            clock,
+            configuration: this.configuration,
+            directory: this.directory,
+            dispatches: this.dispatches,
+        });
+        this.readinessServer = buildStatusServer({
+            readinessPath: adapter.readinessPath,
+            isReady: () => this.isReady(),
+            formatMetrics: () => options.metrics.formatText(),
+            explainRoute: (query) => explainer.explainRoute(query),
+        });
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
         });
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -61,7 +61,7 @@
 export { defaultPlacementSettings } from "./placement/placementSettings.js";
 export type { PlacementSettings } from "./placement/placementSettings.js";
 export { ServerPlacement } from "./placement/serverPlacement.js";
-export type { Placement, PlacementNews } from "./placement/serverPlacement.js";
+export type { Placement, PlacementNews, ServerCostInputs } from "./placement/serverPlacement.js";
 export type { StartEstimate } from "./placement/startEstimate.js";
 export type { PlacementRequest } from "./placement/serverCost.js";
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -7,7 +7,12 @@
 import type { PromptPart } from "./prefixCacheModel.js";
 import type { PlacementSettings } from "./placementSettings.js";
 import { InFlightRequests, type InFlightRequest } from "./inFlightRequests.js";
-import { ServerEstimate, type PlacementOutcome, type PlacementServer } from "./serverEstimate.js";
+import {
+    ServerEstimate,
+    type PlacementOutcome,
+    type PlacementServer,
+    type TimedLoad,
+} from "./serverEstimate.js";
 import { CandidateSampling } from "./candidateSampling.js";
 import { PauseModel } from "./pauseModel.js";
 import { selectPreferredServers, ServerCost, type ChoiceView, type PlacementRequest } from "./serverCost.js";
@@ -26,6 +31,28 @@
     readonly expectedMs: number;
 }
 
+/** What the choice of a server compares. */
+export interface ServerCostInputs {
+    /** Estimated cost, in milliseconds of the caller's time. */
+    readonly costMs: number;
+    /** Whether other servers are preferred after a failure or a rejection. */
+    readonly isAvoided: boolean;
+    /** Requests of this node and its peers that are known to be in flight. */
+    readonly inFlight: number;
+    /** Prompt tokens that the server still has to prefill. */
+    readonly prefillTokens: number;
+    /** Tokens of the request's prompt that the server probably has cached. */
+    readonly cachedTokens: number;
+    /** Factor by which the server is slower than expected. */
+    readonly slowness: number;
+    /** Recent share of failed exchanges, 0 to 1. */
+    readonly failureShare: number;
+    /** The load that the server reported last; undefined when it reported none. */
+    readonly load: TimedLoad | undefined;
+    /** Age of that load, in milliseconds. */
+    readonly loadAgeMs: number | undefined;
+}
+
 /** What a node learns of the requests of other nodes. */
 export interface PlacementNews {
     /**
@@ -295,6 +322,39 @@
         this.inFlight.finish(id);
     }
 
+    /**
+     * Lists what the choice of a server compares, without choosing one.
+     *
+     * @param request - The request.
+     * @param servers - The servers.
+     * @returns The inputs, by server; servers without estimates are left out.
+     */
+    explainCosts(
+        request: PlacementRequest,
+        servers: readonly PlacementServer[],
+    ): ReadonlyMap<string, ServerCostInputs> {
+        const nowMs = this.clock.monotonicMs();
+        const view = this.buildView(request, servers, nowMs);
+        const inputs = new Map<string, ServerCostInputs>();
+        for (const { id } of servers) {
+            const estimate = this.estimates.get(id);
+            if (estimate !== undefined) {
+                inputs.set(id, {
+                    costMs: this.cost.estimateCost(estimate, request, view, nowMs),
+                    isAvoided: this.isAvoided(id, nowMs),
+                    inFlight: this.inFlight.countRequests(id),
+                    prefillTokens: this.inFlight.countPrefillTokens(id),
+                    cachedTokens: estimate.prefixCache.countCachedTokens(request.parts),
+                    slowness: estimate.readSlowness(),
+                    failureShare: estimate.readFailureShare(),
+                    load: estimate.load,
+                    loadAgeMs: estimate.load === undefined ? undefined : nowMs - estimate.load.atMs,
+                });
+            }
+        }
+        return inputs;
+    }
+
     /** Samples the servers to compare: of those that suit the request, a few others, and all that cache its prompt. */
     private sampleCandidates(
         request: PlacementRequest,
