--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -13,10 +13,11 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
 import { ServerDirectory } from "../backends/serverDirectory.js";
-import { buildReadinessServer } from "../callers/callerServer.js";
+import { buildStatusServer } from "../callers/statusServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { Evacuations } from "../configuration/evacuations.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
+import { RouteExplainer } from "../dispatch/routeExplainer.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -86,7 +87,7 @@
     private readonly callerServer: FastifyInstance;
     private readonly serverReceiver: ServerReceiver;
     private readonly readiness: ReadinessState;
-    private readonly readinessServer: FastifyInstance;
+    private readonly statusServer: FastifyInstance;
     private readonly stopping = new AbortController();
     private readonly tasks: Promise<void>[] = [];
     private readonly drain: DrainState;
@@ -266,14 +267,24 @@
             configuration: this.configuration,
             hasServers: () => this.serverReceiver.hasServers(),
         });
-        this.readinessServer = buildReadinessServer(
-            adapter.readinessPath,
-            () => this.isReady(),
-            () => {
+        const explainer = new RouteExplainer({
+            ...this.serverLimits,
+            name: settings.name,
+            clock,
+            configuration: this.configuration,
+            evacuations: this.evacuations,
+            directory: this.directory,
+            dispatches: this.dispatches,
+        });
+        this.statusServer = buildStatusServer({
+            readinessPath: adapter.readinessPath,
+            isReady: () => this.isReady(),
+            formatMetrics: () => {
                 this.dispatches.reportRoom(options.metrics);
                 return options.metrics.formatText();
             },
-        );
+            explainRoute: (query) => explainer.explainRoute(query),
+        });
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
         });
@@ -303,7 +314,7 @@
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
             startListening(this.callerServer, settings.callerAddress),
-            startListening(this.readinessServer, settings.readinessAddress),
+            startListening(this.statusServer, settings.readinessAddress),
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
         this.tasks.push(
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -64,6 +64,7 @@
 export type { Placement } from "./placement/serverPlacement.js";
 export type { PlacementNews } from "./placement/serverChoice.js";
 export type { FreeRoom } from "./placement/serverRoom.js";
+export type { ServerCostInputs } from "./placement/serverCostInputs.js";
 export type { StartEstimate } from "./placement/startEstimate.js";
 export type { PlacementRequest } from "./placement/serverCost.js";
 export type { PlacementOutcome, PlacementServer } from "./placement/serverEstimate.js";
--- a/packages/policy/src/placement/serverChoice.ts
+++ b/packages/policy/src/placement/serverChoice.ts
@@ -15,6 +15,7 @@
     type PlacementRequest,
     type ServerCost,
 } from "./serverCost.js";
+import type { ServerCostInputs } from "./serverCostInputs.js";
 import type { PlacementServer, ServerEstimate } from "./serverEstimate.js";
 import type { ServerRoom } from "./serverRoom.js";
 import type { StreamIsolation } from "./streamIsolation.js";
@@ -104,6 +105,44 @@
             : this.findCheapest(request, pool, nowMs)?.id;
     }
 
+    /**
+     * Lists what the choice compares, without choosing a server.
+     *
+     * @param request - The request.
+     * @param servers - The servers.
+     * @param nowMs - The monotonic time, in milliseconds.
+     * @returns The inputs, by server; servers without estimates are left out.
+     */
+    explainCosts(
+        request: PlacementRequest,
+        servers: readonly PlacementServer[],
+        nowMs: number,
+    ): ReadonlyMap<string, ServerCostInputs> {
+        const { estimates, inFlight, cost } = this.options;
+        const view = this.buildView(request, servers, nowMs);
+        const use = computeMemoryUse(request);
+        const inputs = new Map<string, ServerCostInputs>();
+        for (const { id } of servers) {
+            const estimate = estimates.get(id);
+            if (estimate !== undefined) {
+                inputs.set(id, {
+                    costMs: cost.estimateCost(estimate, request, view, nowMs),
+                    isAvoided: this.isAvoided(id, nowMs),
+                    hasRoom: this.hasRoom(id, use, nowMs),
+                    inFlight: inFlight.countRequests(id),
+                    prefillTokens: inFlight.countPrefillTokens(id),
+                    cachedTokens: estimate.prefixCache.countCachedTokens(request.parts),
+                    slowness: estimate.readSlowness(),
+                    pace: estimate.readPace(nowMs),
+                    failureShare: estimate.readFailureShare(),
+                    load: estimate.load,
+                    loadAgeMs: estimate.load === undefined ? undefined : nowMs - estimate.load.atMs,
+                });
+            }
+        }
+        return inputs;
+    }
+
     /** Lists the servers that may get a request: those that the request excludes never, avoided ones if need be. */
     private listPool(
         request: PlacementRequest,
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -12,6 +12,7 @@
 import { PauseModel } from "./pauseModel.js";
 import { ServerChoice, type PlacementNews } from "./serverChoice.js";
 import { ServerCost, type PlacementRequest } from "./serverCost.js";
+import type { ServerCostInputs } from "./serverCostInputs.js";
 import { StartPrediction } from "./startPrediction.js";
 import { ServerRoom, type FreeRoom, type RoomSummary } from "./serverRoom.js";
 import type { StartEstimate } from "./startEstimate.js";
@@ -278,6 +279,20 @@
         return this.choice.usesRoom;
     }
 
+    /**
+     * Lists what the choice of a server compares, without choosing one.
+     *
+     * @param request - The request.
+     * @param servers - The servers.
+     * @returns The inputs, by server; servers without estimates are left out.
+     */
+    explainCosts(
+        request: PlacementRequest,
+        servers: readonly PlacementServer[],
+    ): ReadonlyMap<string, ServerCostInputs> {
+        return this.choice.explainCosts(request, servers, this.clock.monotonicMs());
+    }
+
     /**
      * Summarizes the room on the servers, for operators.
      *
