--- a/packages/cli/src/commands/operatorProgram.ts
+++ b/packages/cli/src/commands/operatorProgram.ts
@@ -20,7 +20,7 @@
 import { createKey, listKeys, withdrawKey } from "./keyCommands.js";
 import { printExplanation } from "./logCommands.js";
 import { printRequestTrace, listNodes, listPools } from "./nodeCommands.js";
-import { explainRoute } from "./routeCommands.js";
+import { printRouteExplanation } from "./routeCommands.js";
 
 const programVersion = "0.1.0";
 
@@ -60,7 +60,7 @@
     },
     node: { list: { run: listNodes } },
     pool: { list: { run: listPools } },
-    route: { explain: { run: explainRoute, requiredArgument: "url" } },
+    route: { explain: { run: printRouteExplanation, requiredArgument: "url" } },
 };
 
 function buildProgram(runAction: (run: CommandAction, argument: string, flags: CommandFlags) => void): CAC {
--- a/packages/cli/src/commands/routeCommands.ts
+++ b/packages/cli/src/commands/routeCommands.ts
@@ -22,7 +22,7 @@
  * @returns The exit code.
  * @throws {@link CommandError} when the address is not valid or a node cannot be reached.
  */
-export async function explainRoute(context: CommandContext, url: string): Promise<ExitCode> {
+export async function printRouteExplanation(context: CommandContext, url: string): Promise<ExitCode> {
     const query = buildQuery(context, url);
     const addresses = (readTextFlag(context, "statusAddress") ?? defaultStatusAddress).split(",");
     const explanations = await Promise.all(addresses.map((address) => readExplanation(address, query)));
--- a/packages/gateway/src/callers/statusServer.ts
+++ b/packages/gateway/src/callers/statusServer.ts
@@ -28,7 +28,7 @@
      *
      * @throws RouterError when no route leads anywhere.
      */
-    readonly explainRoute: (query: RouteQuery) => RouteExplanation;
+    readonly buildExplanation: (query: RouteQuery) => RouteExplanation;
 }
 
 /**
@@ -50,7 +50,7 @@
             return reply.code(badRequestStatus).send({ error: mistakes.join("; ") });
         }
         try {
-            return await reply.send(options.explainRoute(query.data));
+            return await reply.send(options.buildExplanation(query.data));
         } catch (error) {
             if (error instanceof RouterError) {
                 return reply.code(notFoundStatus).send({ error: error.message });
--- a/packages/gateway/src/dispatch/routeExplainer.ts
+++ b/packages/gateway/src/dispatch/routeExplainer.ts
@@ -102,7 +102,7 @@
      * @returns The explanation.
      * @throws RouterError when the node has no configuration, or the request has no route or an unknown customer.
      */
-    explainRoute(query: RouteQuery): RouteExplanation {
+    buildExplanation(query: RouteQuery): RouteExplanation {
         const { name, configuration } = this.options;
         const current = configuration.readCurrent();
         if (current === undefined) {
@@ -124,12 +124,15 @@
             route: route.name,
             priority,
             services: route.targets.map(({ service, weight }) =>
-                this.explainService(service, weights > 0 ? weight / weights : 1, query, { route, customer }),
+                this.buildServiceExplanation(service, weights > 0 ? weight / weights : 1, query, {
+                    route,
+                    customer,
+                }),
             ),
         };
     }
 
-    private explainService(
+    private buildServiceExplanation(
         service: string,
         share: number,
         { parts = [], tokens }: RouteQuery,
@@ -152,7 +155,7 @@
         const open = registered.filter(({ id }) => exclusions.get(id) === undefined);
         const convert = (server: RegisteredServer): ReturnType<typeof convertToPlacementServer> =>
             convertToPlacementServer(server, capacityTokens);
-        const inputs = placement.explainCosts(request, registered.map(convert));
+        const inputs = placement.listCostInputs(request, registered.map(convert));
         const servers = registered
             .map(({ id, dataCentre }) => ({
                 server: id,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -283,7 +283,7 @@
                 this.dispatches.reportRoom(options.metrics);
                 return options.metrics.formatText();
             },
-            explainRoute: (query) => explainer.explainRoute(query),
+            buildExplanation: (query) => explainer.buildExplanation(query),
         });
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
--- a/packages/policy/src/placement/serverChoice.ts
+++ b/packages/policy/src/placement/serverChoice.ts
@@ -113,7 +113,7 @@
      * @param nowMs - The monotonic time, in milliseconds.
      * @returns The inputs, by server; servers without estimates are left out.
      */
-    explainCosts(
+    listCostInputs(
         request: PlacementRequest,
         servers: readonly PlacementServer[],
         nowMs: number,
--- a/packages/policy/src/placement/serverPlacement.ts
+++ b/packages/policy/src/placement/serverPlacement.ts
@@ -286,11 +286,11 @@
      * @param servers - The servers.
      * @returns The inputs, by server; servers without estimates are left out.
      */
-    explainCosts(
+    listCostInputs(
         request: PlacementRequest,
         servers: readonly PlacementServer[],
     ): ReadonlyMap<string, ServerCostInputs> {
-        return this.choice.explainCosts(request, servers, this.clock.monotonicMs());
+        return this.choice.listCostInputs(request, servers, this.clock.monotonicMs());
     }
 
     /**
--- a/packages/standins/src/usersPlatform/coldStart.ts
+++ b/packages/standins/src/usersPlatform/coldStart.ts
@@ -29,7 +29,7 @@
     constructor(private readonly behaviour: ColdBehaviour) {}
 
     /** Lets the server go down and start again. */
-    crash(): void {
+    abort(): void {
         this.receivedMs = [];
         this.startMs = performance.now() + this.behaviour.downMs;
     }
@@ -49,7 +49,7 @@
         this.most = Math.max(this.most, this.receivedMs.length);
         if (this.receivedMs.length > this.behaviour.allowed) {
             this.falls += 1;
-            this.crash();
+            this.abort();
         }
     }
 }
