--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -182,7 +182,7 @@
      */
     startCold(behaviour: ColdBehaviour): ColdStart {
         this.cold = new ColdStart(behaviour);
-        this.cold.crash();
+        this.cold.abort();
         this.server.closeAllConnections();
         return this.cold;
     }
