--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -13,11 +13,9 @@
 import type { WaitingClock } from "@pimentocleat/types";
 import type { SocketOpener } from "@pimentocleat/upstream";
 import { ServerDirectory } from "../backends/serverDirectory.js";
-import { buildStatusServer } from "../callers/statusServer.js";
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { Evacuations } from "../configuration/evacuations.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
-import { RouteExplainer } from "../dispatch/routeExplainer.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -38,6 +36,7 @@
 import { createServerLimits, type ServerLimits } from "./createServerLimits.js";
 import { createStreamOrigins, type KnownOrigins } from "./createStreamOrigins.js";
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
+import { createStatusServer } from "./createStatusServer.js";
 import { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 import { ReadinessState } from "./readinessState.js";
@@ -267,24 +266,17 @@
             configuration: this.configuration,
             hasServers: () => this.serverReceiver.hasServers(),
         });
-        const explainer = new RouteExplainer({
+        this.statusServer = createStatusServer({
+            ...this.options,
             ...this.serverLimits,
             name: settings.name,
-            clock,
+            readinessPath: adapter.readinessPath,
+            isReady: () => this.isReady(),
             configuration: this.configuration,
             evacuations: this.evacuations,
             directory: this.directory,
             dispatches: this.dispatches,
         });
-        this.statusServer = buildStatusServer({
-            readinessPath: adapter.readinessPath,
-            isReady: () => this.isReady(),
-            formatMetrics: () => {
-                this.dispatches.reportRoom(options.metrics);
-                return options.metrics.formatText();
-            },
-            buildExplanation: (query) => explainer.buildExplanation(query),
-        });
         this.configuration.addListener(({ bounds }) => {
             this.callerServer.server.keepAliveTimeout = bounds.idleTimeoutMs;
         });
