--- a/packages/gateway/src/dispatch/requestGuard.ts
+++ b/packages/gateway/src/dispatch/requestGuard.ts
@@ -79,6 +79,10 @@
         if (isAnswered(result) && quarantine.recordAnswer(this.buildTraits(request))) {
             crashNews.reportChange();
         }
+        if (result.type === "notSent" && !isRelayed) {
+            // A server that refuses connections is down, and may be cold when it comes back.
+            this.options.cold.recordLoss(server);
+        }
         if (result.type === "lost") {
             this.writeLostEvent(request, server, result);
             if (result.isServerLost) {
@@ -99,7 +103,6 @@
     ): void {
         const { quarantine, crashNews, connections, clock } = this.options;
         const record = (): void => {
-            this.options.cold.recordLoss(server);
             if (quarantine.recordLoss(this.buildTraits(request), loss)) {
                 crashNews.reportChange();
             }
@@ -110,6 +113,7 @@
         }
         void isServerGone(connections, server.address, clock).then((isGone) => {
             if (isGone) {
+                this.options.cold.recordLoss(server);
                 record();
             } else {
                 this.options.logger.writeEvent("connectionLost", { server: server.id });
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -361,11 +361,15 @@
         );
     }
 
-    /** A server that loses its connections may have started again, and may then be cold. */
+    /**
+     * A server that loses several connections at once may have started again, and may then be cold. The loss of the only
+     * one says nothing: servers close idle connections, and single ones are reset.
+     */
     private async recordLostConnection(address: string): Promise<void> {
         const server = this.directory.findServerAt(address);
         const { clock } = this.options;
-        const isConcerned = server !== undefined && !this.stopping.signal.aborted;
+        const hasOthers = this.servers.connections.listOpenConnections(address).length > 0;
+        const isConcerned = server !== undefined && hasOthers && !this.stopping.signal.aborted;
         if (isConcerned && (await isServerGone(this.servers.connections, address, clock))) {
             this.serverLimits.cold.recordLoss(server);
         }
