--- a/packages/policy/src/overload/admissionDecision.ts
+++ b/packages/policy/src/overload/admissionDecision.ts
@@ -40,6 +40,11 @@
 const priorityFactor = 0.5;
 /** Priority from which on the number falls no further; customers of many ranks would otherwise wait for an idle server. */
 const maximumPriorityStep = 4;
+/**
+ * Share of the latency target above which a predicted start shows a backlog. Prefill limits engines before half of their
+ * places are taken, so the places alone do not show that more urgent streams would be delayed.
+ */
+const calmStartShare = 0.25;
 /** Share of the servers' places below which a service counts as calm; nothing is refused in a calm service. */
 const calmTakenShare = 0.5;
 
@@ -147,8 +152,8 @@
 
 /**
  * A stream waits while it would be in time, then while a late answer is still possible. In a calm service it waits
- * only as long as that is free, unless it would cost more streams than it gains; it starts at last, since it is not
- * refused.
+ * only as long as that is free, or while it would be in time if engines have a backlog, unless it would cost more
+ * streams than it gains; it starts at last, since it is not refused.
  */
 function chooseForStream(
     request: AdmissionRequest,
@@ -159,7 +164,9 @@
     const inTimeMs = computeLatestInTimeMs(request, estimate);
     const freeUntilMs = Math.min(inTimeMs, request.arrivedMs + request.targetMs * freeWaitShare);
     const isWorthwhile = estimate.hasRoom && estimate.delayedStreams <= evenDelayedStreams;
-    const isStartedInCalm = isWorthwhile && nowMs >= freeUntilMs && isCalm(readLoad());
+    const hasBacklog = estimate.startMs > request.targetMs * calmStartShare;
+    const calmUntilMs = hasBacklog ? inTimeMs : freeUntilMs;
+    const isStartedInCalm = isWorthwhile && nowMs >= calmUntilMs && isCalm(readLoad());
     if (isStartedInCalm || !isUseful(request, estimate, context)) {
         return { type: "start", reason: "calm" };
     }
