--- a/packages/gateway/src/backends/__tests__/support/limitSimulation.ts
+++ b/packages/gateway/src/backends/__tests__/support/limitSimulation.ts
@@ -135,8 +135,8 @@
         this.plan(downMs + rowMs, () => {
             const row = { ...this.server, version: this.server.version + 1 };
             this.server = row;
-            const coldRemainingMs = Math.max(0, durationMs - rowMs);
-            this.nodes.forEach((node) => this.updateRow(node, { ...row, coldRemainingMs }));
+            const remainingColdMs = Math.max(0, durationMs - rowMs);
+            this.nodes.forEach((node) => this.updateRow(node, { ...row, remainingColdMs }));
         });
     }
 
@@ -267,7 +267,7 @@
             isFirstStart: true,
             hasOpenConnection: () => this.findNode(name).isConnected,
         });
-        directory.setServers([{ ...limitedServer, coldRemainingMs: 0 }], 1);
+        directory.setServers([{ ...limitedServer, remainingColdMs: 0 }], 1);
         const permits = new ServerPermits({
             name,
             clock,
--- a/packages/gateway/src/backends/backendServer.ts
+++ b/packages/gateway/src/backends/backendServer.ts
@@ -20,7 +20,7 @@
     /** Version of the server's software, not of its model; undefined when its registration names none. */
     readonly softwareVersion?: string | undefined;
     /** Time for which the server said that it stays cold, when it wrote the registration, in milliseconds. */
-    readonly coldRemainingMs?: number | undefined;
+    readonly remainingColdMs?: number | undefined;
     /** Whether the platform may reclaim the server at any time. */
     readonly isReclaimable: boolean;
 }
--- a/packages/gateway/src/backends/coldDirectory.ts
+++ b/packages/gateway/src/backends/coldDirectory.ts
@@ -200,7 +200,7 @@
                 this.recordReason(row, "row");
             }
         }
-        if (rows.some((row) => (row.coldRemainingMs ?? 0) > 0 && this.findRule(row) !== undefined)) {
+        if (rows.some((row) => (row.remainingColdMs ?? 0) > 0 && this.findRule(row) !== undefined)) {
             this.coldListeners.forEach((listener) => listener());
         }
     }
--- a/packages/gateway/src/backends/serverPermits.ts
+++ b/packages/gateway/src/backends/serverPermits.ts
@@ -218,13 +218,13 @@
         this.lastRequest += 1;
         const request = this.lastRequest;
         const report = limits.findLimit(server) === undefined ? undefined : limits.buildReport(server.id);
-        const coldPerSecond = cold.findRate(server);
-        if (coldPerSecond !== undefined) {
+        const coldRate = cold.findRate(server);
+        if (coldRate !== undefined) {
             return {
                 type: "coldPermitRequest",
                 request,
                 serverId: server.id,
-                perSecond: coldPerSecond,
+                perSecond: coldRate,
                 ...(report === undefined ? {} : { report }),
                 ...need,
             };
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -25,7 +25,7 @@
     bornMs: z.number().optional(),
     softwareVersion: z.string().optional(),
     isReclaimable: z.boolean(),
-    coldRemainingMs: z.number().optional(),
+    remainingColdMs: z.number().optional(),
 }) satisfies z.ZodType<RegisteredServer>;
 
 const evacuationSchema = z.object({
--- a/packages/policy/src/coldServers/__tests__/coldServers.test.ts
+++ b/packages/policy/src/coldServers/__tests__/coldServers.test.ts
@@ -5,7 +5,7 @@
 
 const durationMs = 3_000;
 const id = "s1";
-const row = { id, bornMs: 1, version: 1, coldRemainingMs: 0 };
+const row = { id, bornMs: 1, version: 1, remainingColdMs: 0 };
 
 function build(doubtsFirstRows = false) {
     const clock = new ManualClock();
@@ -31,8 +31,8 @@
 
     it("follows a registration that says how long the server stays cold", () => {
         const { clock, servers, readMs } = build();
-        servers.recordRow({ ...row, version: 2, coldRemainingMs: 800 }, false);
-        servers.recordRow({ ...row, version: 2, coldRemainingMs: 800 }, false);
+        servers.recordRow({ ...row, version: 2, remainingColdMs: 800 }, false);
+        servers.recordRow({ ...row, version: 2, remainingColdMs: 800 }, false);
         expect(readMs()).toBe(800);
         clock.advance(800);
         expect(readMs()).toBe(0);
@@ -97,7 +97,7 @@
         expect(first.readMs()).toBe(durationMs - 500);
         second.servers.mergeReport(first.servers.buildReport(id)!);
         expect(second.readMs()).toBe(durationMs - 500);
-        second.servers.recordRow({ ...row, bornMs: 2, version: 2, coldRemainingMs: 200 }, false);
+        second.servers.recordRow({ ...row, bornMs: 2, version: 2, remainingColdMs: 200 }, false);
         expect(second.servers.mergeReport(report)).toBe(false);
         expect(second.readMs()).toBe(200);
     });
--- a/packages/policy/src/coldServers/coldServers.ts
+++ b/packages/policy/src/coldServers/coldServers.ts
@@ -17,7 +17,7 @@
 export interface ServerRow extends ColdServer {
     readonly version: number;
     /** Time for which the server stays cold, in milliseconds; undefined when it is not known. */
-    readonly coldRemainingMs?: number | undefined;
+    readonly remainingColdMs?: number | undefined;
 }
 
 /** A server that may have started again, as nodes tell each other; ages since their clocks differ. */
@@ -81,14 +81,14 @@
         }
         this.rows.set(row.id, row);
         const isNewStart = known === undefined || known.bornMs !== row.bornMs;
-        if ((row.coldRemainingMs ?? 0) > 0) {
+        if ((row.remainingColdMs ?? 0) > 0) {
             if (isNewStart) {
                 this.doubts.delete(row.id);
             }
-            this.recordCold(row.id, row.coldRemainingMs!);
+            this.recordCold(row.id, row.remainingColdMs!);
             return isNewStart;
         }
-        const isTrusted = isFirstRead && !this.doubtsFirstRows && row.coldRemainingMs === 0;
+        const isTrusted = isFirstRead && !this.doubtsFirstRows && row.remainingColdMs === 0;
         if (isNewStart && !isTrusted) {
             const nowMs = this.readNowMs();
             this.doubts.set(row.id, { bornMs: row.bornMs, atMs: nowMs, aliveMs: nowMs, isShared: false });
