--- a/packages/gateway/src/duties/__tests__/usageDuty.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDuty.test.ts
@@ -1,4 +1,4 @@
-import { MemoryTableService, noEras, type UsageReport } from "@pimentocleat/services";
+import { MemoryTableService, noEras, noStoreClock, type UsageReport } from "@pimentocleat/services";
 import type { ForwardedUsage } from "@pimentocleat/state";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock } from "@pimentocleat/types";
@@ -60,6 +60,7 @@
         random: () => 0.5,
         countNodes: () => 3,
         eras: noEras,
+        storeClock: noStoreClock,
         sendCopy: () => {
             testBed.copies += 1;
             return true;
--- a/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
+++ b/packages/gateway/src/duties/__tests__/usageDutyEras.test.ts
@@ -1,5 +1,5 @@
 /** Usage windows on a store that comes back from a copy while the clock of a node lags. */
-import { MemoryTableService, type EraSource, type UsageReport } from "@pimentocleat/services";
+import { MemoryTableService, noStoreClock, type EraSource, type UsageReport } from "@pimentocleat/services";
 import type { LeaseHandle } from "@pimentocleat/state";
 import { SilentLogger } from "@pimentocleat/telemetry";
 import { ManualClock, type WaitingClock } from "@pimentocleat/types";
@@ -57,6 +57,7 @@
             clock,
             hostClock: this.clock,
             eras,
+            storeClock: noStoreClock,
             logger: new SilentLogger(),
             node,
             incarnation: `${node}-1`,
--- a/packages/gateway/src/duties/nodeDuties.ts
+++ b/packages/gateway/src/duties/nodeDuties.ts
@@ -3,7 +3,13 @@
  *
  * @packageDocumentation
  */
-import type { EraSource, OrderingService, TableService, UsageReportService } from "@pimentocleat/services";
+import type {
+    EraSource,
+    OrderingService,
+    StoreClock,
+    TableService,
+    UsageReportService,
+} from "@pimentocleat/services";
 import { LeaseManager, runEvery, type ForwardedUsage, type UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
@@ -23,6 +29,8 @@
     readonly tableService: TableService;
     /** Era of the table service. */
     readonly eras: EraSource;
+    /** Clock of the table service. */
+    readonly storeClock: StoreClock;
     readonly reportService: UsageReportService | undefined;
     readonly orderingService: OrderingService | undefined;
     readonly clock: WaitingClock;
--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { EraSource, TableService, UsageReportService } from "@pimentocleat/services";
+import type { EraSource, StoreClock, TableService, UsageReportService } from "@pimentocleat/services";
 import { computeWindowStartMs } from "@pimentocleat/policy";
 import {
     EraObservation,
@@ -28,6 +28,8 @@
     readonly tableService: TableService;
     /** Era of the table service. */
     readonly eras: EraSource;
+    /** Clock of the table service. */
+    readonly storeClock: StoreClock;
     readonly reportService: UsageReportService | undefined;
     /** Its wall time assigns usage to windows. */
     readonly clock: WaitingClock;
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -239,6 +239,7 @@
             incarnation,
             tableService: adapter.tableService,
             eras: adapter.eras,
+            storeClock: adapter.storeClock,
             reportService: adapter.reportService,
             orderingService: adapter.orderingService,
             clock,
--- a/packages/gateway/src/lifecycle/platformAdapter.ts
+++ b/packages/gateway/src/lifecycle/platformAdapter.ts
@@ -8,6 +8,7 @@
     OrderingService,
     Row,
     RowFeed,
+    StoreClock,
     TableService,
     UsageReportService,
 } from "@pimentocleat/services";
@@ -23,6 +24,8 @@
     readonly tableService: TableService;
     /** Era of the table service. */
     readonly eras: EraSource;
+    /** Clock of the table service. */
+    readonly storeClock: StoreClock;
     readonly rowFeed: RowFeed;
     readonly reportService: UsageReportService | undefined;
     readonly orderingService: OrderingService | undefined;
--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -16,6 +16,8 @@
 export type { WeightEntry, WeightStore } from "./weights/weightStore.js";
 export { noEras } from "./table/eraSource.js";
 export type { EraSource } from "./table/eraSource.js";
+export { noStoreClock } from "./table/storeClock.js";
+export type { StoreClock } from "./table/storeClock.js";
 export { buildVersion, maximumEra, readCounter, readEra } from "./table/storeVersion.js";
 export { maximumTransactionEntries } from "./table/tableService.js";
 export type { RowChange, RowFeed } from "./table/rowFeed.js";
--- a/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersPlatformStandIn.ts
@@ -8,7 +8,7 @@
 import { DutyEndpoint, type DutyFault, type DutyPath } from "./dutyEndpoint.js";
 import type { DutyViolation, ReceivedDutyCall } from "./dutyJudge.js";
 import { closeServer, formatAddress, readBody, sendJson, startListening } from "./httpServers.js";
-import type { RowStoreCopy } from "./rowHistory.js";
+import type { RowStoreCopy, StoredRow } from "./rowHistory.js";
 import { RowStore, type RowTransaction } from "./rowStore.js";
 
 /**
@@ -260,11 +260,7 @@
         const conflict = this.rows.applyTransaction(transaction);
         if (fault === "usual") {
             const status = conflict === undefined ? 200 : 412;
-            this.sendStoreAnswer(response, status, {
-                Rows: conflict ?? [],
-                Ver: this.rows.getVersion(),
-                NowMs: 0,
-            });
+            this.sendStoreAnswer(response, status, this.buildRowsBody(conflict ?? []));
         }
     }
 
@@ -278,10 +274,8 @@
         );
         const page = rows.slice(0, limit);
         this.sendStoreAnswer(response, 200, {
-            Rows: page,
+            ...this.buildRowsBody(page),
             MorePages: page.length < rows.length,
-            Ver: this.rows.getVersion(),
-            NowMs: 0,
         });
     }
 
@@ -301,7 +295,16 @@
             this.sendStoreAnswer(response, 410, {});
             return;
         }
-        this.sendStoreAnswer(response, 200, { Rows: changes, Ver: this.rows.getVersion(), NowMs: 0 });
+        this.sendStoreAnswer(response, 200, this.buildRowsBody(changes));
+    }
+
+    /** The clock goes on when the store comes back from an older copy. */
+    private buildRowsBody(rows: readonly StoredRow[]): {
+        Rows: readonly StoredRow[];
+        Ver: number;
+        NowMs: number;
+    } {
+        return { Rows: rows, Ver: this.rows.getVersion(), NowMs: Math.floor(performance.now()) };
     }
 
     /** Sends a response that names the era of this moment, which may be later than that of the call's arrival. */
--- a/packages/state/src/usage/__tests__/wrongClocks.test.ts
+++ b/packages/state/src/usage/__tests__/wrongClocks.test.ts
@@ -48,7 +48,11 @@
 
         // Guards against a reporter that waits for ever for a clock that stays wrong.
         it("costs few windows while the store is there", async () => {
-            const scenario = new StoreCopyScenario({ seed: 1, firstClockOffsetMs: clockOffsetMs, lateShare: 0 });
+            const scenario = new StoreCopyScenario({
+                seed: 1,
+                firstClockOffsetMs: clockOffsetMs,
+                lateShare: 0,
+            });
             await scenario.advance(3 * warmUpMs);
             const firstMissing = scenario.countMissingWindows();
             await scenario.advance(2 * warmUpMs);
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -5,11 +5,13 @@
  */
 import {
     maximumTransactionEntries,
+    noStoreClock,
     readCounter,
     readEra,
     type CommitResult,
     type Row,
     type RowCondition,
+    type StoreClock,
     type TableService,
     type UsageReportService,
 } from "@pimentocleat/services";
@@ -79,6 +81,8 @@
     readonly maximumSealDelayMs?: number;
     /** When this node first knew of the table service's era; required for a table service with eras. */
     readonly eraObservation?: EraObservation;
+    /** Clock of the table service; without it, windows are sealed by `clock` alone. */
+    readonly storeClock?: StoreClock;
 }
 
 /** The usage of a sealed window, and the rows from which it was summed. */
@@ -99,6 +103,7 @@
  * reporter computes the same figures from them, also in a repeated report. Calls must not overlap.
  */
 export class UsageReporter {
+    private readonly storeClock: StoreClock;
     private earliestSealMs: number;
     /**
      * Start of the first window that no node has reported; undefined until this reporter knows how far the last one
@@ -108,6 +113,7 @@
 
     /** @param options - The services, the lease, the receiver and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
+        this.storeClock = options.storeClock ?? noStoreClock;
         this.earliestSealMs = options.clock.monotonicMs() + (options.firstSealDelayMs ?? 0);
     }
 
@@ -282,12 +288,14 @@
         }
         this.recordReport(windowStartMs, sealed);
         await reportService.reportUsage(report, receiver.wireBoundMs, () => this.isLeaseReady());
+        const { fencingNumber } = report;
+        this.options.logger.writeEvent("usageReportAccepted", { windowStartMs, fencingNumber });
         return true;
     }
 
     private recordReport(windowStartMs: number, sealed: SealedUsage): void {
         const { usage, rowCount, newestVersion } = sealed;
-        const { lease, logger } = this.options;
+        const { lease, logger, clock } = this.options;
         logger.writeEvent("usageReportSent", {
             windowStartMs,
             era: lease.era,
@@ -296,6 +304,8 @@
             rowCount,
             newestEra: readEra(newestVersion),
             newestCounter: readCounter(newestVersion),
+            wallMs: clock.wallMs(),
+            storeMs: this.storeClock.steadyMs(),
         });
     }
 
@@ -358,10 +368,13 @@
         const expired = rows.filter((row) => parseWindowStartMs(row.key) < beforeMs);
         for (let start = 0; start < expired.length; start += maximumRowsPerRemoval) {
             const batch = expired.slice(start, start + maximumRowsPerRemoval);
-            await this.commit(
+            const { outcome } = await this.commit(
                 batch.map(({ key, version }) => ({ table, key, version })),
                 batch.map(({ key }) => ({ table, key })),
             );
+            if (outcome === "conflict") {
+                this.options.logger.writeEvent("usageRowsNotRemoved", { table, count: batch.length });
+            }
         }
     }
 
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -135,7 +135,13 @@
     usageReportSent: defineEvent(
         5008,
         "info",
-        "usage of a window is reported; names the rows, their newest version and the lease behind the figures",
+        "usage of a window is reported; names the rows, their newest version, the lease and the clocks behind the figures",
+    ),
+    usageReportAccepted: defineEvent(5011, "info", "the platform accepted the report of a window"),
+    usageRowsNotRemoved: defineEvent(
+        5012,
+        "info",
+        "expired usage rows were not removed, because they changed or the lease was lost",
     ),
     usageHandedOver: defineEvent(
         5010,
