--- a/packages/gateway/src/duties/usageDuty.ts
+++ b/packages/gateway/src/duties/usageDuty.ts
@@ -113,7 +113,11 @@
         const { tableService, clock, logger, incarnation, windowMs, settings, sendCopy } = options;
         const writer = new UsageRowWriter({ tableService, clock, callTimeoutMs: settings.callTimeoutMs });
         this.collector = new UsageCollector({ writer, clock, logger, collectionDelayMs: collectMs });
-        this.eraObservation = new EraObservation(options.eras, [clock, options.hostClock]);
+        this.eraObservation = new EraObservation(
+            options.eras,
+            [clock, options.hostClock],
+            options.storeClock,
+        );
         this.copyStore = new UsageCopyStore({
             writer,
             clock,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -50,6 +50,8 @@
     mergeUsage,
 } from "./usageSealing/usageWindows.js";
 export type { UsageByCustomer, UsageCounters } from "./usageSealing/usageWindows.js";
+export { computeLatestTimeMs, computeSealingTimeMs, updateWindowClock } from "./usageSealing/windowClock.js";
+export type { ClockReading, WindowClock } from "./usageSealing/windowClock.js";
 export { Limiter } from "./limits/limiter.js";
 export type { LimitSummary } from "./limits/limiter.js";
 export type { LimitRefusal, SubjectUsage } from "./limits/subjectLimits.js";
--- a/packages/state/src/leases/__tests__/leaseSimulation.ts
+++ b/packages/state/src/leases/__tests__/leaseSimulation.ts
@@ -5,7 +5,9 @@
  */
 import {
     MemoryTableService,
+    noStoreClock,
     type EraSource,
+    type StoreClock,
     type TableCopy,
     type TableService,
 } from "@pimentocleat/services";
@@ -104,7 +106,8 @@
         );
         const wrapTable = this.options.wrapTable ?? ((service: TableService): TableService => service);
         const client = this.createClient(index);
-        const table = new HostTableService(wrapTable(client), host, client);
+        const storeClock: StoreClock = client instanceof WireTableService ? client : noStoreClock;
+        const table = new HostTableService(wrapTable(client), host, client, storeClock);
         const manager = new LeaseManager({
             tableService: table,
             eras: table,
@@ -137,7 +140,13 @@
             return this.memory;
         }
         const isReachable = (): boolean => !this.cutOff.has(index);
-        return new WireTableService(this.memory, this.network, () => this.era, isReachable);
+        return new WireTableService(
+            this.memory,
+            this.network,
+            () => this.era,
+            isReachable,
+            () => this.clock.monotonicMs(),
+        );
     }
 
     /** Freezes a node after a number of further pauses; pauses are before and after each call. */
--- a/packages/state/src/retrying/__tests__/simulatedHost.ts
+++ b/packages/state/src/retrying/__tests__/simulatedHost.ts
@@ -5,10 +5,12 @@
  */
 import {
     noEras,
+    noStoreClock,
     PlatformError,
     PlatformErrorKind,
     type CommitResult,
     type EraSource,
+    type StoreClock,
     type Row,
     type ScanOptions,
     type TableService,
@@ -82,8 +84,9 @@
 }
 
 /** The table service of one host, with a pause before and after each call at which the host may be frozen. */
-export class HostTableService implements TableService, EraSource {
+export class HostTableService implements TableService, EraSource, StoreClock {
     private era = 0;
+    private latestSteadyMs: number | undefined;
     /** Runs at each pause; a test can freeze the host here. */
     onPause: (point: "beforeCall" | "afterCall", call: "read" | "scan" | "commit") => void = () => {};
 
@@ -91,8 +94,13 @@
         private readonly tableService: TableService,
         private readonly host: SimulatedHost,
         private readonly storeEras: EraSource = noEras,
+        private readonly storeClock: StoreClock = noStoreClock,
     ) {}
 
+    steadyMs(): number | undefined {
+        return this.latestSteadyMs;
+    }
+
     getEra(): number {
         return this.era;
     }
@@ -116,14 +124,17 @@
         this.onPause("beforeCall", name);
         await this.host.waitUntilThawed();
         let era = this.era;
+        let steadyMs = this.latestSteadyMs;
         try {
             const result = await call();
             era = this.storeEras.getEra();
+            steadyMs = this.storeClock.steadyMs();
             return result;
         } finally {
             this.onPause("afterCall", name);
             await this.host.waitUntilThawed();
             this.recordEra(era);
+            this.latestSteadyMs = steadyMs;
         }
     }
 
--- a/packages/state/src/retrying/__tests__/wireTableService.ts
+++ b/packages/state/src/retrying/__tests__/wireTableService.ts
@@ -13,6 +13,7 @@
     type EraSource,
     type Row,
     type ScanOptions,
+    type StoreClock,
     type TableService,
     type Transaction,
 } from "@pimentocleat/services";
@@ -22,17 +23,23 @@
  * Calls a table service as the client of the users' platform does: conditions travel without the era of their versions,
  * so that a request that is performed in a later era may find a version that was given out again.
  */
-export class WireTableService implements TableService, EraSource {
+export class WireTableService implements TableService, EraSource, StoreClock {
     /** Highest era that an answer named. */
     private era = 0;
+    private latestSteadyMs: number | undefined;
 
     constructor(
         private readonly tableService: TableService,
         private readonly network: SimulatedNetwork,
         private readonly readServiceEra: () => number,
         private readonly isReachable: () => boolean,
+        private readonly readServiceMs: () => number,
     ) {}
 
+    steadyMs(): number | undefined {
+        return this.latestSteadyMs;
+    }
+
     getEra(): number {
         return this.era;
     }
@@ -77,11 +84,13 @@
         this.checkReachable(PlatformErrorKind.Unavailable);
         const result = await call();
         const answerEra = this.readServiceEra();
+        const answerMs = this.readServiceMs();
         await this.network.waitInTransit();
         this.checkReachable(PlatformErrorKind.Ambiguous);
         if (answerEra < this.era) {
             throw buildUnknownOutcome("answer of an earlier era");
         }
+        this.latestSteadyMs = answerEra > this.era ? answerMs : Math.max(this.latestSteadyMs ?? 0, answerMs);
         this.era = answerEra;
         return result;
     }
--- a/packages/state/src/usage/__tests__/usageSimulation.ts
+++ b/packages/state/src/usage/__tests__/usageSimulation.ts
@@ -235,7 +235,7 @@
     private createEraObservation({ table, host }: LeaseNode): EraObservation {
         const eras = this.options.trustsCopies === true ? noEras : table;
         // The second clock keeps its time when a test delays the first one.
-        const observation = new EraObservation(eras, [host, { wallMs: host.wallMs.bind(host) }]);
+        const observation = new EraObservation(eras, [host, { wallMs: host.wallMs.bind(host) }], table);
         observation.update();
         return observation;
     }
@@ -258,6 +258,7 @@
             retentionMs: this.options.retentionMs ?? 3_600_000,
             callTimeoutMs,
             eraObservation: this.eraObservations.get(node)!,
+            storeClock: node.table,
         };
         return this.options.createReporter?.(options) ?? new UsageReporter(options);
     }
--- a/packages/state/src/usage/usageProgress.ts
+++ b/packages/state/src/usage/usageProgress.ts
@@ -6,6 +6,7 @@
  */
 import { z } from "zod";
 import type { Row, RowWrite } from "@pimentocleat/services";
+import type { WindowClock } from "@pimentocleat/policy";
 
 /** Table of the progress. */
 export const progressTable = "usageProgress";
@@ -13,6 +14,12 @@
 /** Key of the progress without eras; with eras, its row is for nodes of earlier releases. */
 const progressKey = "next";
 
+const windowClockSchema = z.object({
+    offsetMs: z.number(),
+    nextOffsetMs: z.number().optional(),
+    nextSinceMs: z.number().optional(),
+});
+
 const progressSchema = z.object({
     /** Start of the first window that may not be reported yet, in milliseconds since the Unix epoch. */
     nextStartMs: z.number(),
@@ -20,6 +27,8 @@
     firstStartMs: z.number().default(0),
     /** Start times of the windows before that one which were reported, in milliseconds since the Unix epoch. */
     earlierWindows: z.array(z.number()).default([]),
+    /** The clock by which windows are sealed; absent for stores without a clock, and in rows of earlier releases. */
+    clock: windowClockSchema.optional(),
 });
 
 /** The content of a progress row. */
@@ -36,6 +45,10 @@
     readonly current: Progress | undefined;
     /** Highest {@link ProgressValue.nextStartMs} of all rows; negative infinity without rows. */
     readonly nextStartMs: number;
+    /** The clock in the row of {@link StoredProgress.nextStartMs}; undefined when it names none. */
+    readonly latestClock: WindowClock | undefined;
+    /** The clocks in all rows. */
+    readonly clocks: readonly WindowClock[];
     /** Keys of the rows of earlier eras. */
     readonly outdatedKeys: readonly string[];
 }
@@ -59,11 +72,14 @@
  */
 export function parseProgress(rows: readonly Row[], era: number): StoredProgress {
     const key = formatProgressKey(era);
-    const nextStartMs = Math.max(...rows.map(({ value }) => progressSchema.parse(value).nextStartMs));
+    const values = rows.map(({ value }) => progressSchema.parse(value));
+    const nextStartMs = Math.max(...values.map((value) => value.nextStartMs));
     const row = rows.find((candidate) => candidate.key === key);
     return {
         current: row && { ...progressSchema.parse(row.value), version: row.version, nextStartMs },
         nextStartMs,
+        latestClock: values.find((value) => value.nextStartMs === nextStartMs)?.clock,
+        clocks: values.flatMap(({ clock }) => clock ?? []),
         outdatedKeys: rows.map((other) => other.key).filter((other) => ![key, progressKey].includes(other)),
     };
 }
@@ -72,10 +88,11 @@
  * Builds the progress with which an era begins. Windows before its first one are never reported.
  *
  * @param nextStartMs - Start of the first window to report, in milliseconds since the Unix epoch.
+ * @param clock - The clock by which windows are sealed; undefined for stores without a clock.
  * @returns The progress.
  */
-export function buildEraProgress(nextStartMs: number): ProgressValue {
-    return { nextStartMs, firstStartMs: 0, earlierWindows: [] };
+export function buildEraProgress(nextStartMs: number, clock: WindowClock | undefined): ProgressValue {
+    return { nextStartMs, firstStartMs: 0, earlierWindows: [], clock };
 }
 
 /**
@@ -87,5 +104,11 @@
  */
 export function buildProgressWrites(era: number, value: ProgressValue): readonly RowWrite[] {
     const keys = new Set([formatProgressKey(era), progressKey]);
-    return [...keys].map((key) => ({ table: progressTable, key, value }));
+    const { clock, ...others } = value;
+    const row = { ...others, ...(clock === undefined ? {} : { clock: buildClockValue(clock) }) };
+    return [...keys].map((key) => ({ table: progressTable, key, value: row }));
+}
+
+function buildClockValue(clock: WindowClock): Record<string, number> {
+    return Object.fromEntries(Object.entries(clock).filter(([, value]) => value !== undefined));
 }
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -17,10 +17,15 @@
 } from "@pimentocleat/services";
 import {
     addUsage,
+    computeLatestTimeMs,
+    computeSealingTimeMs,
     computeUnreportedStartMs,
     computeWindowStartMs,
+    updateWindowClock,
+    type ClockReading,
     type ReceiverTraits,
     type UsageByCustomer,
+    type WindowClock,
 } from "@pimentocleat/policy";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
@@ -110,6 +115,8 @@
      * came, which may have reported a window without recording it.
      */
     private unreportedStartMs: number | undefined;
+    /** The clock by which this reporter seals windows; undefined for stores without a clock. */
+    private windowClock: WindowClock | undefined;
 
     /** @param options - The services, the lease, the receiver and the durations. */
     constructor(private readonly options: UsageReporterOptions) {
@@ -159,7 +166,7 @@
         const { era } = eraObservation.update();
         const nextStartMs = this.unreportedStartMs;
         const conditions = [{ table: progressTable, key: formatProgressKey(era), version: 0 }];
-        const writes = buildProgressWrites(era, buildEraProgress(nextStartMs));
+        const writes = buildProgressWrites(era, buildEraProgress(nextStartMs, this.windowClock));
         try {
             const { outcome } = await this.runCall("usage handover", () =>
                 tableService.commitTransaction({ conditions, writes }),
@@ -177,12 +184,25 @@
 
     private isDue({ nextStartMs }: Progress): boolean {
         const { clock, windowMs, graceMs, maximumSealDelayMs = Number.POSITIVE_INFINITY } = this.options;
-        const sinceEndMs = clock.wallMs() - nextStartMs - windowMs;
+        const sinceEndMs = this.readSealingTimeMs() - nextStartMs - windowMs;
         const isSealDelayOver =
             clock.monotonicMs() >= this.earliestSealMs || sinceEndMs >= maximumSealDelayMs;
         return sinceEndMs >= graceMs && isSealDelayOver && this.isLeaseReady();
     }
 
+    private readSealingTimeMs(): number {
+        const reading = this.readClocks();
+        return reading === undefined || this.windowClock === undefined
+            ? this.options.clock.wallMs()
+            : computeSealingTimeMs(this.windowClock, reading);
+    }
+
+    /** Returns undefined for a table service without a clock. */
+    private readClocks(): ClockReading | undefined {
+        const steadyMs = this.storeClock.steadyMs();
+        return steadyMs === undefined ? undefined : { wallMs: this.options.clock.wallMs(), steadyMs };
+    }
+
     private isLeaseReady(): boolean {
         return this.options.lease.isReadyFor(this.options.receiver);
     }
@@ -255,8 +275,12 @@
             [buildUnsealedCondition(windowStartMs)],
             [{ ...seal, value: { fencingNumber } }],
         );
+        if (result.outcome === "committed") {
+            return true;
+        }
         // An earlier attempt or an earlier lease holder may have sealed the window already.
-        return result.outcome === "committed" || result.failed.every(({ table }) => table === usageSealTable);
+        const { failed } = result;
+        return failed.length > 0 && failed.every(({ table }) => table === usageSealTable);
     }
 
     private async sumWindow(windowStartMs: number): Promise<SealedUsage> {
@@ -312,7 +336,29 @@
     private async loadProgress(): Promise<Progress | undefined> {
         const { era } = this.options.lease;
         const stored = parseProgress(await this.scanRows(progressTable), era);
-        return stored.current ?? (era === 0 ? this.startFirstProgress() : this.startEraProgress(stored));
+        const progress =
+            stored.current ?? (await (era === 0 ? this.startFirstProgress() : this.startEraProgress(stored)));
+        return progress && this.updateClock(progress);
+    }
+
+    private async updateClock(progress: Progress): Promise<Progress | undefined> {
+        const reading = this.readClocks();
+        if (reading === undefined) {
+            return progress;
+        }
+        const { version, ...value } = progress;
+        const clock =
+            value.clock === undefined ? this.buildFirstClock() : updateWindowClock(value.clock, reading);
+        const updated =
+            clock === value.clock ? progress : await this.storeProgress(version, { ...value, clock });
+        this.windowClock = updated?.clock;
+        return updated;
+    }
+
+    /** Builds the clock of a store that names none yet; undefined for a store without a clock. */
+    private buildFirstClock(): WindowClock | undefined {
+        const reading = this.readClocks();
+        return reading && { offsetMs: reading.wallMs - reading.steadyMs };
     }
 
     /** The first reporter starts at the earliest row; without any row, at the current window. */
@@ -323,7 +369,12 @@
         );
         const currentMs = computeWindowStartMs(clock.wallMs(), windowMs);
         const startMs = first === undefined ? currentMs : parseWindowStartMs(first.key);
-        return this.storeProgress(0, { nextStartMs: startMs, firstStartMs: startMs, earlierWindows: [] });
+        return this.storeProgress(0, {
+            nextStartMs: startMs,
+            firstStartMs: startMs,
+            earlierWindows: [],
+            clock: this.buildFirstClock(),
+        });
     }
 
     /**
@@ -332,16 +383,22 @@
      */
     private async startEraProgress(stored: StoredProgress): Promise<Progress | undefined> {
         const { clock, windowMs, graceMs, lease, logger, eraObservation } = this.options;
-        const seenWallMs = eraObservation?.update().seenWallMs ?? clock.wallMs();
-        const unreportedStartMs = computeUnreportedStartMs(seenWallMs, windowMs, graceMs);
+        const { seenWallMs = clock.wallMs(), seenSteadyMs = undefined } = eraObservation?.update() ?? {};
+        const latestMs =
+            seenSteadyMs === undefined
+                ? seenWallMs
+                : computeLatestTimeMs(stored.clocks, { wallMs: seenWallMs, steadyMs: seenSteadyMs });
+        const unreportedStartMs = computeUnreportedStartMs(latestMs, windowMs, graceMs);
         const nextStartMs = Math.max(unreportedStartMs, stored.nextStartMs);
         logger.writeEvent("usageEraStarted", {
             era: lease.era,
             nextStartMs,
             seenWallMs,
+            latestMs,
             storedNextStartMs: Number.isFinite(stored.nextStartMs) ? stored.nextStartMs : undefined,
         });
-        return this.storeProgress(0, buildEraProgress(nextStartMs), stored.outdatedKeys);
+        const value = buildEraProgress(nextStartMs, stored.latestClock ?? this.buildFirstClock());
+        return this.storeProgress(0, value, stored.outdatedKeys);
     }
 
     private async storeProgress(
