--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -26,11 +26,11 @@
 export type AnswerMeaning =
     /** The server's response to this request. */
     | "answer"
-    /** The server did not run the request. */
+    /** The server did not run the request; the response names it. */
     | "notRun"
-    /** A different server now uses the address; it did not run the request. */
+    /** A different server now uses the address; it did not run the request, which the response names. */
     | "otherServer"
-    /** The response belongs to another request, or fails verification. */
+    /** The response names another request or none, or fails verification; the request may have run. */
     | "mismatched";
 
 /** Load that a server reports in the headers of a response. */
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -174,12 +174,12 @@
 
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
         const { protocol, request, placement, server } = this.options;
-        const load = protocol.readLoad(headers);
-        if (load !== undefined) {
-            placement.recordLoad(server.id, load.running, load.waiting, load.pace);
-        }
         const meaning = protocol.selectMeaning(status, headers, request);
         if (meaning === "answer" || meaning === "notRun") {
+            const load = protocol.readLoad(headers);
+            if (load !== undefined) {
+                placement.recordLoad(server.id, load.running, load.waiting, load.pace);
+            }
             this.options.onNotice(protocol.readNotice(status, headers));
         }
         switch (meaning) {
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -229,17 +229,28 @@
         if (this.brittle === undefined) {
             answer();
         } else {
-            this.handleBrittle(this.brittle, response, answer);
+            this.handleBrittle(this.brittle, response, received.requestId, answer);
         }
     }
 
-    private handleBrittle(brittle: BrittleSlots, response: ServerResponse, answer: () => void): void {
+    private handleBrittle(
+        brittle: BrittleSlots,
+        response: ServerResponse,
+        requestId: string,
+        answer: () => void,
+    ): void {
         const isTaken = !brittle.isDown() && brittle.tryTake(response, answer);
         if (brittle.isDown()) {
             this.server.closeAllConnections();
         } else if (!isTaken) {
             const { allowed } = brittle.brittleness;
-            response.writeHead(503, { "x-not-executed": "1", "server-brittle": String(allowed) }).end();
+            response
+                .writeHead(503, {
+                    "x-request-id": requestId,
+                    "x-not-executed": "1",
+                    "server-brittle": String(allowed),
+                })
+                .end();
         }
     }
 
@@ -277,6 +288,7 @@
             case "notRun":
                 response
                     .writeHead(behaviour.status, {
+                        "x-request-id": requestId,
                         "x-not-executed": "1",
                         ...(behaviour.retryAfter === undefined
                             ? {}
@@ -296,7 +308,7 @@
                 this.sendComplete(request, response, { ...signedHeaders, "server-leaving": "1" });
                 break;
             case "otherServer":
-                response.writeHead(421, { "x-instance-id": "other" }).end();
+                response.writeHead(421, { "x-request-id": requestId, "x-instance-id": "other" }).end();
                 break;
             case "lost":
                 request.socket.resetAndDestroy();
