--- a/packages/gateway/src/relaying/__tests__/relayServer.test.ts
+++ b/packages/gateway/src/relaying/__tests__/relayServer.test.ts
@@ -5,7 +5,7 @@
 import { ConnectionPool } from "@pimentocleat/upstream";
 import { request as sendRequest } from "undici";
 import { afterEach, describe, expect, it } from "vitest";
-import type { BackendProtocol } from "../../backends/backendProtocol.js";
+import type { AnswerMeaning, BackendProtocol } from "../../backends/backendProtocol.js";
 import type { RegisteredServer } from "../../backends/backendServer.js";
 import { DirectPaths } from "../../backends/directPaths.js";
 import type { ServerDirectory } from "../../backends/serverDirectory.js";
@@ -46,7 +46,11 @@
         return { sockets, address: `${host}:${String((backend.address() as AddressInfo).port)}` };
     };
 
-    const openRelay = async (address: string, softwareVersion?: string) => {
+    const openRelay = async (
+        address: string,
+        softwareVersion?: string,
+        meaning: AnswerMeaning = "answer",
+    ) => {
         const server = {
             id: "s1",
             service: "plain",
@@ -88,7 +92,7 @@
             paths,
             connections,
             protocol: {
-                selectMeaning: () => "answer",
+                selectMeaning: () => meaning,
                 readNotice: () => ({}),
             } as unknown as BackendProtocol,
             clock,
@@ -151,4 +155,35 @@
         expect(response.statusCode).toBe(status);
         expect(sockets.length).toBe(status === 200 ? 1 : 0);
     });
+
+    // Guards against a refusal that the server repeats where the answer to the next relayed request is expected: it fits
+    // when a caller sends the refused request again under its identifier.
+    it.each([
+        ["answer", 1],
+        ["notRun", 2],
+        ["otherServer", 2],
+        ["mismatched", 2],
+    ] as const)("after a response that is %s, has used %i connections for two requests", async (...row) => {
+        const [meaning, count] = row;
+        const sockets = new Set<Socket>();
+        const backend = createServer((socket) => {
+            sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.on("data", () => socket.write(answer));
+        });
+        await new Promise<void>((resolve) => backend.listen(0, host, resolve));
+        closing.push(() => {
+            sockets.forEach((socket) => socket.destroy());
+            backend.close();
+        });
+        const address = `${host}:${String((backend.address() as AddressInfo).port)}`;
+        const { url } = await openRelay(address, undefined, meaning);
+        const headers = { [relayHeaders.key]: key, [relayHeaders.server]: "s1" };
+        for (let index = 0; index < 2; index += 1) {
+            const response = await sendRequest(url, { headers });
+            await response.body.dump();
+            expect(response.headers[relayHeaders.result]).toBe("answer");
+        }
+        expect(sockets.size).toBe(count);
+    });
 });
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -242,6 +242,11 @@
             ...(this.hasBody ? { trailer: relayHeaders.end } : {}),
         });
         this.response.flushHeaders();
+        if (meaning !== "answer") {
+            // The sender needs no body. A server may repeat such a response, so its connection carries no other request.
+            this.exchange.cancel();
+            this.finishResponse(meaning === "mismatched" ? "failed" : "complete");
+        }
     }
 
     onData(chunk: Buffer): void {
