--- a/packages/node/src/__tests__/support/faults.ts
+++ b/packages/node/src/__tests__/support/faults.ts
@@ -56,6 +56,16 @@
     response.writeHead(503, { "x-request-id": attemptId, "x-executed": "no", "retry-after": "7" }).end();
 };
 
+/** Repeats a rejection of another request. */
+export const repeatRejection: Behavior = ({ response }) => {
+    response.writeHead(503, { "x-request-id": "another-request", "x-executed": "no" }).end();
+};
+
+/** Rejects a request without naming it. */
+export const rejectUnnamed: Behavior = ({ response }) => {
+    response.writeHead(503, { "x-executed": "no" }).end();
+};
+
 /** Refuses the pool's credential. */
 export const refuseCredential: Behavior = ({ response, attemptId }) => {
     response.writeHead(401, { "x-request-id": attemptId }).end();
@@ -71,6 +81,18 @@
 
 /** Every fault, with the error that a caller receives when there is no other server. */
 export const backendFaults = [
+    {
+        name: "rejection of another request",
+        behavior: repeatRejection,
+        kind: "answer_mismatch",
+        executed: "unknown",
+    },
+    {
+        name: "rejection without an identifier",
+        behavior: rejectUnnamed,
+        kind: "answer_mismatch",
+        executed: "unknown",
+    },
     {
         name: "connection closed before headers",
         behavior: closeBeforeHeaders,
