--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -13,8 +13,9 @@
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { ServerPath } from "../relaying/serverPaths.js";
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
-import { EventSplitter } from "./eventSplitter.js";
+import { EventSplitter, type CompleteEvents } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { isEventStreamType, type StreamContinuity } from "./streamContinuity.js";
 import { computeStallMs, StreamProgress } from "./streamProgress.js";
 
 /** A complete response of a backend server. */
@@ -65,8 +66,8 @@
     readonly answer: CallerAnswer;
     /** Time until the caller's deadline, in milliseconds. */
     readonly remainingMs: number;
-    /** Identifier of the last event that earlier attempts forwarded. */
-    readonly lastEventId: string | undefined;
+    /** The events that earlier attempts forwarded, and later ones must follow. */
+    readonly continuity: StreamContinuity;
     /** Time without data after which the attempt ends, in milliseconds; undefined when there is no such limit. */
     readonly inactivityTimeoutMs: number | undefined;
     /** Whether the request could be sent elsewhere now; without that, a slow server is not given up for its silence. */
@@ -93,8 +94,6 @@
 
 /** Sends a request to one server and forwards or buffers the response. */
 export class Attempt {
-    /** Identifier of the last event that was forwarded. */
-    lastEventId: string | undefined;
     private readonly exchange: Exchange;
     private readonly placed: Placement;
     private readonly splitter = new EventSplitter();
@@ -110,6 +109,12 @@
     /** Monotonic time of the last data of a stream, in milliseconds. */
     private lastDataMs = Number.POSITIVE_INFINITY;
     private hasForwardedBytes = false;
+    /** Whether the response has to continue a stream after an event that is known. */
+    private readonly isContinuation: boolean;
+    /** Whether an earlier attempt began the response to the caller. */
+    private readonly isStartedBefore: boolean;
+    /** Whether an event with data has arrived that continues the stream. */
+    private hasContinued = false;
     private hasEnded = false;
     private announcedId: string | undefined;
     private inactivityTimer: NodeJS.Timeout | undefined;
@@ -118,7 +123,8 @@
     /** @param options - The request, the server and the response to the caller. */
     constructor(private readonly options: AttemptOptions) {
         const { request, server, placement, placementRequest, protocol, path: serverPath } = options;
-        this.lastEventId = options.lastEventId;
+        this.isContinuation = options.continuity.isContinued();
+        this.isStartedBefore = options.answer.isStarted;
         this.progress = new StreamProgress(computeStallMs(request.route), () => this.abortStalled());
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
@@ -126,7 +132,7 @@
             request,
             serverId: server.id,
             remainingMs: options.remainingMs,
-            lastEventId: options.lastEventId,
+            lastEventId: options.continuity.lastEventId,
         });
         const { method, path } = head;
         this.exchange = serverPath.openExchange(
@@ -193,16 +199,7 @@
                 this.abortExchange({ type: "notRun", reason: "another server has the address" }, "broken");
                 return;
             case "mismatched":
-                this.abortExchange(
-                    {
-                        type: "lost",
-                        reason: `status ${String(status)} that does not fit the request`,
-                        streamed: this.hasForwardedBytes,
-                        isServerLost: false,
-                        runningMs: this.computeRunningMs(),
-                    },
-                    "broken",
-                );
+                this.abortUnfit(`status ${String(status)} that does not fit the request`);
                 return;
             case "answer":
                 break;
@@ -210,6 +207,15 @@
         this.status = status;
         this.headers = protocol.selectAnswerHeaders(headers);
         this.isStream = request.route.kind === "stream" && status === 200;
+        if (!this.isStream && this.isStartedBefore) {
+            // Its body must not be read: a large one would be forwarded into the stream.
+            this.abortExchange(this.buildAnswer(), selectOutcome(status));
+            return;
+        }
+        if (this.isStream && this.isContinuation && !isEventStreamType(headers["content-type"])) {
+            this.abortUnfit("the resumed stream has another content type");
+            return;
+        }
         this.startInactivityTimer();
     }
 
@@ -220,15 +226,11 @@
             this.recordPause();
             const events = this.splitter.takeEvents(chunk);
             if (this.splitter.isUnbounded()) {
-                this.abortUnboundedStream();
+                this.abortUnfit("the server sent bytes without an event");
                 return;
             }
             if (events !== undefined) {
-                this.lastEventId = events.lastId ?? this.lastEventId;
-                if (events.hasData) {
-                    this.progress.recordEvent();
-                }
-                this.forwardBytes(events.bytes);
+                this.handleEvents(events);
             }
             return;
         }
@@ -240,10 +242,36 @@
         }
     }
 
-    private abortUnboundedStream(): void {
+    private handleEvents(events: CompleteEvents): void {
+        const { continuity, request } = this.options;
+        const fault = this.isContinuation ? this.findFault(events) : undefined;
+        if (fault !== undefined) {
+            this.abortUnfit(fault);
+            return;
+        }
+        if (request.route.isResumable) {
+            continuity.recordEvents(events);
+        }
+        if (events.hasData) {
+            this.hasContinued = true;
+            this.progress.recordEvent();
+        }
+        this.forwardBytes(events.bytes);
+    }
+
+    private findFault(events: CompleteEvents): string | undefined {
+        const { continuity } = this.options;
+        return (
+            continuity.findLineFault(events) ??
+            (this.hasContinued ? undefined : continuity.findFirstEventFault(events))
+        );
+    }
+
+    /** Ends an attempt because what the server sent is no answer to the request, or no continuation of the stream. */
+    private abortUnfit(reason: string): void {
         const result: LostAttempt = {
             type: "lost",
-            reason: "the server sent bytes without an event",
+            reason,
             streamed: this.hasForwardedBytes,
             isServerLost: false,
             runningMs: this.computeRunningMs(),
@@ -311,14 +339,19 @@
             return;
         }
         this.recordRunning();
-        if (this.hasForwardedBytes) {
+        const hasNoRest = this.isStartedBefore && !this.hasContinued;
+        if (this.hasForwardedBytes && !hasNoRest) {
             this.forwardBytes(Buffer.concat(this.chunks));
             this.options.answer.finishStream();
             this.finish({ type: "streamed" }, "answered");
             return;
         }
+        this.finish(this.buildAnswer(), selectOutcome(this.status));
+    }
+
+    private buildAnswer(): AttemptResult {
         const answer = { status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) };
-        this.finish({ type: "answer", answer }, this.status >= 500 ? "failedStatus" : "answered");
+        return { type: "answer", answer };
     }
 
     private handleFailure({ message, sent, isServerLost, isNodeUnable }: ExchangeFailure): void {
@@ -413,3 +446,7 @@
         this.resolve(result);
     }
 }
+
+function selectOutcome(status: number): PlacementOutcome {
+    return status >= 500 ? "failedStatus" : "answered";
+}
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -193,7 +193,7 @@
             path,
             answer,
             remainingMs,
-            lastEventId: state.lastEventId,
+            continuity: state.continuity,
             inactivityTimeoutMs: this.computeInactivityTimeoutMs(state, remainingMs),
             hasAlternative: () => this.hasAlternative(state, server),
             onStalled: () =>
@@ -225,7 +225,7 @@
             lastEventId: state.lastEventId,
         });
         const result = await state.currentAttempt.run();
-        state.lastEventId = state.currentAttempt.lastEventId;
+        state.lastEventId = state.continuity.lastEventId;
         this.options.resumption.recordResult(server, result, path.relayNode !== undefined);
         this.options.guard.recordResult(request, server, result, sentMs, path.relayNode !== undefined);
         return result;
@@ -244,6 +244,7 @@
     /** Checks whether a request may be retried now and another server takes it. */
     private hasAlternative(state: RunState, server: RegisteredServer): boolean {
         return (
+            state.continuity.isResumable() &&
             state.dispatch.retries.isRetryAllowed(this.readNowMs()) &&
             this.options.selection.hasOtherServer(state, server)
         );
@@ -287,7 +288,8 @@
                 state.mayHaveRun = true;
                 state.isStreamStarted = state.isStreamStarted || result.streamed;
                 const reason = result.type === "lost" ? result.reason : "the server was silent";
-                if (state.isStreamStarted && !state.request.route.isResumable) {
+                const isResumable = state.request.route.isResumable && state.continuity.isResumable();
+                if (state.isStreamStarted && !isResumable) {
                     this.recordEnd(state, server, reason);
                     answer.abort();
                     return true;
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -10,6 +10,7 @@
 import type { Attempt, CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
 import type { ServiceDispatch } from "./serviceDispatch.js";
+import { StreamContinuity } from "./streamContinuity.js";
 
 /** Minimum remaining time in which another attempt can still succeed, in milliseconds. */
 export const minimumRemainingMs = 40;
@@ -40,6 +41,8 @@
     isUsageCounted: boolean;
     isStreamStarted: boolean;
     lastEventId: string | undefined;
+    /** The events that were forwarded, and that a resumed stream must follow. */
+    readonly continuity: StreamContinuity;
     /** Where the stream began; undefined before its first event. */
     streamOrigin: StreamOrigin | undefined;
     /** Tells whether the registration of a server names the software version that answers there. */
@@ -82,6 +85,7 @@
         isUsageCounted: false,
         isStreamStarted: false,
         lastEventId: start.request.head.lastEventId,
+        continuity: new StreamContinuity(start.request.head.lastEventId),
         harmfulCause: undefined,
         failedAnswer: undefined,
         currentAttempt: undefined,
