--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -59,12 +59,16 @@
     cancel(): void;
 }
 
+const headMethod = "HEAD";
+
 /** Sends a request and receives its response. */
 export class BackendExchange implements Exchange {
     private readonly connection: BackendConnection;
     private controller: Dispatcher.DispatchController | undefined;
     private hasEnded = false;
     private isFramed = true;
+    /** Whether only a body shows that an answer came: a success whose head does not mark where it ends. */
+    private needsBody = false;
 
     /**
      * @param options - The request and its destination.
@@ -97,12 +101,14 @@
                     this.controller = controller;
                     if (status >= 200 && !this.hasEnded) {
                         this.isFramed = isFramedAnswer(status, answerHeaders);
+                        this.needsBody = !this.isFramed && status < 300 && this.options.method !== headMethod;
                         this.receiver.onHead(status, answerHeaders);
                     }
                 },
                 onResponseData: (controller, chunk) => {
                     this.controller = controller;
                     if (!this.hasEnded) {
+                        this.needsBody = false;
                         this.receiver.onData(chunk);
                     }
                 },
@@ -143,6 +149,10 @@
             this.finishAnswer(trailers);
             return;
         }
+        if (this.needsBody) {
+            this.handleError(new Error("the connection ended after a head that marks no end"));
+            return;
+        }
         void this.connection.checkCleanClose().then((isClean) => {
             if (isClean && !this.hasEnded) {
                 this.finishAnswer(trailers);
