--- a/packages/standins/src/usersPlatform/rowStore.ts
+++ b/packages/standins/src/usersPlatform/rowStore.ts
@@ -135,7 +135,8 @@
         if (after < this.discardedVersion || after > this.version) {
             return undefined;
         }
-        return this.changes.filter((change) => change.Table === table && change.Ver > after);
+        const first = this.changes.findLastIndex((change) => change.Ver <= after) + 1;
+        return this.changes.slice(first).filter((change) => change.Table === table);
     }
 
     /**
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { createServer, type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -21,36 +21,50 @@
     readonly nodeCount: number;
     /** Length of a usage window, in seconds. */
     readonly usageWindowSeconds: number;
+    /** Paths of the programs of further releases, which run side by side with the first one: nodes take them in turn. */
+    readonly otherProgramPaths?: readonly string[];
+    /** Number of data centres, to which nodes are added in turn, at most 5; 3 when absent. */
+    readonly dataCentreCount?: number;
+    /** Time within which a duty must not return to an earlier holder, in milliseconds; 1,000 when absent. */
+    readonly leaseMs?: number;
 }
 
 /** A node, its addresses and its process. */
 export interface UsersNode {
     readonly name: string;
+    readonly dataCentre: string;
     readonly callerAddress: string;
     readonly readinessAddress: string;
     readonly settingsPath: string;
+    readonly programPath: string;
     program: LaunchedProgram;
 }
 
 const loopbackHost = "127.0.0.1";
-/** Time within which a duty must not return to an earlier holder, in milliseconds. */
-const leaseMs = 1_000;
+const defaultLeaseMs = 1_000;
+const dataCentres = ["a", "b", "c", "d", "e"];
+const defaultDataCentreCount = 3;
+/** Number of nodes that start at once: more of them would miss the launcher's timeout on a busy machine. */
+const startBatch = 8;
 /** Log event 1000, which the node writes when it has started. */
 const readyPattern = /"event":(1000),/;
-const dataCentres = ["a", "b", "c"];
 
 /** Starts and stops the platform, the backend servers and the nodes. */
 export class UsersDeployment {
-    readonly platform = new UsersPlatformStandIn({ leaseMs });
+    readonly platform: UsersPlatformStandIn;
     readonly plain = ["plain-1", "plain-2"].map((id) => new UsersServerStandIn(id, 0));
     readonly engines = ["engine-1", "engine-2"].map(
         (id) => new UsersServerStandIn(id, usersStreamEventCount),
     );
     readonly nodes: UsersNode[] = [];
+    private readonly leaseMs: number;
     private settingsFolder = "";
 
     /** @param options - Node program, number of nodes and length of a usage window. */
-    constructor(private readonly options: UsersDeploymentOptions) {}
+    constructor(private readonly options: UsersDeploymentOptions) {
+        this.leaseMs = options.leaseMs ?? defaultLeaseMs;
+        this.platform = new UsersPlatformStandIn({ leaseMs: this.leaseMs });
+    }
 
     /** Starts the platform, the backend servers and all nodes. */
     async start(): Promise<void> {
@@ -64,16 +78,21 @@
         }
         this.platform.rows.putJson("op", "config", buildUsersConfiguration(1));
         const indexes = [...Array(this.options.nodeCount).keys()];
-        this.nodes.push(...(await Promise.all(indexes.map((index) => this.launchNode(index, addresses)))));
+        while (indexes.length > 0) {
+            const batch = indexes.splice(0, startBatch);
+            this.nodes.push(...(await Promise.all(batch.map((index) => this.launchNode(index, addresses)))));
+        }
     }
 
     /**
-     * Starts a node whose process has exited, with its previous settings.
+     * Starts a node whose process has exited, with its previous settings, except that it is not the first start.
      *
      * @param node - Node to start.
      */
     async startNode(node: UsersNode): Promise<void> {
-        node.program = await this.launchNodeProgram(node.settingsPath);
+        const settings = JSON.parse(await readFile(node.settingsPath, "utf8")) as Record<string, unknown>;
+        await writeFile(node.settingsPath, JSON.stringify({ ...settings, isFirstStart: false }));
+        node.program = await launchNodeProgram(node);
     }
 
     /**
@@ -110,11 +129,12 @@
             findFreePort(),
             findFreePort(),
         ]);
+        const dataCentre = this.chooseDataCentre(index);
         const callerAddress = `${loopbackHost}:${String(callerPort)}`;
         const readinessAddress = `${loopbackHost}:${String(readinessPort)}`;
         const settings = {
             name,
-            dataCentre: dataCentres[index % dataCentres.length],
+            dataCentre,
             callerAddress,
             readinessAddress,
             peerHost: loopbackHost,
@@ -125,7 +145,7 @@
             memoryMegabytes: 200,
             processorShare: 0.675,
             stopGraceSeconds: 8,
-            leaseMs,
+            leaseMs: this.leaseMs,
             usageWindowSeconds: this.options.usageWindowSeconds,
             usageDueSeconds: 10,
             retryWindowSeconds: 10,
@@ -136,20 +156,27 @@
         };
         const settingsPath = join(this.settingsFolder, `${name}.json`);
         await writeFile(settingsPath, JSON.stringify(settings));
-        return {
-            name,
-            callerAddress,
-            readinessAddress,
-            settingsPath,
-            program: await this.launchNodeProgram(settingsPath),
-        };
+        const programPath = this.chooseProgram(index);
+        const program = await launchNodeProgram({ programPath, settingsPath });
+        return { name, dataCentre, callerAddress, readinessAddress, settingsPath, programPath, program };
+    }
+
+    private chooseDataCentre(index: number): string {
+        const count = this.options.dataCentreCount ?? defaultDataCentreCount;
+        return dataCentres[index % count]!;
     }
 
-    private launchNodeProgram(settingsPath: string): Promise<LaunchedProgram> {
-        return launchFile(this.options.programPath, [settingsPath], { readyPattern });
+    private chooseProgram(index: number): string {
+        const { programPath, otherProgramPaths = [] } = this.options;
+        const paths = [programPath, ...otherProgramPaths];
+        return paths[index % paths.length]!;
     }
 }
 
+function launchNodeProgram(node: Pick<UsersNode, "programPath" | "settingsPath">): Promise<LaunchedProgram> {
+    return launchFile(node.programPath, [node.settingsPath], { readyPattern });
+}
+
 /**
  * Finds a free TCP port on the loopback interface.
  *
