--- a/packages/bench/src/soak/storeReturnRun.ts
+++ b/packages/bench/src/soak/storeReturnRun.ts
@@ -159,19 +159,19 @@
     private applyFault(reporter: UsersNode, { fault, downMs }: StoreReturn): void {
         switch (fault) {
             case "kill":
-                this.restarts.push(this.replaceNode(reporter, downMs));
+                this.restarts.push(this.applyKill(reporter, downMs));
                 return;
             case "freeze":
-                this.restarts.push(this.suspendNode(reporter, downMs));
+                this.restarts.push(this.applySuspension(reporter, downMs));
                 return;
             case "killDataCentre":
                 this.deployment.nodes
                     .filter(({ dataCentre }) => dataCentre === reporter.dataCentre)
-                    .forEach((node) => this.restarts.push(this.replaceNode(node, downMs)));
+                    .forEach((node) => this.restarts.push(this.applyKill(node, downMs)));
         }
     }
 
-    private async replaceNode(node: UsersNode, downMs: number): Promise<void> {
+    private async applyKill(node: UsersNode, downMs: number): Promise<void> {
         if (this.downNodes.has(node)) {
             return;
         }
@@ -184,7 +184,7 @@
         this.watchNode(node);
     }
 
-    private async suspendNode(node: UsersNode, downMs: number): Promise<void> {
+    private async applySuspension(node: UsersNode, downMs: number): Promise<void> {
         if (this.downNodes.has(node)) {
             return;
         }
