--- a/packages/gateway/src/duties/__tests__/dutySeries.test.ts
+++ b/packages/gateway/src/duties/__tests__/dutySeries.test.ts
@@ -72,7 +72,11 @@
     afterEach(() => vi.restoreAllMocks());
 
     it("break reporters that take the copy's word for what was reported", async () => {
-        vi.spyOn(EraObservation.prototype, "update").mockReturnValue({ era: 0, seenWallMs: startWallMs });
+        vi.spyOn(EraObservation.prototype, "update").mockReturnValue({
+            era: 0,
+            seenWallMs: startWallMs,
+            seenSteadyMs: undefined,
+        });
         expect(await findFirstViolation("none")).toMatch("two figures");
     });
 
--- a/packages/gateway/src/duties/__tests__/dutySimulation.ts
+++ b/packages/gateway/src/duties/__tests__/dutySimulation.ts
@@ -19,7 +19,7 @@
 import { MedianClock } from "../../peers/medianClock.js";
 import { buildDutySettings } from "../dutySettings.js";
 import { NodeDuties } from "../nodeDuties.js";
-import { DutyStore, type StoreClient } from "./dutyStore.js";
+import { DutyStore } from "./dutyStore.js";
 
 export const usageWindowMs = 5_000;
 const usageDueMs = 10_000;
@@ -74,7 +74,7 @@
     }
 }
 
-export interface DutyNode extends StoreClient {
+export interface DutyNode {
     readonly index: number;
     readonly name: string;
     readonly host: SteppedHost;
@@ -198,12 +198,12 @@
             (hasWrongClock && firstClockErrorMs) || (this.nodes[index]?.host.clockErrorMs ?? 0);
         const agreedClock = new MedianClock(host);
         const client = this.store.createClient(index, host);
-        // The place at which `client.storeClock` is passed to the duties once they take a steady clock of the store.
         const duties = new NodeDuties({
             node: name,
             incarnation: name,
-            tableService: client.table,
-            eras: client.table,
+            tableService: client,
+            eras: client,
+            storeClock: client,
             reportService: {
                 reportUsage: (report, ...[, isAllowed]) => this.deliverReport(index, host, report, isAllowed),
             },
@@ -228,7 +228,6 @@
         const isDeaf = hasWrongClock || this.random() < deafShare;
         const lossShare = hasWrongClock ? 1 : isDeaf ? deafLossShare : 0;
         this.nodes[index] = {
-            ...client,
             index,
             name,
             host,
--- a/packages/gateway/src/duties/__tests__/dutyStore.ts
+++ b/packages/gateway/src/duties/__tests__/dutyStore.ts
@@ -33,29 +33,6 @@
 /** A step of the reporter, as its calls show it. */
 export type ReportStep = "seal" | "sum";
 
-/** A client of the store, and the store's steady clock as that client knows it. */
-export interface StoreClient {
-    readonly table: HostTableService;
-    readonly storeClock: StoreClockEstimate;
-}
-
-/** Estimates the steady clock of the store from the answers to one node; undefined before the first. */
-export class StoreClockEstimate {
-    private last: { readonly nowMs: number; readonly receivedMs: number } | undefined;
-
-    constructor(private readonly host: SimulatedHost) {}
-
-    /** A frozen host reads the answer late, so that its estimate lags. */
-    async recordAnswer(nowMs: number): Promise<void> {
-        await this.host.waitUntilThawed();
-        this.last = { nowMs, receivedMs: this.host.monotonicMs() };
-    }
-
-    estimateNowMs(): number | undefined {
-        return this.last && this.last.nowMs + this.host.monotonicMs() - this.last.receivedMs;
-    }
-}
-
 export class DutyStore {
     readonly memory = new MemoryTableService();
     /** Indexes of the nodes that cannot reach the store. */
@@ -95,26 +72,25 @@
         Object.assign(this.traits, { lateShare, maximumLateMs });
     }
 
-    createClient(index: number, host: SimulatedHost): StoreClient {
-        const storeClock = new StoreClockEstimate(host);
+    createClient(index: number, host: SimulatedHost): HostTableService {
         const isReachable = (): boolean => this.absences === 0 && !this.cutOff.has(index);
-        let answeredMs = 0;
-        const readEra = (): number => {
-            answeredMs = this.clock.monotonicMs() - this.clockStartMs;
-            return this.era;
-        };
-        const wire = new WireTableService(this.memory, this.network, readEra, isReachable);
+        const wire = new WireTableService(
+            this.memory,
+            this.network,
+            () => this.era,
+            isReachable,
+            () => this.clock.monotonicMs() - this.clockStartMs,
+        );
         const client = new FaultyClient(wire, {
             checkRequest: () => this.checkRequest(index),
             checkAnswer: (step) => {
-                void storeClock.recordAnswer(answeredMs);
                 if (step !== undefined) {
                     this.onStep(step, index);
                 }
                 this.checkAnswer();
             },
         });
-        return { table: new HostTableService(client, host, client), storeClock };
+        return new HostTableService(client, host, client, wire);
     }
 
     /**
