--- a/packages/gateway/src/dispatch/streamContinuity.ts
+++ b/packages/gateway/src/dispatch/streamContinuity.ts
@@ -84,7 +84,7 @@
      * @returns A description, or undefined when there are none.
      */
     findLineFault(events: CompleteEvents): string | undefined {
-        return splitLines(events.bytes).every((line) => linePattern.test(line))
+        return parseLines(events.bytes).every((line) => linePattern.test(line))
             ? undefined
             : "the resumed stream has lines that belong to no event";
     }
@@ -145,14 +145,14 @@
     return id !== undefined && identifierPattern.test(id) ? BigInt(id) : undefined;
 }
 
-function splitLines(bytes: Buffer): string[] {
+function parseLines(bytes: Buffer): string[] {
     return bytes.toString("latin1").split(/\r?\n/);
 }
 
 function listDataEvents(bytes: Buffer): DataEvent[] {
     const events: DataEvent[] = [];
     let fields = new Map<string, string>();
-    for (const line of splitLines(bytes)) {
+    for (const line of parseLines(bytes)) {
         if (line === "") {
             if (fields.has("data")) {
                 events.push({ id: fields.get("id")?.trim(), type: fields.get("event")?.trim() });
--- a/packages/services/src/table/storeClock.ts
+++ b/packages/services/src/table/storeClock.ts
@@ -10,8 +10,8 @@
      * @returns The latest time that an answer of the store's current era has named, in milliseconds from an arbitrary
      * start; undefined before such an answer, and for stores without a clock. It is never ahead of the store.
      */
-    steadyMs(): number | undefined;
+    readSteadyMs(): number | undefined;
 }
 
 /** The clock of stores that name no time. */
-export const noStoreClock: StoreClock = { steadyMs: () => undefined };
+export const noStoreClock: StoreClock = { readSteadyMs: () => undefined };
--- a/packages/state/src/retrying/__tests__/simulatedHost.ts
+++ b/packages/state/src/retrying/__tests__/simulatedHost.ts
@@ -97,7 +97,7 @@
         private readonly storeClock: StoreClock = noStoreClock,
     ) {}
 
-    steadyMs(): number | undefined {
+    readSteadyMs(): number | undefined {
         return this.latestSteadyMs;
     }
 
@@ -128,7 +128,7 @@
         try {
             const result = await call();
             era = this.storeEras.getEra();
-            steadyMs = this.storeClock.steadyMs();
+            steadyMs = this.storeClock.readSteadyMs();
             return result;
         } finally {
             this.onPause("afterCall", name);
--- a/packages/state/src/retrying/__tests__/wireTableService.ts
+++ b/packages/state/src/retrying/__tests__/wireTableService.ts
@@ -36,7 +36,7 @@
         private readonly readServiceMs: () => number,
     ) {}
 
-    steadyMs(): number | undefined {
+    readSteadyMs(): number | undefined {
         return this.latestSteadyMs;
     }
 
--- a/packages/state/src/usage/eraObservation.ts
+++ b/packages/state/src/usage/eraObservation.ts
@@ -36,7 +36,7 @@
         const era = this.eras.getEra();
         const isNew = this.observed?.era !== era;
         const seenWallMs = Math.max(...this.clocks.map((clock) => clock.wallMs()));
-        const seenSteadyMs = this.storeClock.steadyMs();
+        const seenSteadyMs = this.storeClock.readSteadyMs();
         if (this.observed === undefined || isNew) {
             this.observed = { era, seenWallMs, seenSteadyMs };
         }
--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -199,7 +199,7 @@
 
     /** Returns undefined for a table service without a clock. */
     private readClocks(): ClockReading | undefined {
-        const steadyMs = this.storeClock.steadyMs();
+        const steadyMs = this.storeClock.readSteadyMs();
         return steadyMs === undefined ? undefined : { wallMs: this.options.clock.wallMs(), steadyMs };
     }
 
@@ -329,7 +329,7 @@
             newestEra: readEra(newestVersion),
             newestCounter: readCounter(newestVersion),
             wallMs: clock.wallMs(),
-            storeMs: this.storeClock.steadyMs(),
+            storeMs: this.storeClock.readSteadyMs(),
         });
     }
 
