--- a/packages/state/src/usage/usageReporter.ts
+++ b/packages/state/src/usage/usageReporter.ts
@@ -338,7 +338,8 @@
         const stored = parseProgress(await this.scanRows(progressTable), era);
         const progress =
             stored.current ?? (await (era === 0 ? this.startFirstProgress() : this.startEraProgress(stored)));
-        return progress && this.updateClock(progress);
+        const hasClock = this.readClocks() !== undefined;
+        return progress !== undefined && hasClock ? this.updateClock(progress) : progress;
     }
 
     private async updateClock(progress: Progress): Promise<Progress | undefined> {
