--- a/packages/state/src/usage/__tests__/wrongClocks.test.ts
+++ b/packages/state/src/usage/__tests__/wrongClocks.test.ts
@@ -46,7 +46,7 @@
             expect(violations.filter((violation) => violation !== undefined)).toEqual([]);
         });
 
-        // Guards against a reporter that waits for ever for a clock that stays wrong.
+        // Guards against a reporter that never reports because its clock stays wrong.
         it("costs few windows while the store is there", async () => {
             const scenario = new StoreCopyScenario({
                 seed: 1,
