--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -10,7 +10,18 @@
     gateway: ["types", "telemetry", "policy", "services", "state", "upstream"],
     node: ["types", "telemetry", "schema", "policy", "services", "state", "upstream"],
     standins: ["types", "schema", "services"],
-    bench: ["types", "telemetry", "schema", "policy", "services", "state", "node", "standins", "cli"],
+    bench: [
+        "types",
+        "telemetry",
+        "schema",
+        "policy",
+        "services",
+        "state",
+        "gateway",
+        "node",
+        "standins",
+        "cli",
+    ],
     // The demo launches the stand-ins.
     cli: ["types", "telemetry", "schema", "services", "state", "node", "gateway", "standins"],
 };
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,6 +2,8 @@
 export { runSlopes } from "./slopes/runSlopes.js";
 export { runFuzzCommand } from "./fuzz/fuzzCommand.js";
 export { runStoreReturnCommand } from "./soak/storeReturnCommand.js";
+export { runLinkedNodeCommand } from "./soak/linkedNodeCommand.js";
+export { runPartitionCommand } from "./soak/partitionCommand.js";
 export { runSoakCommand } from "./soak/soakCommand.js";
 export { runExperimentCommand } from "./experiments/experimentCommand.js";
 export { listExperiments, runExperiment } from "./experiments/runExperiment.js";
--- a/packages/standins/src/usersPlatform/serverLinks.ts
+++ b/packages/standins/src/usersPlatform/serverLinks.ts
@@ -82,8 +82,13 @@
         const listener = await this.ensureListener(target);
         const { port } = listener.address() as AddressInfo;
         const socket = connect({ host: loopbackHost, port, allowHalfOpen: true, noDelay: true });
-        socket.once("connect", () => (callback as unknown as OpenCallback)(undefined, socket));
-        socket.once("error", (error) => finishFailed(callback, error.message));
+        const onError = (error: Error): void => finishFailed(callback, error.message);
+        socket.once("error", onError);
+        socket.once("connect", () => {
+            // What ends the connection later is no failure to open it.
+            socket.off("error", onError);
+            (callback as unknown as OpenCallback)(undefined, socket);
+        });
     }
 
     private ensureListener(target: string): Promise<Server> {
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -25,8 +25,16 @@
     readonly otherProgramPaths?: readonly string[];
     /** Number of data centres, to which nodes are added in turn, at most 5; 3 when absent. */
     readonly dataCentreCount?: number;
+    /** Data centre of each node, by its position among them; nodes are added in turn when absent. */
+    readonly dataCentreOfNodes?: readonly number[];
     /** Time within which a duty must not return to an earlier holder, in milliseconds; 1,000 when absent. */
     readonly leaseMs?: number;
+    /** Arguments of the program before the path of the settings file. */
+    readonly programParameters?: readonly string[];
+    /** Number of servers of the plain service; 2 when absent. */
+    readonly plainCount?: number;
+    /** Number of engines; 2 when absent. */
+    readonly engineCount?: number;
 }
 
 /** A node, its addresses and its process. */
@@ -37,6 +45,7 @@
     readonly readinessAddress: string;
     readonly settingsPath: string;
     readonly programPath: string;
+    readonly programParameters: readonly string[];
     program: LaunchedProgram;
 }
 
@@ -44,6 +53,7 @@
 const defaultLeaseMs = 1_000;
 const dataCentres = ["a", "b", "c", "d", "e"];
 const defaultDataCentreCount = 3;
+const defaultServerCount = 2;
 /** Number of nodes that start at once: more of them would miss the launcher's timeout on a busy machine. */
 const startBatch = 8;
 /** Log event 1000, which the node writes when it has started. */
@@ -52,10 +62,8 @@
 /** Starts and stops the platform, the backend servers and the nodes. */
 export class UsersDeployment {
     readonly platform: UsersPlatformStandIn;
-    readonly plain = ["plain-1", "plain-2"].map((id) => new UsersServerStandIn(id, 0));
-    readonly engines = ["engine-1", "engine-2"].map(
-        (id) => new UsersServerStandIn(id, usersStreamEventCount),
-    );
+    readonly plain: readonly UsersServerStandIn[];
+    readonly engines: readonly UsersServerStandIn[];
     readonly nodes: UsersNode[] = [];
     private readonly leaseMs: number;
     private settingsFolder = "";
@@ -64,6 +72,8 @@
     constructor(private readonly options: UsersDeploymentOptions) {
         this.leaseMs = options.leaseMs ?? defaultLeaseMs;
         this.platform = new UsersPlatformStandIn({ leaseMs: this.leaseMs });
+        this.plain = createServers("plain", options.plainCount, 0);
+        this.engines = createServers("engine", options.engineCount, usersStreamEventCount);
     }
 
     /** Starts the platform, the backend servers and all nodes. */
@@ -71,8 +81,9 @@
         this.settingsFolder = await mkdtemp(join(tmpdir(), "pimentocleat-"));
         const addresses = await this.platform.open();
         for (const [service, servers] of Object.entries({ plain: this.plain, engines: this.engines })) {
-            for (const server of servers) {
-                const entry = buildServerEntry(service, await server.open());
+            for (const [index, server] of servers.entries()) {
+                const dataCentre = this.chooseServerDataCentre(index);
+                const entry = buildServerEntry(service, await server.open(), { Zone: dataCentre });
                 this.platform.rows.putJson("servers", server.id, entry);
             }
         }
@@ -157,13 +168,21 @@
         const settingsPath = join(this.settingsFolder, `${name}.json`);
         await writeFile(settingsPath, JSON.stringify(settings));
         const programPath = this.chooseProgram(index);
-        const program = await launchNodeProgram({ programPath, settingsPath });
-        return { name, dataCentre, callerAddress, readinessAddress, settingsPath, programPath, program };
+        const { programParameters = [] } = this.options;
+        const launch = { programPath, settingsPath, programParameters };
+        const program = await launchNodeProgram(launch);
+        return { ...launch, name, dataCentre, callerAddress, readinessAddress, program };
     }
 
     private chooseDataCentre(index: number): string {
         const count = this.options.dataCentreCount ?? defaultDataCentreCount;
-        return dataCentres[index % count]!;
+        return dataCentres[this.options.dataCentreOfNodes?.[index] ?? index % count]!;
+    }
+
+    /** Servers are added to the data centres of the nodes in turn where those are given, and to the first one otherwise. */
+    private chooseServerDataCentre(index: number): string {
+        const used = [...new Set(this.options.dataCentreOfNodes ?? [0])];
+        return dataCentres[used[index % used.length]!]!;
     }
 
     private chooseProgram(index: number): string {
@@ -173,8 +192,17 @@
     }
 }
 
-function launchNodeProgram(node: Pick<UsersNode, "programPath" | "settingsPath">): Promise<LaunchedProgram> {
-    return launchFile(node.programPath, [node.settingsPath], { readyPattern });
+function createServers(name: string, count = defaultServerCount, eventCount: number): UsersServerStandIn[] {
+    return Array.from(
+        { length: count },
+        (...[, index]) => new UsersServerStandIn(`${name}-${String(index + 1)}`, eventCount),
+    );
+}
+
+function launchNodeProgram(
+    node: Pick<UsersNode, "programPath" | "programParameters" | "settingsPath">,
+): Promise<LaunchedProgram> {
+    return launchFile(node.programPath, [...node.programParameters, node.settingsPath], { readyPattern });
 }
 
 /**
