--- a/packages/gateway/src/backends/directPaths.ts
+++ b/packages/gateway/src/backends/directPaths.ts
@@ -27,6 +27,9 @@
 
 /** Watches the connections of this node to servers. */
 export class DirectPaths implements ConnectionObserver {
+    /** Whether it was logged that this node reaches no server. */
+    private isOutOfTouch = false;
+
     /** @param options - What the connections show, and the connections. */
     constructor(private readonly options: DirectPathsOptions) {}
 
@@ -35,6 +38,7 @@
             this.options.getConnections().closeDistrustedConnections(address);
             this.options.logger.writeEvent("serverReachedAgain", { address });
         }
+        this.reportTouch();
     }
 
     onOpenFailed(address: string, reason: string): void {
@@ -43,6 +47,7 @@
             getConnections().clearConnectionTrust();
         }
         logger.writeEvent("connectionNotOpened", { address, reason });
+        this.reportTouch();
     }
 
     onLost(address: string): void {
@@ -93,6 +98,15 @@
         return () => clearTimeout(timer);
     }
 
+    private reportTouch(): void {
+        const { reach, logger } = this.options;
+        const isOutOfTouch = !reach.isInTouch();
+        if (isOutOfTouch !== this.isOutOfTouch) {
+            this.isOutOfTouch = isOutOfTouch;
+            logger.writeEvent(isOutOfTouch ? "serversUnreachable" : "serversReachable");
+        }
+    }
+
     private runTrial(server: RegisteredServer): void {
         const { reach, getConnections } = this.options;
         if (reach.tryTrial(server)) {
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -12,6 +12,7 @@
 import type { ServerNotices } from "../backends/serverNotices.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
+import type { NamedPeer } from "../peers/peerDirectory.js";
 import type { ServerPaths } from "../relaying/serverPaths.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { AdmissionQueue } from "./admissionQueue.js";
@@ -182,7 +183,7 @@
         }
         const sentMs = this.readNowMs();
         const path = paths.choosePath(server, state.unableNodes);
-        state.relayNode = path.relayNode;
+        state.relay = path.relay;
         state.currentAttempt = new Attempt({
             request,
             server,
@@ -219,15 +220,15 @@
             softwareVersion: server.softwareVersion,
             attempt: state.attemptCount + 1,
             remainingMs: Math.round(remainingMs),
-            relayNode: path.relayNode,
+            relayNode: path.relay?.name,
             isKeptConnection: state.currentAttempt.isOnKeptConnection(),
             resumedRequestId: request.head.resumedRequestId,
             lastEventId: state.lastEventId,
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.continuity.lastEventId;
-        this.options.resumption.recordResult(server, result, path.relayNode !== undefined);
-        this.options.guard.recordResult(request, server, result, sentMs, path.relayNode !== undefined);
+        this.options.resumption.recordResult(server, result, path.relay !== undefined);
+        this.options.guard.recordResult(request, server, result, sentMs, path.relay !== undefined);
         return result;
     }
 
@@ -301,7 +302,8 @@
 
     /** Records that a request could not be sent, and returns whether it may be tried another way. */
     private recordNotSent(state: RunState, server: RegisteredServer, isNodeUnable: boolean): boolean {
-        if (state.relayNode === undefined) {
+        const { relay } = state;
+        if (relay === undefined) {
             state.connectFailures += 1;
             if (!this.options.paths.hasRelay(state.unableNodes)) {
                 state.excluded.add(server.id);
@@ -309,14 +311,34 @@
             return state.connectFailures < maximumConnectFailures;
         }
         state.relayFailures += 1;
+        this.recordDeclined(state, server, relay, isNodeUnable);
         if (isNodeUnable) {
-            state.unableNodes.add(state.relayNode);
+            state.unableNodes.add(relay.name);
         } else {
             state.excluded.add(server.id);
         }
         return state.relayFailures < maximumRelayFailures;
     }
 
+    private recordDeclined(
+        state: RunState,
+        server: RegisteredServer,
+        relay: NamedPeer,
+        isNodeUnable: boolean,
+    ): void {
+        const cause = isNodeUnable ? "node" : "server";
+        this.options.metrics.addCount("request.relayDeclined", 1, { cause });
+        this.options.logger.writeEvent("relayDeclined", {
+            requestId: state.request.head.requestId,
+            server: server.id,
+            relayNode: relay.name,
+            dataCentre: relay.dataCentre,
+            cause,
+            reason: state.lastFailureReason,
+            declined: state.relayFailures,
+        });
+    }
+
     private handleAnswer(
         state: RunState,
         server: RegisteredServer,
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -6,6 +6,7 @@
 import { isRequestCause, type StreamOrigin } from "@pimentocleat/policy";
 import { ErrorKind, RouterError } from "@pimentocleat/types";
 import type { RegisteredServer } from "../backends/backendServer.js";
+import type { NamedPeer } from "../peers/peerDirectory.js";
 import type { CallerAnswer } from "../callers/callerAnswer.js";
 import type { Attempt, CompleteBackendAnswer } from "./attempt.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
@@ -35,7 +36,7 @@
     /** Names of the other nodes that could not relay the request. */
     readonly unableNodes: Set<string>;
     /** The node through which the current attempt goes; undefined for a direct one. */
-    relayNode: string | undefined;
+    relay: NamedPeer | undefined;
     /** Whether a server may have run the request. */
     mayHaveRun: boolean;
     isUsageCounted: boolean;
@@ -80,7 +81,7 @@
         connectFailures: 0,
         relayFailures: 0,
         unableNodes: new Set(),
-        relayNode: undefined,
+        relay: undefined,
         mayHaveRun: false,
         isUsageCounted: false,
         isStreamStarted: false,
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -8,6 +8,7 @@
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { DirectPaths } from "../backends/directPaths.js";
+import type { NamedPeer } from "../peers/peerDirectory.js";
 import {
     BackendExchange,
     type Exchange,
@@ -29,8 +30,8 @@
 
 /** A way to a server. */
 export interface ServerPath {
-    /** Name of the node that relays; undefined for a direct path. */
-    readonly relayNode: string | undefined;
+    /** The node that relays; undefined for a direct path. */
+    readonly relay: NamedPeer | undefined;
     /**
      * Opens an exchange, which is to be started at once.
      *
@@ -84,7 +85,7 @@
 
 /** The way over this node's own links. */
 export class DirectPath implements ServerPath {
-    readonly relayNode = undefined;
+    readonly relay = undefined;
 
     constructor(
         private readonly server: RegisteredServer,
@@ -139,19 +140,15 @@
 
 /** The way through another node. */
 class RelayPath implements ServerPath {
-    readonly relayNode: string;
-
     constructor(
         private readonly server: RegisteredServer,
-        private readonly node: RelayPeer,
+        readonly relay: RelayPeer,
         private readonly options: ServerPathsOptions,
-    ) {
-        this.relayNode = node.name;
-    }
+    ) {}
 
     openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange {
         const { relays, relayConnections: connections, metrics } = this.options;
-        const { node, server } = this;
+        const { relay: node, server } = this;
         relays.recordInFlight(node.name, 1);
         metrics.addCount("request.relayed", 1, { role: "sender" });
         const onFinished = (isNodeUnable: boolean): void => {
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -213,6 +213,7 @@
         "warn",
         "the TCP port of the peer interface could not be opened; no requests of other nodes are relayed",
     ),
+    relayDeclined: defineEvent(6009, "info", "another node did not relay a request"),
     peerGone: defineEvent(6002, "warn", "peer declared dead"),
     backendRegistered: defineEvent(7003, "info", "backend server registered"),
     backendGone: defineEvent(7004, "info", "backend server is no longer registered"),
@@ -251,6 +252,8 @@
         "a server named a number of bearable rejections that cannot be read",
     ),
     serverReachedAgain: defineEvent(7013, "info", "a connection to a backend server could be opened again"),
+    serversUnreachable: defineEvent(7017, "warn", "this node reaches no backend server"),
+    serversReachable: defineEvent(7018, "info", "this node reaches backend servers again"),
     hostListFailed: defineEvent(7002, "warn", "host list could not be read"),
 } as const satisfies Record<string, LogEvent>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -98,6 +98,12 @@
         "Requests that were sent to a server without a slot or memory for them.",
     ),
     "request.sent": defineMetric("counter", "requests", ["route"], "Sends to backend servers, by route."),
+    "request.relayDeclined": defineMetric(
+        "counter",
+        "requests",
+        ["cause"],
+        "Requests that another node did not relay: for a reason of its own, or of the server.",
+    ),
     "request.relayed": defineMetric(
         "counter",
         "requests",
