--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -4,7 +4,13 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { Placement, PlacementOutcome, PlacementRequest, ServerPlacement } from "@pimentocleat/policy";
+import type {
+    Placement,
+    PlacementOutcome,
+    PlacementRequest,
+    RelayObstacle,
+    ServerPlacement,
+} from "@pimentocleat/policy";
 import type { Clock } from "@pimentocleat/types";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
@@ -45,8 +51,8 @@
     | { readonly type: "streamed" }
     /** The server reported that it did not run the request. */
     | { readonly type: "notRun"; readonly reason: string }
-    /** No byte reached a server; the node that was to relay the request may be the cause. */
-    | { readonly type: "notSent"; readonly reason: string; readonly isNodeUnable: boolean }
+    /** No byte reached a server. The obstacle tells why a node did not relay the request; undefined on a direct path. */
+    | { readonly type: "notSent"; readonly reason: string; readonly obstacle: RelayObstacle | undefined }
     /** The attempt failed after the request may have run. */
     | LostAttempt
     /** The server sent no data within the inactivity timeout. */
@@ -354,7 +360,7 @@
         return { type: "answer", answer };
     }
 
-    private handleFailure({ message, sent, isServerLost, isNodeUnable }: ExchangeFailure): void {
+    private handleFailure({ message, sent, isServerLost, obstacle }: ExchangeFailure): void {
         const result: AttemptResult = sent
             ? {
                   type: "lost",
@@ -363,8 +369,9 @@
                   isServerLost,
                   runningMs: this.computeRunningMs(),
               }
-            : { type: "notSent", reason: message, isNodeUnable };
-        this.finish(result, isNodeUnable ? "cancelled" : "broken");
+            : { type: "notSent", reason: message, obstacle };
+        const isServerFault = obstacle === undefined || obstacle === "server";
+        this.finish(result, isServerFault ? "broken" : "cancelled");
     }
 
     private computeRunningMs(): number | undefined {
--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { RelayObstacle } from "@pimentocleat/policy";
 import {
     isFramedAnswer,
     isMalformedAnswer,
@@ -39,8 +40,8 @@
     readonly sent: boolean;
     /** Whether the connection ended, rather than that the server sent bytes that are no response. */
     readonly isServerLost: boolean;
-    /** Whether the node that was to relay the request did not send it, for a reason of its own. */
-    readonly isNodeUnable: boolean;
+    /** Why the node that was to relay the request did not send it; undefined on a direct path or when it did. */
+    readonly obstacle: RelayObstacle | undefined;
 }
 
 /** A request and its response. */
@@ -176,6 +177,6 @@
         const sent = this.connection.hasSentBytes();
         this.connection.close();
         const isServerLost = !isMalformedAnswer(error);
-        this.receiver.onFailure({ message: error.message, sent, isServerLost, isNodeUnable: false });
+        this.receiver.onFailure({ message: error.message, sent, isServerLost, obstacle: undefined });
     }
 }
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { OverloadControl } from "@pimentocleat/policy";
+import type { OverloadControl, RelayObstacle } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
@@ -58,8 +58,6 @@
 
 /** Maximum number of attempts per request that fail before any byte is sent. */
 const maximumConnectFailures = 4;
-/** Maximum number of nodes and servers per request to which no relayed request could be sent. */
-const maximumRelayFailures = 8;
 /** Inactivity timeout of a repeatable request, as a multiple of the route's latency target. */
 const inactivityFactor = 1.6;
 /** Minimum inactivity timeout, in milliseconds; response times of healthy servers vary by this much. */
@@ -182,7 +180,7 @@
             dispatch.retries.recordFirstAttempt(this.readNowMs());
         }
         const sentMs = this.readNowMs();
-        const path = paths.choosePath(server, state.unableNodes);
+        const path = paths.choosePath(server, state.relaySearch);
         state.relay = path.relay;
         state.currentAttempt = new Attempt({
             request,
@@ -279,7 +277,7 @@
                 return true;
             case "notSent":
                 state.lastFailureReason = result.reason;
-                return this.recordNotSent(state, server, result.isNodeUnable)
+                return this.recordNotSent(state, server, result.obstacle)
                     ? false
                     : this.finishWithoutAnswer(state, false);
             case "notRun":
@@ -301,32 +299,32 @@
     }
 
     /** Records that a request could not be sent, and returns whether it may be tried another way. */
-    private recordNotSent(state: RunState, server: RegisteredServer, isNodeUnable: boolean): boolean {
-        const { relay } = state;
+    private recordNotSent(
+        state: RunState,
+        server: RegisteredServer,
+        obstacle: RelayObstacle = "busy",
+    ): boolean {
+        const { relay, relaySearch } = state;
         if (relay === undefined) {
             state.connectFailures += 1;
-            if (!this.options.paths.hasRelay(state.unableNodes)) {
+            if (!this.options.paths.hasRelay(server, relaySearch)) {
                 state.excluded.add(server.id);
             }
             return state.connectFailures < maximumConnectFailures;
         }
-        state.relayFailures += 1;
-        this.recordDeclined(state, server, relay, isNodeUnable);
-        if (isNodeUnable) {
-            state.unableNodes.add(relay.name);
-        } else {
+        if (relaySearch.recordDeclined(relay, server.id, obstacle)) {
             state.excluded.add(server.id);
         }
-        return state.relayFailures < maximumRelayFailures;
+        this.reportDeclined(state, server, relay, obstacle);
+        return !this.options.paths.isExhausted(relaySearch);
     }
 
-    private recordDeclined(
+    private reportDeclined(
         state: RunState,
         server: RegisteredServer,
         relay: NamedPeer,
-        isNodeUnable: boolean,
+        cause: RelayObstacle,
     ): void {
-        const cause = isNodeUnable ? "node" : "server";
         this.options.metrics.addCount("request.relayDeclined", 1, { cause });
         this.options.logger.writeEvent("relayDeclined", {
             requestId: state.request.head.requestId,
@@ -335,7 +333,7 @@
             dataCentre: relay.dataCentre,
             cause,
             reason: state.lastFailureReason,
-            declined: state.relayFailures,
+            declined: state.relaySearch.countDeclined(),
         });
     }
 
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { isRequestCause, type StreamOrigin } from "@pimentocleat/policy";
+import { isRequestCause, RelaySearch, type StreamOrigin } from "@pimentocleat/policy";
 import { ErrorKind, RouterError } from "@pimentocleat/types";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { NamedPeer } from "../peers/peerDirectory.js";
@@ -31,10 +31,8 @@
     attemptCount: number;
     /** Number of attempts that failed before any byte was sent. */
     connectFailures: number;
-    /** Number of attempts through other nodes that failed before any byte was sent to a server. */
-    relayFailures: number;
-    /** Names of the other nodes that could not relay the request. */
-    readonly unableNodes: Set<string>;
+    /** The other nodes that were asked to relay the request and did not. */
+    readonly relaySearch: RelaySearch;
     /** The node through which the current attempt goes; undefined for a direct one. */
     relay: NamedPeer | undefined;
     /** Whether a server may have run the request. */
@@ -79,8 +77,7 @@
         excluded: new Set(),
         attemptCount: 0,
         connectFailures: 0,
-        relayFailures: 0,
-        unableNodes: new Set(),
+        relaySearch: new RelaySearch(),
         relay: undefined,
         mayHaveRun: false,
         isUsageCounted: false,
--- a/packages/gateway/src/lifecycle/createServerPaths.ts
+++ b/packages/gateway/src/lifecycle/createServerPaths.ts
@@ -33,6 +33,8 @@
     /** Connections to other nodes, over which they relay requests. */
     readonly relayConnections: ConnectionPool;
     readonly direct: DirectPaths;
+    /** The other nodes that may relay requests. */
+    readonly relays: RelayPeers;
     readonly paths: ServerPaths;
 }
 
@@ -73,7 +75,14 @@
         idleConnectionTimeoutMs,
         maximumIdleConnections,
     });
-    const relays = new RelayPeers({ dataCentre, clock, random, listNodes: () => peers.listLiveNodes() });
+    const relays = new RelayPeers({
+        dataCentre,
+        clock,
+        random,
+        listNodes: () => peers.listNodes(),
+        isSilent: (name) => peers.isSilent(name),
+        findNode: (name) => peers.findNode(name),
+    });
     const paths = new ServerPaths({ direct, connections, relays, relayConnections, metrics });
-    return { connections, relayConnections, direct, paths };
+    return { connections, relayConnections, direct, relays, paths };
 }
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -141,16 +141,20 @@
         return [...this.peers.values()];
     }
 
+    /** @returns The other registered nodes. */
+    listNodes(): readonly NamedPeer[] {
+        return [...this.peers].map(([name, address]) => ({ name, ...address }));
+    }
+
     /**
-     * Lists the other nodes, those with recent messages if there are any.
+     * Checks whether no message of a node has arrived lately. Such a node may be dead, or have nothing to tell.
      *
-     * @returns The nodes.
+     * @param name - Name of the node.
+     * @returns Whether none has.
      */
-    listLiveNodes(): readonly NamedPeer[] {
+    isSilent(name: string): boolean {
         const sinceMs = this.options.clock.monotonicMs() - contactTimeoutMs;
-        const nodes = [...this.peers].map(([name, address]) => ({ name, ...address }));
-        const live = nodes.filter(({ name }) => (this.lastContactMs.get(name) ?? sinceMs) > sinceMs);
-        return live.length > 0 ? live : nodes;
+        return (this.lastContactMs.get(name) ?? sinceMs) <= sinceMs;
     }
 
     /**
@@ -163,6 +167,17 @@
         return this.peers.get(name);
     }
 
+    /**
+     * Finds a node with its name.
+     *
+     * @param name - Name of the node.
+     * @returns The node, or undefined when it is not registered.
+     */
+    findNode(name: string): NamedPeer | undefined {
+        const address = this.peers.get(name);
+        return address === undefined ? undefined : { name, ...address };
+    }
+
     /**
      * Lists the nodes that a key selects; nodes with the same registrations select the same ones.
      *
--- a/packages/gateway/src/relaying/relayExchange.ts
+++ b/packages/gateway/src/relaying/relayExchange.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { RelayObstacle } from "@pimentocleat/policy";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import {
     BackendExchange,
@@ -11,7 +12,14 @@
     type ExchangeFailure,
     type ExchangeReceiver,
 } from "../dispatch/backendExchange.js";
-import { hasResponseBody, relayHeaders, relayResultSchema, selectResponseHeaders } from "./relayProtocol.js";
+import {
+    hasResponseBody,
+    relayHeaders,
+    relayLinkFaultSchema,
+    relayResultSchema,
+    selectResponseHeaders,
+    type RelayResult,
+} from "./relayProtocol.js";
 import type { RelayPeer } from "./relayPeers.js";
 
 /** Options of {@link RelayExchange}. */
@@ -28,8 +36,10 @@
     /** Alternating names and values of the headers for the server. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
-    /** Called once when the exchange has ended; tells whether the node was unable to relay. */
-    readonly onFinished: (isNodeUnable: boolean) => void;
+    /** Called when a response of the server arrives. */
+    readonly onRelayed: () => void;
+    /** Called once when the exchange has ended; tells why the node did not relay the request, if it did not. */
+    readonly onFinished: (obstacle: RelayObstacle | undefined) => void;
 }
 
 /** Sends a request through another node and receives the response. */
@@ -94,7 +104,7 @@
 
     cancel(): void {
         if (!this.hasEnded) {
-            this.finish(false);
+            this.finish(undefined);
             this.exchange.cancel();
         }
     }
@@ -103,6 +113,7 @@
         const result = relayResultSchema.safeParse(headers[relayHeaders.result]);
         if (result.success && result.data === "answer") {
             this.hasBody = hasResponseBody(this.options.method, status);
+            this.options.onRelayed();
             this.receiver.onHead(status, selectResponseHeaders(headers));
             return;
         }
@@ -115,7 +126,7 @@
             message,
             sent,
             isServerLost: kind === "serverLost",
-            isNodeUnable: kind === "nodeUnable",
+            obstacle: sent ? undefined : selectObstacle(kind, headers[relayHeaders.linkFault]),
         });
     }
 
@@ -131,27 +142,32 @@
         }
         const end = trailers[relayHeaders.end];
         if (end === "complete" || !this.hasBody) {
-            this.finish(false);
+            this.finish(undefined);
             this.receiver.onEnd(trailers);
             return;
         }
         const message = `${this.options.node.name}: the response of the server was broken off`;
-        this.finishFailed({ message, sent: true, isServerLost: end === "serverLost", isNodeUnable: false });
+        this.finishFailed({ message, sent: true, isServerLost: end === "serverLost", obstacle: undefined });
     }
 
     onFailure({ message, sent }: ExchangeFailure): void {
-        this.finishFailed({ message, sent, isServerLost: false, isNodeUnable: !sent });
+        this.finishFailed({ message, sent, isServerLost: false, obstacle: sent ? undefined : "gone" });
     }
 
     private finishFailed(failure: ExchangeFailure): void {
         if (!this.hasEnded) {
-            this.finish(failure.isNodeUnable);
+            this.finish(failure.obstacle);
             this.receiver.onFailure(failure);
         }
     }
 
-    private finish(isNodeUnable: boolean): void {
+    private finish(obstacle: RelayObstacle | undefined): void {
         this.hasEnded = true;
-        this.options.onFinished(isNodeUnable);
+        this.options.onFinished(obstacle);
     }
 }
+
+function selectObstacle(result: RelayResult, linkFault: unknown): RelayObstacle {
+    const fault = relayLinkFaultSchema.safeParse(linkFault);
+    return fault.data ?? (result === "nodeUnable" ? "busy" : "server");
+}
--- a/packages/gateway/src/relaying/relayPeers.ts
+++ b/packages/gateway/src/relaying/relayPeers.ts
@@ -3,7 +3,12 @@
  *
  * @packageDocumentation
  */
-import type { Clock } from "@pimentocleat/types";
+import {
+    RelayChoice,
+    type RelayChoiceOptions,
+    type RelayObstacle,
+    type RelaySearch,
+} from "@pimentocleat/policy";
 import type { NamedPeer } from "../peers/peerDirectory.js";
 
 /** A node that relays requests. */
@@ -13,74 +18,97 @@
 }
 
 /** Options of {@link RelayPeers}. */
-export interface RelayPeersOptions {
-    readonly dataCentre: string;
-    readonly clock: Clock;
-    readonly random: () => number;
-    /** Lists the other nodes that seem alive. */
+export interface RelayPeersOptions extends RelayChoiceOptions {
+    /** Lists the other nodes, alive or not. */
     readonly listNodes: () => readonly NamedPeer[];
+    /**
+     * Finds a registered node.
+     *
+     * @param name - Its name.
+     * @returns The node, or undefined when none is registered under the name.
+     */
+    readonly findNode: (name: string) => NamedPeer | undefined;
 }
 
-/** Time for which a node that could not relay a request is asked last, in milliseconds. */
-const unableMs = 1_000;
-/** Number of nodes whose loads are compared. */
-const comparedNodes = 2;
-
-/** Knows which nodes were unable to relay lately, and how much each relays for this node. */
+/** Knows which nodes can relay, and how much each relays for this node. */
 export class RelayPeers {
-    private readonly unableUntilMs = new Map<string, number>();
-    private readonly inFlight = new Map<string, number>();
+    private readonly choice: RelayChoice;
 
-    /** @param options - The other nodes. */
-    constructor(private readonly options: RelayPeersOptions) {}
+    /** @param options - This node and the other ones. */
+    constructor(private readonly options: RelayPeersOptions) {
+        this.choice = new RelayChoice(options);
+    }
 
     /**
-     * Chooses a node: one of this data centre if possible, and of two drawn at random that which relays less for this node.
+     * Chooses a node that is likely to reach servers, one of this data centre if possible, and of two drawn at random that
+     * which relays less for this node.
      *
-     * @param excluded - Names of nodes that have been asked for the request.
+     * @param search - The nodes that the request has asked.
+     * @param serverId - The server to which the request is to go.
      * @returns The node; undefined when none is left.
      */
-    chooseNode(excluded: ReadonlySet<string>): RelayPeer | undefined {
+    chooseNode(search: RelaySearch, serverId: string): RelayPeer | undefined {
         const nodes = this.options
             .listNodes()
-            .filter((node): node is RelayPeer => node.relayKey !== undefined && !excluded.has(node.name));
-        const nowMs = this.options.clock.monotonicMs();
-        const able = nodes.filter(({ name }) => (this.unableUntilMs.get(name) ?? 0) <= nowMs);
-        const near = able.filter(({ dataCentre }) => dataCentre === this.options.dataCentre);
-        const pool = [near, able, nodes].find((list) => list.length > 0) ?? [];
-        const drawn = Array.from({ length: comparedNodes }, () => this.chooseRandomNode(pool));
-        return drawn.reduce((best, node) =>
-            best !== undefined && node !== undefined && this.countInFlight(node) < this.countInFlight(best)
-                ? node
-                : best,
-        );
+            .filter((node): node is RelayPeer => node.relayKey !== undefined);
+        return this.choice.chooseNode(nodes, search, serverId);
     }
 
-    /** @param name - Name of a node that could not relay a request for a reason of its own. */
-    recordUnable(name: string): void {
-        this.unableUntilMs.set(name, this.options.clock.monotonicMs() + unableMs);
+    /**
+     * Checks whether a request has asked enough nodes.
+     *
+     * @param search - The nodes that it has asked.
+     * @returns Whether it has.
+     */
+    isExhausted(search: RelaySearch): boolean {
+        return search.isExhausted(new Set(this.options.listNodes().map(({ dataCentre }) => dataCentre)).size);
     }
 
     /**
-     * Records that a request was given to a node or has ended there.
+     * Records that a node passed on a response of a server, which shows the links of those that did not reach it to fail.
      *
-     * @param name - Name of the node.
-     * @param change - 1 when it was given, -1 when it has ended.
+     * @param node - The node.
+     * @param search - The nodes that the request has asked.
+     * @param serverId - The server.
      */
-    recordInFlight(name: string, change: 1 | -1): void {
-        const count = (this.inFlight.get(name) ?? 0) + change;
-        if (count > 0) {
-            this.inFlight.set(name, count);
-        } else {
-            this.inFlight.delete(name);
+    recordRelayed(node: RelayPeer, search: RelaySearch, serverId: string): void {
+        this.choice.recordRelayed(node);
+        search.listUnreached(serverId).forEach((name) => this.recordApart(name));
+    }
+
+    /**
+     * Records that a node did not relay a request.
+     *
+     * @param node - The node.
+     * @param obstacle - Why.
+     */
+    recordDeclined(node: RelayPeer, obstacle: RelayObstacle): void {
+        this.choice.recordDeclined(node, obstacle);
+    }
+
+    /** @param name - Name of a node that reaches no server. */
+    recordApart(name: string): void {
+        const node = this.options.findNode(name);
+        if (node !== undefined) {
+            this.choice.recordApart(node);
         }
     }
 
-    private chooseRandomNode(pool: readonly RelayPeer[]): RelayPeer | undefined {
-        return pool[Math.floor(this.options.random() * pool.length)];
+    /** @returns The nodes that reach no server, as far as this node knows. */
+    listApart(): readonly NamedPeer[] {
+        return this.choice
+            .listApart()
+            .map((name) => this.options.findNode(name))
+            .filter((node) => node !== undefined);
     }
 
-    private countInFlight({ name }: RelayPeer): number {
-        return this.inFlight.get(name) ?? 0;
+    /**
+     * Records that a request was given to a node or has ended there.
+     *
+     * @param name - Name of the node.
+     * @param change - 1 when it was given, -1 when it has ended.
+     */
+    recordInFlight(name: string, change: 1 | -1): void {
+        this.choice.recordInFlight(name, change);
     }
 }
--- a/packages/gateway/src/relaying/relayProtocol.ts
+++ b/packages/gateway/src/relaying/relayProtocol.ts
@@ -19,6 +19,8 @@
     requestId: "pimentocleat-relay-request",
     /** What the response is: see {@link RelayResult}. */
     result: "pimentocleat-relay-result",
+    /** Whose links fail when the request was not sent: see {@link RelayLinkFault}. Absent from nodes of earlier releases. */
+    linkFault: "pimentocleat-relay-link-fault",
     /** Why there is no response of the server. */
     reason: "pimentocleat-relay-reason",
     /** The trailer that tells how a response ended. */
@@ -42,6 +44,12 @@
 /** What a response to a relayed request is. */
 export type RelayResult = z.infer<typeof relayResultSchema>;
 
+/** Schema of the links that fail at the relaying node: those to all servers, or those to the server of the request. */
+export const relayLinkFaultSchema = z.enum(["apart", "unreached"]);
+
+/** Which links fail at the relaying node. */
+export type RelayLinkFault = z.infer<typeof relayLinkFaultSchema>;
+
 /** How a response ended that had begun. */
 export type RelayEnd = "complete" | "serverLost" | "failed";
 
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -24,6 +24,7 @@
     selectResponseHeaders,
     selectServerHeaders,
     type RelayEnd,
+    type RelayLinkFault,
     type RelayResult,
 } from "./relayProtocol.js";
 import { DirectPath } from "./serverPaths.js";
@@ -103,8 +104,7 @@
         const softwareVersion = readHeader(request.headers[relayHeaders.softwareVersion]);
         const unable = findUnable(options, load, target) ?? findOtherVersion(target, softwareVersion);
         if (target === undefined || unable !== undefined) {
-            const { result, reason } = unable ?? unknownServer;
-            writeFailure(reply.raw, result, reason);
+            writeFailure(reply.raw, unable ?? unknownServer);
             return;
         }
         new RelayedRequest(options, request, reply.raw, target, load).start();
@@ -115,6 +115,7 @@
 interface UnableReason {
     readonly result: RelayResult;
     readonly reason: string;
+    readonly linkFault?: RelayLinkFault;
 }
 
 const unknownServer: UnableReason = { result: "serverUnable", reason: "the server is not registered" };
@@ -165,7 +166,7 @@
         return { result: "serverUnable", reason: "the server asked for a pause" };
     }
     if (!options.paths.isUsable(server)) {
-        return { result: selectUnreachable(options.paths), reason: "the server cannot be reached" };
+        return buildUnreachable(options.paths, "the server cannot be reached");
     }
     return undefined;
 }
@@ -181,9 +182,11 @@
         : { result: "serverUnable", reason: "the server is registered with another software version" };
 }
 
-/** A node that reaches other servers tells of the server, any other one only of itself. */
-function selectUnreachable(paths: DirectPaths): RelayResult {
-    return paths.isInTouch() ? "serverUnable" : "nodeUnable";
+/** Nodes of earlier releases read the result alone, and try another server if this node reaches others. */
+function buildUnreachable(paths: DirectPaths, reason: string): UnableReason {
+    return paths.isInTouch()
+        ? { result: "serverUnable", linkFault: "unreached", reason }
+        : { result: "nodeUnable", linkFault: "apart", reason };
 }
 
 /** One request of another node. */
@@ -262,14 +265,14 @@
 
     onFailure({ message, sent, isServerLost }: ExchangeFailure): void {
         if (!sent) {
-            writeFailure(this.response, selectUnreachable(this.options.paths), message);
+            writeFailure(this.response, buildUnreachable(this.options.paths, message));
             return;
         }
         void this.findKind(isServerLost).then((kind) => {
             if (this.response.headersSent) {
                 this.finishResponse(kind);
             } else {
-                writeFailure(this.response, kind, message);
+                writeFailure(this.response, { result: kind, reason: message });
             }
         });
     }
@@ -295,11 +298,12 @@
     }
 }
 
-function writeFailure(response: ServerResponse, result: RelayResult, reason: string): void {
+function writeFailure(response: ServerResponse, { result, reason, linkFault }: UnableReason): void {
     const isSent = result === "serverLost" || result === "failed";
     const headers = {
         [relayHeaders.result]: result,
         [relayHeaders.reason]: encodeURIComponent(reason),
+        ...(linkFault === undefined ? {} : { [relayHeaders.linkFault]: linkFault }),
         "content-length": "0",
     };
     response.writeHead(isSent ? lostStatus : notSentStatus, headers).end();
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { RelayObstacle, RelaySearch } from "@pimentocleat/policy";
 import type { Metrics } from "@pimentocleat/telemetry";
 import type { ConnectionPool } from "@pimentocleat/upstream";
 import type { RegisteredServer } from "../backends/backendServer.js";
@@ -61,25 +62,36 @@
      * Chooses the way to a server.
      *
      * @param server - The server.
-     * @param unableNodes - Names of nodes that could not relay the request.
+     * @param search - The nodes that the request has asked.
      * @returns The direct path, unless this node does not reach the server and another node may.
      */
-    choosePath(server: RegisteredServer, unableNodes: ReadonlySet<string>): ServerPath {
+    choosePath(server: RegisteredServer, search: RelaySearch): ServerPath {
         const { direct, connections, relays } = this.options;
-        const node = direct.isUsable(server) ? undefined : relays.chooseNode(unableNodes);
+        const node = direct.isUsable(server) ? undefined : relays.chooseNode(search, server.id);
         return node === undefined
             ? new DirectPath(server, direct, connections)
-            : new RelayPath(server, node, this.options);
+            : new RelayPath(server, node, search, this.options);
     }
 
     /**
      * Checks whether a request can go through another node.
      *
-     * @param unableNodes - Names of nodes that could not relay the request.
+     * @param server - The server to which it is to go.
+     * @param search - The nodes that the request has asked.
      * @returns Whether there is one.
      */
-    hasRelay(unableNodes: ReadonlySet<string>): boolean {
-        return this.options.relays.chooseNode(unableNodes) !== undefined;
+    hasRelay(server: RegisteredServer, search: RelaySearch): boolean {
+        return this.options.relays.chooseNode(search, server.id) !== undefined;
+    }
+
+    /**
+     * Checks whether a request has asked enough other nodes.
+     *
+     * @param search - The nodes that it has asked.
+     * @returns Whether it has.
+     */
+    isExhausted(search: RelaySearch): boolean {
+        return this.options.relays.isExhausted(search);
     }
 }
 
@@ -143,23 +155,25 @@
     constructor(
         private readonly server: RegisteredServer,
         readonly relay: RelayPeer,
+        private readonly search: RelaySearch,
         private readonly options: ServerPathsOptions,
     ) {}
 
     openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange {
         const { relays, relayConnections: connections, metrics } = this.options;
-        const { relay: node, server } = this;
+        const { relay: node, search, server } = this;
         relays.recordInFlight(node.name, 1);
         metrics.addCount("request.relayed", 1, { role: "sender" });
-        const onFinished = (isNodeUnable: boolean): void => {
+        const onFinished = (obstacle: RelayObstacle | undefined): void => {
             relays.recordInFlight(node.name, -1);
-            if (isNodeUnable) {
-                relays.recordUnable(node.name);
+            if (obstacle !== undefined) {
+                relays.recordDeclined(node, obstacle);
             }
         };
+        const onRelayed = (): void => relays.recordRelayed(node, search, server.id);
         const { id: serverId, softwareVersion } = server;
         return new RelayExchange(
-            { ...call, connections, node, serverId, softwareVersion, onFinished },
+            { ...call, connections, node, serverId, softwareVersion, onRelayed, onFinished },
             receiver,
         );
     }
