--- a/packages/policy/src/reachability/__tests__/serverReach.test.ts
+++ b/packages/policy/src/reachability/__tests__/serverReach.test.ts
@@ -61,12 +61,26 @@
         expect(reach.isInTouch()).toBe(true);
     });
 
-    it("ends the suspicion about servers of which nothing is known after some time", () => {
+    it("ends the suspicion about servers of which nothing is known some time after another server was heard of", () => {
         reach.recordOpenFailed("a:1", clock.monotonicMs());
-        clock.advance(10_000);
+        clock.advance(5);
+        reach.recordHeard();
+        clock.advance(9_994);
+        expect(countReachable()).toBe(0);
+        clock.advance(1);
         expect(countReachable()).toBe(servers.length - 1);
     });
 
+    // Guards against a node that answers for sound servers while its own links still fail (RECOVER).
+    it("is none for as long as no server is heard of", () => {
+        reach.recordOpenFailed("a:1", clock.monotonicMs());
+        clock.advance(60_000);
+        expect(countReachable()).toBe(0);
+        expect(reach.isInTouch()).toBe(false);
+        reach.recordOpened("b:1");
+        expect(reach.isInTouch()).toBe(true);
+    });
+
     // Guards against a rush of all nodes at servers that have just come back.
     it("allows one trial a server and second, and few in a data centre", () => {
         expect(reach.tryTrial(servers[0]!)).toBe(true);
--- a/packages/policy/src/reachability/serverReach.ts
+++ b/packages/policy/src/reachability/serverReach.ts
@@ -14,7 +14,10 @@
     readonly dataCentre: string;
 }
 
-/** Time after the last newly found failure for which servers of which nothing is known are taken for unreachable, in milliseconds. */
+/**
+ * Time after the last newly found failure for which servers of which nothing is known are taken for unreachable while
+ * other data centres are reached, in milliseconds.
+ */
 const suspicionMs = 10_000;
 /** Minimum time between two trials of a server, in milliseconds. */
 const trialIntervalMs = 1_000;
@@ -134,8 +137,12 @@
         );
     }
 
+    /** A suspicion lasts as long as no server is heard of: each request for one opens a connection that would end it. */
     private isSuspicionCurrent(): boolean {
-        return this.clock.monotonicMs() - this.failureStartMs < suspicionMs;
+        return (
+            this.clock.monotonicMs() - this.failureStartMs < suspicionMs ||
+            this.lastHeardMs < this.failureStartMs
+        );
     }
 
     private storeLocation({ address, dataCentre }: ServerLocation): void {
