--- a/packages/gateway/src/lifecycle/createStreamOrigins.ts
+++ b/packages/gateway/src/lifecycle/createStreamOrigins.ts
@@ -19,6 +19,8 @@
     readonly configuration: ActiveConfiguration;
     readonly peers: PeerDirectory;
     readonly getMessenger: () => PeerMessenger;
+    /** Reads the registrations of the servers from the store; resolves to whether that succeeded. */
+    readonly readServers: () => Promise<boolean>;
 }
 
 /** The software versions that this node has seen, and the origins of streams. */
@@ -60,6 +62,7 @@
         readLongestStreamMs: (service) => spans.readSpanMs(service),
         listKeepers: (requestId, count) => peers.listKeepers(requestId, count),
         send: (receiver, message) => getMessenger().sendOrigin(receiver, message),
+        readServers: options.readServers,
     });
     return {
         origins,
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -21,6 +21,7 @@
 import { NodeDuties } from "../duties/nodeDuties.js";
 import { ConfigurationReceiver } from "../following/configurationReceiver.js";
 import { ServerReceiver } from "../following/serverReceiver.js";
+import { TableReader } from "../following/tableReader.js";
 import { ConfigurationRelay } from "../peers/configurationRelay.js";
 import { DispatchNews } from "../peers/dispatchNews.js";
 import { MedianClock } from "../peers/medianClock.js";
@@ -85,6 +86,7 @@
     private readonly relayListener = new RelayListener();
     private readonly callerServer: FastifyInstance;
     private readonly serverReceiver: ServerReceiver;
+    private readonly serverReader: TableReader;
     private readonly readiness: ReadinessState;
     private readonly statusServer: FastifyInstance;
     private readonly stopping = new AbortController();
@@ -163,6 +165,7 @@
             configuration: this.configuration,
             peers: this.peers,
             getMessenger: () => this.messenger,
+            readServers: () => this.serverReader.readTable(),
         });
         this.quarantine = new RequestQuarantine(clock);
         this.crashNews = new CrashNews({
@@ -261,6 +264,12 @@
         });
         this.callerServer = this.buildCallerServer();
         this.serverReceiver = new ServerReceiver(adapter, this.directory, logger);
+        this.serverReader = new TableReader({
+            feed: adapter.rowFeed,
+            table: adapter.serverTable,
+            receiver: this.serverReceiver,
+            logger,
+        });
         this.readiness = new ReadinessState({
             clock,
             logger,
--- a/packages/gateway/src/peers/__tests__/originDirectory.test.ts
+++ b/packages/gateway/src/peers/__tests__/originDirectory.test.ts
@@ -13,6 +13,8 @@
     readonly dead = new Set<string>();
     readonly received = new Map<string, number>();
     readonly histories = new Map<string, VersionHistory>();
+    /** What a node sees that reads the registrations of the servers; undefined while it cannot read them. */
+    registered: readonly string[] | undefined = [];
     readonly names: readonly string[];
     private readonly nodes = new Map<string, OriginDirectory>();
     private readonly ring: HashRing;
@@ -35,6 +37,7 @@
             readLongestStreamMs: () => spanMs,
             listKeepers: (key, limit) => this.ring.listSuccessors(key, limit),
             send: (to, message) => this.deliver(name, to, message),
+            readServers: () => this.readServers(history),
         });
         this.nodes.set(name, node);
     }
@@ -55,6 +58,16 @@
         return this.ring.listSuccessors(requestId, 3);
     }
 
+    private readServers(history: VersionHistory): Promise<boolean> {
+        if (this.registered === undefined) {
+            return Promise.resolve(false);
+        }
+        if (this.registered.length > 0) {
+            history.recordServers("s", this.registered);
+        }
+        return Promise.resolve(true);
+    }
+
     private deliver(from: string, to: string, message: OriginMessage): boolean {
         if (!this.dead.has(to) && !this.dead.has(from)) {
             this.received.set(to, (this.received.get(to) ?? 0) + 1);
@@ -116,6 +129,48 @@
         expect(await deployment.resolve(0, "unknown")).toBe("v2");
     });
 
+    describe("at a node that is out of step while a new version joins", () => {
+        const createOutOfStep = (servedMs: number): Deployment => {
+            const deployment = new Deployment(9);
+            deployment.histories.forEach((history) => history.recordServers("s", ["v1"]));
+            deployment.clock.advance(servedMs);
+            deployment.registered = ["v1", "v2"];
+            deployment.names
+                .slice(1)
+                .forEach((name) => deployment.histories.get(name)!.recordServers("s", ["v1", "v2"]));
+            return deployment;
+        };
+        const cutOff = (deployment: Deployment): void => {
+            deployment.names.slice(1).forEach((name) => deployment.dead.add(name));
+        };
+
+        // Guards against a stream of a new version that goes on at an old one, at a node that stood still or hears no other
+        // node (ORDER).
+        it.each([spanMs + 1, 3_600_000])(
+            "knows no version when nobody replies after %i ms",
+            async (servedMs) => {
+                const deployment = createOutOfStep(servedMs);
+                cutOff(deployment);
+                expect(await deployment.resolve(0, "unknown")).toBeUndefined();
+                deployment.registered = undefined;
+                expect(await deployment.resolve(0, "unknown")).toBeUndefined();
+            },
+        );
+
+        // Guards against its old registrations, which count although the other nodes know better (ORDER).
+        it("knows no version when the other nodes have seen several", async () => {
+            expect(await createOutOfStep(spanMs + 1).resolve(0, "unknown")).toBeUndefined();
+        });
+
+        // Guards against streams that are all refused while the nodes do not hear each other (LOST).
+        it("knows the only version when nobody replies but the registrations can be read", async () => {
+            const deployment = createOutOfStep(spanMs + 1);
+            cutOff(deployment);
+            deployment.registered = ["v1"];
+            expect(await deployment.resolve(0, "unknown")).toBe("v1");
+        });
+    });
+
     it("costs each node a constant number of messages a stream, whatever the number of nodes", () => {
         const deployment = new Deployment(195);
         for (let index = 0; index < 1_950; index += 1) {
--- a/packages/gateway/src/peers/originDirectory.ts
+++ b/packages/gateway/src/peers/originDirectory.ts
@@ -19,21 +19,21 @@
     readonly listKeepers: (requestId: string, count: number) => readonly string[];
     /** Sends a message to a node; returns whether its address is known. */
     readonly send: (name: string, message: OriginMessage) => boolean;
+    /** Reads the registrations of the servers from the store; resolves to whether that succeeded. */
+    readonly readServers: () => Promise<boolean>;
 }
 
 /** Number of nodes that are told where a stream began, so that some remain when others restart. */
 const toldNodes = 3;
 /** Number of nodes that are asked; more than are told, because nodes may have joined or left meanwhile. */
 const askedNodes = 5;
-/** Time with only one version after which no other node is asked, in milliseconds; no caller resumes a stream for so long. */
-const settledMs = 600_000;
 /** Time to wait for replies, in milliseconds; beyond it the origin counts as unknown. */
 const replyTimeoutMs = 250;
 
 interface PendingQuery {
     /** Number of nodes that have not replied yet. */
     missing: number;
-    /** What nodes concluded from the versions that they have seen. */
+    /** What the other nodes concluded from the versions that they have seen. */
     readonly concluded: StreamOrigin[];
     /** Called with the origin that a node has recorded, or with undefined after the last reply. */
     readonly resolve: (origin: StreamOrigin | undefined) => void;
@@ -64,9 +64,9 @@
     }
 
     /**
-     * Finds where a stream began. What a node has recorded goes before what the versions in service tell, unless only one
-     * version has served for very long: the timeouts that bound a stream's life may have been shortened just before this
-     * node started, and a caller may resume a stream more often than they allow for.
+     * Finds where a stream began. What a node has recorded goes before what the versions in service tell: the timeouts that
+     * bound a stream's life may have been shortened just before this node started, a caller may resume a stream more often
+     * than they allow for, and this node may have missed that servers of another version joined.
      *
      * @param services - Services at which it may have begun.
      * @param requestId - Identifier of the request whose response brought the first event; undefined when unknown.
@@ -76,8 +76,7 @@
         services: readonly string[],
         requestId: string | undefined,
     ): Promise<StreamOrigin | undefined> {
-        const known = this.findRecorded(requestId) ?? this.findOnlyOrigin(services, settledMs);
-        const origin = known ?? (await this.requestOrigin(services, requestId));
+        const origin = this.findRecorded(requestId) ?? (await this.requestOrigin(services, requestId));
         const recorded = this.findRecorded(requestId);
         if (requestId !== undefined && recorded !== undefined) {
             this.reportOrigin(requestId, recorded);
@@ -113,26 +112,40 @@
         return requestId === undefined ? undefined : this.origins.findOrigin(requestId);
     }
 
-    /** Concludes the origin from the only version that served for the life of a stream, and for the minimum time. */
-    private findOnlyOrigin([service, ...others]: readonly string[], minimumMs = 0): StreamOrigin | undefined {
+    /** Concludes the origin from the only version that served for the life of a stream. */
+    private findOnlyOrigin([service, ...others]: readonly string[]): StreamOrigin | undefined {
         if (service === undefined || others.length > 0) {
             return undefined;
         }
-        const spanMs = Math.max(minimumMs, this.options.readLongestStreamMs(service));
+        const spanMs = this.options.readLongestStreamMs(service);
         const softwareVersion = this.options.history.findOnlyVersion(service, spanMs);
         return softwareVersion === undefined ? undefined : { service, softwareVersion };
     }
 
+    /**
+     * Concludes the origin from the versions that this node has seen. The stream may have begun at a server of which this
+     * node has not heard yet, so the registrations are read first.
+     */
+    private async concludeOrigin(
+        services: readonly string[],
+        concluded: readonly StreamOrigin[],
+    ): Promise<StreamOrigin | undefined> {
+        if (this.findOnlyOrigin(services) === undefined || !(await this.options.readServers())) {
+            return undefined;
+        }
+        const own = this.findOnlyOrigin(services);
+        return own === undefined ? undefined : selectAgreed([own, ...concluded]);
+    }
+
     private async requestOrigin(
         services: readonly string[],
         requestId: string | undefined,
     ): Promise<StreamOrigin | undefined> {
         const keepers = this.listOtherKeepers(requestId ?? services.join(), askedNodes);
-        const own = this.findOnlyOrigin(services);
+        const concluded: StreamOrigin[] = [];
         if (keepers.length === 0) {
-            return own;
+            return this.concludeOrigin(services, concluded);
         }
-        const concluded = own === undefined ? [] : [own];
         this.lastQuery += 1;
         const query = this.lastQuery;
         const reply = new Promise<StreamOrigin | undefined>((resolve) => {
@@ -151,7 +164,12 @@
         if (recorded !== undefined && requestId !== undefined) {
             this.origins.recordOrigin(requestId, recorded);
         }
-        return recorded ?? selectAgreed(concluded);
+        if (recorded !== undefined) {
+            return recorded;
+        }
+        // A few replies may be from nodes that missed the same change as this one.
+        const isMajority = concluded.length > keepers.length / 2;
+        return isMajority ? selectAgreed(concluded) : this.concludeOrigin(services, concluded);
     }
 
     private handleReply(query: number, origin: StreamOrigin | undefined, isRecorded = false): void {
