--- a/packages/standins/src/usersPlatform/serverLinks.ts
+++ b/packages/standins/src/usersPlatform/serverLinks.ts
@@ -82,13 +82,13 @@
         const listener = await this.ensureListener(target);
         const { port } = listener.address() as AddressInfo;
         const socket = connect({ host: loopbackHost, port, allowHalfOpen: true, noDelay: true });
-        const onError = (error: Error): void => finishFailed(callback, error.message);
-        socket.once("error", onError);
+        let isOpen = false;
         socket.once("connect", () => {
-            // What ends the connection later is no failure to open it.
-            socket.off("error", onError);
+            isOpen = true;
             (callback as unknown as OpenCallback)(undefined, socket);
         });
+        // What ends the connection later is no failure to open it.
+        socket.on("error", (error) => (isOpen ? undefined : finishFailed(callback, error.message)));
     }
 
     private ensureListener(target: string): Promise<Server> {
