--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -5,7 +5,7 @@
  */
 import type { OverloadControl, RelayObstacle } from "@pimentocleat/policy";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
-import type { Clock } from "@pimentocleat/types";
+import { computeTimerMs, type Clock } from "@pimentocleat/types";
 import type { BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { BrittleDirectory } from "../backends/brittleDirectory.js";
@@ -95,7 +95,7 @@
         });
         const timer = setTimeout(
             () => this.cancelRun(state),
-            Math.max(0, request.deadlineMs - this.readNowMs()),
+            computeTimerMs(request.deadlineMs - this.readNowMs()),
         );
         answer.setDisconnectListener(() => this.cancelRun(state));
         try {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
     SentRequest,
 } from "./backends/backendProtocol.js";
 export type { NamedBrittleness, NamedLimit, RequestedPause, ServerNotice } from "./backends/serverNotice.js";
+export { registeredServerSchema } from "./backends/backendServer.js";
 export type { RegisteredServer } from "./backends/backendServer.js";
 export { ServerDirectory } from "./backends/serverDirectory.js";
 export type { CallerProtocol, CallerRefusal } from "./callers/callerProtocol.js";
--- a/packages/gateway/src/peers/configurationRelay.ts
+++ b/packages/gateway/src/peers/configurationRelay.ts
@@ -6,7 +6,7 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { z } from "zod";
-import type { JsonValue, Row, RowChange } from "@pimentocleat/services";
+import { parseBoundedJson, type Row, type RowChange } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { RowReceiver } from "../following/rowFollower.js";
 
@@ -69,7 +69,7 @@
             const text = inflateRawSync(Buffer.from(value, "base64"), {
                 maxOutputLength: maximumInflatedBytes,
             }).toString("utf8");
-            const row = { key, version, value: JSON.parse(text) as JsonValue };
+            const row = { key, version, value: parseBoundedJson(text) };
             this.options.receiver.applyChanges([{ type: "put", row }]);
             this.lastVersion = Math.max(this.lastVersion, version);
         } catch (error) {
--- a/packages/gateway/src/peers/peerDirectory.ts
+++ b/packages/gateway/src/peers/peerDirectory.ts
@@ -9,6 +9,7 @@
 import type { Row, RowChange, TableService } from "@pimentocleat/services";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
+import { hostSchema, portSchema } from "../backends/hostAddress.js";
 import type { RowReceiver } from "../following/rowFollower.js";
 
 /** Table that holds the registrations of the nodes. */
@@ -47,11 +48,16 @@
 }
 
 const addressSchema = z.object({
-    host: z.string(),
-    port: z.number(),
+    host: hostSchema,
+    port: portSchema,
     dataCentre: z.string(),
     processorShare: z.number(),
-    relayKey: z.string().optional(),
+    /** Sent as a header. */
+    relayKey: z
+        .string()
+        .regex(/^[\x21-\x7e]{1,200}$/)
+        .optional()
+        .catch(undefined),
 });
 /** Time without a message of a node after which it is considered dead, in milliseconds. */
 const contactTimeoutMs = 3_000;
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -6,6 +6,7 @@
  */
 import { createSocket, type Socket } from "node:dgram";
 import { z } from "zod";
+import { parseBoundedJson } from "@pimentocleat/services";
 import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
@@ -246,7 +247,7 @@
     private receiveMessage(bytes: Buffer): void {
         let message: z.infer<typeof messageSchema>;
         try {
-            message = messageSchema.parse(JSON.parse(bytes.toString("utf8")));
+            message = messageSchema.parse(parseBoundedJson(bytes.toString("utf8")));
         } catch (error) {
             this.options.logger.writeEvent("peerMessageUnreadable", { reason: String(error) });
             return;
--- a/packages/gateway/src/peers/storeRelay.ts
+++ b/packages/gateway/src/peers/storeRelay.ts
@@ -7,26 +7,17 @@
  */
 import type { WaitingClock } from "@pimentocleat/types";
 import { z } from "zod";
-import type { RegisteredServer } from "../backends/backendServer.js";
+import { registeredServerSchema, type RegisteredServer } from "../backends/backendServer.js";
 import type { ColdDirectory, ColdRow } from "../backends/coldDirectory.js";
 import type { RemovedServer, ServerDirectory } from "../backends/serverDirectory.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { Evacuations, EvacuationState } from "../configuration/evacuations.js";
 import type { RelayTiming } from "./relayTiming.js";
 
-const serverSchema = z.object({
-    id: z.string(),
-    version: z.number(),
-    service: z.string(),
-    address: z.string(),
-    dataCentre: z.string(),
-    slots: z.number(),
-    state: z.enum(["ready", "leaving"]),
-    bornMs: z.number().optional(),
-    softwareVersion: z.string().optional(),
-    isReclaimable: z.boolean(),
-    remainingColdMs: z.number().optional(),
-}) satisfies z.ZodType<RegisteredServer>;
+/** Passes over what is no usable server: a reader of an earlier release relays it, and the rest of its update holds. */
+const serversSchema = z
+    .array(registeredServerSchema.optional().catch(undefined))
+    .transform((servers) => servers.filter((server) => server !== undefined));
 
 const evacuationSchema = z.object({
     dataCentre: z.string(),
@@ -50,7 +41,7 @@
     serversVersion: z.number().nonnegative(),
     /** Digest of the servers that the reader knows. */
     digest: z.string(),
-    changed: z.array(serverSchema),
+    changed: serversSchema,
     removed: z.array(z.object({ id: z.string(), version: z.number() })),
     /**
      * All evacuations that the reader knows, and those that ended; in every update, so that a lost one does not matter.
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -4,10 +4,8 @@
  * @packageDocumentation
  */
 import { z } from "zod";
+import { hostAddressSchema, portSchema } from "../backends/hostAddress.js";
 
-const maximumPort = 65_535;
-
-const addressSchema = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/);
 const millisecondsSchema = z.number().nonnegative();
 const secondsSchema = z.number().positive();
 const millisecondsPerSecond = 1_000;
@@ -18,18 +16,15 @@
         /** Name of this node, unique in the deployment. */
         name: z.string().min(1),
         dataCentre: z.string().min(1),
-        callerAddress: addressSchema,
-        readinessAddress: addressSchema,
+        callerAddress: hostAddressSchema,
+        readinessAddress: hostAddressSchema,
         /** IP address at which other nodes reach this one. */
         peerHost: z.string().min(1),
         /** First and last port of the range that nodes may use to communicate with each other. */
-        peerPorts: z.tuple([
-            z.number().int().min(1).max(maximumPort),
-            z.number().int().min(1).max(maximumPort),
-        ]),
-        storeAddress: addressSchema,
+        peerPorts: z.tuple([portSchema, portSchema]),
+        storeAddress: hostAddressSchema,
         /** Address of the service for server orders and usage reports; absent when a deployment has neither. */
-        dutiesAddress: addressSchema.nullish(),
+        dutiesAddress: hostAddressSchema.nullish(),
         /** Whether the deployment starts for the first time. */
         isFirstStart: z.boolean(),
         memoryMegabytes: z.number().positive(),
--- a/packages/services/src/index.ts
+++ b/packages/services/src/index.ts
@@ -19,6 +19,7 @@
 export { noStoreClock } from "./table/storeClock.js";
 export type { StoreClock } from "./table/storeClock.js";
 export { buildVersion, maximumEra, readCounter, readEra } from "./table/storeVersion.js";
+export { parseBoundedJson } from "./table/boundedJson.js";
 export { maximumTransactionEntries } from "./table/tableService.js";
 export type { RowChange, RowFeed } from "./table/rowFeed.js";
 export { MemoryTableService } from "./memory/memoryTableService.js";
--- a/packages/types/src/clock.ts
+++ b/packages/types/src/clock.ts
@@ -32,6 +32,19 @@
     wait(durationMs: number, signal?: AbortSignal): Promise<void>;
 }
 
+/** Longest time that a timer takes, in milliseconds; a longer one would fire at once. */
+const maximumTimerMs = 2 ** 31 - 1;
+
+/**
+ * Computes the time to give to a timer.
+ *
+ * @param durationMs - The time to wait, in milliseconds, of any size.
+ * @returns The time that a timer takes, in milliseconds.
+ */
+export function computeTimerMs(durationMs: number): number {
+    return Math.min(maximumTimerMs, Math.max(0, durationMs));
+}
+
 /** Reads the operating system's clocks. */
 export class SystemClock implements WaitingClock {
     monotonicMs(): number {
@@ -53,7 +66,7 @@
                 signal?.removeEventListener("abort", finish);
                 resolve();
             };
-            const timer = setTimeout(finish, Math.max(0, durationMs));
+            const timer = setTimeout(finish, computeTimerMs(durationMs));
             signal?.addEventListener("abort", finish, { once: true });
         });
     }
