--- a/packages/bench/src/soak/partitionCommand.ts
+++ b/packages/bench/src/soak/partitionCommand.ts
@@ -31,7 +31,10 @@
     program.option("--seed <number>", "seed of the plan", { default: 1 });
     program.option("--sizes <numbers>", "nodes in each data centre, such as 30,30; drawn when absent");
     program.option("--failure <state>", "hanging, reset or refusingNew; drawn when absent");
-    program.option("--scope <scope>", "dataCentre, third or twoThirds; drawn when absent");
+    program.option(
+        "--scope <scope>",
+        "dataCentre, allButOneDataCentre, third or twoThirds; drawn when absent",
+    );
     program.option("--count <number>", "number of partitions", { default: 2 });
     program.option("--duration <milliseconds>", "length of each partition; drawn when absent");
     program.option("--adapter <path>", "module of the platform's adapter", { default: ownAdapterPath });
--- a/packages/bench/src/soak/partitionPlan.ts
+++ b/packages/bench/src/soak/partitionPlan.ts
@@ -6,7 +6,7 @@
 import { SeededRandom, type LinkState } from "@pimentocleat/standins";
 
 /** Which nodes lose their links. */
-export type PartitionScope = "dataCentre" | "third" | "twoThirds";
+export type PartitionScope = "dataCentre" | "allButOneDataCentre" | "third" | "twoThirds";
 
 /** One partition. */
 export interface PlannedPartition {
@@ -69,10 +69,9 @@
         const order = [...dataCentres.keys()].map((index) => ({ index, rank: random.next() }));
         const shuffled = order.sort((left, right) => left.rank - right.rank).map(({ index }) => index);
         const count = Math.round(shuffled.length * (scope === "third" ? 1 / 3 : 2 / 3));
-        const nodes =
-            scope === "dataCentre"
-                ? shuffled.filter((index) => dataCentres[index] === cut)
-                : shuffled.slice(0, count);
+        const nodes = scope.endsWith("ataCentre")
+            ? shuffled.filter((index) => (dataCentres[index] === cut) === (scope === "dataCentre"))
+            : shuffled.slice(0, count);
         return { scope, nodes, durationMs: options.durationMs ?? drawnMs };
     });
     return { failure, dataCentres, partitions };
--- a/packages/policy/src/reachability/relayChoice.ts
+++ b/packages/policy/src/reachability/relayChoice.ts
@@ -79,7 +79,7 @@
         const open = candidates.filter(({ name }) => search.isOpen(name, serverId));
         const weights = this.computeWeights(open, search);
         const best = Math.min(...weights);
-        if (open.length === 0 || (best >= apartWeight && !search.mayAskApart())) {
+        if (open.length === 0 || (best >= apartWeight && !search.hasTriesForApart())) {
             return undefined;
         }
         const pool = open.filter((...[, index]) => weights[index] === best);
--- a/packages/policy/src/reachability/relaySearch.ts
+++ b/packages/policy/src/reachability/relaySearch.ts
@@ -108,7 +108,7 @@
     }
 
     /** @returns Whether a node that is known to reach no server may be asked. */
-    mayAskApart(): boolean {
+    hasTriesForApart(): boolean {
         return this.askedApart < apartNodes;
     }
 
