--- a/packages/policy/src/reachability/relayChoice.ts
+++ b/packages/policy/src/reachability/relayChoice.ts
@@ -20,6 +20,7 @@
 /** What is known of a node's links, until when. */
 interface LinkEvidence {
     readonly dataCentre: string;
+    /** Whether it reaches no server, rather than that it relayed a request. */
     readonly isApart: boolean;
     readonly untilMs: number;
 }
@@ -69,7 +70,7 @@
      * @param candidates - The nodes that may be alive.
      * @param search - The nodes that the request has asked.
      * @param serverId - The server to which the request is to go.
-     * @returns The node; undefined when none is left, or enough were asked.
+     * @returns The node; undefined when none is left, or enough were asked of those that reach no server.
      */
     chooseNode<Candidate extends RelayCandidate>(
         candidates: readonly Candidate[],
