--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -49,11 +49,19 @@
     program: LaunchedProgram;
 }
 
+/** IP addresses and ports of the store and of the duty endpoints. */
+interface PlatformAddresses {
+    readonly store: string;
+    readonly cloud: string;
+}
+
 const loopbackHost = "127.0.0.1";
 const defaultLeaseMs = 1_000;
 const dataCentres = ["a", "b", "c", "d", "e"];
 const defaultDataCentreCount = 3;
 const defaultServerCount = 2;
+const portTakenCode = "EADDRINUSE";
+const maximumLaunches = 3;
 /** Number of nodes that start at once: more of them would miss the launcher's timeout on a busy machine. */
 const startBatch = 8;
 /** Log event 1000, which the node writes when it has started. */
@@ -130,10 +138,20 @@
         await rm(this.settingsFolder, { recursive: true, force: true });
     }
 
-    private async launchNode(
-        index: number,
-        addresses: { readonly store: string; readonly cloud: string },
-    ): Promise<UsersNode> {
+    /** Launches a node, and again with other ports when another program has taken one of them meanwhile. */
+    private async launchNode(index: number, addresses: PlatformAddresses): Promise<UsersNode> {
+        for (let launches = 1; ; launches += 1) {
+            try {
+                return await this.launchNodeOnce(index, addresses);
+            } catch (error) {
+                if (launches === maximumLaunches || !String(error).includes(portTakenCode)) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    private async launchNodeOnce(index: number, addresses: PlatformAddresses): Promise<UsersNode> {
         const name = `node-${String(index + 1)}`;
         const [callerPort, readinessPort, peerPort] = await Promise.all([
             findFreePort(),
