--- a/packages/gateway/src/backends/directPaths.ts
+++ b/packages/gateway/src/backends/directPaths.ts
@@ -86,12 +86,13 @@
     }
 
     /**
-     * Opens a connection to a server to learn whether it can be reached, unless that was tried a moment ago.
+     * Opens a connection to a server to learn whether it can be reached. Unlike trials of failed paths it has no limit, so
+     * the caller must not call it often.
      *
      * @param server - The server.
      */
-    tryReach(server: RegisteredServer): void {
-        this.runTrial(server);
+    probeServer({ address }: RegisteredServer): void {
+        this.options.getConnections().openIdleConnection(address);
     }
 
     /** Records that data of a server arrived. */
--- a/packages/gateway/src/backends/lossCheck.ts
+++ b/packages/gateway/src/backends/lossCheck.ts
@@ -35,7 +35,7 @@
     async isServerLost(lost: RegisteredServer): Promise<boolean> {
         const { direct, clock } = this.options;
         const sinceMs = clock.monotonicMs();
-        this.listProbed(lost).forEach((server) => direct.tryReach(server));
+        this.listProbed(lost).forEach((server) => direct.probeServer(server));
         await clock.wait(checkMs);
         return direct.hasOpenedSince(sinceMs);
     }
--- a/packages/gateway/src/lifecycle/createServerPaths.ts
+++ b/packages/gateway/src/lifecycle/createServerPaths.ts
@@ -33,8 +33,6 @@
     /** Connections to other nodes, over which they relay requests. */
     readonly relayConnections: ConnectionPool;
     readonly direct: DirectPaths;
-    /** The other nodes that may relay requests. */
-    readonly relays: RelayPeers;
     readonly paths: ServerPaths;
 }
 
@@ -84,5 +82,5 @@
         findNode: (name) => peers.findNode(name),
     });
     const paths = new ServerPaths({ direct, connections, relays, relayConnections, metrics });
-    return { connections, relayConnections, direct, relays, paths };
+    return { connections, relayConnections, direct, paths };
 }
--- a/packages/gateway/src/relaying/__tests__/relayPeers.test.ts
+++ b/packages/gateway/src/relaying/__tests__/relayPeers.test.ts
@@ -57,7 +57,6 @@
         search.recordDeclined(near1!, "s1", "unreached");
         peers.recordRelayed(near2!, search, "s1");
         expect([...chooseMany(peers)]).toEqual(["near-2"]);
-        expect(peers.listApart()).toEqual([nodes[0]]);
     });
 
     it("is the one that relays less", () => {
--- a/packages/gateway/src/relaying/relayPeers.ts
+++ b/packages/gateway/src/relaying/relayPeers.ts
@@ -86,22 +86,6 @@
         this.choice.recordDeclined(node, obstacle);
     }
 
-    /** @param name - Name of a node that reaches no server. */
-    recordApart(name: string): void {
-        const node = this.options.findNode(name);
-        if (node !== undefined) {
-            this.choice.recordApart(node);
-        }
-    }
-
-    /** @returns The nodes that reach no server, as far as this node knows. */
-    listApart(): readonly NamedPeer[] {
-        return this.choice
-            .listApart()
-            .map((name) => this.options.findNode(name))
-            .filter((node) => node !== undefined);
-    }
-
     /**
      * Records that a request was given to a node or has ended there.
      *
@@ -111,4 +95,11 @@
     recordInFlight(name: string, change: 1 | -1): void {
         this.choice.recordInFlight(name, change);
     }
+
+    private recordApart(name: string): void {
+        const node = this.options.findNode(name);
+        if (node !== undefined) {
+            this.choice.recordApart(node);
+        }
+    }
 }
--- a/packages/policy/src/reachability/__tests__/relayPartitions.test.ts
+++ b/packages/policy/src/reachability/__tests__/relayPartitions.test.ts
@@ -143,9 +143,8 @@
         const clock = new ManualClock();
         const choice = createChoice(clock);
         choice.recordDeclined(nodes[0]!, "apart");
-        expect(choice.listApart()).toEqual(["near-1"]);
+        expect(chooseMany(choice)).toEqual(["far-1", "far-2"]);
         clock.advance(3_000);
-        expect(choice.listApart()).toEqual([]);
         expect(chooseMany(choice)).toEqual(["near-1", "near-2"]);
     });
 
--- a/packages/policy/src/reachability/relayChoice.ts
+++ b/packages/policy/src/reachability/relayChoice.ts
@@ -127,14 +127,6 @@
         this.storeEvidence(node, false, provenMs);
     }
 
-    /** @returns Names of the nodes that reach no server, as far as this node knows. */
-    listApart(): readonly string[] {
-        const nowMs = this.options.clock.monotonicMs();
-        return [...this.evidence]
-            .filter(([, { isApart, untilMs }]) => isApart && untilMs > nowMs)
-            .map(([name]) => name);
-    }
-
     /**
      * Records that a request was given to a node or has ended there.
      *
