--- a/packages/bench/src/soak/partitionRun.ts
+++ b/packages/bench/src/soak/partitionRun.ts
@@ -7,6 +7,7 @@
 import {
     sendUsersCall,
     UsersDeployment,
+    usersPrompt,
     type UsersCallOptions,
     type UsersNode,
 } from "@pimentocleat/standins";
@@ -59,20 +60,12 @@
 const engineCount = 16;
 const programPath = fileURLToPath(new URL("../../bin/linkedNode.js", import.meta.url));
 
-const prompt: UsersCallOptions = {
-    method: "POST",
-    body: "prompt".repeat(200),
-    headers: {
-        "x-deadline-ms": "6000",
-        "x-prompt-prefix": "shared:300,own:100",
-        "x-token-counts": "400,20",
-    },
-};
+const prompt: UsersCallOptions = { ...usersPrompt, deadlineMs: 6_000 };
 const calls: readonly (readonly [string, UsersCallOptions])[] = [
     ["/stream/x", prompt],
-    ["/unsafe/x", { method: "POST", body: "order", headers: { "x-deadline-ms": "1200" } }],
+    ["/unsafe/x", { method: "POST", body: "order", deadlineMs: 1_200 }],
     ["/resumable/x", prompt],
-    ["/safe/x", { headers: { "x-deadline-ms": "1000" } }],
+    ["/safe/x", { deadlineMs: 1_000 }],
 ];
 
 /** Runs one deployment through planned partitions. */
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -46,7 +46,7 @@
     usersRouteHost,
     usersStreamEventCount,
 } from "./usersPlatform/usersConfiguration.js";
-export { sendUsersCall } from "./usersPlatform/usersCaller.js";
+export { sendUsersCall, usersPrompt } from "./usersPlatform/usersCaller.js";
 export { ServerLinks, type LinkState } from "./usersPlatform/serverLinks.js";
 export type { ReceivedAnswer, UsersCallOptions } from "./usersPlatform/usersCaller.js";
 export { findFreePort, UsersDeployment } from "./usersPlatform/usersDeployment.js";
--- a/packages/standins/src/usersPlatform/usersCaller.ts
+++ b/packages/standins/src/usersPlatform/usersCaller.ts
@@ -12,8 +12,20 @@
     readonly headers?: Record<string, string>;
     readonly body?: string;
     readonly signal?: AbortSignal;
+    /** Time within which the caller needs the response, in milliseconds; 2,000 when absent. */
+    readonly deadlineMs?: number;
 }
 
+const defaultDeadlineMs = 2_000;
+const promptRepeats = 200;
+
+/** A prompt of which other requests share a part, so that nodes announce it to each other. */
+export const usersPrompt: UsersCallOptions = {
+    method: "POST",
+    body: "prompt".repeat(promptRepeats),
+    headers: { "x-prompt-prefix": "shared:300,own:100", "x-token-counts": "400,20" },
+};
+
 /** A response as the caller received it. */
 export interface ReceivedAnswer {
     readonly status: number;
@@ -32,7 +44,7 @@
 let lastRequestNumber = 0;
 
 /**
- * Sends a request with the test customer's key, a unique identifier and an `x-deadline-ms` of two seconds.
+ * Sends a request with the test customer's key, a unique identifier and a deadline.
  *
  * @param address - IP address and port of the node.
  * @param path - Path and query.
@@ -49,7 +61,7 @@
     const headers = {
         host: usersRouteHost,
         "x-request-id": requestId,
-        "x-deadline-ms": "2000",
+        "x-deadline-ms": String(options.deadlineMs ?? defaultDeadlineMs),
         authorization: `Bearer ${usersCustomerKey}`,
         ...options.headers,
     };
