--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -42,6 +42,7 @@
 import type { PlatformAdapter } from "./platformAdapter.js";
 import { ReadinessState } from "./readinessState.js";
 import { StallDetector } from "./stallDetector.js";
+import { startListening } from "./startListening.js";
 import { startStoreFollowers } from "./storeFollowers.js";
 
 /** Options of a {@link GatewayDaemon}. */
@@ -316,8 +317,8 @@
         this.tasks.push(this.serverLimits.cold.run(this.stopping.signal));
         this.tasks.push(this.peers.register(this.stopping.signal));
         await Promise.all([
-            startListening(this.callerServer, settings.callerAddress),
-            startListening(this.statusServer, settings.readinessAddress),
+            startListening(this.callerServer, settings.callerAddress, this.options),
+            startListening(this.statusServer, settings.readinessAddress, this.options),
         ]);
         this.tasks.push(this.duties.run(this.stopping.signal));
         this.tasks.push(
@@ -425,8 +426,3 @@
         });
     }
 }
-
-async function startListening(server: FastifyInstance, address: string): Promise<void> {
-    const [host = "", port = "0"] = address.split(":");
-    await server.listen({ host, port: Number(port) });
-}
--- a/packages/telemetry/src/logEvents.ts
+++ b/packages/telemetry/src/logEvents.ts
@@ -41,6 +41,12 @@
         "warn",
         "the wall clock diverged from the monotonic clock: the host was suspended or its clock was stepped",
     ),
+    addressInUse: defineEvent(
+        1008,
+        "warn",
+        "another program listens on an address of the node; trying again",
+    ),
+    nodeFailed: defineEvent(1009, "error", "the node could not start; the process ends"),
     codeCacheIgnored: defineEvent(
         1100,
         "warn",
