--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -49,5 +49,6 @@
 export { sendUsersCall, usersPrompt } from "./usersPlatform/usersCaller.js";
 export { ServerLinks, type LinkState } from "./usersPlatform/serverLinks.js";
 export type { ReceivedAnswer, UsersCallOptions } from "./usersPlatform/usersCaller.js";
-export { findFreePort, UsersDeployment } from "./usersPlatform/usersDeployment.js";
+export { findFreePort } from "./usersPlatform/freePort.js";
+export { UsersDeployment } from "./usersPlatform/usersDeployment.js";
 export type { UsersDeploymentOptions, UsersNode } from "./usersPlatform/usersDeployment.js";
--- a/packages/standins/src/launcher/launchProgram.ts
+++ b/packages/standins/src/launcher/launchProgram.ts
@@ -9,6 +9,8 @@
 const defaultReadyTimeoutMs = 20_000;
 const defaultStopTimeoutMs = 20_000;
 const maximumOutputCharacters = 1_000_000;
+/** Output that the error of a failed start quotes. */
+const errorOutputCharacters = 2_000;
 const listeningPattern = /^listening (\S+)$/m;
 const runningChildren = new Set<ChildProcess>();
 
@@ -180,6 +182,7 @@
     }
 
     private buildError(reason: string): Error {
-        return new Error(`${this.path} ${reason}; stderr: ${this.stderr}`);
+        const lastOutput = this.stdout.slice(-errorOutputCharacters);
+        return new Error(`${this.path} ${reason}; stderr: ${this.stderr}; stdout ends: ${lastOutput}`);
     }
 }
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -5,11 +5,11 @@
  * @packageDocumentation
  */
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
-import { createServer, type AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request as sendRequest } from "undici";
 import { launchFile, type LaunchedProgram } from "../launcher/launchProgram.js";
+import { findFreePort } from "./freePort.js";
 import { buildServerEntry, buildUsersConfiguration, usersStreamEventCount } from "./usersConfiguration.js";
 import { UsersPlatformStandIn } from "./usersPlatformStandIn.js";
 import { UsersServerStandIn } from "./usersServerStandIn.js";
@@ -222,18 +222,3 @@
 ): Promise<LaunchedProgram> {
     return launchFile(node.programPath, [...node.programParameters, node.settingsPath], { readyPattern });
 }
-
-/**
- * Finds a free TCP port on the loopback interface.
- *
- * @returns The port, which is not reserved: another program may bind it before the caller does.
- */
-export function findFreePort(): Promise<number> {
-    return new Promise((resolve) => {
-        const server = createServer();
-        server.listen(0, loopbackHost, () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-}
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -14,6 +14,7 @@
 import { BrittleSlots, type Brittleness } from "./brittleSlots.js";
 import { ColdStart, type ColdBehaviour } from "./coldStart.js";
 import { sendEndlessAnswer, type EndlessPlace } from "./endlessAnswer.js";
+import { findFreePort } from "./freePort.js";
 
 /** How the server handles one request. */
 export type ServerBehaviour =
@@ -108,11 +109,12 @@
     /**
      * Starts listening, also again after it was closed.
      *
-     * @param port - The port; by default one that the operating system chooses.
+     * @param port - The port; by default a free one.
      * @returns IP address and port.
      */
-    async open(port = 0): Promise<string> {
-        await new Promise<void>((resolve) => this.server.listen(port, loopbackHost, resolve));
+    async open(port?: number): Promise<string> {
+        const chosenPort = port ?? (await findFreePort());
+        await new Promise<void>((resolve) => this.server.listen(chosenPort, loopbackHost, resolve));
         return this.getAddress();
     }
 
