--- a/packages/gateway/src/lifecycle/createServerLimits.ts
+++ b/packages/gateway/src/lifecycle/createServerLimits.ts
@@ -19,7 +19,8 @@
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import type { LimitMessage } from "../peers/limitMessages.js";
 import type { PeerAddress, PeerDirectory } from "../peers/peerDirectory.js";
-import { chooseRandomItems, type PeerMessenger } from "../peers/peerMessenger.js";
+import type { PeerMessenger } from "../peers/peerMessenger.js";
+import { chooseRandomItems } from "../peers/randomItems.js";
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 
 /** Options of {@link createServerLimits}. */
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -27,7 +27,8 @@
 import { MedianClock } from "../peers/medianClock.js";
 import { PeerDirectory } from "../peers/peerDirectory.js";
 import { CrashNews } from "../peers/crashNews.js";
-import { chooseRandomItems, PeerMessenger } from "../peers/peerMessenger.js";
+import { PeerMessenger } from "../peers/peerMessenger.js";
+import { chooseRandomItems } from "../peers/randomItems.js";
 import { RelayTiming } from "../peers/relayTiming.js";
 import { StoreRelay } from "../peers/storeRelay.js";
 import { RelayListener } from "../relaying/relayListener.js";
@@ -194,7 +195,8 @@
             name: settings.name,
             host,
             port,
-            listPeers: () => this.peers.listPeers(),
+            dataCentre: settings.dataCentre,
+            listPeers: () => this.peers.listAllPeers(),
             clock,
             recordContact: (name, wallMs) => {
                 recordContact(name, wallMs);
--- a/packages/gateway/src/peers/peerMessenger.ts
+++ b/packages/gateway/src/peers/peerMessenger.ts
@@ -10,6 +10,7 @@
 import type { ForwardedUsage, UsageCopy } from "@pimentocleat/state";
 import type { Logger } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
+import { chooseCopyHolders } from "./copyHolders.js";
 import { configurationMessageSchema, type ConfigurationMessage } from "./configurationRelay.js";
 import { crashMessageSchema, type CrashMessage } from "./crashNews.js";
 import { newsSchema, type News } from "./dispatchNews.js";
@@ -34,7 +35,9 @@
     readonly name: string;
     readonly host: string;
     readonly port: number;
-    /** Lists the nodes that may receive copies of counts. */
+    /** Data centre of this node. */
+    readonly dataCentre: string;
+    /** Lists all other nodes, any of which may receive copies of counts. */
     readonly listPeers: () => readonly PeerAddress[];
     /** The host's own clock, whose time each message carries. */
     readonly clock: Clock;
@@ -124,7 +127,8 @@
      */
     sendUsageCopies(copy: UsageCopy): boolean {
         const { incarnation, windowStartMs, customers } = copy;
-        const peers = chooseRandomItems(this.options.listPeers(), usageCopyCount, this.options.random);
+        const { listPeers, dataCentre, random } = this.options;
+        const peers = chooseCopyHolders(listPeers(), { dataCentre, count: usageCopyCount, random });
         this.send({ type: "usage", incarnation, windowStartMs, requests: encodeRequests(customers) }, peers);
         return peers.length > 0;
     }
@@ -310,23 +314,3 @@
         });
     }
 }
-
-/**
- * Chooses some of a list's items at random.
- *
- * @param items - The list.
- * @param count - Maximum number of items to choose.
- * @param random - Source of randomness, 0 to 1.
- * @returns The chosen items.
- */
-export function chooseRandomItems<Item>(
-    items: readonly Item[],
-    count: number,
-    random: () => number,
-): readonly Item[] {
-    const ranked = items.map((item) => ({ item, order: random() }));
-    return ranked
-        .sort((left, right) => left.order - right.order)
-        .slice(0, count)
-        .map(({ item }) => item);
-}
