--- a/packages/gateway/src/backends/directPaths.ts
+++ b/packages/gateway/src/backends/directPaths.ts
@@ -75,6 +75,12 @@
         return this.options.reach.isInTouch();
     }
 
+    /** @returns Whether no data of any server arrived for some time. */
+    isSilent(): boolean {
+        const { reach, clock } = this.options;
+        return !reach.hasHeardSince(clock.monotonicMs() - silenceMs);
+    }
+
     /**
      * Checks whether a connection to any server was opened lately.
      *
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -225,6 +225,9 @@
         });
         const result = await state.currentAttempt.run();
         state.lastEventId = state.continuity.lastEventId;
+        if (result.type === "silent") {
+            paths.recordSilence(path, state.relaySearch);
+        }
         this.options.resumption.recordResult(server, result, path.relay !== undefined);
         this.options.guard.recordResult(request, server, result, sentMs, path.relay !== undefined);
         return result;
--- a/packages/gateway/src/relaying/relayPeers.ts
+++ b/packages/gateway/src/relaying/relayPeers.ts
@@ -76,6 +76,15 @@
         search.listUnreached(serverId).forEach((name) => this.recordApart(name));
     }
 
+    /**
+     * Records that an attempt over this node's own links got no data while no server was heard of.
+     *
+     * @param search - The nodes that the request has asked.
+     */
+    recordSilentLinks(search: RelaySearch): void {
+        search.recordSilentLinks(this.options.dataCentre);
+    }
+
     /**
      * Records that a node did not relay a request.
      *
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -63,16 +63,30 @@
      *
      * @param server - The server.
      * @param search - The nodes that the request has asked.
-     * @returns The direct path, unless this node does not reach the server and another node may.
+     * @returns The direct path, unless another node may reach the server and this node does not, or not for this request.
      */
     choosePath(server: RegisteredServer, search: RelaySearch): ServerPath {
         const { direct, connections, relays } = this.options;
-        const node = direct.isUsable(server) ? undefined : relays.chooseNode(search, server.id);
+        const isDirect = direct.isUsable(server) && !search.isRelayPreferred();
+        const node = isDirect ? undefined : relays.chooseNode(search, server.id);
         return node === undefined
             ? new DirectPath(server, direct, connections)
             : new RelayPath(server, node, search, this.options);
     }
 
+    /**
+     * Records that an attempt got no data. If no server was heard of meanwhile, the next attempt goes through another node:
+     * on the same links it could be lost as well.
+     *
+     * @param path - The way of the attempt.
+     * @param search - The nodes that the request has asked.
+     */
+    recordSilence(path: ServerPath, search: RelaySearch): void {
+        if (path.relay === undefined && this.options.direct.isSilent()) {
+            this.options.relays.recordSilentLinks(search);
+        }
+    }
+
     /**
      * Checks whether a request can go through another node.
      *
--- a/packages/policy/src/reachability/relaySearch.ts
+++ b/packages/policy/src/reachability/relaySearch.ts
@@ -37,6 +37,8 @@
     private readonly unreached = new Map<string, Set<string>>();
     /** Data centres of nodes whose links fail: those of their neighbours likely fail with them. */
     private readonly avoided = new Set<string>();
+    /** Whether an attempt over this node's own links got no data while no server was heard of. */
+    private hasSilentLinks = false;
     private askedApart = 0;
     private askedNodes = 0;
 
@@ -45,6 +47,22 @@
         return this.askedNodes;
     }
 
+    /**
+     * Records that an attempt over this node's own links got no data while no server was heard of. The links may have failed,
+     * and those of the neighbours with them.
+     *
+     * @param dataCentre - Data centre of this node.
+     */
+    recordSilentLinks(dataCentre: string): void {
+        this.hasSilentLinks = true;
+        this.avoided.add(dataCentre);
+    }
+
+    /** @returns Whether the next attempt should go through another node although this node's links may work. */
+    isRelayPreferred(): boolean {
+        return this.hasSilentLinks && this.askedNodes === 0;
+    }
+
     /**
      * Records that a node did not relay the request.
      *
