--- a/packages/gateway/src/relaying/__tests__/relayPeers.test.ts
+++ b/packages/gateway/src/relaying/__tests__/relayPeers.test.ts
@@ -63,9 +63,10 @@
         const peers = createPeers();
         const counts = new Map<string, number>();
         for (let index = 0; index < 40; index += 1) {
-            const { name } = peers.chooseNode(new RelaySearch(), "s1")!;
-            counts.set(name, (counts.get(name) ?? 0) + 1);
-            peers.recordInFlight(name, 1);
+            const search = new RelaySearch();
+            const node = peers.chooseNode(search, "s1")!;
+            counts.set(node.name, (counts.get(node.name) ?? 0) + 1);
+            peers.recordAsked(node, search);
         }
         expect(Math.abs(counts.get("near-1")! - counts.get("near-2")!)).toBeLessThanOrEqual(2);
     });
--- a/packages/gateway/src/relaying/relayPeers.ts
+++ b/packages/gateway/src/relaying/relayPeers.ts
@@ -64,6 +64,17 @@
         return search.isExhausted(new Set(this.options.listNodes().map(({ dataCentre }) => dataCentre)).size);
     }
 
+    /**
+     * Records that a request is given to a node.
+     *
+     * @param node - The node.
+     * @param search - The nodes that the request has asked.
+     */
+    recordAsked(node: RelayPeer, search: RelaySearch): void {
+        this.choice.recordAsked(node, search);
+        this.choice.recordInFlight(node.name, 1);
+    }
+
     /**
      * Records that a node passed on a response of a server, which shows the links of those that did not reach it to fail.
      *
@@ -96,13 +107,12 @@
     }
 
     /**
-     * Records that a request was given to a node or has ended there.
+     * Records that a request has ended at a node.
      *
      * @param name - Name of the node.
-     * @param change - 1 when it was given, -1 when it has ended.
      */
-    recordInFlight(name: string, change: 1 | -1): void {
-        this.choice.recordInFlight(name, change);
+    recordEnded(name: string): void {
+        this.choice.recordInFlight(name, -1);
     }
 
     private recordApart(name: string): void {
--- a/packages/gateway/src/relaying/serverPaths.ts
+++ b/packages/gateway/src/relaying/serverPaths.ts
@@ -176,10 +176,10 @@
     openExchange(call: ServerCall, receiver: ExchangeReceiver): Exchange {
         const { relays, relayConnections: connections, metrics } = this.options;
         const { relay: node, search, server } = this;
-        relays.recordInFlight(node.name, 1);
+        relays.recordAsked(node, search);
         metrics.addCount("request.relayed", 1, { role: "sender" });
         const onFinished = (obstacle: RelayObstacle | undefined): void => {
-            relays.recordInFlight(node.name, -1);
+            relays.recordEnded(node.name);
             if (obstacle !== undefined) {
                 relays.recordDeclined(node, obstacle);
             }
--- a/packages/policy/src/reachability/__tests__/relayPartitions.test.ts
+++ b/packages/policy/src/reachability/__tests__/relayPartitions.test.ts
@@ -51,6 +51,7 @@
             if (node === undefined) {
                 break;
             }
+            choice.recordAsked(node, search);
             isServed = !node.isCut;
             if (isServed) {
                 choice.recordRelayed(node);
@@ -124,6 +125,24 @@
         return [...new Set(names)].sort();
     };
 
+    // Guards against requests that spend their time on nodes that are known not to be there, 200 ms each.
+    it.each(["gone", "apart"] as const)("asks at most two nodes that are known to be %s", (obstacle) => {
+        const choice = createChoice(new ManualClock());
+        nodes.forEach((node) => choice.recordDeclined(node, obstacle));
+        const search = new RelaySearch();
+        const asked: string[] = [];
+        for (
+            let node = choice.chooseNode(nodes, search, serverId);
+            node !== undefined;
+            node = choice.chooseNode(nodes, search, serverId)
+        ) {
+            asked.push(node.name);
+            choice.recordAsked(node, search);
+            search.recordDeclined(node, serverId, obstacle);
+        }
+        expect(asked).toHaveLength(2);
+    });
+
     // Guards against idle nodes that are never asked, since no message of theirs arrives (RECOVER).
     it("prefers a silent node of another data centre to one whose neighbours reach no server", () => {
         const choice = createChoice(new ManualClock(), ["far-1", "far-2"]);
@@ -156,20 +175,4 @@
         expect(search.recordDeclined(nodes[2]!, serverId, "unreached")).toBe(true);
         expect(search.isOpen("far-1", "other server")).toBe(true);
     });
-
-    it("asks few nodes of which it knows that they reach no server", () => {
-        const choice = createChoice(new ManualClock());
-        nodes.forEach((node) => choice.recordApart(node));
-        const search = new RelaySearch();
-        let asked = 0;
-        for (;;) {
-            const node = choice.chooseNode(nodes, search, serverId);
-            if (node === undefined) {
-                break;
-            }
-            search.recordDeclined(node, serverId, "apart");
-            asked += 1;
-        }
-        expect(asked).toBe(2);
-    });
 });
--- a/packages/policy/src/reachability/relayChoice.ts
+++ b/packages/policy/src/reachability/relayChoice.ts
@@ -70,7 +70,7 @@
      * @param candidates - The nodes that may be alive.
      * @param search - The nodes that the request has asked.
      * @param serverId - The server to which the request is to go.
-     * @returns The node; undefined when none is left, or enough were asked of those that reach no server.
+     * @returns The node; undefined when none is left, or enough were asked of those that are known to be of no use.
      */
     chooseNode<Candidate extends RelayCandidate>(
         candidates: readonly Candidate[],
@@ -80,7 +80,7 @@
         const open = candidates.filter(({ name }) => search.isOpen(name, serverId));
         const weights = this.computeWeights(open, search);
         const best = Math.min(...weights);
-        if (open.length === 0 || (best >= apartWeight && !search.hasTriesForApart())) {
+        if (open.length === 0 || (best >= apartWeight && !search.hasLastResort())) {
             return undefined;
         }
         const pool = open.filter((...[, index]) => weights[index] === best);
@@ -95,6 +95,18 @@
         );
     }
 
+    /**
+     * Records that a node is asked.
+     *
+     * @param node - The node.
+     * @param search - The nodes that the request has asked.
+     */
+    recordAsked({ name }: RelayCandidate, search: RelaySearch): void {
+        if (this.isKnownApart(name, this.options.clock.monotonicMs())) {
+            search.recordLastResort();
+        }
+    }
+
     /**
      * Records that a node did not relay a request.
      *
@@ -146,8 +158,7 @@
         const nowMs = this.options.clock.monotonicMs();
         const doubts = this.computeDoubts(nowMs);
         return nodes.map(({ name, dataCentre }) => {
-            const known = this.evidence.get(name);
-            const isApart = known?.isApart === true && known.untilMs > nowMs;
+            const isApart = this.isKnownApart(name, nowMs);
             const isBusy = (this.busyUntilMs.get(name) ?? 0) > nowMs;
             const doubt = doubts.get(dataCentre) ?? noDoubt;
             const isDoubted = search.isAvoided(dataCentre) || doubt.isMost;
@@ -161,6 +172,11 @@
         });
     }
 
+    private isKnownApart(name: string, nowMs: number): boolean {
+        const known = this.evidence.get(name);
+        return known?.isApart === true && known.untilMs > nowMs;
+    }
+
     /** Estimates for each data centre of which something is known how many of its nodes reach no server. */
     private computeDoubts(nowMs: number): ReadonlyMap<string, DataCentreDoubt> {
         const counts = new Map<string, { apart: number; proven: number }>();
--- a/packages/policy/src/reachability/relaySearch.ts
+++ b/packages/policy/src/reachability/relaySearch.ts
@@ -27,8 +27,8 @@
 const unreachedNodes = 2;
 /** Number of nodes that a request asks beyond one for each data centre. */
 const furtherNodes = 8;
-/** Number of nodes that a request asks although they are known to reach no server; the links may work again. */
-const apartNodes = 2;
+/** Number of nodes that a request asks although they are known to be of no use; their links may work again. */
+const lastResorts = 2;
 
 /** Remembers which nodes a request has asked. */
 export class RelaySearch {
@@ -39,7 +39,7 @@
     private readonly avoided = new Set<string>();
     /** Whether an attempt over this node's own links got no data while no server was heard of. */
     private hasSilentLinks = false;
-    private askedApart = 0;
+    private askedLastResorts = 0;
     private askedNodes = 0;
 
     /** @returns The number of nodes that did not relay the request. */
@@ -81,7 +81,6 @@
                 return false;
             case "gone":
             case "apart":
-                this.askedApart += obstacle === "apart" ? 1 : 0;
                 this.declined.add(name);
                 this.avoided.add(dataCentre);
                 return false;
@@ -125,9 +124,14 @@
         return this.avoided.has(dataCentre);
     }
 
-    /** @returns Whether a node that is known to reach no server may be asked. */
-    hasTriesForApart(): boolean {
-        return this.askedApart < apartNodes;
+    /** Records that a node is asked that is known to reach no server, or not to be there. */
+    recordLastResort(): void {
+        this.askedLastResorts += 1;
+    }
+
+    /** @returns Whether another such node may be asked. */
+    hasLastResort(): boolean {
+        return this.askedLastResorts < lastResorts;
     }
 
     /**
