--- a/packages/gateway/src/dispatch/backendExchange.ts
+++ b/packages/gateway/src/dispatch/backendExchange.ts
@@ -8,6 +8,7 @@
 import {
     isFramedAnswer,
     isMalformedAnswer,
+    isOwnClose,
     type BackendConnection,
     type ConnectionPool,
 } from "@pimentocleat/upstream";
@@ -38,7 +39,7 @@
     readonly message: string;
     /** Whether a byte of the request may have reached the server. */
     readonly sent: boolean;
-    /** Whether the connection ended, rather than that the server sent bytes that are no response. */
+    /** Whether the server ended the connection; false when this node did, or when the server sent bytes that are no response. */
     readonly isServerLost: boolean;
     /** Why the node that was to relay the request did not send it; undefined on a direct path or when it did. */
     readonly obstacle: RelayObstacle | undefined;
@@ -176,7 +177,7 @@
         this.hasEnded = true;
         const sent = this.connection.hasSentBytes();
         this.connection.close();
-        const isServerLost = !isMalformedAnswer(error);
+        const isServerLost = !isMalformedAnswer(error) && !isOwnClose(error);
         this.receiver.onFailure({ message: error.message, sent, isServerLost, obstacle: undefined });
     }
 }
--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -216,6 +216,12 @@
 /** The HTTP client reports with these codes that it has closed the connection itself. */
 const ownCloseCodes: ReadonlySet<string> = new Set(["UND_ERR_INFO", "UND_ERR_ABORTED", "UND_ERR_DESTROYED"]);
 
-function isOwnClose({ code }: { readonly code?: string }): boolean {
+/**
+ * Checks whether a connection ended because this node closed it.
+ *
+ * @param error - Error of the request or of the connection.
+ * @returns Whether it did; its server has done nothing then.
+ */
+export function isOwnClose({ code }: Error & { readonly code?: string }): boolean {
     return ownCloseCodes.has(code ?? "");
 }
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -1,4 +1,4 @@
-export { BackendConnection, ConnectionClosedError } from "./backendConnection.js";
+export { BackendConnection, ConnectionClosedError, isOwnClose } from "./backendConnection.js";
 export type { BackendConnectionOptions, ConnectionObserver } from "./backendConnection.js";
 export type { SocketOpener } from "./tcpOpener.js";
 export { ConnectionPool } from "./connectionPool.js";
