--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -8,6 +8,7 @@
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
 import type { RequestRunner } from "../dispatch/requestRunner.js";
+import { buildDrainingError } from "../dispatch/runState.js";
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
@@ -41,8 +42,6 @@
 const initialKeepAliveMs = 60_000;
 /** All requests are rewritten to this path, so one handler serves them; the original path is forwarded unchanged. */
 const internalPath = "/";
-/** Retry delay suggested to callers that a stopping node refuses, in milliseconds; the retry reaches another node. */
-const drainingRetryAfterMs = 50;
 
 /**
  * Builds the server for callers; it does not listen yet.
@@ -98,10 +97,7 @@
         const body = Buffer.isBuffer(request.body) ? request.body : undefined;
         deadlineMs = arrivedMs + (head.timeoutMs ?? 0);
         if (options.isRefusing()) {
-            throw new RouterError(ErrorKind.Draining, undefined, {
-                executed: "no",
-                retryAfterMs: drainingRetryAfterMs,
-            });
+            throw buildDrainingError();
         }
         const admitted = options.admission.checkRequest(head, body, arrivedMs);
         await options.runner.runRequest(admitted, answer);
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -20,6 +20,7 @@
 import type { RequestGuard } from "./requestGuard.js";
 import { RetryDecision } from "./retryDecision.js";
 import {
+    buildDrainingError,
     buildRunState,
     buildUnservedError,
     isRepeatable,
@@ -66,6 +67,8 @@
 /** Runs requests and retries failed attempts. */
 export class RequestRunner {
     private readonly retries: RetryDecision;
+    private readonly running = new Set<RunState>();
+    private isStopped = false;
 
     /** @param options - Servers, protocol, clock and recorders. */
     constructor(private readonly options: RequestRunnerOptions) {
@@ -98,14 +101,23 @@
             computeTimerMs(request.deadlineMs - this.readNowMs()),
         );
         answer.setDisconnectListener(() => this.cancelRun(state));
+        this.running.add(state);
+        state.isCancelled = this.isStopped;
         try {
             await this.runAttempts(state);
         } finally {
+            this.running.delete(state);
             clearTimeout(timer);
             answer.setDisconnectListener(undefined);
         }
     }
 
+    /** Ends all requests, those that wait as not run. The node does not wait for servers any longer and closes its connections. */
+    stop(): void {
+        this.isStopped = true;
+        this.running.forEach((state) => this.cancelRun(state));
+    }
+
     private cancelRun(state: RunState): void {
         state.isCancelled = true;
         if (state.currentAttempt?.hasSentBytes() === true) {
@@ -394,11 +406,14 @@
             return true;
         }
         if (answer.isStarted) {
-            // The deadline passed in the middle of the response.
-            this.recordEnd(state, undefined, "deadline passed during the response");
+            const cause = this.isStopped ? "node stopped" : "deadline passed";
+            this.recordEnd(state, undefined, `${cause} during the response`);
             answer.abort();
             return true;
         }
+        if (this.isStopped && !state.mayHaveRun) {
+            throw buildDrainingError();
+        }
         const remainingMs = request.deadlineMs - this.readNowMs();
         const returnMs = state.returnMs ?? this.options.selection.computeReturnMs(state);
         throw buildUnservedError(state, noServer, remainingMs, returnMs);
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -17,6 +17,8 @@
 export const minimumRemainingMs = 40;
 /** Retry delay suggested to callers when no server is available, in milliseconds. */
 const noServerRetryAfterMs = 500;
+/** Retry delay suggested to callers that a stopping node refuses, in milliseconds; the retry reaches another node. */
+const drainingRetryAfterMs = 50;
 /** Retry delay suggested to callers whose stream is not known on any node that was asked, in milliseconds. */
 const unknownOriginRetryAfterMs = 250;
 
@@ -133,6 +135,18 @@
     return request.route.kind === "repeatable" || request.route.isResumable;
 }
 
+/**
+ * Builds the error for a request that a stopping node does not run.
+ *
+ * @returns The error.
+ */
+export function buildDrainingError(): RouterError {
+    return new RouterError(ErrorKind.Draining, undefined, {
+        executed: "no",
+        retryAfterMs: drainingRetryAfterMs,
+    });
+}
+
 /**
  * Builds the error for a resumption of a stream of which no node knows the software version.
  *
--- a/packages/gateway/src/dispatch/serverSelection.ts
+++ b/packages/gateway/src/dispatch/serverSelection.ts
@@ -7,7 +7,7 @@
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
-import type { ServerPermits } from "../backends/serverPermits.js";
+import type { PermitNeed, ServerPermits } from "../backends/serverPermits.js";
 import type { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import type { Evacuations } from "../configuration/evacuations.js";
 import { computePriority } from "./gatewayRequest.js";
@@ -60,7 +60,7 @@
             }
             const priority = computePriority(state.request);
             const patienceMs = this.computePatienceMs(state, open, startMs);
-            const isGranted = await this.options.permits.requestPermit(server, { priority, patienceMs });
+            const isGranted = await this.requestPermit(state, server, { priority, patienceMs });
             if (isGranted && this.listOpenServers(state).some(({ id }) => id === server.id)) {
                 return server;
             }
@@ -146,6 +146,29 @@
         return closedMs > 0 ? { reason: "noPermit", returnMs: closedMs } : undefined;
     }
 
+    /** Returns whether the permit is granted; one that is granted after the request was cancelled is given back. */
+    private async requestPermit(
+        state: RunState,
+        server: RegisteredServer,
+        need: PermitNeed,
+    ): Promise<boolean> {
+        const cancelled = new Promise<false>((resolve) => {
+            state.cancelWait = () => resolve(false);
+        });
+        const requested = this.options.permits.requestPermit(server, need);
+        const isGranted = await Promise.race([requested, cancelled]);
+        state.cancelWait = undefined;
+        if (!state.isCancelled) {
+            return isGranted;
+        }
+        void requested.then((isLateGrant) => {
+            if (isLateGrant) {
+                this.releaseServer(server);
+            }
+        });
+        return false;
+    }
+
     private chooseCheapest(
         { request, dispatch, excluded }: RunState,
         servers: readonly RegisteredServer[],
--- a/packages/gateway/src/lifecycle/createCallerServer.ts
+++ b/packages/gateway/src/lifecycle/createCallerServer.ts
@@ -1,19 +1,18 @@
 /**
- * Creates the server for callers, with what runs their requests.
+ * Creates the server for callers.
  *
  * @packageDocumentation
  */
 import type { FastifyInstance } from "fastify";
-import { buildCallerServer } from "../callers/callerServer.js";
-import { RequestAdmission } from "../callers/requestAdmission.js";
-import { createRequestRunner, type RunnerConnections } from "./createRequestRunner.js";
+import { buildCallerServer, type CallerServerOptions } from "../callers/callerServer.js";
+import { RequestAdmission, type RequestAdmissionOptions } from "../callers/requestAdmission.js";
 import type { DrainState } from "./drainState.js";
 import type { PlatformAdapter } from "./platformAdapter.js";
 
-/** Options of {@link createCallerServer}: those of the runner, and what takes requests in. */
-export interface CallerServerWiring extends Omit<RunnerConnections, "protocol"> {
+/** Options of {@link createCallerServer}: what requests are checked with and run by. */
+export interface CallerServerWiring
+    extends RequestAdmissionOptions, Pick<CallerServerOptions, "runner" | "logger" | "metrics"> {
     readonly adapter: PlatformAdapter;
-    readonly random: () => number;
     readonly drain: DrainState;
 }
 
@@ -29,7 +28,6 @@
         ...options,
         protocol: adapter.callerProtocol,
         admission: new RequestAdmission(options),
-        runner: createRequestRunner({ ...options, protocol: adapter.backendProtocol }),
         isDraining: () => drain.isDraining(),
         isRefusing: () => drain.isRefusing(),
         onActiveChange: (change) => drain.recordActive(change),
--- a/packages/gateway/src/lifecycle/gatewayDaemon.ts
+++ b/packages/gateway/src/lifecycle/gatewayDaemon.ts
@@ -16,6 +16,7 @@
 import { ActiveConfiguration } from "../configuration/activeConfiguration.js";
 import { Evacuations } from "../configuration/evacuations.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
+import type { RequestRunner } from "../dispatch/requestRunner.js";
 import type { ServiceDispatchRegistry } from "../dispatch/serviceDispatch.js";
 import { buildDutySettings } from "../duties/dutySettings.js";
 import { NodeDuties } from "../duties/nodeDuties.js";
@@ -35,6 +36,7 @@
 import type { GatewaySettings } from "../settings/gatewaySettings.js";
 import { createDispatches } from "./createDispatches.js";
 import { createCallerServer } from "./createCallerServer.js";
+import { createRequestRunner } from "./createRequestRunner.js";
 import { createServerLimits, type ServerLimits } from "./createServerLimits.js";
 import { createStreamOrigins, type KnownOrigins } from "./createStreamOrigins.js";
 import { createServerPaths, type ServerConnections } from "./createServerPaths.js";
@@ -86,6 +88,7 @@
     private readonly relayTiming: RelayTiming;
     private readonly configurationRelay: ConfigurationRelay;
     private readonly relayListener = new RelayListener();
+    private readonly runner: RequestRunner;
     private readonly callerServer: FastifyInstance;
     private readonly serverReceiver: ServerReceiver;
     private readonly serverReader: TableReader;
@@ -266,7 +269,13 @@
             isCandidate: () => this.relay.isReader() || this.peers.isLeaseCandidate(),
             countNodes: () => this.peers.countNodes(),
         });
-        this.callerServer = this.buildCallerServer();
+        this.runner = this.buildRunner();
+        this.callerServer = createCallerServer({
+            ...options,
+            runner: this.runner,
+            configuration: this.configuration,
+            drain: this.drain,
+        });
         this.serverReceiver = new ServerReceiver(adapter, this.directory, logger);
         this.serverReader = new TableReader({
             feed: adapter.rowFeed,
@@ -342,9 +351,12 @@
         await this.drain.waitUntilDrained(() => this.callerServer.server.closeIdleConnections());
         await this.runBounded(Promise.all([dutiesStopped, this.duties.usage.writeOnce()]));
         this.stopping.abort();
+        // Before the connections are closed, so that each caller gets a response and nothing is taken for a failure.
+        this.runner.stop();
+        const relayingEnded = this.relayListener.close();
         this.servers.connections.close();
         this.servers.relayConnections.close();
-        await this.runBounded(this.relayListener.close());
+        await this.runBounded(relayingEnded);
         await this.runBounded(this.peers.removeRegistration());
         this.messenger.close();
         await this.runBounded(adapter.close());
@@ -408,11 +420,12 @@
         });
     }
 
-    private buildCallerServer(): FastifyInstance {
+    private buildRunner(): RequestRunner {
         const { connections, paths } = this.servers;
-        return createCallerServer({
+        return createRequestRunner({
             ...this.options,
             ...this.serverLimits,
+            protocol: this.options.adapter.backendProtocol,
             dispatches: this.dispatches,
             announcer: this.news,
             ...this.streamOrigins,
@@ -424,7 +437,6 @@
             connections,
             paths,
             usage: this.duties.usage,
-            drain: this.drain,
         });
     }
 }
