--- a/packages/bench/src/soak/storeReturnRun.ts
+++ b/packages/bench/src/soak/storeReturnRun.ts
@@ -131,6 +131,7 @@
             this.applyFault(reporter, storeReturn);
         }
         await platform.recoverOlderStore(storeReturn);
+        this.deployment.registerServers();
         await Promise.all([this.clock.wait(settleMs), this.waitForReport()]);
         const found = platform.listViolations().slice(before);
         const { fault, delayMs, ageMs, awayMs, awayMode, downMs } = storeReturn;
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -88,14 +88,10 @@
     async start(): Promise<void> {
         this.settingsFolder = await mkdtemp(join(tmpdir(), "pimentocleat-"));
         const addresses = await this.platform.open();
-        for (const [service, servers] of Object.entries({ plain: this.plain, engines: this.engines })) {
-            for (const [index, server] of servers.entries()) {
-                const dataCentre = this.chooseServerDataCentre(index);
-                const entry = buildServerEntry(service, await server.open(), { Zone: dataCentre });
-                this.platform.rows.putJson("servers", server.id, entry);
-            }
+        for (const server of [...this.plain, ...this.engines]) {
+            await server.open();
         }
-        this.platform.rows.putJson("op", "config", buildUsersConfiguration(1));
+        this.registerServers();
         const indexes = [...Array(this.options.nodeCount).keys()];
         while (indexes.length > 0) {
             const batch = indexes.splice(0, startBatch);
@@ -103,6 +99,22 @@
         }
     }
 
+    /**
+     * Writes the rows of the servers and the operator. A store that has come back from an older copy may have lost them, and
+     * they write them again.
+     */
+    registerServers(): void {
+        const { rows } = this.platform;
+        for (const [service, servers] of Object.entries({ plain: this.plain, engines: this.engines })) {
+            for (const [index, server] of servers.entries()) {
+                const dataCentre = this.chooseServerDataCentre(index);
+                const entry = buildServerEntry(service, server.getAddress(), { Zone: dataCentre });
+                rows.putJson("servers", server.id, entry);
+            }
+        }
+        rows.putJson("op", "config", buildUsersConfiguration(1));
+    }
+
     /**
      * Starts a node whose process has exited, with its previous settings, except that it is not the first start.
      *
