--- a/review/common/deployment.mjs
+++ b/review/common/deployment.mjs
@@ -13,6 +13,7 @@
 /** Log event with which a node says that it has started. */
 const startedPattern = /"event":1000,/;
 const startTimeoutMs = 20_000;
+const maximumStarts = 3;
 
 /** API key of the only tenant. */
 export const apiKey = "key-of-tenant";
@@ -85,15 +86,23 @@
         this.platform.rows.putJson("op", "config", configuration);
     }
 
-    /** Starts a node and waits until it says that it has started. */
+    /** Starts a node and waits until it says that it has started; again with other ports if one was taken meanwhile. */
     async startNode(name, zone, isFirstStart = true) {
-        const [front, ready, peer] = [await findFreePort(), await findFreePort(), await findFreePort()];
-        const node = { name, zone, front, ready, peer };
-        this.nodes.push(node);
-        node.settingsPath = join(this.folder, `${name}.json`);
-        this.writeSettings(node, isFirstStart);
-        await this.launch(node);
-        return node;
+        for (let tries = 1; ; tries += 1) {
+            const [front, ready, peer] = [await findFreePort(), await findFreePort(), await findFreePort()];
+            const node = { name, zone, front, ready, peer };
+            node.settingsPath = join(this.folder, `${name}.json`);
+            this.nodes.push(node);
+            this.writeSettings(node, isFirstStart);
+            try {
+                await this.launch(node);
+                return node;
+            } catch (error) {
+                if (tries === maximumStarts || node.isRunning) {
+                    throw error;
+                }
+            }
+        }
     }
 
     /** Starts a node again whose process has ended, with the settings that the platform writes then. */
@@ -153,8 +162,8 @@
             appendFileSync(logPath, bytes);
         });
         program.stderr.on("data", (bytes) => appendFileSync(logPath, bytes));
-        const isStarted = await waitUntil(() => startedPattern.test(log), startTimeoutMs);
-        if (!isStarted) {
+        await waitUntil(() => startedPattern.test(log) || !node.isRunning, startTimeoutMs);
+        if (!startedPattern.test(log)) {
             throw new Error(`${node.name} has not started`);
         }
         this.record.write(`process of ${node.name} has started`);
