--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -40,6 +40,8 @@
     | { readonly type: "silent" }
     /** Responds with the identifier of another request. */
     | { readonly type: "wrongIdentifier" }
+    /** Responds with a status that HTTP does not have. */
+    | { readonly type: "wrongStatus" }
     /** Responds without its signature. */
     | { readonly type: "unsigned" }
     /** Streams this number of events and part of another, then closes the connection. */
@@ -322,6 +324,12 @@
                     .writeHead(200, { ...signedHeaders, "x-request-id": "another" })
                     .end("answer of another");
                 break;
+            case "wrongStatus":
+                request.socket.write(
+                    `HTTP/1.1 000 OK\r\nx-request-id: ${requestId}\r\nx-server-signature: ${signature}\r\n` +
+                        "content-length: 0\r\n\r\n",
+                );
+                break;
             case "unsigned":
                 response.writeHead(200, { "x-request-id": requestId }).end("unsigned");
                 break;
--- a/scripts/bundlePlugins.mjs
+++ b/scripts/bundlePlugins.mjs
@@ -86,5 +86,41 @@
     },
 };
 
+/** Functions of Node.js's module for checks that dependencies use besides the check itself. */
+const comparisons = ["deepStrictEqual", "equal", "fail", "notEqual", "notStrictEqual", "strictEqual"];
+
+/**
+ * Checks of dependencies. For a check that fails without a message, Node.js reads the source file and parses it from there
+ * on, which blocks the process for seconds when the file is the minified bundle. These checks always have a message.
+ */
+const assertions = {
+    name: "assertions",
+    setup({ onResolve, onLoad }) {
+        onResolve({ filter: /^(node:)?assert(\/strict)?$/ }, ({ namespace }) =>
+            namespace === "assertions" ? undefined : { path: "assert", namespace: "assertions" },
+        );
+        onLoad({ filter: /./, namespace: "assertions" }, () => ({
+            contents: `
+                const load = () => require("node:assert").strict;
+                const check = (value, message) => {
+                    if (!value) {
+                        load().ok(value, message ?? "a check of a dependency failed");
+                    }
+                };
+                module.exports = Object.assign(check, { ok: check, strict: check });
+                for (const name of ${JSON.stringify(comparisons)}) {
+                    check[name] = (...parameters) => load()[name](...parameters);
+                }`,
+        }));
+    },
+};
+
 /** All plugins of the program's bundle. */
-export const plugins = [absentFeatures, lazyNodeModules, undiciClients, histograms, englishMessages];
+export const plugins = [
+    absentFeatures,
+    lazyNodeModules,
+    undiciClients,
+    histograms,
+    englishMessages,
+    assertions,
+];
