--- a/packages/upstream/src/unboundedAnswer.ts
+++ b/packages/upstream/src/unboundedAnswer.ts
@@ -28,13 +28,19 @@
     }
 }
 
+/** Code of the error of a check that failed; the HTTP client checks what its parser found in the bytes of a server. */
+const failedCheckCode = "ERR_ASSERTION";
+
 /**
  * Checks whether an error says that what arrived is no answer, rather than that the connection ended.
  *
  * @param error - The error of a request.
  * @returns Whether the server sent bytes that are no answer.
  */
-export function isMalformedAnswer(error: Error): boolean {
+export function isMalformedAnswer(error: Error & { readonly code?: string }): boolean {
+    if (error.code === failedCheckCode) {
+        return true;
+    }
     return [
         errors.HTTPParserError,
         errors.HeadersOverflowError,
