--- a/packages/gateway/src/backends/backendProtocol.ts
+++ b/packages/gateway/src/backends/backendProtocol.ts
@@ -26,6 +26,11 @@
 export type AnswerMeaning =
     /** The server's response to this request. */
     | "answer"
+    /**
+     * The server's response to this request, with a status that tells callers that the request did not run and may be sent
+     * again. The server does not state that, so the request may have run.
+     */
+    | "unconfirmedRefusal"
     /** The server did not run the request; the response names it. */
     | "notRun"
     /** A different server now uses the address; it did not run the request, which the response names. */
@@ -33,6 +38,16 @@
     /** The response names another request or none, or fails verification; the request may have run. */
     | "mismatched";
 
+/**
+ * Checks whether the server to which a request was sent has responded to it.
+ *
+ * @param meaning - Meaning of the response head.
+ * @returns Whether what the head says of its server holds for that server.
+ */
+export function isOwnResponse(meaning: AnswerMeaning): boolean {
+    return meaning !== "otherServer" && meaning !== "mismatched";
+}
+
 /** Load that a server reports in the headers of a response. */
 export interface ResponseHeaderLoad {
     readonly running: number;
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -12,7 +12,7 @@
     ServerPlacement,
 } from "@pimentocleat/policy";
 import type { Clock } from "@pimentocleat/types";
-import type { BackendProtocol } from "../backends/backendProtocol.js";
+import { isOwnResponse, type BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerNotice } from "../backends/serverNotice.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
@@ -21,6 +21,7 @@
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter, type CompleteEvents } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { isRepeatable } from "./runState.js";
 import { isEventStreamType, type StreamContinuity } from "./streamContinuity.js";
 import { computeStallMs, StreamProgress } from "./streamProgress.js";
 
@@ -187,7 +188,7 @@
     private handleHead(status: number, headers: IncomingHttpHeaders): void {
         const { protocol, request, placement, server } = this.options;
         const meaning = protocol.selectMeaning(status, headers, request);
-        if (meaning === "answer" || meaning === "notRun") {
+        if (isOwnResponse(meaning)) {
             const load = protocol.readLoad(headers);
             if (load !== undefined) {
                 placement.recordLoad(server.id, load.running, load.waiting, load.pace);
@@ -207,6 +208,12 @@
             case "mismatched":
                 this.abortUnfit(`status ${String(status)} that does not fit the request`);
                 return;
+            case "unconfirmedRefusal":
+                if (!isRepeatable(request)) {
+                    this.withholdRefusal(status);
+                    return;
+                }
+                break;
             case "answer":
                 break;
         }
@@ -225,6 +232,19 @@
         this.startInactivityTimer();
     }
 
+    /** Ends an attempt whose response would make the caller send a request again that may have run. */
+    private withholdRefusal(status: number): void {
+        this.recordRunning();
+        const result: LostAttempt = {
+            type: "lost",
+            reason: `status ${String(status)}, which does not say whether the request ran`,
+            streamed: false,
+            isServerLost: false,
+            runningMs: this.computeRunningMs(),
+        };
+        this.abortExchange(result, "failedStatus");
+    }
+
     private handleData(chunk: Buffer): void {
         this.recordRunning();
         this.startInactivityTimer();
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -9,7 +9,7 @@
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import type { WaitingClock } from "@pimentocleat/types";
 import type { ConnectionPool } from "@pimentocleat/upstream";
-import type { BackendProtocol } from "../backends/backendProtocol.js";
+import { isOwnResponse, type BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
@@ -232,7 +232,7 @@
         const { protocol, notices } = this.options;
         const requestId = readHeader(this.request.headers[relayHeaders.requestId]);
         const meaning = protocol.selectMeaning(status, headers, { head: { requestId } });
-        if (meaning === "answer" || meaning === "notRun") {
+        if (isOwnResponse(meaning)) {
             // The node that sent the request tells of a rejection.
             const notice = { ...protocol.readNotice(status, headers), hasNoRoom: false };
             notices.recordNotice(this.server, notice, this.sentMs);
@@ -245,7 +245,7 @@
             ...(this.hasBody ? { trailer: relayHeaders.end } : {}),
         });
         this.response.flushHeaders();
-        if (meaning !== "answer") {
+        if (meaning !== "answer" && meaning !== "unconfirmedRefusal") {
             // The sender needs no body. A server may repeat such a response, so its connection carries no other request.
             this.exchange.cancel();
             this.finishResponse(meaning === "mismatched" ? "failed" : "complete");
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -25,7 +25,7 @@
     /** Sends a complete response, or streams all its events. */
     | { readonly type: "answer" }
     /** Sends a signed response with an error status. */
-    | { readonly type: "failure"; readonly status: number }
+    | { readonly type: "failure"; readonly status: number; readonly body?: string }
     /** Responds that it did not execute the request. */
     | { readonly type: "notRun"; readonly status: 429 | 503; readonly retryAfter?: string }
     /** Sends bytes without end that are no response. */
@@ -287,7 +287,7 @@
                 this.sendComplete(request, response, signedHeaders);
                 break;
             case "failure":
-                response.writeHead(behaviour.status, signedHeaders).end("failed");
+                response.writeHead(behaviour.status, signedHeaders).end(behaviour.body ?? "failed");
                 break;
             case "notRun":
                 response
