--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -11,7 +11,7 @@
     RelayObstacle,
     ServerPlacement,
 } from "@pimentocleat/policy";
-import type { Clock } from "@pimentocleat/types";
+import { ByteCollector, type Clock } from "@pimentocleat/types";
 import { isOwnResponse, type BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerNotice } from "../backends/serverNotice.js";
@@ -21,6 +21,7 @@
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter, type CompleteEvents } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import type { HeldBytes, HeldShare } from "./heldBytes.js";
 import { isRepeatable } from "./runState.js";
 import { isEventStreamType, type StreamContinuity } from "./streamContinuity.js";
 import { computeStallMs, StreamProgress } from "./streamProgress.js";
@@ -87,6 +88,8 @@
     readonly onNotice: (notice: ServerNotice) => void;
     /** Called before the first bytes of a response are forwarded to the caller. */
     readonly onForwarding: () => void;
+    /** What the node holds of the responses of all requests. */
+    readonly held: HeldBytes;
     /** Announces the attempt to the other nodes. */
     readonly announcer: DispatchAnnouncer;
     /** Whether the other nodes need to know of the attempt. */
@@ -96,6 +99,9 @@
 /** Responses above this size are streamed to the caller; smaller ones are buffered and checked first. */
 const maximumBufferedBytes = 256 * 1_024;
 
+/** Size up to which a response is buffered also while the node holds too much, in bytes; most responses are smaller. */
+const minimumYieldedBytes = 16 * 1_024;
+
 /** Minimum time between two events that is recorded as a pause, as a share of the stream's pause target. */
 const minimumRecordedPauseShare = 0.3;
 
@@ -108,8 +114,8 @@
     private status = 0;
     private headers: AnswerHeaders = {};
     private isStream = false;
-    private chunks: Buffer[] = [];
-    private receivedBytes = 0;
+    private readonly body = new ByteCollector();
+    private readonly heldShare: HeldShare;
     private hasReceivedData = false;
     /** Monotonic time of the first data, in milliseconds. */
     private firstDataMs: number | undefined;
@@ -133,6 +139,7 @@
         this.isContinuation = options.continuity.isContinued();
         this.isStartedBefore = options.answer.isStarted;
         this.progress = new StreamProgress(computeStallMs(request.route), () => this.abortStalled());
+        this.heldShare = options.held.openShare();
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
         const headers = protocol.buildHeaders({
@@ -251,7 +258,9 @@
         if (this.isStream) {
             this.recordPause();
             const events = this.splitter.takeEvents(chunk);
-            if (this.splitter.isUnbounded()) {
+            const incompleteBytes = this.splitter.countIncompleteBytes();
+            this.heldShare.setBytes(incompleteBytes);
+            if (this.splitter.isUnbounded() || this.isTooLargeToHold(incompleteBytes)) {
                 this.abortUnfit("the server sent bytes without an event");
                 return;
             }
@@ -260,14 +269,24 @@
             }
             return;
         }
-        this.chunks.push(chunk);
-        this.receivedBytes += chunk.length;
-        if (this.receivedBytes > maximumBufferedBytes) {
-            const bytes = Buffer.concat(this.chunks.splice(0));
-            this.forwardBytes(bytes);
+        this.body.append(chunk);
+        if (
+            this.hasForwardedBytes ||
+            this.body.length > maximumBufferedBytes ||
+            this.isTooLargeToHold(this.body.length)
+        ) {
+            this.heldShare.setBytes(0);
+            this.forwardBytes(this.body.takeBytes());
+        } else {
+            this.heldShare.setBytes(this.body.length);
         }
     }
 
+    /** Checks whether this request has to give way because the node holds too much for all of them. */
+    private isTooLargeToHold(bytes: number): boolean {
+        return bytes > minimumYieldedBytes && this.options.held.isFull();
+    }
+
     private handleEvents(events: CompleteEvents): void {
         const { continuity, request } = this.options;
         const fault = this.isContinuation ? this.findFault(events) : undefined;
@@ -367,7 +386,7 @@
         this.recordRunning();
         const hasNoRest = this.isStartedBefore && !this.hasContinued;
         if (this.hasForwardedBytes && !hasNoRest) {
-            this.forwardBytes(Buffer.concat(this.chunks));
+            this.forwardBytes(this.body.takeBytes());
             this.options.answer.finishStream();
             this.finish({ type: "streamed" }, "answered");
             return;
@@ -376,7 +395,7 @@
     }
 
     private buildAnswer(): AttemptResult {
-        const answer = { status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) };
+        const answer = { status: this.status, headers: this.headers, body: this.body.takeBytes() };
         return { type: "answer", answer };
     }
 
@@ -468,6 +487,7 @@
         this.hasEnded = true;
         clearTimeout(this.inactivityTimer);
         this.progress.stop();
+        this.heldShare.setBytes(0);
         this.reportEnd();
         this.options.placement.recordEnd(this.placed, outcome);
         this.resolve(result);
--- a/packages/gateway/src/dispatch/eventSplitter.ts
+++ b/packages/gateway/src/dispatch/eventSplitter.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { ByteCollector } from "@pimentocleat/types";
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
@@ -32,8 +33,7 @@
 
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
-    private incomplete: Buffer[] = [];
-    private incompleteLength = 0;
+    private readonly incomplete = new ByteCollector();
     private bytesWithoutData = 0;
     private readonly line: LineState = { length: 0, isOnlyReturn: false };
 
@@ -48,15 +48,15 @@
         const ends = findEventEnds(chunk, this.line);
         const end = ends.at(-1);
         if (end === undefined) {
-            this.incomplete.push(chunk);
-            this.incompleteLength += chunk.length;
+            this.incomplete.append(chunk);
             return undefined;
         }
-        const first = chunk.subarray(0, end);
-        const complete = this.incomplete.length === 0 ? first : Buffer.concat([...this.incomplete, first]);
+        this.incomplete.append(chunk.subarray(0, end));
+        const complete = this.incomplete.takeBytes();
         const rest = chunk.subarray(end);
-        this.incomplete = rest.length === 0 ? [] : [rest];
-        this.incompleteLength = rest.length;
+        if (rest.length > 0) {
+            this.incomplete.append(rest);
+        }
         const lines = complete.toString("latin1").split("\n");
         const hasData = lines.some((line) => line.startsWith(dataField));
         if (hasData) {
@@ -67,7 +67,7 @@
 
     /** @returns The number of buffered bytes of an incomplete event. */
     countIncompleteBytes(): number {
-        return this.incompleteLength;
+        return this.incomplete.length;
     }
 
     /** @returns Whether so much came without data that it can be no answer. */
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -17,6 +17,7 @@
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { AdmissionQueue } from "./admissionQueue.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
+import { HeldBytes, maximumHeldAnswerBytes } from "./heldBytes.js";
 import type { RequestGuard } from "./requestGuard.js";
 import { RetryDecision } from "./retryDecision.js";
 import {
@@ -68,6 +69,7 @@
 export class RequestRunner {
     private readonly retries: RetryDecision;
     private readonly running = new Set<RunState>();
+    private readonly held = new HeldBytes(maximumHeldAnswerBytes);
     private isStopped = false;
 
     /** @param options - Servers, protocol, clock and recorders. */
@@ -219,6 +221,7 @@
                 this.options.notices.recordNotice(server, notice, sentMs);
             },
             onForwarding: () => this.options.resumption.recordOrigin(state, server),
+            held: this.held,
             announcer: this.options.announcer,
             isAnnounced: promptTokens > 0 || this.options.brittle.findAllowed(server) !== undefined,
         });
--- a/packages/node/src/upstream/answerCollector.ts
+++ b/packages/node/src/upstream/answerCollector.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
+import { ByteCollector } from "@pimentocleat/types";
 import type { CompleteAnswer } from "../dispatch/routedRequest.js";
 import { selectAnswerHeaders } from "./forwardingFilter.js";
 
@@ -15,8 +16,8 @@
 export class AnswerCollector {
     private status = 0;
     private headers: Record<string, string> = {};
-    private readonly chunks: Buffer[] = [];
-    private receivedBytes = 0;
+    private readonly chunks = new ByteCollector();
+    private body: Buffer | undefined;
     /** Whether the response marks the end of its body; otherwise it ends with the connection. */
     private isFramed = false;
     private isJson = false;
@@ -59,11 +60,10 @@
      * @returns Why the body is rejected, or undefined.
      */
     addChunk(chunk: Buffer): string | undefined {
-        this.receivedBytes += chunk.length;
-        if (this.receivedBytes > this.maximumBytes) {
+        this.chunks.append(chunk);
+        if (this.chunks.length > this.maximumBytes) {
             return "the answer is too large";
         }
-        this.chunks.push(chunk);
         return undefined;
     }
 
@@ -74,7 +74,7 @@
      * @returns A description of the fault, or undefined.
      */
     checkBody(): string | undefined {
-        if (this.isJson && this.receivedBytes > 0) {
+        if (this.isJson && this.chunks.length > 0) {
             try {
                 this.parsedJson = JSON.parse(this.readBody().toString("utf8"));
                 return undefined;
@@ -91,7 +91,7 @@
     }
 
     private readBody(): Buffer {
-        const [first] = this.chunks;
-        return this.chunks.length === 1 && first !== undefined ? first : Buffer.concat(this.chunks);
+        this.body ??= this.chunks.takeBytes();
+        return this.body;
     }
 }
--- a/packages/services/src/http/answerCollector.ts
+++ b/packages/services/src/http/answerCollector.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { ByteCollector } from "@pimentocleat/types";
 import type { Dispatcher } from "undici";
 
 type DispatchHandler = Dispatcher.DispatchHandler;
@@ -36,7 +37,7 @@
 
 /** Handles the dispatch of one call. A call that is cancelled before it is sent is never sent later. */
 export class AnswerCollector implements DispatchHandler {
-    private readonly chunks: Buffer[] = [];
+    private readonly body = new ByteCollector();
     private sent = false;
     private status = 0;
     private headers: AnswerHeaders = {};
@@ -86,11 +87,11 @@
     }
 
     onResponseData(...[, chunk]: [DispatchController, Buffer]): void {
-        this.chunks.push(chunk);
+        this.body.append(chunk);
     }
 
     onResponseEnd(): void {
-        this.finish({ status: this.status, headers: this.headers, body: Buffer.concat(this.chunks) });
+        this.finish({ status: this.status, headers: this.headers, body: this.body.takeBytes() });
     }
 
     onResponseError(...[, error]: [DispatchController, Error]): void {
--- a/packages/standins/src/usersPlatform/endlessAnswer.ts
+++ b/packages/standins/src/usersPlatform/endlessAnswer.ts
@@ -17,6 +17,8 @@
     "comments",
     /** Chunks of one byte with long extensions. */
     "chunkExtensions",
+    /** Chunks of one byte. */
+    "pieces",
     /** A body with neither a length nor chunks. */
     "body",
     /** Header lines after the last chunk. */
@@ -45,6 +47,8 @@
             return { start: closing, piece: `: ${filler}\n\n` };
         case "chunkExtensions":
             return { start: chunked, piece: `1;${filler}\r\nx\r\n` };
+        case "pieces":
+            return { start: chunked, piece: "1\r\nx\r\n".repeat(2_000) };
         case "body":
             return { start: closing, piece: filler };
         case "trailers":
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -31,6 +31,8 @@
     readonly leaseMs?: number;
     /** Arguments of the program before the path of the settings file. */
     readonly programParameters?: readonly string[];
+    /** Environment variables of the nodes besides those of this process. */
+    readonly environment?: Readonly<Record<string, string>>;
     /** Number of servers of the plain service; 2 when absent. */
     readonly plainCount?: number;
     /** Number of engines; 2 when absent. */
@@ -46,6 +48,7 @@
     readonly settingsPath: string;
     readonly programPath: string;
     readonly programParameters: readonly string[];
+    readonly environment: Readonly<Record<string, string>>;
     program: LaunchedProgram;
 }
 
@@ -198,8 +201,8 @@
         const settingsPath = join(this.settingsFolder, `${name}.json`);
         await writeFile(settingsPath, JSON.stringify(settings));
         const programPath = this.chooseProgram(index);
-        const { programParameters = [] } = this.options;
-        const launch = { programPath, settingsPath, programParameters };
+        const { programParameters = [], environment = {} } = this.options;
+        const launch = { programPath, settingsPath, programParameters, environment };
         const program = await launchNodeProgram(launch);
         return { ...launch, name, dataCentre, callerAddress, readinessAddress, program };
     }
@@ -230,7 +233,10 @@
 }
 
 function launchNodeProgram(
-    node: Pick<UsersNode, "programPath" | "programParameters" | "settingsPath">,
+    node: Pick<UsersNode, "programPath" | "programParameters" | "settingsPath" | "environment">,
 ): Promise<LaunchedProgram> {
-    return launchFile(node.programPath, [...node.programParameters, node.settingsPath], { readyPattern });
+    return launchFile(node.programPath, [...node.programParameters, node.settingsPath], {
+        readyPattern,
+        environment: { ...process.env, ...node.environment },
+    });
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export { ByteCollector } from "./byteCollector.js";
 export { computeTimerMs, ManualClock, SystemClock } from "./clock.js";
 export type { Clock, WaitingClock } from "./clock.js";
 export { ErrorKind, RouterError, errorAnswers } from "./errorKinds.js";
--- a/packages/upstream/src/unboundedAnswer.ts
+++ b/packages/upstream/src/unboundedAnswer.ts
@@ -17,6 +17,11 @@
 /** Bytes of framing beside each byte of the body; a chunk of one byte needs six. */
 const framingPerBodyByte = 8;
 
+/** Maximum number of small pieces of a body; each costs far more than its bytes. */
+const maximumSmallPieces = 16_384;
+/** Size of a piece that is not counted as small, in bytes; the shortest events with data are as long. */
+const minimumPieceBytes = 8;
+
 /** The error of a response that exceeds a bound. */
 export class UnboundedAnswerError extends Error {
     readonly code = "PIMENTOCLEAT_UNBOUNDED_ANSWER";
@@ -53,6 +58,7 @@
 export class BoundedHandler implements Dispatcher.DispatchHandler {
     private informationalHeads = 0;
     private bodyBytes = 0;
+    private smallPieces = 0;
     private readBytesBefore = 0;
     private controller: Dispatcher.DispatchController | undefined;
 
@@ -87,6 +93,11 @@
 
     onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.bodyBytes += chunk.length;
+        this.smallPieces += chunk.length < minimumPieceBytes ? 1 : 0;
+        if (this.smallPieces > maximumSmallPieces) {
+            controller.abort(new UnboundedAnswerError("pieces"));
+            return;
+        }
         this.handler.onResponseData?.(controller, chunk);
     }
 
