--- a/packages/standins/src/usersPlatform/endlessAnswer.ts
+++ b/packages/standins/src/usersPlatform/endlessAnswer.ts
@@ -11,6 +11,8 @@
     "informationalHeads",
     /** Header lines of one head. */
     "headerLines",
+    /** Header lines of one head that are as short as they can be. */
+    "shortHeaderLines",
     /** One event of a stream. */
     "event",
     /** Events of a stream that hold only comments. */
@@ -41,6 +43,8 @@
             return { start: "", piece: "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".repeat(100) };
         case "headerLines":
             return { start: okStatus, piece: "x-filler: x\r\n".repeat(100) };
+        case "shortHeaderLines":
+            return { start: okStatus, piece: "a:\r\n".repeat(16_000) };
         case "event":
             return { start: closing, piece: `data: ${filler}\n` };
         case "comments":
--- a/packages/upstream/src/backendConnection.ts
+++ b/packages/upstream/src/backendConnection.ts
@@ -6,8 +6,14 @@
  */
 import type { Socket } from "node:net";
 import { Client, type buildConnector, type Dispatcher } from "undici";
+import { setReadLimit } from "./readLimit.js";
 import { buildTcpOpener, type SocketOpener } from "./tcpOpener.js";
-import { BoundedHandler, maximumAnswerBytes, maximumHeadBytes } from "./unboundedAnswer.js";
+import {
+    BoundedHandler,
+    maximumAnswerBytes,
+    maximumHeadBytes,
+    maximumHeadReadBytes,
+} from "./unboundedAnswer.js";
 
 /** Servers ignore an empty line before a request line (RFC 9112, section 2.2). */
 const ignoredLineBreak = "\r\n";
@@ -191,6 +197,12 @@
         this.isOpened = true;
         this.connect(options, (...result) => {
             this.socket = result[1] ?? undefined;
+            if (this.socket !== undefined) {
+                setReadLimit(
+                    this.socket,
+                    () => this.currentAnswer?.computeMaximumReadBytes() ?? maximumHeadReadBytes,
+                );
+            }
             this.reportOpening(result[0] ?? undefined);
             if (this.socket !== undefined && this.currentAnswer !== undefined) {
                 this.watchFraming(this.socket);
--- a/packages/upstream/src/unboundedAnswer.ts
+++ b/packages/upstream/src/unboundedAnswer.ts
@@ -10,6 +10,9 @@
 export const maximumAnswerBytes = 64 * 1_024 * 1_024;
 /** Maximum size of one head or of the trailers, in bytes. */
 export const maximumHeadBytes = 32 * 1_024;
+/** Maximum number of bytes that are parsed at once while a head arrives, and after it, when trailers may follow. */
+export const maximumHeadReadBytes = 2 * 1_024;
+const maximumBodyReadBytes = 16 * 1_024;
 /** Maximum number of heads that precede the head of the response. */
 const maximumInformationalHeads = 16;
 /** Maximum number of bytes that are neither body nor its usual framing. */
@@ -57,6 +60,7 @@
 /** Passes a response on, and aborts it when it exceeds a bound. */
 export class BoundedHandler implements Dispatcher.DispatchHandler {
     private informationalHeads = 0;
+    private hasHead = false;
     private bodyBytes = 0;
     private smallPieces = 0;
     private readBytesBefore = 0;
@@ -88,6 +92,7 @@
             controller.abort(new UnboundedAnswerError("heads"));
             return;
         }
+        this.hasHead = status >= 200;
         this.handler.onResponseStart?.(controller, status, headers, statusMessage);
     }
 
@@ -111,6 +116,11 @@
         this.handler.onResponseError?.(controller, error);
     }
 
+    /** @returns Number of bytes that may be parsed at once. */
+    computeMaximumReadBytes(): number {
+        return this.hasHead ? maximumBodyReadBytes : maximumHeadReadBytes;
+    }
+
     /** Aborts a response whose framing exceeds its bound; called when bytes were read. */
     checkFraming(): void {
         const framingBytes = this.countReadBytes() - this.readBytesBefore - this.bodyBytes;
