--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -12,6 +12,7 @@
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
+import { addBodyParser } from "./requestBody.js";
 import { withoutSchemas } from "./withoutSchemas.js";
 
 /** Options of {@link buildCallerServer}. */
@@ -61,18 +62,14 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
         clientErrorHandler: (error, socket) => refuseMalformedRequest(options, error, socket),
     });
-    server.removeAllContentTypeParsers();
-    server.addContentTypeParser(
-        "*",
-        { parseAs: "buffer" },
-        async (...parameters: [FastifyRequest, Buffer]) => parameters[1],
-    );
+    addBodyParser(server, maximumBodyBytes);
     const arrivals = new WeakMap<FastifyRequest, number>();
     server.addHook("onRequest", async (request) => {
         arrivals.set(request, options.clock.monotonicMs());
     });
     server.setErrorHandler((error, request, reply) => {
-        const answer = new CallerAnswer(reply.raw, options.isDraining);
+        // The caller may still send its body, so the connection carries no other request.
+        const answer = new CallerAnswer(reply.raw, () => true);
         reply.hijack();
         sendRefusal(options, request, answer, convertError(error), 0);
     });
@@ -136,12 +133,7 @@
     if (error instanceof RouterError) {
         return error;
     }
-    const code = (error as { code?: string }).code ?? "";
-    const kinds: Readonly<Record<string, ErrorKind>> = {
-        FST_ERR_CTP_BODY_TOO_LARGE: ErrorKind.BodyTooLarge,
-        FST_ERR_CTP_INVALID_CONTENT_LENGTH: ErrorKind.InvalidRequest,
-    };
-    return new RouterError(kinds[code] ?? ErrorKind.Internal, undefined, { cause: error });
+    return new RouterError(ErrorKind.Internal, undefined, { cause: error });
 }
 
 /** Responds to data that cannot be parsed as an HTTP request, and closes the connection. */
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,6 +14,7 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
+import { addBodyParser } from "../callers/requestBody.js";
 import { withoutSchemas } from "../callers/withoutSchemas.js";
 import type { Evacuations } from "../configuration/evacuations.js";
 import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
@@ -85,12 +86,7 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
     });
     const load = new RelayLoad(options);
-    server.removeAllContentTypeParsers();
-    server.addContentTypeParser(
-        "*",
-        { parseAs: "buffer" },
-        async (...parameters: [FastifyRequest, Buffer]) => parameters[1],
-    );
+    addBodyParser(server, maximumBodyBytes);
     // Before the body is read, so that nobody without the key makes this node hold one.
     server.addHook("onRequest", async (request) => {
         if (!isEqualSecret(readHeader(request.headers[relayHeaders.key]), options.key)) {
