--- a/packages/bench/src/soak/linkedNodeCommand.ts
+++ b/packages/bench/src/soak/linkedNodeCommand.ts
@@ -31,7 +31,7 @@
         isOpen = !isOpen;
         links.setState(isOpen ? "open" : (failure as LinkState));
     });
-    const stopRequested = new Promise<void>((resolve) => process.once("SIGTERM", resolve));
+    const stopRequested = new Promise<void>((resolve) => process.on("SIGTERM", resolve));
     const daemon = new GatewayDaemon({
         settings,
         adapter: buildPlatformAdapter(settings),
