--- a/packages/bench/src/soak/soakPlan.ts
+++ b/packages/bench/src/soak/soakPlan.ts
@@ -7,7 +7,11 @@
 
 /** Fault to inject into a soak. */
 export type SoakFault =
-    | { readonly type: "kill" | "stop"; readonly node: number }
+    | { readonly type: "kill" | "stop" | "reload"; readonly node: number }
+    /** Two stop signals, of which the second comes this long after the first. */
+    | { readonly type: "stopTwice"; readonly node: number; readonly intervalMs: number }
+    /** All servers of a service answer nothing for so long, and go on then. */
+    | { readonly type: "silence"; readonly service: "plain" | "engines"; readonly durationMs: number }
     | { readonly type: "freeze"; readonly node: number; readonly durationMs: number }
     | { readonly type: "store"; readonly mode: StoreMode; readonly durationMs: number }
     | { readonly type: "writes"; readonly faults: readonly WriteFault[]; readonly delayMs: number }
@@ -33,6 +37,11 @@
 /** Minimum and maximum duration of a fault, in milliseconds; the maximum is longer than a lease in a soak. */
 const minimumFaultMs = 200;
 const maximumFaultMs = 2_500;
+/** Minimum and maximum time for which sound servers fall silent, in milliseconds. */
+const minimumSilenceMs = 900;
+const maximumSilenceMs = 1_300;
+/** Maximum time between two stop signals, in milliseconds. */
+const maximumSignalIntervalMs = 1_000;
 /** Number of requests or writes that each fault of servers or writes gives a random behaviour. */
 const behavioursPerFault = 6;
 
@@ -81,6 +90,17 @@
         () => ({ type: "servers", service: "engines", behaviours: drawMany(engineBehaviours) }),
         () => ({ type: "leaving", server: Math.floor(random.next() * 2), durationMs: drawMs() }),
         () => ({ type: "configuration" }),
+        () => ({ type: "reload", node: drawNode() }),
+        () => ({
+            type: "stopTwice",
+            node: drawNode(),
+            intervalMs: Math.round(random.next() * maximumSignalIntervalMs),
+        }),
+        () => ({
+            type: "silence",
+            service: draw(["plain", "engines"] as const),
+            durationMs: Math.round(minimumSilenceMs + random.next() * (maximumSilenceMs - minimumSilenceMs)),
+        }),
     ];
     const planned: PlannedFault[] = [];
     let startMs = 0;
--- a/packages/bench/src/soak/soakRun.ts
+++ b/packages/bench/src/soak/soakRun.ts
@@ -101,6 +101,16 @@
             case "kill":
             case "stop":
                 return this.applyRestart(nodes[fault.node]!, fault.type);
+            case "stopTwice":
+                return this.applyRestart(nodes[fault.node]!, "stop", fault.intervalMs);
+            case "reload":
+                nodes[fault.node]!.program.sendSignal("SIGHUP");
+                return;
+            case "silence":
+                (fault.service === "plain" ? plain : engines).forEach((server) =>
+                    server.setSilence(fault.durationMs),
+                );
+                return;
             case "freeze":
                 return this.applySuspension(nodes[fault.node]!, fault.durationMs);
             case "store":
@@ -128,7 +138,7 @@
         }
     }
 
-    private async applyRestart(node: UsersNode, how: "kill" | "stop"): Promise<void> {
+    private async applyRestart(node: UsersNode, how: "kill" | "stop", repeatAfterMs?: number): Promise<void> {
         if (this.changingNodes.has(node)) {
             return;
         }
@@ -137,7 +147,7 @@
             node.program.sendSignal("SIGKILL");
             await node.program.exited;
         } else {
-            await node.program.stop();
+            await this.stopNode(node, repeatAfterMs);
         }
         await this.clock.wait(restartDelayMs);
         await this.deployment.startNode(node);
@@ -145,6 +155,19 @@
         this.watchNode(node);
     }
 
+    /** Stops a node; one that ends otherwise than by itself in good order counts as exited. */
+    private async stopNode(node: UsersNode, repeatAfterMs: number | undefined): Promise<void> {
+        const stopped = node.program.stop();
+        if (repeatAfterMs !== undefined) {
+            await this.clock.wait(repeatAfterMs);
+            node.program.sendSignal("SIGTERM");
+        }
+        const { code } = await stopped;
+        if (code !== 0) {
+            this.exitedNodes.add(node.name);
+        }
+    }
+
     private async applySuspension(node: UsersNode, durationMs: number): Promise<void> {
         if (this.changingNodes.has(node)) {
             return;
--- a/packages/standins/src/usersPlatform/usersServerStandIn.ts
+++ b/packages/standins/src/usersPlatform/usersServerStandIn.ts
@@ -90,6 +90,8 @@
     private limit: string | undefined;
     private brittle: BrittleSlots | undefined;
     private cold: ColdStart | undefined;
+    /** Monotonic time until which no response begins, in milliseconds. */
+    private silentUntilMs = 0;
     private readonly server: Server;
 
     /**
@@ -160,6 +162,11 @@
         this.limit = limit;
     }
 
+    /** @param durationMs - Time for which no response begins from now on, in milliseconds; all of them come after it. */
+    setSilence(durationMs: number): void {
+        this.silentUntilMs = performance.now() + durationMs;
+    }
+
     /**
      * @param brittleness - How the server fails from now on when it has to reject too much; undefined for a server that
      * takes everything.
@@ -229,6 +236,10 @@
             this.server.closeAllConnections();
             return;
         }
+        const silentMs = this.silentUntilMs - performance.now();
+        if (silentMs > 0) {
+            await new Promise((resolve) => setTimeout(resolve, silentMs));
+        }
         const answer = (): void => this.sendAnswer(request, response, behaviour, received.requestId);
         if (this.brittle === undefined) {
             answer();
