--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -12,7 +12,7 @@
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
-import { addBodyParser } from "./requestBody.js";
+import { addBodyParser, SmallPiecesError } from "./requestBody.js";
 import { withoutSchemas } from "./withoutSchemas.js";
 
 /** Options of {@link buildCallerServer}. */
@@ -68,8 +68,8 @@
         arrivals.set(request, options.clock.monotonicMs());
     });
     server.setErrorHandler((error, request, reply) => {
-        // The caller may still send its body, so the connection carries no other request.
-        const answer = new CallerAnswer(reply.raw, () => true);
+        const isUnread = error instanceof SmallPiecesError;
+        const answer = new CallerAnswer(reply.raw, () => isUnread || options.isDraining());
         reply.hijack();
         sendRefusal(options, request, answer, convertError(error), 0);
     });
--- a/packages/gateway/src/callers/requestBody.ts
+++ b/packages/gateway/src/callers/requestBody.ts
@@ -12,6 +12,13 @@
 /** Size of a piece that is not counted as small, in bytes. */
 const minimumPieceBytes = 8;
 
+/** The error of a body that comes in too many small pieces. What is left of it must not be read. */
+export class SmallPiecesError extends RouterError {
+    constructor() {
+        super(ErrorKind.InvalidRequest, "send the body in larger chunks");
+    }
+}
+
 /**
  * Makes a server read all bodies as bytes, whatever their content type.
  *
@@ -43,7 +50,7 @@
             if (body.length > maximumBytes) {
                 finish(new RouterError(ErrorKind.BodyTooLarge));
             } else if (smallPieces > maximumSmallPieces) {
-                finish(new RouterError(ErrorKind.InvalidRequest, "send the body in larger chunks"));
+                finish(new SmallPiecesError());
             }
         };
         if (Number(payload.headers["content-length"] ?? 0) > maximumBytes) {
