--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -7,12 +7,13 @@
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
+import type { HeldBytes } from "../dispatch/heldBytes.js";
 import type { RequestRunner } from "../dispatch/requestRunner.js";
 import { buildDrainingError } from "../dispatch/runState.js";
 import { CallerAnswer } from "./callerAnswer.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
-import { addBodyParser, SmallPiecesError } from "./requestBody.js";
+import { RequestBodies, SmallPiecesError } from "./requestBody.js";
 import { withoutSchemas } from "./withoutSchemas.js";
 
 /** Options of {@link buildCallerServer}. */
@@ -23,6 +24,8 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** What is held of the bodies of all requests. */
+    readonly heldBodies: HeldBytes;
     /** Whether responses carry `connection: close`, so that callers open another connection. */
     readonly isDraining: () => boolean;
     /** Whether new requests are refused, because the node could not finish them before it stops. */
@@ -62,7 +65,8 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
         clientErrorHandler: (error, socket) => refuseMalformedRequest(options, error, socket),
     });
-    addBodyParser(server, maximumBodyBytes);
+    const bodies = new RequestBodies({ maximumBytes: maximumBodyBytes, held: options.heldBodies });
+    bodies.addParser(server);
     const arrivals = new WeakMap<FastifyRequest, number>();
     server.addHook("onRequest", async (request) => {
         arrivals.set(request, options.clock.monotonicMs());
@@ -71,11 +75,12 @@
         const isUnread = error instanceof SmallPiecesError;
         const answer = new CallerAnswer(reply.raw, () => isUnread || options.isDraining());
         reply.hijack();
-        sendRefusal(options, request, answer, convertError(error), 0);
+        sendRefusal(options, request, answer, convertError(error), readTimeoutMs(options, request));
     });
     server.all(internalPath, (request, reply) => {
         reply.hijack();
-        void serveRequest(options, request, reply, arrivals.get(request) ?? options.clock.monotonicMs());
+        const arrivedMs = arrivals.get(request) ?? options.clock.monotonicMs();
+        void serveRequest(options, request, reply, arrivedMs).finally(() => bodies.releaseBody(request.raw));
     });
     return server;
 }
@@ -129,6 +134,15 @@
     answer.sendComplete(refusal.status, refusal.headers, Buffer.from(refusal.body));
 }
 
+/** Reads the time that the caller gives its request, in milliseconds; 0 when the head names none. */
+function readTimeoutMs({ protocol }: CallerServerOptions, request: FastifyRequest): number {
+    try {
+        return protocol.readHead(request.raw, request.originalUrl).timeoutMs ?? 0;
+    } catch {
+        return 0;
+    }
+}
+
 function convertError(error: unknown): RouterError {
     if (error instanceof RouterError) {
         return error;
--- a/packages/gateway/src/dispatch/heldBytes.ts
+++ b/packages/gateway/src/dispatch/heldBytes.ts
@@ -1,5 +1,5 @@
 /**
- * Counts what a node holds of the responses of all its requests.
+ * Counts what a node holds of the bodies of all its requests, or of their responses.
  *
  * @packageDocumentation
  */
@@ -19,6 +19,16 @@
         return this.total >= this.maximumBytes;
     }
 
+    /**
+     * Checks whether more may be held.
+     *
+     * @param bytes - Number of bytes that are to be held besides.
+     * @returns Whether there is room for them.
+     */
+    hasRoom(bytes: number): boolean {
+        return this.total + bytes <= this.maximumBytes;
+    }
+
     /** @returns The share of one request, which starts with nothing held. */
     openShare(): HeldShare {
         let shareBytes = 0;
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,10 +14,11 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
-import { addBodyParser } from "../callers/requestBody.js";
+import { RequestBodies } from "../callers/requestBody.js";
 import { withoutSchemas } from "../callers/withoutSchemas.js";
 import type { Evacuations } from "../configuration/evacuations.js";
 import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
+import { HeldBytes } from "../dispatch/heldBytes.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
     hasResponseBody,
@@ -86,7 +87,11 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
     });
     const load = new RelayLoad(options);
-    addBodyParser(server, maximumBodyBytes);
+    const bodies = new RequestBodies({
+        maximumBytes: maximumBodyBytes,
+        held: new HeldBytes(maximumHeldBytes),
+    });
+    bodies.addParser(server);
     // Before the body is read, so that nobody without the key makes this node hold one.
     server.addHook("onRequest", async (request) => {
         if (!isEqualSecret(readHeader(request.headers[relayHeaders.key]), options.key)) {
@@ -96,6 +101,7 @@
     });
     server.all(internalPath, (request, reply) => {
         reply.hijack();
+        reply.raw.once("close", () => bodies.releaseBody(request.raw));
         const target = options.directory.findServer(readHeader(request.headers[relayHeaders.server]));
         const softwareVersion = readHeader(request.headers[relayHeaders.softwareVersion]);
         const unable = findUnable(options, load, target) ?? findOtherVersion(target, softwareVersion);
