--- a/packages/gateway/src/callers/requestBody.ts
+++ b/packages/gateway/src/callers/requestBody.ts
@@ -65,7 +65,7 @@
         this.shares.set(payload, share);
         share.setBytes(announcedBytes);
         try {
-            return await collectBody(payload, (length) => this.checkLength(length, share, announcedBytes));
+            return await receiveBody(payload, (length) => this.checkLength(length, share, announcedBytes));
         } catch (error) {
             this.releaseBody(payload);
             throw error;
@@ -92,14 +92,14 @@
 }
 
 /**
- * Collects a body.
+ * Receives a body.
  *
  * @param payload - The request.
  * @param checkLength - Returns why a body of a length is refused, or undefined.
  * @returns The body.
  * @throws SmallPiecesError, or what the check returned.
  */
-function collectBody(
+function receiveBody(
     payload: IncomingMessage,
     checkLength: (length: number) => Error | undefined,
 ): Promise<Buffer> {
--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -11,17 +11,18 @@
     RelayObstacle,
     ServerPlacement,
 } from "@pimentocleat/policy";
-import { ByteCollector, type Clock } from "@pimentocleat/types";
+import type { Clock } from "@pimentocleat/types";
 import { isOwnResponse, type BackendProtocol } from "../backends/backendProtocol.js";
 import type { RegisteredServer } from "../backends/backendServer.js";
 import type { ServerNotice } from "../backends/serverNotice.js";
 import type { AnswerHeaders, CallerAnswer } from "../callers/callerAnswer.js";
 import type { DispatchAnnouncer } from "../peers/dispatchNews.js";
 import type { ServerPath } from "../relaying/serverPaths.js";
+import { AnswerBuffer } from "./answerBuffer.js";
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter, type CompleteEvents } from "./eventSplitter.js";
 import type { GatewayRequest } from "./gatewayRequest.js";
-import type { HeldBytes, HeldShare } from "./heldBytes.js";
+import type { HeldBytes } from "./heldBytes.js";
 import { isRepeatable } from "./runState.js";
 import { isEventStreamType, type StreamContinuity } from "./streamContinuity.js";
 import { computeStallMs, StreamProgress } from "./streamProgress.js";
@@ -96,12 +97,6 @@
     readonly isAnnounced: boolean;
 }
 
-/** Responses above this size are streamed to the caller; smaller ones are buffered and checked first. */
-const maximumBufferedBytes = 256 * 1_024;
-
-/** Size up to which a response is buffered also while the node holds too much, in bytes; most responses are smaller. */
-const minimumYieldedBytes = 16 * 1_024;
-
 /** Minimum time between two events that is recorded as a pause, as a share of the stream's pause target. */
 const minimumRecordedPauseShare = 0.3;
 
@@ -114,8 +109,7 @@
     private status = 0;
     private headers: AnswerHeaders = {};
     private isStream = false;
-    private readonly body = new ByteCollector();
-    private readonly heldShare: HeldShare;
+    private readonly body: AnswerBuffer;
     private hasReceivedData = false;
     /** Monotonic time of the first data, in milliseconds. */
     private firstDataMs: number | undefined;
@@ -139,7 +133,7 @@
         this.isContinuation = options.continuity.isContinued();
         this.isStartedBefore = options.answer.isStarted;
         this.progress = new StreamProgress(computeStallMs(request.route), () => this.abortStalled());
-        this.heldShare = options.held.openShare();
+        this.body = new AnswerBuffer(options.held);
         this.placed = placement.recordDispatch(server.id, placementRequest);
         const { head, body } = request;
         const headers = protocol.buildHeaders({
@@ -217,7 +211,7 @@
                 return;
             case "unconfirmedRefusal":
                 if (!isRepeatable(request)) {
-                    this.withholdRefusal(status);
+                    this.abortUnconfirmed(status);
                     return;
                 }
                 break;
@@ -240,7 +234,7 @@
     }
 
     /** Ends an attempt whose response would make the caller send a request again that may have run. */
-    private withholdRefusal(status: number): void {
+    private abortUnconfirmed(status: number): void {
         this.recordRunning();
         const result: LostAttempt = {
             type: "lost",
@@ -258,9 +252,8 @@
         if (this.isStream) {
             this.recordPause();
             const events = this.splitter.takeEvents(chunk);
-            const incompleteBytes = this.splitter.countIncompleteBytes();
-            this.heldShare.setBytes(incompleteBytes);
-            if (this.splitter.isUnbounded() || this.isTooLargeToHold(incompleteBytes)) {
+            const hasRoom = this.body.hasRoom(this.splitter.countIncompleteBytes());
+            if (this.splitter.isUnbounded() || !hasRoom) {
                 this.abortUnfit("the server sent bytes without an event");
                 return;
             }
@@ -269,24 +262,12 @@
             }
             return;
         }
-        this.body.append(chunk);
-        if (
-            this.hasForwardedBytes ||
-            this.body.length > maximumBufferedBytes ||
-            this.isTooLargeToHold(this.body.length)
-        ) {
-            this.heldShare.setBytes(0);
+        const isTooLarge = this.body.addChunk(chunk);
+        if (this.hasForwardedBytes || isTooLarge) {
             this.forwardBytes(this.body.takeBytes());
-        } else {
-            this.heldShare.setBytes(this.body.length);
         }
     }
 
-    /** Checks whether this request has to give way because the node holds too much for all of them. */
-    private isTooLargeToHold(bytes: number): boolean {
-        return bytes > minimumYieldedBytes && this.options.held.isFull();
-    }
-
     private handleEvents(events: CompleteEvents): void {
         const { continuity, request } = this.options;
         const fault = this.isContinuation ? this.findFault(events) : undefined;
@@ -487,7 +468,7 @@
         this.hasEnded = true;
         clearTimeout(this.inactivityTimer);
         this.progress.stop();
-        this.heldShare.setBytes(0);
+        this.body.clear();
         this.reportEnd();
         this.options.placement.recordEnd(this.placed, outcome);
         this.resolve(result);
