--- a/packages/gateway/src/dispatch/attempt.ts
+++ b/packages/gateway/src/dispatch/attempt.ts
@@ -21,9 +21,8 @@
 import { AnswerBuffer } from "./answerBuffer.js";
 import type { Exchange, ExchangeFailure } from "./backendExchange.js";
 import { EventSplitter, type CompleteEvents } from "./eventSplitter.js";
-import type { GatewayRequest } from "./gatewayRequest.js";
+import { isRepeatable, type GatewayRequest } from "./gatewayRequest.js";
 import type { HeldBytes } from "./heldBytes.js";
-import { isRepeatable } from "./runState.js";
 import { isEventStreamType, type StreamContinuity } from "./streamContinuity.js";
 import { computeStallMs, StreamProgress } from "./streamProgress.js";
 
--- a/packages/gateway/src/dispatch/gatewayRequest.ts
+++ b/packages/gateway/src/dispatch/gatewayRequest.ts
@@ -52,3 +52,13 @@
 export function computePriority({ customer, route }: Pick<GatewayRequest, "customer" | "route">): number {
     return (customer?.priority ?? 0) * routePriorities + Math.min(route.priority, routePriorities - 1);
 }
+
+/**
+ * Checks whether a request may be retried although it may already have run.
+ *
+ * @param request - The request.
+ * @returns Whether a retry is safe.
+ */
+export function isRepeatable(request: GatewayRequest): boolean {
+    return request.route.kind === "repeatable" || request.route.isResumable;
+}
--- a/packages/gateway/src/dispatch/requestRunner.ts
+++ b/packages/gateway/src/dispatch/requestRunner.ts
@@ -16,7 +16,7 @@
 import type { ServerPaths } from "../relaying/serverPaths.js";
 import { Attempt, type AttemptResult, type CompleteBackendAnswer } from "./attempt.js";
 import type { AdmissionQueue } from "./admissionQueue.js";
-import type { GatewayRequest } from "./gatewayRequest.js";
+import { isRepeatable, type GatewayRequest } from "./gatewayRequest.js";
 import { HeldBytes, maximumHeldAnswerBytes } from "./heldBytes.js";
 import type { RequestGuard } from "./requestGuard.js";
 import { RetryDecision } from "./retryDecision.js";
@@ -24,7 +24,6 @@
     buildDrainingError,
     buildRunState,
     buildUnservedError,
-    isRepeatable,
     minimumRemainingMs,
     selectStatusTag,
     type RunState,
--- a/packages/gateway/src/dispatch/runState.ts
+++ b/packages/gateway/src/dispatch/runState.ts
@@ -125,16 +125,6 @@
     return kinds.find(([pattern]) => pattern.test(reason))?.[1] ?? "lost";
 }
 
-/**
- * Checks whether a request may be retried although it may already have run.
- *
- * @param request - The request.
- * @returns Whether a retry is safe.
- */
-export function isRepeatable(request: GatewayRequest): boolean {
-    return request.route.kind === "repeatable" || request.route.isResumable;
-}
-
 /**
  * Builds the error for a request that a stopping node does not run.
  *
