--- a/review/common-2/caller.mjs
+++ b/review/common-2/caller.mjs
@@ -16,7 +16,7 @@
      *
      * @param path - Path and query.
      * @param options - method, headers, body, deadlineMs (the value sent) and leaveMs (when the requester leaves).
-     * @returns What was seen.
+     * @returns What was seen; `isKept` tells whether the channel had carried a request before.
      */
     send(path, { method = "POST", headers = {}, body = "", deadlineMs = 2500, leaveMs = deadlineMs } = {}) {
         lastNumber += 1;
@@ -53,12 +53,15 @@
                         "x-request-id": id,
                         "x-deadline-ms": String(deadlineMs),
                         authorization: `Bearer ${apiKey}`,
-                        ...(body.length > 0 ? { "content-length": String(body.length) } : {}),
+                        ...(body.length > 0 && headers["transfer-encoding"] === undefined
+                            ? { "content-length": String(body.length) }
+                            : {}),
                         ...headers,
                     },
                 },
                 (response) => {
                     seen.status = response.statusCode;
+                    seen.isKept = request.reusedSocket;
                     seen.headers = response.headers;
                     response.on("data", (chunk) => (seen.text += String(chunk)));
                     response.on("end", () => finish(response.complete ? "whole" : "closed"));
