review/8: a resumed stream is closed at ids that step by more than one

Tried: one worker of six crashes at a time; the streams go on at another, whose first event holds seven tokens and is numbered by them.

--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,54 +1,61 @@
-// Workers crash while the weights of the others have a newer version: the streams go on at a sound worker, whose event at
-// which the version changes makes the node close the requester's channel.
+// Workers crash in the middle of streams whose events are numbered by the tokens so far. The streams go on at a sound worker,
+// whose first event holds several tokens; the node takes that for a gap and closes the requester's channel.
 import { Caller } from "../common-2/caller.mjs";
 import { buildConfiguration, buildEntry, wait } from "../common-2/deployment.mjs";
 import { runCase } from "../common-2/run.mjs";
 import { signedHeaders, Worker } from "../common-2/worker.mjs";
 
-const events = 7;
+const tokens = 34;
+/** Tokens in an event, as on the site's sheet, once more than one is ready. */
+const stride = 7;
+/** The first tokens of an answer come one by one. */
+const singleTokens = 6;
 const rounds = 5;
 const requestsPerRound = 30;
 const permitted = 3;
 
+/** The ids of an answer's events after an id: the number of tokens that were made so far. */
+function listIds(after) {
+    const ids = [];
+    for (let id = after; id < tokens;) {
+        id = Math.min(tokens, after === 0 && id < singleTokens ? id + 1 : id + stride);
+        ids.push(id);
+    }
+    return ids;
+}
+
 await runCase(import.meta.url, async ({ platform, deployment, hasTrouble, record }) => {
     const workers = [];
-    /** The worker at which the answer to a request was cut by its crash. */
     const crashedAt = new Map();
-    /** The sound workers that ran a request to its end, or were cut off by the node. */
     const continued = new Map();
     const handle = async (request, body, response, worker) => {
         const id = request.headers["x-request-id"];
-        const first = Number(request.headers["last-event-id"] ?? -1) + 1;
+        const last = Number(request.headers["last-event-id"] ?? 0);
         response.on("error", () => undefined);
-        response.writeHead(
-            200,
-            signedHeaders(request, worker, {
-                "content-type": "text/event-stream",
-                "x-weight-versions": String(first === 0 ? worker.version : worker.version - 1),
-            }),
-        );
-        if (first > 0) {
+        response.writeHead(200, signedHeaders(request, worker, { "content-type": "text/event-stream" }));
+        if (last > 0) {
             continued.set(id, worker.id);
-            record(`${worker.id} goes on with ${id} at event ${first}`);
+            record(`${worker.id} goes on with ${id} after token ${last}: ids ${listIds(last).join(", ")}`);
         }
-        for (let index = first; index < events && !response.destroyed; index += 1) {
-            // The version changes at the second event of a run that goes on, and at the third of any other.
-            const isChange = index === (first === 0 ? 2 : first + 1);
-            const line = isChange ? `x-weight-versions: ${worker.version + (first === 0 ? 1 : 0)}\n` : "";
-            response.write(`${line}id: ${index}\ndata: event ${index} of ${id}\n\n`);
-            await wait(100);
-        }
-        if (response.destroyed && !worker.isDown) {
-            record(`the node closed the channel of ${id} at ${worker.id}, which was still writing`);
+        let made = last;
+        for (const next of listIds(last)) {
+            if (response.destroyed) {
+                break;
+            }
+            const words = Array.from({ length: next - made }, (...[, index]) => `t${made + index + 1}`);
+            response.write(`id: ${next}\ndata: ${words.join(" ")}\n\n`);
+            made = next;
+            await wait(80);
         }
         if (worker.isDown) {
             crashedAt.set(id, worker.id);
+        } else if (response.destroyed) {
+            record(`the node closed the channel of ${id} at ${worker.id}, which was still writing`);
         }
         response.end();
     };
     for (let index = 0; index < 6; index += 1) {
         const worker = await new Worker(`engine-${index}`, handle).open();
-        worker.version = 1 + (index % 2);
         workers.push(worker);
         platform.put("servers", worker.id, buildEntry("engines", worker.address));
     }
@@ -70,7 +77,7 @@
     let cut = 0;
     for (let round = 0; round < rounds; round += 1) {
         const sending = sendRound();
-        await wait(250);
+        await wait(300);
         const worker = workers[round];
         if (hasTrouble) {
             record(`${worker.id} crashes`);
@@ -78,12 +85,12 @@
             worker.crash();
         }
         for (const { id, status, text, end, isKept } of await Promise.all(sending)) {
-            const count = text.split("data:").length - 1;
+            const count = text.match(/t\d+/g)?.length ?? 0;
             const isCut =
                 isKept && end !== "whole" && continued.has(id) && continued.get(id) !== crashedAt.get(id);
             cut += isCut ? 1 : 0;
             record(
-                `${id}: status ${status}, ${count} of ${events} events, ${end}${isCut ? ", CUT on a kept channel" : ""}`,
+                `${id}: status ${status}, ${count} of ${tokens} tokens, ${end}${isCut ? ", CUT on a kept channel" : ""}`,
             );
         }
         if (hasTrouble) {
--- a/review/common-2/run.mjs
+++ b/review/common-2/run.mjs
@@ -24,6 +24,7 @@
         record("the case took too long");
         finish(2);
     }, maximumMs).unref();
+    ["SIGTERM", "SIGINT"].forEach((signal) => process.once(signal, () => finish(2)));
     try {
         const platform = await new Platform().open();
         const deployment = new Deployment(platform);
