review/7: a stale report of usage arrives after another holder has acted

Tried: the holder of the duty is cut off from the platform for 11 s as it sends a report; three nodes as separate processes, links that resend as TCP does and drop what their sender resets.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,91 +1,121 @@
-// A requester without a key calls the port on which nodes relay requests for each other. The node says that it refuses, and
-// a worker runs the request all the same.
-import { connect } from "node:net";
+// The holder of the duty of usage is cut off from the platform while its report is under way. Another node takes the duty
+// over and acts. After the cut has healed, the report of the former holder arrives.
 import { Caller } from "../common-2/caller.mjs";
-import { buildConfiguration, buildEntry, routeHost, wait } from "../common-2/deployment.mjs";
+import { buildConfiguration, buildEntry, wait } from "../common-2/deployment.mjs";
+import { Link } from "../common-2/link.mjs";
 import { runCase } from "../common-2/run.mjs";
 import { signedHeaders, Worker } from "../common-2/worker.mjs";
 
-const attempts = 40;
-const host = "127.0.0.1";
+/** Length of the cut; the longest one in the site's days (`node_cut`) lasts 12 s. */
+const cutMs = 11_000;
+const afterCutMs = 6_000;
+const requestPauseMs = 50;
+const maximumWaitMs = 40_000;
+const zones = ["a", "b", "c"];
+/** The bounds of the rule. */
+const thawSlackMs = 300;
+const leaseMs = 3_000;
 
-/** Sends bytes on a new channel and waits until it is closed. */
-function sendRaw(port, text) {
-    return new Promise((resolve) => {
-        let answer = "";
-        const socket = connect(port, host, () => socket.write(text));
-        socket.on("data", (data) => (answer += String(data)));
-        socket.on("error", () => undefined).once("close", () => resolve(answer.split("\r\n")[0]));
-        setTimeout(() => socket.destroy(), 1_000);
-    });
+/** Judges the reports as rule ONE does; those don't count that come right after their sender's link has healed. */
+function findBreaks(reports, holder, healedMs) {
+    const breaks = [];
+    const contents = new Map();
+    const turns = [];
+    let highest = 0;
+    for (const report of reports) {
+        const { atMs, fence, body } = report;
+        const content = JSON.stringify(body.Counts);
+        if ((contents.get(body.Window) ?? content) !== content) {
+            breaks.push(`window ${body.Window} is reported with different counts`);
+        }
+        contents.set(body.Window, contents.get(body.Window) ?? content);
+        if (report.holder === holder && atMs >= healedMs && atMs <= healedMs + thawSlackMs) {
+            continue;
+        }
+        if (fence < highest) {
+            breaks.push(`${report.holder} sends generation ${fence} after generation ${highest} was seen`);
+        }
+        highest = Math.max(highest, fence);
+        if (turns.at(-1)?.holder !== report.holder) {
+            const earlier = turns.findLast((turn) => turn.holder === report.holder);
+            if (earlier !== undefined && atMs - earlier.lastMs < leaseMs) {
+                breaks.push(`${report.holder} acts again within LeaseMs, after another holder`);
+            }
+            turns.push({ holder: report.holder });
+        }
+        turns.at(-1).lastMs = atMs;
+    }
+    return breaks;
+}
+
+async function waitFor(condition, what) {
+    const endMs = performance.now() + maximumWaitMs;
+    while (!condition()) {
+        if (performance.now() > endMs) {
+            throw new Error(`${what} didn't happen`);
+        }
+        await wait(20);
+    }
 }
 
 await runCase(import.meta.url, async ({ platform, deployment, hasTrouble, record }) => {
-    const workers = [];
-    for (let index = 0; index < 3; index += 1) {
-        const worker = await new Worker(`i-${index}f3a91c2`, async (request, body, response) => {
-            await wait(20);
-            response.writeHead(200, signedHeaders(request, worker)).end(`held ${body.toString()}`);
+    const startMs = performance.now();
+    const format = (atMs) => `${((atMs - startMs) / 1_000).toFixed(3)} s`;
+    for (const zone of zones) {
+        const worker = await new Worker(`app-${zone}`, (request, body, response) => {
+            response.writeHead(200, signedHeaders(request, worker, { "content-length": "4" })).end("done");
         }).open();
-        workers.push(worker);
-        platform.put("servers", worker.id, buildEntry("plain", worker.address, { Slots: 6 }));
+        platform.put("servers", worker.id, buildEntry("plain", worker.address, { Zone: zone, Slots: 6 }));
     }
     platform.put("op", "config", buildConfiguration(1));
-    const nodes = [];
-    for (const name of ["node-1", "node-2", "node-3"]) {
-        nodes.push(await deployment.addNode(name));
+    const cut = { holder: undefined, startMs: undefined };
+    const callers = [];
+    for (const zone of zones) {
+        const name = `node-${zone}`;
+        const store = await new Link(platform.storeAddress).open();
+        const cloud = await new Link(platform.cloudAddress, (bytes) => {
+            const isReport = bytes.toString("latin1").startsWith("POST /usage");
+            if (hasTrouble && isReport && name === cut.holder && cut.startMs === undefined) {
+                cut.startMs = performance.now();
+                store.cut(cut.startMs + cutMs);
+                cloud.cut(cut.startMs + cutMs);
+                record(`${name} is cut off from the platform for ${cutMs} ms as it sends a report of usage`);
+            }
+        }).open();
+        const addresses = { storeAddress: store.address, dutiesAddress: cloud.address };
+        const node = await deployment.addNode(name, { dataCentre: zone, ...addresses });
+        callers.push(new Caller(node.callerPort));
     }
-    await wait(3_200);
-    const callers = nodes.map(({ callerPort }) => new Caller(callerPort));
-    const asked = new Set();
-    for (let index = 0; index < attempts; index += 1) {
-        // The usual requesters, after whose requests a node keeps its channels to the workers.
-        const usual = await Promise.all(
-            callers.flatMap((caller) => [1, 2, 3].map(() => caller.send("/unsafe/seat", { body: "seat" }))),
-        );
-        usual.forEach(({ id }) => asked.add(id));
-        const node = nodes[index % nodes.length];
-        const id = `stranger-${index}`;
-        const common = `Host: ${routeHost}\r\nX-Request-Id: ${id}\r\nAuthorization: Bearer none\r\nContent-Length: 4\r\n`;
-        if (hasTrouble) {
-            // The node itself tells which workers a route leads to, on the port of the readiness check.
-            const url = `http://${host}:${node.readyPort}/explain?host=${routeHost}&path=/unsafe/seat`;
-            const { services } = await (await fetch(url)).json();
-            const { server } = services[0].servers[0];
-            const head =
-                `X-Tenant: customer\r\nX-Target-Instance: ${server}\r\n` +
-                `Pimentocleat-Relay-Server: ${server}\r\nPimentocleat-Relay-Request: ${id}\r\n`;
-            const text = `POST /unsafe/seat HTTP/1.1\r\n${common}${head}\r\nseat`;
-            const answer = await sendRaw(node.settings.peerPorts[0], text);
-            record(`${id} to the relay port of ${node.name}, for ${server}: answer "${answer}"`);
-        } else {
-            const answer = await sendRaw(
-                node.callerPort,
-                `POST /unsafe/seat HTTP/1.1\r\n${common}Connection: close\r\n\r\nseat`,
-            );
-            record(`${id} to the front port of ${node.name}: answer "${answer}"`);
+    const traffic = { sent: 0, served: 0, isOver: false };
+    const sendTraffic = async () => {
+        while (!traffic.isOver) {
+            const caller = callers[traffic.sent % callers.length];
+            traffic.sent += 1;
+            void caller.send("/safe/look").then(({ status }) => {
+                traffic.served += status === 200 ? 1 : 0;
+            });
+            await wait(requestPauseMs);
         }
+    };
+    void sendTraffic();
+    const listReports = () => platform.dutyCalls.filter(({ path }) => path === "/usage");
+    await waitFor(() => listReports().length >= 2, "a second report of usage");
+    cut.holder = listReports().at(-1).holder;
+    record(`${cut.holder} holds the duty of usage`);
+    if (hasTrouble) {
+        await waitFor(() => cut.startMs !== undefined, "a further report of the holder");
     }
-    await wait(500);
-    let foreign = 0;
-    for (const worker of workers) {
-        for (const { requestId, method, path, headers } of worker.runs) {
-            if (!asked.has(requestId)) {
-                foreign += 1;
-                const { "x-tenant": tenant, authorization } = headers;
-                record(
-                    `${worker.id} ran ${requestId}: ${method} ${path}, tenant ${tenant}, key "${authorization}"`,
-                );
-            }
-        }
+    await wait(cutMs + afterCutMs);
+    traffic.isOver = true;
+    const healedMs = cut.startMs === undefined ? Number.POSITIVE_INFINITY : cut.startMs + cutMs;
+    record(`${traffic.served} of ${traffic.sent} requests were served`);
+    const reports = listReports();
+    for (const { atMs, holder, fence, body } of reports) {
+        const late = atMs > healedMs ? `, ${Math.round(atMs - healedMs)} ms after the cut has healed` : "";
+        const text = `window ${body.Window} with ${JSON.stringify(body.Counts)}`;
+        record(`at ${format(atMs)} the platform got from ${holder}, generation ${fence}: ${text}${late}`);
     }
-    const refused = nodes.reduce(
-        (sum, { output }) => sum + output.split('"name":"relayRefused"').length - 1,
-        0,
-    );
-    record(`the nodes say of ${refused} requests that they refused them (log event relayRefused)`);
-    record(
-        `${foreign} of ${attempts} requests with a key that no configuration ever held were run by a worker`,
-    );
-    return foreign > 0;
+    const breaks = findBreaks(reports, cut.holder, healedMs);
+    breaks.forEach((text) => record(text));
+    return breaks.length > 0;
 });
