review/10: a stream is cut for a pause of its worker while the machine stops

Tried: six streams on a machine that gets SIGTERM, a pause of 1.5 s of their sound worker, and a second worker that is full.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec node run.mjs
