--- /dev/null
+++ b/packages/standins/bin/crowd.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runCrowdProgram } from "../lib/index.js";
+
+runCrowdProgram();
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -52,3 +52,5 @@
 export { findFreePort } from "./usersPlatform/freePort.js";
 export { UsersDeployment } from "./usersPlatform/usersDeployment.js";
 export type { UsersDeploymentOptions, UsersNode } from "./usersPlatform/usersDeployment.js";
+export { runCrowdProgram } from "./crowd/crowdProgram.js";
+export type { CrowdKindName } from "./crowd/crowdKinds.js";
--- a/packages/standins/src/launcher/launchProgram.ts
+++ b/packages/standins/src/launcher/launchProgram.ts
@@ -18,7 +18,7 @@
 process.once("exit", () => runningChildren.forEach((child) => child.kill("SIGKILL")));
 
 /** Names of the stand-in programs. */
-export type StandInName = "engine" | "plainService" | "platform";
+export type StandInName = "crowd" | "engine" | "plainService" | "platform";
 
 /** How to launch a program. */
 export interface LaunchOptions {
--- a/packages/standins/src/usersPlatform/usersDeployment.ts
+++ b/packages/standins/src/usersPlatform/usersDeployment.ts
@@ -37,6 +37,8 @@
     readonly plainCount?: number;
     /** Number of engines; 2 when absent. */
     readonly engineCount?: number;
+    /** Settings of the nodes that differ from the defaults. */
+    readonly settings?: Readonly<Record<string, unknown>>;
 }
 
 /** A node, its addresses and its process. */
@@ -197,6 +199,7 @@
             retrySlack: 60,
             configurationApplyMs: 2_000,
             leavingNoticeMs: 2_000,
+            ...this.options.settings,
         };
         const settingsPath = join(this.settingsFolder, `${name}.json`);
         await writeFile(settingsPath, JSON.stringify(settings));
