--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -94,3 +94,4 @@
 export { PlaceKeeper } from "./brittleness/placeKeeper.js";
 export { PlaceQueue, type PlaceQueueOptions } from "./brittleness/placeQueue.js";
 export * from "./overload/index.js";
+export * from "./connections/index.js";
