--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -7,13 +7,13 @@
 import { fastify, type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import type { Logger, Metrics } from "@pimentocleat/telemetry";
 import { ErrorKind, RouterError, type Clock } from "@pimentocleat/types";
-import type { HeldBytes } from "../dispatch/heldBytes.js";
 import type { RequestRunner } from "../dispatch/requestRunner.js";
 import { buildDrainingError } from "../dispatch/runState.js";
 import { CallerAnswer } from "./callerAnswer.js";
+import type { CallerConnections } from "./callerConnections.js";
 import type { CallerProtocol } from "./callerProtocol.js";
 import type { RequestAdmission } from "./requestAdmission.js";
-import { RequestBodies, SmallPiecesError } from "./requestBody.js";
+import { RequestBodies } from "./requestBody.js";
 import { withoutSchemas } from "./withoutSchemas.js";
 
 /** Options of {@link buildCallerServer}. */
@@ -24,8 +24,8 @@
     readonly clock: Clock;
     readonly logger: Logger;
     readonly metrics: Metrics;
-    /** What is held of the bodies of all requests. */
-    readonly heldBodies: HeldBytes;
+    /** The callers' connections, and what they may hold together. */
+    readonly connections: CallerConnections;
     /** Whether responses carry `connection: close`, so that callers open another connection. */
     readonly isDraining: () => boolean;
     /** Whether new requests are refused, because the node could not finish them before it stops. */
@@ -65,14 +65,20 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
         clientErrorHandler: (error, socket) => refuseMalformedRequest(options, error, socket),
     });
-    const bodies = new RequestBodies({ maximumBytes: maximumBodyBytes, held: options.heldBodies });
+    const { connections } = options;
+    connections.follow(server.server);
+    const bodies = new RequestBodies({ maximumBytes: maximumBodyBytes, connections });
     bodies.addParser(server);
     const arrivals = new WeakMap<FastifyRequest, number>();
     server.addHook("onRequest", async (request) => {
         arrivals.set(request, options.clock.monotonicMs());
     });
     server.setErrorHandler((error, request, reply) => {
-        const isUnread = error instanceof SmallPiecesError;
+        const connection = connections.findConnection(request.raw);
+        const isUnread = !request.raw.complete;
+        if (isUnread) {
+            connection?.refuseRest();
+        }
         const answer = new CallerAnswer(reply.raw, () => isUnread || options.isDraining());
         reply.hijack();
         sendRefusal(options, request, answer, convertError(error), readTimeoutMs(options, request));
@@ -91,7 +97,9 @@
     reply: FastifyReply,
     arrivedMs: number,
 ): Promise<void> {
+    const connection = options.connections.findConnection(request.raw);
     const answer = new CallerAnswer(reply.raw, options.isDraining);
+    await connection?.waitForPlace(reply.raw);
     let deadlineMs = arrivedMs;
     options.onActiveChange(1);
     try {
@@ -165,7 +173,12 @@
         socket.destroy();
         return;
     }
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () =>
-        socket.destroy(),
-    );
+    const response = `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+    const connection = options.connections.findBySocket(socket);
+    if (connection === undefined) {
+        socket.end(response, () => socket.destroy());
+    } else {
+        connection.refuseRest();
+        connection.closeAnswered(response);
+    }
 }
--- a/packages/gateway/src/relaying/relayServer.ts
+++ b/packages/gateway/src/relaying/relayServer.ts
@@ -14,11 +14,11 @@
 import type { DirectPaths } from "../backends/directPaths.js";
 import type { ServerDirectory } from "../backends/serverDirectory.js";
 import type { ServerNotices } from "../backends/serverNotices.js";
+import { CallerConnections } from "../callers/callerConnections.js";
 import { RequestBodies } from "../callers/requestBody.js";
 import { withoutSchemas } from "../callers/withoutSchemas.js";
 import type { Evacuations } from "../configuration/evacuations.js";
 import type { Exchange, ExchangeFailure, ExchangeReceiver } from "../dispatch/backendExchange.js";
-import { HeldBytes } from "../dispatch/heldBytes.js";
 import { isServerGone } from "../dispatch/isServerGone.js";
 import {
     hasResponseBody,
@@ -87,10 +87,14 @@
         http: { maxHeaderSize: maximumHeaderBytes, headersTimeout: headersTimeoutMs, noDelay: true },
     });
     const load = new RelayLoad(options);
-    const bodies = new RequestBodies({
-        maximumBytes: maximumBodyBytes,
-        held: new HeldBytes(maximumHeldBytes),
+    const connections = new CallerConnections({
+        ...options,
+        maximumConnections: Number.POSITIVE_INFINITY,
+        maximumShared: maximumRelayed,
+        maximumBytes: maximumHeldBytes,
     });
+    connections.follow(server.server);
+    const bodies = new RequestBodies({ maximumBytes: maximumBodyBytes, connections });
     bodies.addParser(server);
     // Before the body is read, so that nobody without the key makes this node hold one.
     server.addHook("onRequest", async (request) => {
--- a/packages/gateway/src/settings/gatewaySettings.ts
+++ b/packages/gateway/src/settings/gatewaySettings.ts
@@ -10,6 +10,9 @@
 const secondsSchema = z.number().positive();
 const millisecondsPerSecond = 1_000;
 
+/** Descriptors that a process may have open where the settings do not say it. */
+const defaultDescriptors = 4_096;
+
 /** Schema of the settings file; unknown settings are ignored. */
 export const gatewaySettingsSchema = z
     .object({
@@ -28,6 +31,8 @@
         /** Whether the deployment starts for the first time. */
         isFirstStart: z.boolean(),
         memoryMegabytes: z.number().positive(),
+        /** Number of descriptors that the process may have open. */
+        maximumDescriptors: z.number().positive().default(defaultDescriptors),
         /** Part of the host's processor that this process may use, in cores. */
         processorShare: z.number().positive(),
         /** Time between the stop signal and the end of the process, in seconds. */
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -26,6 +26,12 @@
 
 /** Every metric that the product sends. */
 export const metricDefinitions = {
+    "connection.refused": defineMetric(
+        "counter",
+        "connections",
+        [],
+        "Connections of callers that were closed at once, since requests ran on all others.",
+    ),
     "request.finished": defineMetric("counter", "requests", ["class", "status"], "Answered requests."),
     "request.refused": defineMetric("counter", "requests", ["kind"], "Refused requests, by error kind."),
     "request.abandoned": defineMetric(
