--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -14,12 +14,14 @@
     ReadTurns,
     TurnReader,
 } from "@pimentocleat/policy";
+import type { BufferReclaimer } from "./bufferReclaimer.js";
 
 /** What all connections of a node share. */
 export interface SharedConnections {
     readonly ledger: ConnectionLedger;
     readonly places: ConnectionPlaces;
     readonly turns: ReadTurns;
+    readonly reclaimer: BufferReclaimer;
     /** Number of running requests from which on only one may run on a connection. */
     readonly maximumShared: number;
     /** Number of running requests of all connections. */
@@ -114,6 +116,7 @@
 
     readPart(): number {
         const part = this.takePart();
+        this.shared.reclaimer.recordPassed(part.length);
         this.partUnits = 1 + part.length / bytesOfUnit;
         const bytesUnits = this.partUnits;
         if (!this.isRefused) {
--- a/packages/gateway/src/callers/callerConnections.ts
+++ b/packages/gateway/src/callers/callerConnections.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "@pimentocleat/telemetry";
 import type { Clock } from "@pimentocleat/types";
 import { BlockPool } from "./bodyBlocks.js";
+import { BufferReclaimer } from "./bufferReclaimer.js";
 import { CallerConnection, type SharedConnections } from "./callerConnection.js";
 
 /** Options of {@link CallerConnections}. */
@@ -24,6 +25,9 @@
     readonly maximumBytes: number;
 }
 
+/** Size of buffers that are in use beside what the connections hold, in bytes. */
+const spareBufferBytes = 4 * 1_024 * 1_024;
+
 /** Follows the connections of an HTTP server. */
 export class CallerConnections {
     /** Where the bodies of requests are collected. */
@@ -34,7 +38,9 @@
     /** @param options - Limits and recorders. */
     constructor(private readonly options: CallerConnectionsOptions) {
         this.blocks = new BlockPool(options.maximumBytes);
+        const reclaimer = new BufferReclaimer(options.maximumBytes + spareBufferBytes);
         this.shared = {
+            reclaimer,
             ledger: new ConnectionLedger(options),
             places: new ConnectionPlaces(options),
             turns: new ReadTurns(setImmediate),
