--- a/packages/gateway/src/callers/callerAnswer.ts
+++ b/packages/gateway/src/callers/callerAnswer.ts
@@ -8,19 +8,32 @@
 /** Response headers. */
 export type AnswerHeaders = Readonly<Record<string, string | string[]>>;
 
+/** Bytes that a stalled response holds on the side of its backend server, in bytes: received there and not passed on. */
+const stalledBytes = 128 * 1_024;
+
+/** Counts what was written to a caller and is not sent, because the caller does not read it. */
+export interface UnreadCounter {
+    /** @param change - Change of the number of bytes. */
+    addUnreadBytes(change: number): void;
+}
+
 /** Writes the response to one request. */
 export class CallerAnswer {
     private disconnectListener: (() => void) | undefined;
     private disconnected = false;
     private finished = false;
+    /** Whether the caller has to read before more is written. */
+    private isStalled = false;
 
     /**
      * @param response - Response on the caller's connection.
      * @param isClosing - Whether the connection closes after this response.
+     * @param unread - Counts what is written and not sent; undefined when the connection has closed.
      */
     constructor(
         private readonly response: ServerResponse,
         private readonly isClosing: () => boolean,
+        private readonly unread: UnreadCounter | undefined,
     ) {
         response.once("close", () => {
             if (!this.finished) {
@@ -60,7 +73,7 @@
             return;
         }
         this.writeHead(status, { ...headers, "content-length": String(body.length) });
-        this.response.end(body);
+        this.response.end(body, this.countUnread(body.length));
         // Last, so that a response that one of these steps failed to send can still be aborted.
         this.finished = true;
     }
@@ -84,7 +97,19 @@
      * @returns False when further writes should wait for {@link CallerAnswer.onWritable}.
      */
     writeBytes(bytes: Buffer): boolean {
-        return this.disconnected || this.finished || this.response.write(bytes);
+        if (this.disconnected || this.finished) {
+            return true;
+        }
+        const isFlowing = this.response.write(bytes, this.countUnread(bytes.length));
+        if (!isFlowing && !this.isStalled) {
+            this.isStalled = true;
+            const finish = this.countUnread(stalledBytes);
+            this.response.once("drain", () => {
+                this.isStalled = false;
+                finish();
+            });
+        }
+        return isFlowing;
     }
 
     /** @param listener - Called once, when the write buffer has been flushed to the caller. */
@@ -111,6 +136,12 @@
         }
     }
 
+    /** Counts bytes, and returns what ends that when they were sent. */
+    private countUnread(length: number): () => void {
+        this.unread?.addUnreadBytes(length);
+        return () => this.unread?.addUnreadBytes(-length);
+    }
+
     private writeHead(status: number, headers: AnswerHeaders): void {
         const all = this.isClosing() ? { ...headers, connection: "close" } : headers;
         this.response.writeHead(status, all as Record<string, string | string[]>);
--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -43,6 +43,8 @@
 const waitingRequestBytes = 8 * 1_024;
 /** Memory of a head that is incomplete, in relation to its bytes. */
 const headCopies = 2;
+/** Unread bytes beyond which the caller counts as one that does not read, in bytes. */
+const stalledBytes = 64 * 1_024;
 /** Time for which a refused caller may go on to send before its connection is reset, in milliseconds. */
 const lingerMs = 1_000;
 
@@ -66,6 +68,7 @@
     private readonly openResponses = new Set<ServerResponse>();
     private runningRequests = 0;
     private readonly waitingRequests: (() => void)[] = [];
+    private unreadBytes = 0;
     private refuseBody: (() => void) | undefined;
     /** Whether the body of the open request is refused as soon as it is read. */
     private isBodyUnwanted = false;
@@ -173,6 +176,18 @@
         this.account.addBytes("running", change);
     }
 
+    /** @param change - Change of the number of bytes that were written and are not sent. */
+    addUnreadBytes(change: number): void {
+        this.unreadBytes += change;
+        if (change > 0) {
+            this.shared.reclaimer.recordPassed(change);
+        }
+        this.account.setBytes("unread", this.unreadBytes);
+        if (this.unreadBytes > stalledBytes !== (this.stage === "unfinished")) {
+            this.updateStage();
+        }
+    }
+
     /**
      * Waits until a request may run, after earlier ones of the connection.
      *
@@ -294,7 +309,7 @@
     }
 
     private selectStage(): ConnectionStage {
-        if (this.isRefused) {
+        if (this.isRefused || this.unreadBytes > stalledBytes) {
             return "unfinished";
         }
         if (this.openResponses.size > 0) {
--- a/packages/gateway/src/callers/callerServer.ts
+++ b/packages/gateway/src/callers/callerServer.ts
@@ -79,7 +79,7 @@
         if (isUnread) {
             connection?.refuseRest();
         }
-        const answer = new CallerAnswer(reply.raw, () => isUnread || options.isDraining());
+        const answer = new CallerAnswer(reply.raw, () => isUnread || options.isDraining(), connection);
         reply.hijack();
         sendRefusal(options, request, answer, convertError(error), readTimeoutMs(options, request));
     });
@@ -98,7 +98,7 @@
     arrivedMs: number,
 ): Promise<void> {
     const connection = options.connections.findConnection(request.raw);
-    const answer = new CallerAnswer(reply.raw, options.isDraining);
+    const answer = new CallerAnswer(reply.raw, options.isDraining, connection);
     await connection?.waitForPlace(reply.raw);
     let deadlineMs = arrivedMs;
     options.onActiveChange(1);
