--- a/packages/gateway/src/callers/callerConnection.ts
+++ b/packages/gateway/src/callers/callerConnection.ts
@@ -15,6 +15,7 @@
     TurnReader,
 } from "@pimentocleat/policy";
 import type { BufferReclaimer } from "./bufferReclaimer.js";
+import { RequestPlaces, type SharedRequests } from "./requestPlaces.js";
 
 /** What all connections of a node share. */
 export interface SharedConnections {
@@ -22,14 +23,9 @@
     readonly places: ConnectionPlaces;
     readonly turns: ReadTurns;
     readonly reclaimer: BufferReclaimer;
-    /** Number of running requests from which on only one may run on a connection. */
-    readonly maximumShared: number;
-    /** Number of running requests of all connections. */
-    runningRequests: number;
+    readonly requests: SharedRequests;
 }
 
-/** Maximum number of requests of one connection that run at the same time. */
-const maximumRunningRequests = 16;
 /** Minimum and maximum number of bytes that are parsed at once. */
 const minimumPartBytes = 1_024;
 const maximumPartBytes = 16 * 1_024;
@@ -66,8 +62,7 @@
     /** The last request that came. */
     private lastRequest: IncomingMessage | undefined;
     private readonly openResponses = new Set<ServerResponse>();
-    private runningRequests = 0;
-    private readonly waitingRequests: (() => void)[] = [];
+    private readonly requestPlaces: RequestPlaces;
     private unreadBytes = 0;
     private refuseBody: (() => void) | undefined;
     /** Whether the body of the open request is refused as soon as it is read. */
@@ -83,6 +78,7 @@
         private readonly socket: Socket,
         private readonly shared: SharedConnections,
     ) {
+        this.requestPlaces = new RequestPlaces(shared.requests, () => this.recordWaiting());
         this.account = shared.ledger.openAccount(() => this.abort());
         const [listener] = socket.listeners("data") as ((bytes: Buffer) => void)[];
         this.parse = (bytes) => listener?.call(socket, bytes);
@@ -113,7 +109,7 @@
             this.socket.readableLength > 0 &&
             !this.socket.destroyed &&
             !this.isReading &&
-            (this.isRefused || (!this.isParserPaused && this.waitingRequests.length === 0))
+            (this.isRefused || (!this.isParserPaused && this.requestPlaces.waitingCount === 0))
         );
     }
 
@@ -140,6 +136,7 @@
     recordRequest(request: IncomingMessage, response: ServerResponse): void {
         this.partUnits += requestUnits;
         this.lastRequest = request;
+        this.isBodyUnwanted = false;
         this.openResponses.add(response);
         response.once("close", () => {
             this.openResponses.delete(response);
@@ -191,19 +188,10 @@
     /**
      * Waits until a request may run, after earlier ones of the connection.
      *
-     * @param response - The response to it, whose end makes place for another one.
+     * @param response - The response to it.
      */
-    async waitForPlace(response: ServerResponse): Promise<void> {
-        if (!this.hasPlace() && !this.socket.destroyed) {
-            await new Promise<void>((resolve) => {
-                this.waitingRequests.push(resolve);
-                this.recordWaiting();
-            });
-        }
-        if (!response.closed && !this.socket.destroyed) {
-            this.addRunning(1);
-            response.once("close", () => this.addRunning(-1));
-        }
+    waitForPlace(response: ServerResponse): Promise<void> {
+        return this.requestPlaces.waitForPlace(response);
     }
 
     /** Drops what still comes. The connection is closed when the response was sent, in a way that lets the caller read it. */
@@ -263,24 +251,7 @@
     }
 
     private recordWaiting(): void {
-        this.account.setBytes("waiting", this.waitingRequests.length * waitingRequestBytes);
-    }
-
-    private hasPlace(): boolean {
-        return (
-            this.runningRequests === 0 ||
-            (this.runningRequests < maximumRunningRequests &&
-                this.shared.runningRequests < this.shared.maximumShared)
-        );
-    }
-
-    private addRunning(change: 1 | -1): void {
-        this.runningRequests += change;
-        this.shared.runningRequests += change;
-        if (change < 0 && this.waitingRequests.length > 0 && this.hasPlace()) {
-            this.waitingRequests.shift()?.();
-            this.recordWaiting();
-        }
+        this.account.setBytes("waiting", this.requestPlaces.waitingCount * waitingRequestBytes);
         this.offerReading();
     }
 
@@ -323,7 +294,7 @@
 
     /** Refuses the body that is being received or is about to be, or closes the connection. */
     private abort(): void {
-        if (this.openResponses.size !== 1 || this.runningRequests > 0) {
+        if (this.isRefused || this.openResponses.size !== 1 || this.requestPlaces.runningCount > 0) {
             this.socket.destroy();
         } else if (this.refuseBody === undefined) {
             this.isBodyUnwanted = true;
@@ -336,7 +307,7 @@
         this.account.close();
         this.shared.places.remove(this);
         this.shared.turns.remove(this);
-        this.waitingRequests.splice(0).forEach((start) => start());
+        this.requestPlaces.close();
         // The HTTP server tells only the first of the responses in a row that the connection has closed.
         process.nextTick(() => {
             for (const response of this.openResponses) {
--- a/packages/gateway/src/callers/callerConnections.ts
+++ b/packages/gateway/src/callers/callerConnections.ts
@@ -44,8 +44,7 @@
             ledger: new ConnectionLedger(options),
             places: new ConnectionPlaces(options),
             turns: new ReadTurns(setImmediate),
-            maximumShared: options.maximumShared,
-            runningRequests: 0,
+            requests: { maximumShared: options.maximumShared, running: 0 },
         };
     }
 
--- a/packages/gateway/src/callers/requestBody.ts
+++ b/packages/gateway/src/callers/requestBody.ts
@@ -99,7 +99,7 @@
                 connection?.recordBody(body.heldBytes);
             }
         };
-        connection?.setBodyRefusal(() => finish(buildNoRoomError()));
         payload.on("data", handleData).once("end", finish).once("error", finish);
+        connection?.setBodyRefusal(() => finish(buildNoRoomError()));
     });
 }
