--- a/packages/gateway/src/callers/callerAnswer.ts
+++ b/packages/gateway/src/callers/callerAnswer.ts
@@ -102,12 +102,7 @@
         }
         const isFlowing = this.response.write(bytes, this.countUnread(bytes.length));
         if (!isFlowing && !this.isStalled) {
-            this.isStalled = true;
-            const finish = this.countUnread(stalledBytes);
-            this.response.once("drain", () => {
-                this.isStalled = false;
-                finish();
-            });
+            this.recordStall();
         }
         return isFlowing;
     }
@@ -136,6 +131,19 @@
         }
     }
 
+    /** Counts what is held beside the written bytes until the caller has read them. */
+    private recordStall(): void {
+        this.isStalled = true;
+        const finish = this.countUnread(stalledBytes);
+        const handleFlow = (): void => {
+            this.response.off("drain", handleFlow).off("close", handleFlow);
+            this.isStalled = false;
+            finish();
+        };
+        // A response that has been ended meanwhile closes without a drain.
+        this.response.once("drain", handleFlow).once("close", handleFlow);
+    }
+
     /** Counts bytes, and returns what ends that when they were sent. */
     private countUnread(length: number): () => void {
         this.unread?.addUnreadBytes(length);
