--- a/vitest.setup.ts
+++ b/vitest.setup.ts
@@ -9,14 +9,21 @@
         .map((line) => line.split(" | ")[0]!.trim()),
 );
 
+/** Begins the entry of a test whose verdict differs from run to run; CI passes over it. */
+const unsteadyPrefix = "unsteady: ";
+
 // A listed test is expected to fail: CI passes over it, and fails when it passes and is still listed.
-beforeEach(({ task }) => {
+beforeEach(({ task, skip }) => {
     const names = [task.name];
     for (let suite = task.suite; suite !== undefined && suite.name !== ""; suite = suite.suite) {
         names.unshift(suite.name);
     }
     const file = relative(process.cwd(), task.file.filepath);
-    if (knownRedTests.has([file, ...names].join(" > "))) {
+    const listedName = [file, ...names].join(" > ");
+    if (knownRedTests.has(`${unsteadyPrefix}${listedName}`)) {
+        skip("KNOWN-RED.txt lists it as unsteady");
+    }
+    if (knownRedTests.has(listedName)) {
         Object.assign(task, { fails: true });
     }
 });
