--- a/review/common-3/caseRun.mjs
+++ b/review/common-3/caseRun.mjs
@@ -92,6 +92,9 @@
     };
 }
 
+/** Time after which a run gives up, in milliseconds. */
+const mostMs = 105000;
+
 /** A run of a case: its deployment, and the lines of its record. */
 export class CaseRun {
     lines = [];
@@ -159,11 +162,16 @@
     static async run(folder, body) {
         const run = new CaseRun(folder);
         let code = codes.notRun;
+        const ended = new Promise((...[, reject]) => {
+            const giveUp = () => reject(new Error("the run was ended before its time"));
+            process.once("SIGTERM", giveUp).once("SIGINT", giveUp);
+            setTimeout(giveUp, mostMs).unref();
+        });
         try {
             await run.store.open();
             await run.duties.open();
             run.write(isTroubled ? "with the disruption" : "without the disruption");
-            code = (await body(run)) ? codes.broken : codes.held;
+            code = (await Promise.race([body(run), ended])) ? codes.broken : codes.held;
         } catch (error) {
             run.write(`the case could not run: ${error.stack}`);
         }
