--- a/review/common-3/caseRun.mjs
+++ b/review/common-3/caseRun.mjs
@@ -166,6 +166,7 @@
             const giveUp = () => reject(new Error("the run was ended before its time"));
             process.once("SIGTERM", giveUp).once("SIGINT", giveUp);
             setTimeout(giveUp, mostMs).unref();
+            process.once("uncaughtException", reject);
         });
         try {
             await run.store.open();
--- a/review/common-3/slowRequester.py
+++ b/review/common-3/slowRequester.py
@@ -41,6 +41,8 @@
         seen["status"] = int(head.split(" ")[1])
         seen["signed"] = "x-server-signature" in head.lower()
         lengths = [line.split(":")[1] for line in head.split("\r\n") if line.lower().startswith("content-length")]
+        if not lengths:
+            raise ValueError("an answer without a length, which this requester does not read")
         seen["length"] = int(lengths[0])
         while seen["got"] < seen["length"]:
             piece = channel.recv(min(2048, seen["length"] - seen["got"]))
--- a/review/common-3/slowRequesters.py
+++ b/review/common-3/slowRequesters.py
@@ -1,7 +1,7 @@
 """Stand-ins for many requesters behind slow links with small windows, in one process; each reads at a steady pace.
 
-Command line: port, host, key, time limit in milliseconds, bytes per second, path of a first request, path, and identifiers of
-the requests, one for each requester. Each requester first sends a request that it reads at once, and the other one on the
+Command line: port, host, key, time limit in milliseconds, bytes per second, size of an answer, path of a first request, path,
+and identifiers of the requests, one for each requester. Each requester first sends a request that it reads at once, and the other one on the
 same channel. Prints one JSON object for each requester.
 """
 
@@ -11,7 +11,7 @@
 import time
 
 port, host, key, limit_ms, pace = int(sys.argv[1]), sys.argv[2], sys.argv[3], int(sys.argv[4]), float(sys.argv[5])
-first_path, path, identifiers = sys.argv[6], sys.argv[7], sys.argv[8:]
+expected, first_path, path, identifiers = int(sys.argv[6]), sys.argv[7], sys.argv[8], sys.argv[9:]
 
 
 def build(request_path, request_id):
@@ -21,20 +21,35 @@
     ).encode()
 
 
+def find_end(data):
+    """Length of the answer at the beginning of data; None while it is not whole."""
+    head, separator, _ = data.partition(b"\r\n\r\n")
+    if not separator:
+        return None
+    start = len(head) + 4
+    fields = dict(line.split(":", 1) for line in head.decode("latin1").lower().split("\r\n")[1:])
+    if "content-length" in fields:
+        end = start + int(fields["content-length"])
+        return end if len(data) >= end else None
+    while True:
+        line_end = data.find(b"\r\n", start)
+        if line_end < 0:
+            return None
+        size = int(data[start:line_end], 16)
+        start = line_end + 2 + size + 2
+        if size == 0:
+            return start if len(data) >= start else None
+
+
 def read_whole(channel):
-    """Reads an answer at once."""
+    """Reads an answer at once, and returns its status."""
     data = b""
-    while True:
-        end = data.find(b"\r\n\r\n")
-        if end >= 0:
-            head = data[:end].decode("latin1").lower().split("\r\n")
-            length = int([line.split(":")[1] for line in head if line.startswith("content-length")][0])
-            if len(data) >= end + 4 + length:
-                return int(head[0].split(" ")[1])
+    while find_end(data) is None:
         piece = channel.recv(65536)
         if not piece:
             raise OSError("the channel ended")
         data += piece
+    return int(data.split(b" ", 2)[1])
 
 
 class Requester:
@@ -50,19 +65,14 @@
         self.first_status = read_whole(self.channel)
         self.data = b""
         self.end = None
+        # Fewer bytes cannot be a whole answer of the size that the case asks for.
+        self.expected = expected
 
     def send(self):
         self.sent = time.time()
         self.channel.sendall(build(path, self.id))
         self.channel.setblocking(False)
 
-    def find_length(self):
-        head, separator, _ = self.data.partition(b"\r\n\r\n")
-        if not separator:
-            return None
-        lines = head.decode("latin1").lower().split("\r\n")
-        return len(head) + 4 + int([line.split(":")[1] for line in lines if line.startswith("content-length")][0])
-
     def read(self):
         allowed = int((time.time() - self.sent) * pace) - len(self.data)
         try:
@@ -72,8 +82,8 @@
                     self.end = "closed"
                 self.data += piece
                 allowed -= len(piece)
-                if self.find_length() == len(self.data):
-                    self.end = "whole"
+                if self.data.endswith(b"\r\n") or len(self.data) >= self.expected:
+                    self.end = "whole" if find_end(self.data) is not None else self.end
         except BlockingIOError:
             pass
         except OSError as error:
@@ -89,7 +99,6 @@
             "firstStatus": self.first_status,
             "status": status,
             "got": len(self.data),
-            "length": self.find_length(),
             "end": self.end,
             "seconds": self.seconds,
         }
