--- a/review/common-3/deployment.mjs
+++ b/review/common-3/deployment.mjs
@@ -14,17 +14,27 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Range of ports that the operating system does not choose by itself. */
+const ports = { first: 12000, count: 18000 };
+
+function tryBind(open) {
+    return new Promise((resolve) => {
+        open()
+            .once("error", () => resolve(false))
+            .once("listening", () => resolve(true));
+    });
+}
+
 async function findPort() {
     for (;;) {
+        const port = ports.first + Math.floor(Math.random() * ports.count);
         const server = createServer();
-        await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-        const { port } = server.address();
         const socket = createSocket("udp4");
-        const isFree = await new Promise((resolve) => {
-            socket.once("error", () => resolve(false)).bind(port, "127.0.0.1", () => resolve(true));
-        });
+        const isFree =
+            (await tryBind(() => server.listen(port, "127.0.0.1"))) &&
+            (await tryBind(() => socket.bind(port, "127.0.0.1")));
         socket.close();
-        await new Promise((resolve) => server.close(resolve));
+        server.close();
         if (isFree) {
             return port;
         }
